--- /dev/null
+++ b/src/azurepaddle/codec/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace azurepaddle::codec {
+
+enum class CodecErrorCode : unsigned char;
+struct Limits;
+
+}
--- /dev/null
+++ b/src/azurepaddle/core/fwd.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace azurepaddle {
+
+class ManualClock;
+class Random;
+class SystemClock;
+enum class Outcome : unsigned char;
+template <typename Code>
+class LayerError;
+template <typename Tag>
+class Identifier;
+
+}
