Add the storage module: log store, POSIX and in-memory file systems

Change: LogStore writes the records of one sync as one checksummed batch with one fsync. A torn last batch is cut back; a damaged batch in front of a whole one is an error. A failed write or fsync closes the store for good. MemoryFileSystem loses unsynced bytes and names at a crash, fills up and fails fsync. The loss of the newest log file as a whole is not detected.

--- /dev/null
+++ b/src/azurepaddle/storage/file_system.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "azurepaddle/core/error.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace azurepaddle::storage {
+
+enum class StorageErrorCode : unsigned char {
+    NotFound, ///< The file does not exist.
+    Io, ///< The system refused an operation. Its message is part of the error.
+    NoSpace, ///< The disk or the quota is full.
+    Corrupt, ///< Bytes that had been synced are missing or changed.
+    TooLarge, ///< A record exceeds maxRecordBytes.
+    Closed, ///< An earlier write or fsync failed. The store accepts nothing any more.
+    Crashed, ///< The simulated machine is down.
+};
+
+using StorageError = LayerError<StorageErrorCode>;
+
+template <typename T>
+using StorageResult = tl::expected<T, StorageError>;
+
+/// An open file. Valid until closed.
+using FileHandle = int;
+
+enum class OpenMode : unsigned char {
+    Append, ///< Keeps the content and writes behind it.
+    Replace, ///< Empties the file.
+};
+
+/// The files of one data folder. Names are relative and have no separators. Written bytes survive a crash only after
+/// sync; created, renamed and removed names only after syncFolder.
+template <typename T>
+concept FileSystem = requires(T& files, const std::string& name, FileHandle file, std::string_view bytes, std::uint64_t size, OpenMode mode)
+{
+    {
+        files.list()
+        } -> std::same_as<StorageResult<std::vector<std::string>>>;
+    {
+        files.read(name)
+        } -> std::same_as<StorageResult<std::string>>;
+    {
+        files.open(name, mode)
+        } -> std::same_as<StorageResult<FileHandle>>;
+    {
+        files.write(file, bytes)
+        } -> std::same_as<StorageResult<void>>;
+    {
+        files.truncate(file, size)
+        } -> std::same_as<StorageResult<void>>;
+    {
+        files.sync(file)
+        } -> std::same_as<StorageResult<void>>;
+    files.close(file);
+    {
+        files.rename(name, name)
+        } -> std::same_as<StorageResult<void>>;
+    {
+        files.remove(name)
+        } -> std::same_as<StorageResult<void>>;
+    {
+        files.syncFolder()
+        } -> std::same_as<StorageResult<void>>;
+};
+
+}
