Add the transport module: PeerServer and PeerClient

Cause: instances exchange log entries, gossip and forwarded calls, and a caller must know whether a failed request may have run. Change: nghttp2 sessions over Asio with one kept connection per peer, handler threads per method, a shared secret and mutual TLS, pings with a deadline, limits, backoff and traffic counters. core gets InstanceAddress. Conclusion: the daemon and the control client can be built on this interface.

--- a/src/azurepaddle/core/fwd.hpp
+++ b/src/azurepaddle/core/fwd.hpp
@@ -5,6 +5,7 @@
 class ManualClock;
 class Random;
 class SystemClock;
+struct InstanceAddress;
 enum class Outcome : unsigned char;
 template <typename Code>
 class LayerError;
