--- /dev/null
+++ b/src/azurepaddle/routing/endpoint_state.cpp
@@ -0,0 +1,150 @@
+#include "azurepaddle/routing/endpoint_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace azurepaddle::routing::internal {
+
+namespace {
+
+    constexpr std::size_t maxSentPrefixes = 2048; // Twice the prefixes that a cache of limited memory holds.
+
+}
+
+EndpointState::EndpointState(const EndpointView& view, const RouterSettings& settings)
+    : m_id(view.id)
+    , m_settings(settings)
+{
+}
+
+void EndpointState::update(const EndpointView& view, const InstanceShare& share)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool isRestarted = view.slots != m_view.slots;
+    m_view = view;
+    m_load.onReport({ static_cast<double>(view.running + view.queued), static_cast<double>(view.outstandingTokens) }, view.reportTime);
+    if (isRestarted || !(share == m_share))
+        computeParts(share);
+}
+
+void EndpointState::setShare(const InstanceShare& share)
+{
+    const std::lock_guard lock(m_mutex);
+    computeParts(share);
+}
+
+void EndpointState::computeParts(const InstanceShare& share)
+{
+    m_share = share;
+    const std::uint64_t offset = std::hash<EndpointId> {}(m_id);
+    m_ownSlots = slotsInPart(m_view.slots, share.all, offset);
+    // At least one slot stays closed to long work, unless the endpoint has only one.
+    const auto open = static_cast<std::uint32_t>(m_settings.longSlotShare * static_cast<double>(m_view.slots));
+    const std::uint32_t longSlots = std::clamp(open, 1U, std::max(1U, m_view.slots - 1));
+    m_ownLongSlots = slotsInPart(longSlots, share.longWork, offset);
+}
+
+bool EndpointState::offers(const RequestProfile& profile) const
+{
+    if (std::find(profile.avoid.begin(), profile.avoid.end(), m_id) != profile.avoid.end())
+        return false;
+    if (!profile.version)
+        return true;
+    const std::lock_guard lock(m_mutex);
+    return std::find(m_view.versions.begin(), m_view.versions.end(), *profile.version) != m_view.versions.end();
+}
+
+bool EndpointState::hasRoom(WorkClass workClass, Health health) const
+{
+    const std::lock_guard lock(m_mutex);
+    const double limit = (health == Health::Returning ? m_settings.returningLoad : 1.0);
+    const double own = m_load.own().requests;
+    const double slots = static_cast<double>(m_view.slots);
+    if (workClass == WorkClass::Long && m_longInProgress >= m_ownLongSlots)
+        return false;
+    if (own + 1 <= limit * static_cast<double>(m_ownSlots))
+        return true;
+    return m_load.estimate(scale()).requests + 1 <= limit * m_settings.borrowLimit * slots;
+}
+
+double EndpointState::cost(const RequestProfile& profile, double slowness, const DataCentreName& here, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    double tokens = m_load.estimate(scale()).tokens + profile.outputTokens;
+    tokens += m_settings.promptTokenCost * (profile.promptTokens - cachedTokensLocked(profile, now));
+    const bool hasAdapter = profile.adapter.empty()
+        || std::find(m_view.adapters.begin(), m_view.adapters.end(), profile.adapter) != m_view.adapters.end();
+    tokens += hasAdapter ? 0 : m_settings.adapterLoadCost;
+    const double perSlot = tokens / static_cast<double>(std::max(1U, m_view.slots));
+    return perSlot * slowness + (m_view.dataCentre == here ? 0 : m_settings.remoteDataCentreCost);
+}
+
+double EndpointState::cachedTokens(const RequestProfile& profile, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return cachedTokensLocked(profile, now);
+}
+
+double EndpointState::cachedTokensLocked(const RequestProfile& profile, TimePoint now) const
+{
+    double best = 0;
+    for (std::size_t i = 0; i < profile.prefixes.size(); ++i) {
+        double probability = 0;
+        const auto sent = m_sentPrefixes.find(profile.prefixes[i]);
+        if (sent != m_sentPrefixes.end())
+            probability = std::exp(-std::chrono::duration<double>(now - sent->second).count() / m_settings.prefixLifetimeSeconds);
+        const auto& reported = m_view.cachedPrefixes;
+        if (std::find(reported.begin(), reported.end(), profile.prefixes[i]) != reported.end())
+            probability = std::max(probability, m_settings.reportedPrefixProbability);
+        best = std::max(best, probability * static_cast<double>(i + 1) * profile.tokensPerPrefix);
+    }
+    return std::min(best, profile.promptTokens);
+}
+
+Load EndpointState::load() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_load.estimate(scale());
+}
+
+void EndpointState::onSent(const RequestProfile& profile, double tokens, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_load.onSent(now, tokens);
+    m_longInProgress += profile.workClass == WorkClass::Long ? 1 : 0;
+    rememberPrefixes(profile, now);
+}
+
+void EndpointState::onTokens(double tokens, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_load.onTokens(now, tokens);
+}
+
+void EndpointState::onEnded(WorkClass workClass, double remainingTokens, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_load.onEnded(now, remainingTokens);
+    m_longInProgress -= workClass == WorkClass::Long ? 1 : 0;
+}
+
+double EndpointState::scale() const noexcept
+{
+    const double others = 1.0 / std::clamp(m_share.traffic, 0.001, 1.0) - 1;
+    return 1 + m_settings.otherInstancesWeight * others;
+}
+
+void EndpointState::rememberPrefixes(const RequestProfile& profile, TimePoint now)
+{
+    if (m_sentPrefixes.size() + profile.prefixes.size() > maxSentPrefixes) {
+        const Duration lifetime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_settings.prefixLifetimeSeconds));
+        std::erase_if(m_sentPrefixes, [&](const auto& entry) { return now - entry.second > lifetime; });
+    }
+    if (m_sentPrefixes.size() + profile.prefixes.size() > maxSentPrefixes)
+        m_sentPrefixes.clear();
+    for (const std::uint64_t prefix : profile.prefixes)
+        m_sentPrefixes[prefix] = now;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/routing/types.cpp
@@ -0,0 +1,18 @@
+#include "azurepaddle/routing/types.hpp"
+
+namespace azurepaddle::routing {
+
+std::uint32_t slotsInPart(std::uint32_t slots, const SlotPart& part, std::uint64_t offset) noexcept
+{
+    std::uint32_t count = 0;
+    for (std::uint32_t i = 0; i < slots; ++i) {
+        // The offset turns the circle of slots; every slot centre lies in exactly one part.
+        const double shift = static_cast<double>(offset % 1024U) / 1024.0;
+        double position = (static_cast<double>(i) + shift) / static_cast<double>(slots);
+        position -= position >= 1 ? 1 : 0;
+        count += position >= part.begin && position < part.end ? 1 : 0;
+    }
+    return count;
+}
+
+}
