--- /dev/null
+++ b/src/azurepaddle/admission/budgets.cpp
@@ -0,0 +1,54 @@
+#include "azurepaddle/admission/budgets.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::admission {
+
+namespace {
+
+    // A copy that gains less is not worth its load.
+    constexpr double minHedgeGain = 1.5;
+
+}
+
+void RetryBudget::onRequest(const TenantName& tenant)
+{
+    const std::lock_guard lock(m_mutex);
+    double& balance = balanceOf(tenant);
+    balance = std::min(m_settings.burst, balance + m_settings.ratio);
+    m_total = std::min(m_settings.totalBurst, m_total + m_settings.ratio);
+}
+
+bool RetryBudget::take(const TenantName& tenant)
+{
+    const std::lock_guard lock(m_mutex);
+    double& balance = balanceOf(tenant);
+    if (balance < 1 || m_total < 1)
+        return false;
+    balance -= 1;
+    m_total -= 1;
+    return true;
+}
+
+double& RetryBudget::balanceOf(const TenantName& tenant)
+{
+    const auto found = m_balances.find(tenant);
+    if (found != m_balances.end())
+        return found->second;
+    if (m_balances.size() >= m_settings.maxTenants)
+        m_balances.erase(m_balances.begin());
+    return m_balances.emplace(tenant, m_settings.burst).first->second;
+}
+
+bool HedgePolicy::allow(const HedgeQuestion& question)
+{
+    if (!question.isIdempotent || question.isSuspect || question.hasCopy)
+        return false;
+    if (question.utilisation > m_settings.maxUtilisation)
+        return false;
+    if (question.remainingHere < minHedgeGain * question.remainingElsewhere)
+        return false;
+    return m_budget.take(question.tenant);
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/admission/fwd.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+
+namespace azurepaddle::admission {
+
+class ConcurrencyLimiter;
+class FairQueue;
+class HedgePolicy;
+class RetryBudget;
+class SizeEstimator;
+struct Refusal;
+struct RequestProfile;
+struct Ticket;
+template <typename ClockType>
+class AdmissionController;
+
+/// An admitted request, unique within a controller.
+using TicketId = std::uint64_t;
+
+}
