--- a/src/azurepaddle/admission/capacity.cpp
+++ b/src/azurepaddle/admission/capacity.cpp
@@ -22,6 +22,7 @@
     void divide(std::map<TenantName, Claim>& claims, double capacity)
     {
         std::vector<Claim*> open;
+        open.reserve(claims.size());
         for (auto& [tenant, claim] : claims)
             open.push_back(&claim);
         std::sort(open.begin(), open.end(), [](const Claim* left, const Claim* right) { return left->wanted / left->weight < right->wanted / right->weight; });
