Add the control state machine

Cause: the daemon needs one deterministic state for configurations, claims, runs, order leases, suspects and instance identities before the group service can be written on the log.

Change: ControlCommand, ControlReply and ControlState with one sub-machine per file pair, tagged encoding of the variants, reply memory for retries,

Conclusion: usable by the group service.

--- /dev/null
+++ b/src/azurepaddle/control/claims.cpp
@@ -0,0 +1,133 @@
+#include "azurepaddle/control/claims.hpp"
+
+#include "azurepaddle/control/instances.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::control {
+
+Claims::Claims(const Claims& other)
+    : m_records(other.m_records)
+    , m_forgottenUpTo(other.m_forgottenUpTo)
+{
+    rebuildIndex();
+}
+
+Claims& Claims::operator=(const Claims& other)
+{
+    if (this != &other)
+        *this = Claims(other);
+    return *this;
+}
+
+ClaimReply Claims::claim(const Claim& request, const Instances& instances, LogTime now)
+{
+    const LogTime firstSeen = request.keyFirstSeen == 0 ? now : request.keyFirstSeen;
+    // A key stated to be newer than it is would outlive its claim and run a second time.
+    if (firstSeen > now + maxClockDifference)
+        return { ClaimStatus::KeyFromFuture, {}, {} };
+    if (const auto found = m_records.find(request.key); found != m_records.end())
+        return answerKnown(request, found->second, instances, now);
+    if (firstSeen <= m_forgottenUpTo || firstSeen + request.retention <= now)
+        return { ClaimStatus::KeyTooOld, {}, {} };
+    if (instances.isDead(request.holder))
+        return { ClaimStatus::HolderDead, {}, {} };
+    if (m_records.size() >= maxClaims)
+        return { ClaimStatus::Full, {}, {} };
+    const auto created = m_records.emplace(request.key, ClaimRecord {}).first;
+    ClaimRecord& record = created->second;
+    record.expires = now + request.retention + 2 * maxClockDifference;
+    record.bodyDigest = request.bodyDigest;
+    m_byExpiry.emplace(record.expires, created);
+    grant(request, record, now);
+    return { ClaimStatus::Granted, {}, request.request };
+}
+
+ClaimReply Claims::answerKnown(const Claim& request, ClaimRecord& record, const Instances& instances, LogTime now)
+{
+    if (record.bodyDigest != request.bodyDigest)
+        return { ClaimStatus::BodyDiffers, {}, record.request };
+    switch (record.state) {
+    case ClaimState::Done:
+        return { ClaimStatus::Done, record.result, record.request };
+    case ClaimState::Claimed:
+        return { instances.isDead(record.holder) ? ClaimStatus::Unknown : ClaimStatus::InProgress, {}, record.request };
+    case ClaimState::Released:
+        break;
+    }
+    if (instances.isDead(request.holder))
+        return { ClaimStatus::HolderDead, {}, {} };
+    grant(request, record, now);
+    return { ClaimStatus::Granted, {}, request.request };
+}
+
+void Claims::grant(const Claim& request, ClaimRecord& record, LogTime now)
+{
+    record.state = ClaimState::Claimed;
+    record.request = request.request;
+    record.holder = request.holder;
+    record.claimedAt = now;
+    // A key without a stated time counts as first seen at each of its claims.
+    const LogTime expires = now + request.retention + 2 * maxClockDifference;
+    if (expires <= record.expires)
+        return;
+    const auto found = m_records.find(request.key);
+    auto [entry, end] = m_byExpiry.equal_range(record.expires);
+    while (entry != end && entry->second != found)
+        ++entry;
+    m_byExpiry.erase(entry);
+    record.expires = expires;
+    m_byExpiry.emplace(expires, found);
+}
+
+ClaimRecord* Claims::findHeld(const ClaimKey& key, const RequestId& request, const Holder& holder)
+{
+    const auto found = m_records.find(key);
+    if (found == m_records.end() || found->second.request != request || found->second.holder != holder)
+        return nullptr;
+    return &found->second;
+}
+
+ClaimReply Claims::complete(const CompleteClaim& request)
+{
+    ClaimRecord* const record = findHeld(request.key, request.request, request.holder);
+    if (record == nullptr || record->state == ClaimState::Released)
+        return { ClaimStatus::NotHolder, {}, {} };
+    if (record->state == ClaimState::Done)
+        return { ClaimStatus::Done, record->result, record->request };
+    record->state = ClaimState::Done;
+    record->result = request.result;
+    if (!record->result.hasBody || record->result.body.size() > maxResultBody) {
+        record->result.body = std::string();
+        record->result.hasBody = false;
+    }
+    return { ClaimStatus::Completed, {}, record->request };
+}
+
+ClaimReply Claims::release(const ReleaseClaim& request)
+{
+    ClaimRecord* const record = findHeld(request.key, request.request, request.holder);
+    if (record == nullptr || record->state == ClaimState::Done)
+        return { ClaimStatus::NotHolder, {}, {} };
+    record->state = ClaimState::Released;
+    return { ClaimStatus::Released, {}, record->request };
+}
+
+void Claims::expire(LogTime now)
+{
+    while (!m_byExpiry.empty() && m_byExpiry.begin()->first <= now) {
+        const auto record = m_byExpiry.begin()->second;
+        m_forgottenUpTo = std::max(m_forgottenUpTo, record->second.claimedAt + maxClockDifference);
+        m_byExpiry.erase(m_byExpiry.begin());
+        m_records.erase(record);
+    }
+}
+
+void Claims::rebuildIndex()
+{
+    m_byExpiry.clear();
+    for (auto record = m_records.begin(); record != m_records.end(); ++record)
+        m_byExpiry.emplace(record->second.expires, record);
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/control/claims.hpp
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "azurepaddle/control/types.hpp"
+
+#include <compare>
+#include <map>
+#include <string>
+
+namespace azurepaddle::control {
+
+class Instances;
+
+struct ClaimKey {
+    TenantName tenant;
+    std::string key; ///< The Idempotency-Key.
+
+    auto operator<=>(const ClaimKey&) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 misreads it
+    MSGPACK_DEFINE(tenant, key)
+};
+
+/// Claims the right to run a non-idempotent request, before its first byte is sent.
+struct Claim {
+    static constexpr std::uint32_t tag = 30;
+    ClaimKey key;
+    RequestId request; ///< Names this attempt; complete and release must repeat it.
+    std::string bodyDigest;
+    Holder holder;
+    LogTime keyFirstSeen = 0; ///< As stated by the caller; 0 if not stated, which means now.
+    Milliseconds retention = 0;
+
+    bool operator==(const Claim&) const = default;
+    MSGPACK_DEFINE(key, request, bodyDigest, holder, keyFirstSeen, retention)
+};
+
+enum class ClaimOutcome : unsigned char {
+    Succeeded,
+    Failed,
+    Unknown, ///< The connection was lost after the first byte was sent.
+};
+
+/// The response that repeated requests get.
+struct ClaimResult {
+    ClaimOutcome outcome = ClaimOutcome::Unknown;
+    std::uint32_t httpStatus = 0;
+    std::string contentType;
+    std::string body; ///< Empty if not kept.
+    bool hasBody = false;
+
+    bool operator==(const ClaimResult&) const = default;
+    MSGPACK_DEFINE(outcome, httpStatus, contentType, body, hasBody)
+};
+
+/// Records the outcome. Accepted from the holder even after it was reported dead.
+struct CompleteClaim {
+    static constexpr std::uint32_t tag = 31;
+    ClaimKey key;
+    RequestId request;
+    Holder holder;
+    ClaimResult result;
+
+    bool operator==(const CompleteClaim&) const = default;
+    MSGPACK_DEFINE(key, request, holder, result)
+};
+
+/// Gives the claim up after a failed connect, before the first byte was sent.
+struct ReleaseClaim {
+    static constexpr std::uint32_t tag = 32;
+    ClaimKey key;
+    RequestId request;
+    Holder holder;
+
+    bool operator==(const ReleaseClaim&) const = default;
+    MSGPACK_DEFINE(key, request, holder)
+};
+
+enum class ClaimStatus : unsigned char {
+    Granted, ///< The request may be sent, once.
+    InProgress, ///< Another request with this key is being run.
+    Unknown, ///< Its holder was reported dead; the request may have run.
+    Done, ///< The reply carries the result.
+    BodyDiffers, ///< The key was used for another body.
+    KeyTooOld, ///< The key is older than the retention window; whether it was used is no longer known.
+    KeyFromFuture, ///< The key's stated time lies ahead of the log's by more than the largest clock difference.
+    HolderDead, ///< The claiming incarnation was reported dead; it must start a new one.
+    Full, ///< The limit of stored claims is reached.
+    Completed,
+    Released,
+    NotHolder, ///< The claim does not exist or belongs to another request.
+};
+
+struct ClaimReply {
+    static constexpr std::uint32_t tag = 30;
+    ClaimStatus status = ClaimStatus::NotHolder;
+    ClaimResult result; ///< Of a claim that is done.
+    RequestId request; ///< The request that holds or held the claim.
+
+    bool operator==(const ClaimReply&) const = default;
+    MSGPACK_DEFINE(status, result, request)
+};
+
+enum class ClaimState : unsigned char {
+    Claimed,
+    Done,
+    Released,
+};
+
+struct ClaimRecord {
+    ClaimState state = ClaimState::Claimed;
+    RequestId request;
+    std::string bodyDigest;
+    Holder holder;
+    LogTime claimedAt = 0; ///< Time of the last grant.
+    LogTime expires = 0;
+    ClaimResult result;
+
+    bool operator==(const ClaimRecord&) const = default;
+    MSGPACK_DEFINE(state, request, bodyDigest, holder, claimedAt, expires, result)
+};
+
+/// Claims of non-idempotent requests. A claim never moves from its holder to another.
+class Claims {
+public:
+    /// Claims kept at once. Further ones are refused.
+    static constexpr std::size_t maxClaims = 1'000'000;
+    /// Largest response body kept with a claim, in bytes.
+    static constexpr std::size_t maxResultBody = 4096;
+    /// Longest retention window that may be asked for.
+    static constexpr Milliseconds maxRetention = 7LL * 24 * 3'600'000;
+
+    Claims() = default;
+    Claims(const Claims& other);
+    Claims(Claims&&) = default;
+    Claims& operator=(const Claims& other);
+    Claims& operator=(Claims&&) = default;
+    ~Claims() = default;
+
+    [[nodiscard]] ClaimReply claim(const Claim& request, const Instances& instances, LogTime now);
+    [[nodiscard]] ClaimReply complete(const CompleteClaim& request);
+    [[nodiscard]] ClaimReply release(const ReleaseClaim& request);
+    /// Forgets claims whose retention window has passed.
+    void expire(LogTime now);
+
+    [[nodiscard]] const std::map<ClaimKey, ClaimRecord>& records() const noexcept { return m_records; }
+    /// Rebuilds the expiry index after decoding.
+    void rebuildIndex();
+
+    bool operator==(const Claims& other) const { return m_records == other.m_records && m_forgottenUpTo == other.m_forgottenUpTo; }
+    MSGPACK_DEFINE(m_records, m_forgottenUpTo)
+
+private:
+    using Records = std::map<ClaimKey, ClaimRecord>;
+
+    [[nodiscard]] ClaimReply answerKnown(const Claim& request, ClaimRecord& record, const Instances& instances, LogTime now);
+    void grant(const Claim& request, ClaimRecord& record, LogTime now);
+    [[nodiscard]] ClaimRecord* findHeld(const ClaimKey& key, const RequestId& request, const Holder& holder);
+
+    Records m_records;
+    std::multimap<LogTime, Records::iterator> m_byExpiry;
+    LogTime m_forgottenUpTo = 0; ///< A key first seen up to this time may belong to a forgotten claim.
+};
+
+}
+
+MSGPACK_ADD_ENUM(azurepaddle::control::ClaimOutcome)
+MSGPACK_ADD_ENUM(azurepaddle::control::ClaimStatus)
+MSGPACK_ADD_ENUM(azurepaddle::control::ClaimState)
--- /dev/null
+++ b/src/azurepaddle/control/fwd.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace azurepaddle::control {
+
+class Claims;
+class Configurations;
+class ControlState;
+class Instances;
+class OrderLeases;
+class ReplyMemory;
+class RunLedger;
+class Suspects;
+struct ControlCommand;
+enum class ControlErrorCode : unsigned char;
+
+}
--- /dev/null
+++ b/src/azurepaddle/control/instances.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "azurepaddle/control/types.hpp"
+
+#include <map>
+
+namespace azurepaddle::control {
+
+/// Issues an identity. The nonce is a random text that the instance keeps, so that a repeated request gets the same one.
+struct IssueInstance {
+    static constexpr std::uint32_t tag = 10;
+    std::string nonce;
+    DataCentreName dataCentre;
+    std::string address;
+
+    bool operator==(const IssueInstance&) const = default;
+    MSGPACK_DEFINE(nonce, dataCentre, address)
+};
+
+/// Begins an incarnation, which must be higher than any before. Holders with lower ones count as dead from then on.
+struct StartInstance {
+    static constexpr std::uint32_t tag = 11;
+    InstanceId instance;
+    std::uint64_t incarnation = 0;
+    std::string address;
+
+    bool operator==(const StartInstance&) const = default;
+    MSGPACK_DEFINE(instance, incarnation, address)
+};
+
+/// Reports that this incarnation and those before it have ended. The report may be wrong about a paused process.
+struct ReportDead {
+    static constexpr std::uint32_t tag = 12;
+    InstanceId instance;
+    std::uint64_t incarnation = 0;
+
+    bool operator==(const ReportDead&) const = default;
+    MSGPACK_DEFINE(instance, incarnation)
+};
+
+/// Ends an identity for good, for example because its disk is lost.
+struct MarkInstanceLost {
+    static constexpr std::uint32_t tag = 13;
+    InstanceId instance;
+
+    bool operator==(const MarkInstanceLost&) const = default;
+    MSGPACK_DEFINE(instance)
+};
+
+enum class InstanceStatus : unsigned char {
+    Issued,
+    Started,
+    Recorded, ///< The report is recorded.
+    Lost, ///< The identity is marked lost and never comes back.
+    Unknown, ///< No such identity was issued.
+    IncarnationUsed, ///< The incarnation is not higher than the last one, which the reply names.
+};
+
+struct InstanceReply {
+    static constexpr std::uint32_t tag = 10;
+    InstanceStatus status = InstanceStatus::Unknown;
+    InstanceId instance;
+    std::uint64_t incarnation = 0; ///< Last one started or reported dead.
+
+    bool operator==(const InstanceReply&) const = default;
+    MSGPACK_DEFINE(status, instance, incarnation)
+};
+
+struct InstanceRecord {
+    std::string nonce;
+    DataCentreName dataCentre;
+    std::string address;
+    std::uint64_t incarnation = 0;
+    bool isLost = false;
+
+    bool operator==(const InstanceRecord&) const = default;
+    MSGPACK_DEFINE(nonce, dataCentre, address, incarnation, isLost)
+};
+
+/// Identities of instances and which of their incarnations are known to have ended.
+class Instances {
+public:
+    [[nodiscard]] InstanceReply issue(const IssueInstance& request);
+    [[nodiscard]] InstanceReply start(const StartInstance& request);
+    [[nodiscard]] InstanceReply reportDead(const ReportDead& report);
+    [[nodiscard]] InstanceReply markLost(const MarkInstanceLost& request);
+
+    /// True if the incarnation was reported dead, was followed by a higher one, or its identity is lost.
+    [[nodiscard]] bool isDead(const Holder& holder) const;
+    [[nodiscard]] const std::map<InstanceId, InstanceRecord>& records() const noexcept { return m_records; }
+
+    bool operator==(const Instances&) const = default;
+    MSGPACK_DEFINE(m_records, m_deadUpTo, m_issued)
+
+private:
+    void recordDead(const InstanceId& instance, std::uint64_t incarnation);
+
+    std::map<InstanceId, InstanceRecord> m_records;
+    std::map<InstanceId, std::uint64_t> m_deadUpTo; ///< Also of instances whose identity another log group issued.
+    std::uint64_t m_issued = 0;
+};
+
+}
+
+MSGPACK_ADD_ENUM(azurepaddle::control::InstanceStatus)
--- /dev/null
+++ b/src/azurepaddle/control/run_ledger_details.cpp
@@ -0,0 +1,193 @@
+#include "azurepaddle/control/run_ledger_details.hpp"
+
+#include "azurepaddle/core/invariant.hpp"
+
+#include <algorithm>
+#include <set>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace azurepaddle::control::internal {
+
+namespace {
+
+    std::uint64_t contentDigest(const GroupSpec& spec)
+    {
+        const std::string bytes = codec::encode(spec);
+        return XXH3_64bits(bytes.data(), bytes.size());
+    }
+
+    RunReply refuse(const RunRecord& run, RunStatus status, const GroupId& group, std::string detail)
+    {
+        RunReply reply = replyFor(run, status);
+        reply.group = group;
+        reply.detail = std::move(detail);
+        return reply;
+    }
+
+    /// Digest of a confirmed group, or null.
+    const std::uint64_t* findFinished(const RunRecord& run, const GroupId& group)
+    {
+        for (const auto& [step, groups] : run.finished) {
+            if (const auto found = groups.find(group); found != groups.end())
+                return &found->second;
+        }
+        return nullptr;
+    }
+
+    bool isLive(const RunRecord& run, const GroupRecord& group, Sequence cursor)
+    {
+        const Sequence confirmed = std::max(run.confirmed, cursor);
+        return std::any_of(group.sequences.begin(), group.sequences.end(), [=](Sequence number) { return number > confirmed; });
+    }
+
+    bool isCursorValid(const RunRecord& run, Sequence cursor)
+    {
+        if (cursor == run.confirmed)
+            return true;
+        const auto found = run.live.lower_bound(cursor);
+        if (found == run.live.end())
+            return false;
+        const auto& sequences = run.groups.at(found->second).sequences;
+        return std::find(sequences.begin(), sequences.end(), cursor) != sequences.end();
+    }
+
+    std::optional<RunReply> checkCursor(const RunRecord& run, const RecordHandOff& request)
+    {
+        if (request.cursor < run.confirmed)
+            return refuse(run, RunStatus::CursorBehind, {},
+                fmt::format("samples up to {} are confirmed and their bodies are gone. A trainer restored from an older checkpoint "
+                            "resets the run with a cursor of at least {} and submits the groups it lost again",
+                    run.confirmed, run.highest + 1));
+        if (!isCursorValid(run, request.cursor))
+            return refuse(run, RunStatus::CursorInvalid, {},
+                fmt::format("cursor {} names no sample in force; confirmed is {}, highest assigned is {}", request.cursor, run.confirmed,
+                    run.highest));
+        return std::nullopt;
+    }
+
+    std::optional<RunReply> checkGroups(const RunRecord& run, const RecordHandOff& request)
+    {
+        std::set<GroupId> voided;
+        for (const GroupId& group : request.voided) {
+            const auto found = run.groups.find(group);
+            if (found == run.groups.end() || !isLive(run, found->second, request.cursor) || !voided.insert(group).second)
+                return refuse(run, RunStatus::GroupNotVoidable, group, "the group has no assigned samples beyond the cursor");
+        }
+        std::set<GroupId> assigned;
+        for (const GroupId& group : request.assigned) {
+            const auto found = run.groups.find(group);
+            const bool isFree = found != run.groups.end() && (voided.contains(group) || !isLive(run, found->second, 0));
+            if (!isFree || !assigned.insert(group).second)
+                return refuse(run, RunStatus::GroupNotAssignable, group, "the group is unknown, assigned already, or confirmed");
+        }
+        return std::nullopt;
+    }
+
+}
+
+RunReply replyFor(const RunRecord& run, RunStatus status)
+{
+    RunReply reply;
+    reply.status = status;
+    reply.epoch = run.epoch;
+    reply.owner = run.owner;
+    reply.confirmed = run.confirmed;
+    reply.highest = run.highest;
+    reply.pull = run.pull;
+    reply.version = run.version;
+    return reply;
+}
+
+std::optional<RunReply> checkSubmission(const RunRecord& run, const std::vector<GroupSpec>& groups)
+{
+    std::map<GroupId, const GroupSpec*> added;
+    std::uint64_t bytes = run.bodyBytes;
+    for (const GroupSpec& spec : groups) {
+        const auto stored = run.groups.find(spec.group);
+        const std::uint64_t* const finished = findFinished(run, spec.group);
+        const auto repeated = added.find(spec.group);
+        const bool isKnown = stored != run.groups.end() || finished != nullptr || repeated != added.end();
+        const bool isEqual = (stored == run.groups.end() || stored->second.spec == spec)
+            && (finished == nullptr || *finished == contentDigest(spec)) && (repeated == added.end() || *repeated->second == spec);
+        if (!isEqual)
+            return refuse(run, RunStatus::GroupConflict, spec.group, "the group id was used with other content; use a new id");
+        if (isKnown)
+            continue;
+        if (spec.step < run.firstOpenStep)
+            return refuse(run, RunStatus::StepClosed, spec.group, fmt::format("the first open step is {}", run.firstOpenStep));
+        added.emplace(spec.group, &spec);
+        bytes += spec.prompt.size();
+    }
+    if (!added.empty() && (run.groups.size() + added.size() > RunLedger::maxGroups || bytes > RunLedger::maxBodyBytes))
+        return refuse(run, RunStatus::RunFull, added.begin()->first, "pull and confirm samples before submitting more groups");
+    return std::nullopt;
+}
+
+std::optional<RunReply> checkHandOff(const RunRecord& run, const RecordHandOff& request)
+{
+    if (request.epoch != run.epoch || run.owner.empty())
+        return refuse(run, RunStatus::NotOwner, {}, fmt::format("the owner in force has epoch {}", run.epoch));
+    if (request.pull <= run.pull)
+        return refuse(run, RunStatus::PullSuperseded, {}, fmt::format("use a pull number above {}", run.pull));
+    if (auto refusal = checkCursor(run, request))
+        return refusal;
+    return checkGroups(run, request);
+}
+
+void storeGroup(RunRecord& run, const GroupSpec& spec)
+{
+    if (run.groups.contains(spec.group) || findFinished(run, spec.group) != nullptr)
+        return;
+    run.highestStep = std::max(run.highestStep, spec.step);
+    run.bodyBytes += spec.prompt.size();
+    run.groups.emplace(spec.group, GroupRecord { spec, ++run.groupsSubmitted, std::vector<Sequence>(spec.samples) });
+}
+
+void confirm(RunRecord& run, Sequence cursor)
+{
+    run.confirmed = cursor;
+    while (!run.live.empty() && run.live.begin()->first <= cursor) {
+        const auto group = run.groups.find(run.live.begin()->second);
+        const GroupSpec& spec = group->second.spec;
+        run.bodyBytes -= spec.prompt.size();
+        run.finished[spec.step].emplace(spec.group, contentDigest(spec));
+        run.groups.erase(group);
+        run.live.erase(run.live.begin());
+    }
+}
+
+void voidGroup(RunRecord& run, const GroupId& group)
+{
+    GroupRecord& record = run.groups.at(group);
+    run.live.erase(*std::max_element(record.sequences.begin(), record.sequences.end()));
+    for (Sequence& number : record.sequences)
+        number = number > run.confirmed ? 0 : number;
+}
+
+AssignedGroup assignGroup(RunRecord& run, const GroupId& group)
+{
+    GroupRecord& record = run.groups.at(group);
+    for (Sequence& number : record.sequences) {
+        if (number != 0)
+            continue;
+        number = ++run.highest;
+    }
+    const bool isNew = run.live.emplace(run.highest, group).second;
+    AZUREPADDLE_INVARIANT(isNew, "a sequence number names two groups");
+    return { group, record.sequences };
+}
+
+void closeSteps(RunRecord& run)
+{
+    const std::uint64_t first = run.highestStep > RunLedger::rememberedSteps ? run.highestStep - RunLedger::rememberedSteps : 0;
+    std::size_t remembered = 0;
+    for (const auto& [step, groups] : run.finished)
+        remembered += groups.size();
+    if (remembered > RunLedger::maxFinishedGroups)
+        run.firstOpenStep = std::max(run.firstOpenStep, run.finished.begin()->first + 1);
+    run.firstOpenStep = std::max(run.firstOpenStep, first);
+    run.finished.erase(run.finished.begin(), run.finished.lower_bound(run.firstOpenStep));
+}
+
+}
--- /dev/null
+++ b/test/azurepaddle/control/fixture.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "azurepaddle/control/control_state.hpp"
+
+#include <criterion/criterion.h>
+#include <cstdlib>
+
+namespace azurepaddle::control::test {
+
+constexpr LogTime startTime = 1'000'000;
+constexpr Milliseconds retention = 60'000;
+
+/// Applies actions to a state under fresh command ids and a clock of its own.
+struct Fixture {
+    ControlState state;
+    LogTime now = startTime;
+    std::uint64_t commands = 0;
+
+    ControlCommand command(ControlAction action) { return { CommandId(std::to_string(++commands)), now, now, std::move(action) }; }
+    ControlReply apply(ControlAction action) { return state.apply(command(std::move(action))); }
+
+    template <typename Reply>
+    Reply expect(ControlAction action)
+    {
+        const ControlReply reply = apply(std::move(action));
+        cr_assert(std::holds_alternative<Reply>(reply), "the reply is of another kind");
+        return std::get<Reply>(reply);
+    }
+
+    ConfigurationReply submit(std::uint64_t number, std::string text) { return expect<ConfigurationReply>(SubmitConfiguration { number, std::move(text) }); }
+    ClaimReply claim(const std::string& request, const Holder& holder, LogTime firstSeen = 0, const std::string& body = "digest")
+    {
+        return expect<ClaimReply>(Claim { { TenantName("blue"), "key" }, RequestId(request), body, holder, firstSeen, retention });
+    }
+    ClaimReply complete(const std::string& request, const Holder& holder, const std::string& body = "response")
+    {
+        return expect<ClaimReply>(CompleteClaim { { TenantName("blue"), "key" }, RequestId(request), holder, { ClaimOutcome::Succeeded, 200, "text/plain", body, true } });
+    }
+    ClaimReply release(const std::string& request, const Holder& holder) { return expect<ClaimReply>(ReleaseClaim { { TenantName("blue"), "key" }, RequestId(request), holder }); }
+    RunReply acquireRun(const Holder& holder) { return expect<RunReply>(AcquireRun { RunName("run"), holder, 5'000 }); }
+    RunReply submitGroup(const std::string& group, std::uint64_t step, std::uint32_t samples = 2)
+    {
+        return expect<RunReply>(SubmitGroups { RunName("run"), { { GroupId(group), step, "prompt", samples, 10 } } });
+    }
+    RunReply handOff(Epoch epoch, std::uint64_t pull, Sequence cursor, std::vector<GroupId> voided, std::vector<GroupId> assigned)
+    {
+        return expect<RunReply>(RecordHandOff { RunName("run"), epoch, pull, cursor, 0, std::move(voided), std::move(assigned) });
+    }
+    const RunRecord& run() const { return *state.runs().find(RunName("run")); }
+};
+
+inline Holder holder(const std::string& name, std::uint64_t incarnation = 1)
+{
+    return { InstanceId(name), incarnation };
+}
+
+/// Number of seeds of the randomised tests. AZUREPADDLE_SEEDS asks for more.
+inline std::uint64_t seeds(std::uint64_t usual)
+{
+    const char* const wanted = std::getenv("AZUREPADDLE_SEEDS");
+    return wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
+}
+
+}
--- /dev/null
+++ b/test/azurepaddle/control/runs.cpp
@@ -0,0 +1,129 @@
+#include "azurepaddle/control/fixture.hpp"
+
+using namespace azurepaddle;
+using namespace azurepaddle::control;
+using namespace azurepaddle::control::test;
+
+namespace {
+
+std::vector<GroupId> groups(std::initializer_list<const char*> names)
+{
+    return { names.begin(), names.end() };
+}
+
+struct OwnedRun : Fixture {
+    Epoch epoch = acquireRun(holder("a")).epoch;
+    OwnedRun()
+    {
+        static_cast<void>(submitGroup("g1", 1));
+        static_cast<void>(submitGroup("g2", 1));
+    }
+};
+
+}
+
+// Guards against two owners whose hand-offs are both recorded.
+Test(RunLedger, ownerChange_handOffOfOldOwner_isFenced)
+{
+    OwnedRun fixture;
+    cr_assert(fixture.acquireRun(holder("b")).status == RunStatus::Held);
+    fixture.now += 5'000 + maxClockDifference;
+    const RunReply taken = fixture.acquireRun(holder("b"));
+    cr_assert(taken.status == RunStatus::Granted && taken.epoch == fixture.epoch + 1);
+    cr_assert(fixture.handOff(fixture.epoch, 1, 0, {}, groups({ "g1" })).status == RunStatus::NotOwner);
+    cr_assert(fixture.handOff(taken.epoch, 1, 0, {}, groups({ "g1" })).status == RunStatus::Recorded);
+    cr_assert(fixture.expect<RunReply>(ReleaseRun { RunName("run"), fixture.epoch }).status == RunStatus::NotOwner);
+    cr_assert(fixture.expect<RunReply>(ReleaseRun { RunName("run"), taken.epoch }).status == RunStatus::Released);
+    cr_assert(fixture.acquireRun(holder("c")).epoch == taken.epoch + 1);
+}
+
+// Guards against prompts generated twice because a submission was repeated, also after its samples were confirmed.
+Test(RunLedger, groupSubmittedAgain_anyState_isNotStoredTwice)
+{
+    OwnedRun fixture;
+    cr_assert(fixture.submitGroup("g1", 1).status == RunStatus::Stored);
+    cr_assert(fixture.run().groups.size() == 2);
+    cr_assert(fixture.submitGroup("g1", 1, 3).status == RunStatus::GroupConflict);
+    static_cast<void>(fixture.handOff(fixture.epoch, 1, 0, {}, groups({ "g1" })));
+    static_cast<void>(fixture.handOff(fixture.epoch, 2, 2, {}, {}));
+    cr_assert(fixture.run().groups.size() == 1 && fixture.run().bodyBytes == 6);
+    cr_assert(fixture.submitGroup("g1", 1).status == RunStatus::Stored && fixture.run().groups.size() == 1);
+    cr_assert(fixture.submitGroup("g1", 1, 3).status == RunStatus::GroupConflict);
+    static_cast<void>(fixture.submitGroup("later", 2 + RunLedger::rememberedSteps));
+    cr_assert(fixture.run().finished.empty());
+    cr_assert(fixture.submitGroup("g1", 1).status == RunStatus::StepClosed);
+}
+
+// Guards against a sample with two live numbers and against a number that is used again.
+Test(RunLedger, voidedGroup_assignedAgain_getsNewNumbers)
+{
+    OwnedRun fixture;
+    const RunReply first = fixture.handOff(fixture.epoch, 1, 0, {}, groups({ "g1", "g2" }));
+    cr_assert(first.assigned[1].sequences == std::vector<Sequence>({ 3, 4 }));
+    cr_assert(fixture.handOff(fixture.epoch, 2, 0, {}, groups({ "g1" })).status == RunStatus::GroupNotAssignable);
+    const RunReply second = fixture.handOff(fixture.epoch, 2, 1, groups({ "g1" }), groups({ "g1" }));
+    cr_assert(second.status == RunStatus::Recorded && second.confirmed == 1);
+    // The sample that was confirmed keeps its number; only the other one is generated again.
+    cr_assert(second.assigned[0].sequences == std::vector<Sequence>({ 1, 5 }));
+    cr_assert(fixture.handOff(fixture.epoch, 3, 2, {}, {}).status == RunStatus::CursorInvalid);
+    cr_assert(fixture.handOff(fixture.epoch, 3, 4, groups({ "g2" }), {}).status == RunStatus::GroupNotVoidable);
+    cr_assert(fixture.handOff(fixture.epoch, 3, 5, {}, {}).status == RunStatus::Recorded);
+    cr_assert(fixture.run().groups.empty() && fixture.run().live.empty());
+}
+
+// Guards against voiding on the word of an old pull, after a newer pull has delivered the samples.
+Test(RunLedger, olderPull_arrivingLate_isSuperseded)
+{
+    OwnedRun fixture;
+    static_cast<void>(fixture.handOff(fixture.epoch, 7, 0, {}, groups({ "g1" })));
+    cr_assert(fixture.handOff(fixture.epoch, 6, 0, groups({ "g1" }), {}).status == RunStatus::PullSuperseded);
+    const RunReply equal = fixture.handOff(fixture.epoch, 7, 0, groups({ "g1" }), {});
+    cr_assert(equal.status == RunStatus::PullSuperseded && equal.pull == 7);
+    cr_assert(fixture.run().live.size() == 1);
+}
+
+// Guards against a hand-off that is recorded in part.
+Test(RunLedger, handOffWithOneBadGroup_recorded_changesNothing)
+{
+    OwnedRun fixture;
+    static_cast<void>(fixture.handOff(fixture.epoch, 1, 0, {}, groups({ "g1" })));
+    const RunRecord before = fixture.run();
+    cr_assert(fixture.handOff(fixture.epoch, 2, 2, {}, groups({ "g2", "unknown" })).group == GroupId("unknown"));
+    cr_assert(fixture.run() == before);
+}
+
+// Guards against a trainer that silently misses samples after a restore from an older checkpoint.
+Test(RunLedger, cursorBelowConfirmed_pulledAndReset_proceeds)
+{
+    OwnedRun fixture;
+    static_cast<void>(fixture.apply(SetTrainerVersion { RunName("run"), 9 }));
+    static_cast<void>(fixture.apply(SetTrainerVersion { RunName("run"), 8 }));
+    cr_assert(fixture.run().version == 9);
+    static_cast<void>(fixture.handOff(fixture.epoch, 1, 0, {}, groups({ "g1" })));
+    static_cast<void>(fixture.handOff(fixture.epoch, 2, 2, {}, groups({ "g2" })));
+    const RunReply behind = fixture.handOff(fixture.epoch, 3, 0, {}, {});
+    cr_assert(behind.status == RunStatus::CursorBehind && behind.detail.find("at least 5") != std::string::npos);
+    cr_assert(fixture.expect<RunReply>(ResetRun { RunName("run"), 4, 3, 1 }).status == RunStatus::ResetTooLow);
+    cr_assert(fixture.expect<RunReply>(ResetRun { RunName("run"), 5, 3, 1 }).status == RunStatus::Reset);
+    cr_assert(fixture.run().version == 3 && fixture.run().live.empty());
+    // A second reset by a delayed copy of the request must not lower the version again.
+    static_cast<void>(fixture.apply(SetTrainerVersion { RunName("run"), 4 }));
+    cr_assert(fixture.expect<RunReply>(ResetRun { RunName("run"), 5, 3, 1 }).status == RunStatus::ResetTooLow);
+    cr_assert(fixture.submitGroup("g1", 1).status == RunStatus::Stored && fixture.run().groups.size() == 2);
+    const RunReply next = fixture.handOff(fixture.epoch, 4, 5, {}, groups({ "g1" }));
+    cr_assert(next.assigned[0].sequences == std::vector<Sequence>({ 6, 7 }));
+}
+
+// Guards against unbounded memory through one run.
+Test(RunLedger, tooManyGroups_submitted_areRefusedAsAWhole)
+{
+    Fixture fixture;
+    for (std::size_t batch = 0; batch < 5; ++batch) {
+        SubmitGroups submission { RunName("run"), {} };
+        for (std::size_t i = 0; i < 4096; ++i)
+            submission.groups.push_back({ GroupId(std::to_string(batch * 4096 + i)), 1, "p", 1, 10 });
+        const RunReply reply = fixture.expect<RunReply>(submission);
+        cr_assert(reply.status == (batch < 4 ? RunStatus::Stored : RunStatus::RunFull));
+    }
+    cr_assert(fixture.run().groups.size() == RunLedger::maxGroups);
+}
