Add the config module with settings, configuration and their documentation

Cause: the daemon needs its settings and a configuration that is accepted or refused as a whole, and operators need every reason at once. Conclusion: the daemon and the operators' tool can be written on this module.

--- /dev/null
+++ b/src/azurepaddle/config/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace azurepaddle::config {
+
+class Configuration;
+class Settings;
+struct Problem;
+struct RunConfiguration;
+struct ServiceConfiguration;
+struct TenantConfiguration;
+
+}
