--- /dev/null
+++ b/src/azurepaddle/http/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace azurepaddle::http {
+
+class BoundedTaskQueue;
+class HttpServer;
+
+}
--- /dev/null
+++ b/src/azurepaddle/http/taskqueue.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <httplib.h>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace azurepaddle::http {
+
+/// True while the current thread handles a connection beyond the limit; its requests are refused at once.
+[[nodiscard]] bool isOverflowThread() noexcept;
+
+/// Threads that each serve one connection at a time. When all are busy, connections go to a few overflow threads, which
+/// only refuse, so that callers get an answer instead of waiting without one.
+class BoundedTaskQueue final : public httplib::TaskQueue {
+public:
+    BoundedTaskQueue(std::size_t threads, std::size_t overflowThreads);
+    ~BoundedTaskQueue() override;
+
+    BoundedTaskQueue(const BoundedTaskQueue&) = delete;
+    BoundedTaskQueue& operator=(const BoundedTaskQueue&) = delete;
+
+    void enqueue(std::function<void()> task) override;
+
+    /// Runs what is queued and joins the threads.
+    void shutdown() override;
+
+private:
+    struct Lane {
+        std::deque<std::function<void()>> tasks;
+        std::size_t idle = 0;
+        std::condition_variable changed;
+    };
+
+    void serve(Lane& lane, bool overflow);
+
+    std::mutex m_mutex;
+    Lane m_regular;
+    Lane m_overflow;
+    bool m_stopping = false;
+    std::vector<std::thread> m_threads;
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/pipeline/fwd.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+namespace azurepaddle::pipeline {
+
+class Connector;
+class EventReader;
+class PipelineError;
+enum class AttemptStatus : unsigned char;
+enum class PipelineErrorCode : unsigned char;
+struct AttemptResult;
+struct CallerRequest;
+struct EngineEvent;
+struct OutgoingRequest;
+
+template <typename T>
+class Channel;
+
+}
