Add the endpoint directory

Cause: every instance must know the live endpoints and stop sending to one that leaves or falls silent within 5 s, without trusting other clocks. Change: EndpointDirectory keeps announcements under leases counted from receipt.

--- a/src/azurepaddle/core/ident.hpp
+++ b/src/azurepaddle/core/ident.hpp
@@ -22,7 +22,8 @@
     [[nodiscard]] const std::string& value() const noexcept { return m_value; }
     [[nodiscard]] bool empty() const noexcept { return m_value.empty(); }
 
-    friend auto operator<=>(const Identifier&, const Identifier&) = default;
+    // clang-tidy 14 takes the 0 that a rewritten comparison compares with for a null pointer.
+    friend auto operator<=>(const Identifier&, const Identifier&) = default; // NOLINT(modernize-use-nullptr)
     friend bool operator==(const Identifier&, const Identifier&) = default;
 
 private:
--- /dev/null
+++ b/src/azurepaddle/membership/delta.cpp
@@ -0,0 +1,33 @@
+#include "azurepaddle/membership/delta.hpp"
+
+namespace azurepaddle::membership {
+
+namespace {
+
+    // A batch ends after about 64 KiB; one announcement is at most about 20 KiB more.
+    constexpr codec::Limits batchLimits { .bytes = 1024U * 1024U, .elements = 65536, .depth = 8 };
+    constexpr codec::Limits requestLimits { .bytes = 65536, .elements = 16384, .depth = 4 };
+
+}
+
+std::string encodeRequest(const DeltaRequest& request)
+{
+    return codec::encode(request);
+}
+
+tl::expected<DeltaRequest, codec::CodecError> decodeRequest(std::string_view bytes)
+{
+    return codec::decode<DeltaRequest>(bytes, requestLimits);
+}
+
+std::string encodeBatch(const DeltaBatch& batch)
+{
+    return codec::encode(batch);
+}
+
+tl::expected<DeltaBatch, codec::CodecError> decodeBatch(std::string_view bytes)
+{
+    return codec::decode<DeltaBatch>(bytes, batchLimits);
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/membership/service_lists.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "azurepaddle/membership/endpoint.hpp"
+
+#include <array>
+#include <shared_mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace azurepaddle::membership::internal {
+
+/// The endpoints of each service in the order in which this instance prefers them. Thread-safe; a reader takes only the
+/// shared lock of its service's shard.
+class ServiceLists {
+public:
+    ServiceLists(InstanceId self, DataCentreName dataCentre)
+        : m_self(std::move(self))
+        , m_dataCentre(std::move(dataCentre))
+    {
+    }
+
+    /// Adds or replaces the record of an endpoint.
+    void put(const EndpointPointer& record, TimePoint expiresAt);
+
+    /// Moves the end of an endpoint's lease.
+    void extend(const EndpointAnnouncement& announcement, TimePoint expiresAt);
+
+    void remove(const EndpointAnnouncement& announcement);
+
+    /// The first endpoints of the service that are neither draining nor past their lease.
+    [[nodiscard]] CandidateList candidates(const ServiceName& service, TimePoint now, std::size_t limit) const;
+
+private:
+    struct Rank {
+        bool foreign = false; ///< In another data centre; sorts last.
+        std::uint64_t inverseScore = 0;
+        EndpointId id;
+
+        // clang-tidy 14 takes the 0 that a rewritten comparison compares with for a null pointer.
+        friend auto operator<=>(const Rank&, const Rank&) = default; // NOLINT(modernize-use-nullptr)
+        friend bool operator==(const Rank&, const Rank&) = default;
+    };
+    struct Slot {
+        Rank rank;
+        EndpointPointer record;
+        TimePoint expiresAt;
+    };
+    struct Shard {
+        mutable std::shared_mutex mutex;
+        std::unordered_map<ServiceName, std::vector<Slot>> services;
+    };
+    static constexpr std::size_t shardCount = 16;
+
+    [[nodiscard]] Rank rankOf(const EndpointAnnouncement& announcement) const;
+    [[nodiscard]] Shard& shardOf(const ServiceName& service) { return m_shards[std::hash<ServiceName> {}(service) % shardCount]; }
+    [[nodiscard]] const Shard& shardOf(const ServiceName& service) const { return m_shards[std::hash<ServiceName> {}(service) % shardCount]; }
+    [[nodiscard]] static std::vector<Slot>::iterator find(std::vector<Slot>& slots, const Rank& rank);
+
+    InstanceId m_self;
+    DataCentreName m_dataCentre;
+    std::array<Shard, shardCount> m_shards;
+};
+
+}
