Add the request path from callers to endpoints, the log group and the daemon

Cause: the modules existed alone; no request could be served. Change: the pipeline identifies, claims, queues, sends, relays and records; ControlGroup drives consensus and the state machine, founds the group and replaces lost voters; ControlClient finds the leader from any instance; the HTTP server serves callers, endpoints and operators; azurepaddled assembles it.

--- /dev/null
+++ b/src/azurepaddle/control/client.cpp
@@ -0,0 +1,120 @@
+#include "azurepaddle/control/client.hpp"
+
+#include "azurepaddle/core/digest.hpp"
+
+#include <algorithm>
+#include <thread>
+
+namespace azurepaddle::control {
+
+namespace {
+
+    constexpr Duration retryPause = std::chrono::milliseconds(50);
+    // A leader that was cut off must not hold a request until its deadline.
+    constexpr Duration attemptDeadline = std::chrono::milliseconds(1500);
+    constexpr std::size_t commandIdBytes = 16;
+
+}
+
+ControlClient::ControlClient(std::string self, std::map<std::string, InstanceAddress> voters, transport::PeerClient& client, ControlGroup* group)
+    : m_self(std::move(self))
+    , m_voters(std::move(voters))
+    , m_client(client)
+    , m_group(group)
+{
+}
+
+tl::expected<ControlReply, ClientError> ControlClient::submit(ControlAction action, TimePoint deadline)
+{
+    const ControlCommand command { CommandId(randomHex(commandIdBytes)), m_clock.wallNow().time_since_epoch().count(), 0, std::move(action) };
+    const auto body = ask("submit", encodeCommand(command), deadline);
+    if (!body)
+        return tl::unexpected(body.error());
+    auto reply = decodeReply(*body);
+    if (!reply)
+        return makeError(ClientErrorCode::Unknown, reply.error().message());
+    return std::move(*reply);
+}
+
+tl::expected<ControlAnswer, ClientError> ControlClient::read(const ControlQuery& query, TimePoint deadline)
+{
+    const auto body = ask("read", encodeQuery(query), deadline);
+    if (!body)
+        return tl::unexpected(body.error());
+    auto answer = decodeAnswer(*body);
+    if (!answer)
+        return makeError(ClientErrorCode::Unknown, answer.error().message());
+    return std::move(*answer);
+}
+
+std::string ControlClient::leader() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_leader;
+}
+
+void ControlClient::noteLeader(const std::string& leader)
+{
+    const std::lock_guard lock(m_mutex);
+    m_leader = m_voters.contains(leader) ? leader : std::string();
+}
+
+std::string ControlClient::pickTarget(unsigned attempt) const
+{
+    const std::string known = leader();
+    if (!known.empty())
+        return known;
+    auto target = m_voters.begin();
+    std::advance(target, attempt % m_voters.size());
+    return target->first;
+}
+
+ControlClient::Attempt ControlClient::askOne(const std::string& name, const std::string& method, const std::string& body, TimePoint deadline)
+{
+    if (m_group && name == m_self)
+        return { method == "submit" ? m_group->submit(body, deadline) : m_group->read(body, deadline), false };
+    const auto answered = m_client.call(m_voters.at(name), method, body, deadline);
+    if (!answered)
+        return { std::nullopt, answered.error().outcome() != Outcome::NotRun };
+    auto reply = codec::decode<GroupReply>(*answered);
+    if (!reply)
+        return { std::nullopt, true };
+    return { std::move(*reply), false };
+}
+
+tl::expected<std::string, ClientError> ControlClient::ask(const std::string& method, const std::string& body, TimePoint deadline)
+{
+    if (m_voters.empty())
+        return makeError(ClientErrorCode::Unavailable, "no voters are configured");
+    bool mayHaveRun = false;
+    for (unsigned attempt = 0; m_clock.now() < deadline; ++attempt) {
+        const std::string target = pickTarget(attempt);
+        const auto result = askOne(target, method, body, std::min(deadline, m_clock.now() + attemptDeadline));
+        mayHaveRun = mayHaveRun || result.mayHaveRun;
+        if (!result.reply) {
+            noteLeader({});
+            std::this_thread::sleep_for(retryPause);
+            continue;
+        }
+        switch (result.reply->status) {
+        case GroupStatus::Ok:
+            noteLeader(target);
+            return result.reply->body;
+        case GroupStatus::Malformed:
+            return makeError(ClientErrorCode::Refused, result.reply->body);
+        case GroupStatus::NotLeader:
+            noteLeader(result.reply->leader == target ? std::string() : result.reply->leader);
+            break;
+        case GroupStatus::Lost:
+            mayHaveRun = true;
+            noteLeader(result.reply->leader);
+            break;
+        case GroupStatus::Busy:
+            break;
+        }
+        std::this_thread::sleep_for(retryPause);
+    }
+    return makeError(mayHaveRun ? ClientErrorCode::Unknown : ClientErrorCode::Unavailable, "the leader of the log could not be reached in time");
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/http/server.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "azurepaddle/config/settings.hpp"
+#include "azurepaddle/http/taskqueue.hpp"
+#include "azurepaddle/pipeline/error.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace azurepaddle::http {
+
+/// Answers an error as problem+json, with Retry-After where a retry makes sense.
+void answerProblem(httplib::Response& response, const pipeline::PipelineError& error);
+
+/// Answers a JSON text.
+void answerJson(httplib::Response& response, const std::string& body);
+
+/// The bearer token of a request, or an empty text.
+[[nodiscard]] std::string bearerToken(const httplib::Request& request);
+
+/// The HTTP server of an instance with its limits. Routes are added before start. Requests beyond the thread limit and,
+/// while draining, requests of callers are refused as not run.
+class HttpServer {
+public:
+    explicit HttpServer(const config::HttpSettings& settings);
+    ~HttpServer();
+
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    [[nodiscard]] httplib::Server& routes() noexcept { return *m_server; }
+
+    /// Binds the address and begins to serve. Returns false with a message on standard error if that fails.
+    [[nodiscard]] bool start();
+
+    /// Refuses new requests of callers and trainers from now on.
+    void drain() noexcept { m_draining = true; }
+
+    /// Closes the connections. Requests in progress must have ended, because the library cuts streams off.
+    void stop();
+
+private:
+    [[nodiscard]] httplib::Server::HandlerResponse beforeRouting(const httplib::Request& request, httplib::Response& response) const;
+
+    config::HttpSettings m_settings;
+    std::unique_ptr<httplib::Server> m_server;
+    std::atomic<bool> m_draining = false;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/pipeline/background_pool.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace azurepaddle::pipeline {
+
+/// Threads that run tasks in the background, started when first needed and bounded in number. Nothing is queued.
+class BackgroundPool {
+public:
+    explicit BackgroundPool(std::size_t maxThreads)
+        : m_maxThreads(maxThreads)
+    {
+    }
+
+    ~BackgroundPool()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isStopping = true;
+            m_changed.notify_all();
+        }
+        for (auto& thread : m_threads)
+            thread.join();
+    }
+
+    BackgroundPool(const BackgroundPool&) = delete;
+    BackgroundPool& operator=(const BackgroundPool&) = delete;
+
+    /// Runs the task, or returns false if all threads are busy.
+    [[nodiscard]] bool run(std::function<void()> task)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_idle > m_tasks.size()) {
+            m_tasks.push_back(std::move(task));
+            m_changed.notify_one();
+            return true;
+        }
+        if (m_threads.size() >= m_maxThreads)
+            return false;
+        m_tasks.push_back(std::move(task));
+        m_threads.emplace_back([this] { serve(); });
+        return true;
+    }
+
+private:
+    void serve()
+    {
+        std::unique_lock lock(m_mutex);
+        for (;;) {
+            ++m_idle;
+            m_changed.wait(lock, [&] { return m_isStopping || !m_tasks.empty(); });
+            --m_idle;
+            if (m_tasks.empty())
+                return;
+            const auto task = std::move(m_tasks.front());
+            m_tasks.pop_front();
+            lock.unlock();
+            task();
+            lock.lock();
+        }
+    }
+
+    const std::size_t m_maxThreads;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<std::function<void()>> m_tasks;
+    std::size_t m_idle = 0;
+    bool m_isStopping = false;
+    std::vector<std::thread> m_threads;
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/pipeline/claims.cpp
@@ -0,0 +1,84 @@
+#include "azurepaddle/pipeline/claims.hpp"
+
+#include "azurepaddle/config/configuration.hpp"
+#include "azurepaddle/core/digest.hpp"
+
+namespace azurepaddle::pipeline {
+
+namespace {
+
+    constexpr Duration recordTimeout = std::chrono::seconds(20);
+    constexpr Duration inProgressRetry = std::chrono::seconds(1);
+
+    control::ClaimKey keyOf(const WorkItem& item)
+    {
+        return { item.tenant, item.idempotencyKey };
+    }
+
+    std::string digestOf(const WorkItem& item)
+    {
+        return sha256Hex(item.service.value() + "\n" + item.path + "\n" + (item.isEngine ? item.generation.fields : item.body));
+    }
+
+    PipelineResult<std::optional<RecordedAnswer>> answerDone(const control::ClaimResult& result)
+    {
+        if (result.outcome == control::ClaimOutcome::Unknown)
+            return fail(PipelineErrorCode::EndpointFailed, Outcome::Unknown, "the request with this idempotency key was sent and its answer was lost");
+        if (result.hasBody)
+            return std::optional(RecordedAnswer { static_cast<int>(result.httpStatus), result.contentType, result.body });
+        if (result.outcome == control::ClaimOutcome::Failed)
+            return fail(PipelineErrorCode::EndpointFailed, Outcome::Failed, "the request with this idempotency key ran and failed");
+        return fail(PipelineErrorCode::Conflict, Outcome::Failed, "the request with this idempotency key ran to its end; its answer was too large to be kept");
+    }
+
+}
+
+PipelineResult<std::optional<RecordedAnswer>> ClaimKeeper::claim(const WorkItem& item) const
+{
+    const auto retention = std::chrono::duration_cast<std::chrono::milliseconds>(item.configuration->defaults().claimRetention);
+    const control::Claim claim { keyOf(item), item.id, digestOf(item), m_control.self, item.keyFirstSeenMs, retention.count() };
+    const auto reply = submitFor<control::ClaimReply>(m_control, claim, item.deadline);
+    if (!reply) {
+        // A claim that may have been granted is held by this request, which will never send: the key can be released.
+        release(item);
+        return refuse(reply.error().code(), reply.error().message(), inProgressRetry);
+    }
+    using control::ClaimStatus;
+    switch (reply->status) {
+    case ClaimStatus::Granted:
+        return std::optional<RecordedAnswer>();
+    case ClaimStatus::Done:
+        return answerDone(reply->result);
+    case ClaimStatus::InProgress:
+        return fail(PipelineErrorCode::InProgress, Outcome::Unknown, "a request with this idempotency key is running", inProgressRetry);
+    case ClaimStatus::Unknown:
+        return fail(PipelineErrorCode::EndpointFailed, Outcome::Unknown, "the instance that ran the request with this idempotency key died; the request may have run");
+    case ClaimStatus::BodyDiffers:
+        return refuse(PipelineErrorCode::Conflict, "the idempotency key was used with another body");
+    case ClaimStatus::KeyTooOld:
+        return refuse(PipelineErrorCode::KeyExpired, "the idempotency key is older than the retention window; whether it was used is no longer known");
+    case ClaimStatus::KeyFromFuture:
+        return refuse(PipelineErrorCode::BadRequest, "X-Azurepaddle-Key-First-Seen lies in the future");
+    case ClaimStatus::Full:
+        return refuse(PipelineErrorCode::Overloaded, "the limit of stored idempotency keys is reached", inProgressRetry);
+    default:
+        return refuse(PipelineErrorCode::ControlUnavailable, "this instance cannot claim idempotency keys", inProgressRetry);
+    }
+}
+
+void ClaimKeeper::complete(const WorkItem& item, control::ClaimResult result) const
+{
+    result.hasBody = result.body.size() <= control::Claims::maxResultBody;
+    if (!result.hasBody)
+        result.body.clear();
+    const control::CompleteClaim command { keyOf(item), item.id, m_control.self, std::move(result) };
+    static_cast<void>(m_control.submit(command, SystemClock().now() + recordTimeout));
+}
+
+void ClaimKeeper::release(const WorkItem& item) const
+{
+    const control::ReleaseClaim command { keyOf(item), item.id, m_control.self };
+    static_cast<void>(m_control.submit(command, SystemClock().now() + recordTimeout));
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/pipeline/configuration_service.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "azurepaddle/control/client.hpp"
+#include "azurepaddle/pipeline/configuration_holder.hpp"
+#include "azurepaddle/pipeline/error.hpp"
+#include "azurepaddle/routing/suspect_tracker.hpp"
+
+#include <functional>
+#include <string>
+
+namespace azurepaddle::pipeline {
+
+/// What became of a submitted configuration.
+struct SubmissionResult {
+    std::string result; ///< accepted, already-accepted, superseded, conflict, stale or invalid.
+    std::uint64_t number = 0; ///< In force afterwards.
+    std::string digest; ///< Of the text in force.
+    std::vector<std::string> problems; ///< Every reason, if invalid.
+
+    friend bool operator==(const SubmissionResult&, const SubmissionResult&) = default;
+};
+
+/// Submits configurations to the log and installs the newest one here.
+class ConfigurationService {
+public:
+    /// Called after a new configuration was installed.
+    using OnInstalled = std::function<void(const config::Configuration&)>;
+
+    ConfigurationService(control::ControlClient& control, ConfigurationHolder& holder, routing::SuspectTracker& suspects, OnInstalled onInstalled)
+        : m_control(control)
+        , m_holder(holder)
+        , m_suspects(suspects)
+        , m_onInstalled(std::move(onInstalled))
+    {
+    }
+
+    /// Validates the text and submits it as a whole.
+    [[nodiscard]] PipelineResult<SubmissionResult> submit(const std::string& text, TimePoint deadline);
+
+    /// Asks the log for the newest configuration and installs it. Returns false if the log could not be asked.
+    bool refresh(TimePoint deadline);
+
+private:
+    [[nodiscard]] bool install(const control::ConfigurationUpdate& update);
+
+    control::ControlClient& m_control;
+    ConfigurationHolder& m_holder;
+    routing::SuspectTracker& m_suspects;
+    OnInstalled m_onInstalled;
+    std::mutex m_mutex; ///< One refresh at a time.
+};
+
+/// Translates an error of the log's client.
+[[nodiscard]] PipelineError controlError(const control::ClientError& error);
+
+}
--- /dev/null
+++ b/src/azurepaddle/pipeline/control_port.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "azurepaddle/control/command.hpp"
+#include "azurepaddle/pipeline/error.hpp"
+
+#include <functional>
+
+namespace azurepaddle::pipeline {
+
+/// The way to the replicated log. `submit` waits for the reply, at most until the deadline; an error says with its
+/// outcome whether the command may have been applied.
+struct ControlPort {
+    std::function<PipelineResult<control::ControlReply>(control::ControlAction, TimePoint)> submit;
+    control::Holder self; ///< This process.
+};
+
+/// Submits an action whose reply is of the type given.
+template <typename Reply>
+[[nodiscard]] PipelineResult<Reply> submitFor(const ControlPort& port, control::ControlAction action, TimePoint deadline)
+{
+    auto reply = port.submit(std::move(action), deadline);
+    if (!reply)
+        return tl::unexpected(reply.error());
+    if (auto* typed = std::get_if<Reply>(&*reply))
+        return std::move(*typed);
+    if (const auto* rejected = std::get_if<control::Rejected>(&*reply))
+        return refuse(PipelineErrorCode::BadRequest, rejected->detail);
+    return refuse(PipelineErrorCode::ControlUnavailable, "the log answered with a reply of another kind");
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/pipeline/dispatcher.cpp
@@ -0,0 +1,204 @@
+#include "azurepaddle/pipeline/dispatcher.hpp"
+
+namespace azurepaddle::pipeline {
+
+namespace {
+
+    constexpr Duration noEndpointRetry = std::chrono::seconds(1);
+
+    PipelineErrorCode codeOf(admission::RefusalReason reason) noexcept
+    {
+        switch (reason) {
+        case admission::RefusalReason::QueueFull:
+        case admission::RefusalReason::QueueBytes:
+            return PipelineErrorCode::Overloaded;
+        case admission::RefusalReason::DeadlineUnreachable:
+        case admission::RefusalReason::DeadlinePassed:
+            return PipelineErrorCode::DeadlineExceeded;
+        }
+        return PipelineErrorCode::Overloaded;
+    }
+
+    std::string_view describe(admission::RefusalReason reason) noexcept
+    {
+        switch (reason) {
+        case admission::RefusalReason::QueueFull:
+            return "the tenant has too many requests queued";
+        case admission::RefusalReason::QueueBytes:
+            return "the tenant's queued requests are too large in sum";
+        case admission::RefusalReason::DeadlineUnreachable:
+            return "the request cannot finish before its deadline at the present load";
+        case admission::RefusalReason::DeadlinePassed:
+            return "the deadline passed while the request was queued";
+        }
+        return "refused";
+    }
+
+    tl::unexpected<PipelineError> refusal(const admission::Refusal& reason)
+    {
+        return refuse(codeOf(reason.reason), std::string(describe(reason.reason)), reason.retryAfter);
+    }
+
+}
+
+Dispatcher::Dispatcher(const SystemClock& clock, LiveAdmission& admission, LiveRouter& router,
+    admission::ConcurrencyLimiter& limiter, LiveDirectory& directory)
+    : m_clock(clock)
+    , m_admission(admission)
+    , m_router(router)
+    , m_limiter(limiter)
+    , m_directory(directory)
+{
+}
+
+Dispatcher::ServiceState& Dispatcher::stateOf(const ServiceName& service)
+{
+    const std::lock_guard lock(m_mutex);
+    auto& state = m_services[service];
+    if (!state)
+        state = std::make_unique<ServiceState>();
+    return *state;
+}
+
+PipelineResult<std::shared_ptr<Dispatcher::Entry>> Dispatcher::admit(
+    const admission::RequestProfile& profile, routing::RequestProfile routing)
+{
+    ServiceState& state = stateOf(profile.service);
+    const std::lock_guard lock(state.mutex);
+    auto ticket = m_admission.admit(profile);
+    if (!ticket)
+        return refusal(ticket.error());
+    routing.workClass = ticket->size.workClass;
+    routing.promptTokens = ticket->size.promptTokens;
+    routing.outputTokens = ticket->size.outputTokens;
+    auto entry = std::make_shared<Entry>(Entry { std::move(*ticket), std::move(routing) });
+    auto waiter = std::make_shared<Waiter>();
+    waiter->entry = entry;
+    state.waiters.emplace(entry->ticket.id, std::move(waiter));
+    return entry;
+}
+
+PipelineResult<Grant> Dispatcher::wait(const std::shared_ptr<Entry>& entry, TimePoint deadline)
+{
+    const ServiceName& service = entry->ticket.service;
+    ServiceState& state = stateOf(service);
+    std::unique_lock lock(state.mutex);
+    const auto waiter = state.waiters.at(entry->ticket.id);
+    dispatchLocked(service, state);
+    while (!waiter->settled) {
+        const TimePoint now = m_clock.now();
+        if (now >= deadline)
+            break;
+        waiter->changed.wait_for(lock, deadline - now);
+    }
+    state.waiters.erase(entry->ticket.id);
+    if (waiter->settled)
+        return waiter->result;
+    // A ticket that is not settled is still in the queue, because both change under this lock.
+    static_cast<void>(m_admission.cancel(entry->ticket));
+    return refuse(PipelineErrorCode::DeadlineExceeded, "the deadline passed while the request was queued", noEndpointRetry);
+}
+
+void Dispatcher::requeue(const std::shared_ptr<Entry>& entry)
+{
+    ServiceState& state = stateOf(entry->ticket.service);
+    const std::lock_guard lock(state.mutex);
+    auto waiter = std::make_shared<Waiter>();
+    waiter->entry = entry;
+    state.waiters[entry->ticket.id] = std::move(waiter);
+    m_admission.putBack(entry->ticket);
+}
+
+void Dispatcher::abandon(const std::shared_ptr<Entry>& entry)
+{
+    ServiceState& state = stateOf(entry->ticket.service);
+    const std::lock_guard lock(state.mutex);
+    const auto found = state.waiters.find(entry->ticket.id);
+    if (found == state.waiters.end())
+        return;
+    if (!found->second->settled)
+        static_cast<void>(m_admission.cancel(entry->ticket));
+    else if (found->second->result) {
+        m_router.onFailed(found->second->result->attempt);
+        m_limiter.onEnded(found->second->result->endpoint);
+    }
+    state.waiters.erase(found);
+}
+
+void Dispatcher::endAttempt(const ServiceName& service, const Grant& grant, bool finished)
+{
+    if (finished)
+        m_router.onFinished(grant.attempt);
+    else
+        m_router.onFailed(grant.attempt);
+    m_limiter.onEnded(grant.endpoint);
+    dispatch(service);
+}
+
+void Dispatcher::dispatch(const ServiceName& service)
+{
+    ServiceState& state = stateOf(service);
+    const std::lock_guard lock(state.mutex);
+    dispatchLocked(service, state);
+}
+
+std::size_t Dispatcher::waiting(const ServiceName& service)
+{
+    ServiceState& state = stateOf(service);
+    const std::lock_guard lock(state.mutex);
+    return state.waiters.size();
+}
+
+void Dispatcher::dispatchLocked(const ServiceName& service, ServiceState& state)
+{
+    for (const auto& [ticket, refused] : m_admission.expire(service)) {
+        const auto found = state.waiters.find(ticket.id);
+        if (found == state.waiters.end())
+            continue;
+        found->second->result = refusal(refused);
+        found->second->settled = true;
+        found->second->changed.notify_all();
+    }
+    admission::AllowedClasses allowed;
+    while (allowed.shortWork || allowed.longWork) {
+        const auto ticket = m_admission.next(service, allowed);
+        if (!ticket)
+            return;
+        const auto found = state.waiters.find(ticket->id);
+        if (found == state.waiters.end()) {
+            m_admission.onFailed(*ticket, 0);
+            continue;
+        }
+        if (grantLocked(*found->second))
+            continue;
+        m_admission.putBack(*ticket);
+        (ticket->size.workClass == WorkClass::Short ? allowed.shortWork : allowed.longWork) = false;
+    }
+}
+
+bool Dispatcher::grantLocked(Waiter& waiter)
+{
+    const routing::RequestProfile& profile = waiter.entry->profile;
+    const auto admits = [&](const EndpointId& endpoint) { return m_limiter.hasRoom(endpoint); };
+    auto choice = m_router.choose(profile, admits);
+    if (!choice && !profile.avoid.empty()) {
+        // An endpoint that failed before is better than none.
+        auto anywhere = profile;
+        anywhere.avoid.clear();
+        choice = m_router.choose(anywhere, admits);
+    }
+    if (!choice && choice.error().code() == routing::RoutingErrorCode::NoCapacity)
+        return false;
+    const auto record = choice ? m_directory.find(*choice) : nullptr;
+    if (!record) {
+        waiter.result = refuse(PipelineErrorCode::NoEndpoint, fmt::format("no endpoint of {} can take the request", profile.service), noEndpointRetry);
+    } else {
+        m_limiter.onSent(*choice);
+        waiter.result = Grant { *choice, record->announcement.address, m_router.onSent(profile, *choice) };
+    }
+    waiter.settled = true;
+    waiter.changed.notify_all();
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/pipeline/peer_exchange.cpp
@@ -0,0 +1,169 @@
+#include "azurepaddle/pipeline/peer_exchange.hpp"
+
+namespace azurepaddle::pipeline {
+
+namespace {
+
+    constexpr Duration answerDeadline = std::chrono::milliseconds(800);
+
+    struct ExchangeRequest {
+        InstanceMessage self;
+        std::string deltas; ///< An encoded request to the directory.
+        MSGPACK_DEFINE(self, deltas)
+    };
+
+    struct ExchangeReply {
+        InstanceMessage self;
+        std::string deltas; ///< An encoded batch.
+        MSGPACK_DEFINE(self, deltas)
+    };
+
+}
+
+PeerExchange::PeerExchange(ExchangeOptions options, const SystemClock& clock, LiveDirectory& directory, routing::SuspectTracker& suspects,
+    const ConfigurationHolder& configuration, transport::PeerClient& client)
+    : m_options(std::move(options))
+    , m_clock(clock)
+    , m_directory(directory)
+    , m_suspects(suspects)
+    , m_configuration(configuration)
+    , m_client(client)
+    , m_self(m_options.self)
+{
+}
+
+void PeerExchange::registerHandlers(transport::PeerServer& server)
+{
+    server.handle("gossip", [this](const transport::PeerRequest& request) -> transport::PeerReply { return answer(request.body); });
+    server.handle("suspect", [this](const transport::PeerRequest& request) -> transport::PeerReply {
+        m_suspects.addSuspect(routing::Fingerprint(request.body));
+        return std::string();
+    });
+}
+
+InstanceMessage PeerExchange::selfMessage() const
+{
+    InstanceMessage message;
+    {
+        const std::lock_guard lock(m_mutex);
+        message = m_self;
+    }
+    message.configuration = m_configuration.number();
+    return message;
+}
+
+std::string PeerExchange::answer(const std::string& body)
+{
+    const auto request = codec::decode<ExchangeRequest>(body);
+    ExchangeReply reply { selfMessage(), {} };
+    if (!request)
+        return codec::encode(reply);
+    note(request->self);
+    const auto deltas = membership::decodeRequest(request->deltas);
+    if (deltas)
+        reply.deltas = membership::encodeBatch(m_directory.answer(*deltas));
+    return codec::encode(reply);
+}
+
+void PeerExchange::pull()
+{
+    const InstanceMessage self = selfMessage();
+    for (const auto& [name, address] : m_options.peers) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (std::exchange(m_asking[name], true))
+                continue;
+        }
+        const TimePoint asked = m_clock.now();
+        const auto request = m_directory.makeRequest(InstanceId(name), membership::DeltaScope::Local);
+        m_client.send(address, "gossip", codec::encode(ExchangeRequest { self, membership::encodeRequest(request) }), asked + answerDeadline,
+            [this, peer = name, asked](const transport::CallResult& result) { onAnswer(peer, asked, result); });
+    }
+}
+
+void PeerExchange::onAnswer(const std::string& name, TimePoint asked, const transport::CallResult& result)
+{
+    if (result) {
+        const auto reply = codec::decode<ExchangeReply>(*result);
+        if (reply) {
+            note(reply->self);
+            const auto batch = membership::decodeBatch(reply->deltas);
+            if (batch)
+                m_directory.merge(*batch, asked);
+        }
+    }
+    const std::lock_guard lock(m_mutex);
+    m_asking[name] = false;
+}
+
+void PeerExchange::note(const InstanceMessage& message)
+{
+    const std::lock_guard lock(m_mutex);
+    auto& view = m_views[message.name.value()];
+    if (message.incarnation < view.message.incarnation)
+        return;
+    if (view.message.incarnation != 0 && message.incarnation > view.message.incarnation) {
+        m_log.info("{} restarted", message.name);
+        m_dead.push_back(view.message);
+    }
+    view.message = message;
+    view.lastHeard = m_clock.now();
+}
+
+void PeerExchange::announceSuspect(const routing::Fingerprint& fingerprint)
+{
+    for (const auto& [name, address] : m_options.peers)
+        m_client.send(address, "suspect", fingerprint.value(), m_clock.now() + answerDeadline);
+}
+
+void PeerExchange::setStanding(bool isReady, bool isDraining)
+{
+    const std::lock_guard lock(m_mutex);
+    m_self.isReady = isReady;
+    m_self.isDraining = isDraining;
+}
+
+void PeerExchange::setDemands(std::vector<DemandMessage> demands)
+{
+    const std::lock_guard lock(m_mutex);
+    m_self.demands = std::move(demands);
+}
+
+std::string PeerExchange::stateOf(const InstanceView& view, TimePoint now) const
+{
+    if (view.message.isDraining)
+        return "leaving";
+    const Duration silence = now - view.lastHeard;
+    if (silence > m_options.deadAfter)
+        return "dead";
+    return silence > m_options.suspectAfter ? "suspect" : "alive";
+}
+
+std::vector<InstanceView> PeerExchange::instances() const
+{
+    const TimePoint now = m_clock.now();
+    std::vector<InstanceView> views { { selfMessage(), {}, now } };
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [name, view] : m_views)
+        views.push_back(view);
+    for (auto& view : views)
+        view.state = stateOf(view, now);
+    return views;
+}
+
+std::vector<InstanceMessage> PeerExchange::takeDead()
+{
+    const TimePoint now = m_clock.now();
+    const std::lock_guard lock(m_mutex);
+    auto dead = std::exchange(m_dead, {});
+    for (const auto& [name, view] : m_views) {
+        auto& reported = m_reportedDead[name];
+        if (now - view.lastHeard <= m_options.deadAfter || reported == view.message.incarnation)
+            continue;
+        reported = view.message.incarnation;
+        dead.push_back(view.message);
+    }
+    return dead;
+}
+
+}
--- /dev/null
+++ b/src/programs/azurepaddled/instance.cpp
@@ -0,0 +1,356 @@
+#include "instance.hpp"
+
+#include "azurepaddle/core/digest.hpp"
+#include "azurepaddle/http/caller_routes.hpp"
+#include "azurepaddle/http/endpoint_routes.hpp"
+#include "azurepaddle/http/operator_routes.hpp"
+
+#include <fstream>
+#include <sstream>
+
+namespace azurepaddle::daemon {
+
+namespace {
+
+    constexpr Duration routerInterval = std::chrono::milliseconds(50);
+    constexpr Duration refreshInterval = std::chrono::milliseconds(100);
+    constexpr Duration configurationInterval = std::chrono::milliseconds(250);
+    constexpr Duration demandInterval = std::chrono::seconds(1);
+    constexpr Duration deadInterval = std::chrono::milliseconds(500);
+    constexpr Duration controlDeadline = std::chrono::seconds(2);
+    constexpr Duration drainPoll = std::chrono::milliseconds(50);
+    constexpr Duration drainNotice = std::chrono::milliseconds(300);
+    constexpr std::size_t seedDigits = 15;
+
+    std::uint64_t randomSeed()
+    {
+        return std::stoull(randomHex(sizeof(std::uint64_t)).substr(0, seedDigits), nullptr, 16);
+    }
+
+    std::map<std::string, InstanceAddress> addressesOf(const config::Settings& settings, const std::vector<std::string>* names)
+    {
+        std::map<std::string, InstanceAddress> addresses;
+        for (const auto& seed : settings.seeds()) {
+            if (!names || std::find(names->begin(), names->end(), seed.name) != names->end())
+                addresses.emplace(seed.name, InstanceAddress { seed.address, seed.port });
+        }
+        return addresses;
+    }
+
+    std::optional<transport::TlsIdentity> tlsOf(const config::PeerSettings& peer)
+    {
+        if (peer.tlsCertificate.empty())
+            return std::nullopt;
+        auto identity = transport::loadTlsIdentity(peer.tlsCertificate, peer.tlsKey, peer.tlsAuthority);
+        if (!identity)
+            throw std::runtime_error(identity.error().message());
+        return std::move(*identity);
+    }
+
+    transport::ClientOptions clientOptions(const config::Settings& settings)
+    {
+        transport::ClientOptions options;
+        options.secret = settings.peer().secret;
+        options.tls = tlsOf(settings.peer());
+        options.maxMessageBytes = settings.peer().maxMessageBytes;
+        options.pingDeadline = settings.timing().peerPing;
+        options.pingInterval = settings.timing().peerPing;
+        return options;
+    }
+
+    transport::ServerOptions serverOptions(const config::Settings& settings)
+    {
+        transport::ServerOptions options;
+        options.listen = { settings.peer().address, static_cast<std::uint16_t>(settings.peer().port) };
+        options.secret = settings.peer().secret;
+        options.tls = tlsOf(settings.peer());
+        options.maxMessageBytes = settings.peer().maxMessageBytes;
+        return options;
+    }
+
+    control::GroupOptions groupOptions(const config::Settings& settings)
+    {
+        control::GroupOptions options;
+        options.name = settings.instance().name;
+        options.dataFolder = settings.instance().dataFolder;
+        options.voters = settings.peer().voters;
+        options.peers = addressesOf(settings, nullptr);
+        options.raft.electionTimeout = settings.timing().raftElection;
+        options.raft.heartbeatInterval = settings.timing().raftHeartbeat;
+        return options;
+    }
+
+    membership::DirectoryOptions directoryOptions(const config::Settings& settings)
+    {
+        membership::DirectoryOptions options;
+        options.self = InstanceId(settings.instance().name);
+        options.dataCentre = DataCentreName(settings.instance().dataCentre);
+        options.lease = settings.timing().endpointLease;
+        options.candidateLimit = settings.limits().maxCandidates;
+        options.maxEndpoints = settings.limits().maxEndpoints;
+        return options;
+    }
+
+    pipeline::ExchangeOptions exchangeOptions(const config::Settings& settings, std::uint64_t incarnation)
+    {
+        pipeline::ExchangeOptions options;
+        options.self.name = InstanceId(settings.instance().name);
+        options.self.incarnation = incarnation;
+        options.self.dataCentre = DataCentreName(settings.instance().dataCentre);
+        options.self.roles = settings.instance().roles;
+        options.self.httpAddress = fmt::format("{}:{}", settings.http().address, settings.http().port);
+        options.peers = addressesOf(settings, nullptr);
+        options.peers.erase(settings.instance().name);
+        return options;
+    }
+
+    pipeline::ConnectorOptions connectorOptions(const config::Settings& settings)
+    {
+        pipeline::ConnectorOptions options;
+        options.connectTimeout = settings.http().connectTimeout;
+        options.maxAnswerBytes = settings.limits().maxResponseBytes;
+        return options;
+    }
+
+    std::unique_ptr<control::ControlGroup> makeGroup(const config::Settings& settings, transport::PeerClient& client)
+    {
+        if (settings.instance().dataFolder.empty() || !settings.hasRole("control"))
+            return nullptr;
+        return std::make_unique<control::ControlGroup>(groupOptions(settings), client);
+    }
+
+    pipeline::ControlPort makePort(control::ControlClient& client, control::Holder self)
+    {
+        return { [&client](control::ControlAction action, TimePoint deadline) -> pipeline::PipelineResult<control::ControlReply> {
+                    auto reply = client.submit(std::move(action), deadline);
+                    if (!reply)
+                        return tl::unexpected(pipeline::controlError(reply.error()));
+                    return std::move(*reply);
+                },
+            std::move(self) };
+    }
+
+}
+
+/// The parts of an instance in the order of their dependencies; they are destroyed in the reverse order.
+struct Instance::Parts {
+    explicit Parts(const config::Settings& settings)
+        : incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()))
+        , self { InstanceId(settings.instance().name), incarnation }
+        , random(randomSeed())
+        , client(clientOptions(settings))
+        , server(serverOptions(settings))
+        , group(makeGroup(settings, client))
+        , control(settings.instance().name, addressesOf(settings, &settings.peer().voters), client, group.get())
+        , port(makePort(control, self))
+        , directory(directoryOptions(settings), clock, random)
+        , router(clock, Random(randomSeed()), DataCentreName(settings.instance().dataCentre))
+        , admission(clock)
+        , dispatcher(clock, admission, router, limiter, directory)
+        , configurations(control, holder, suspects, [this](const config::Configuration& configuration) { onConfiguration(configuration); })
+        , exchange(exchangeOptions(settings, incarnation), clock, directory, suspects, holder, client)
+        , suspicion(port, suspects, [this](const routing::Fingerprint& fingerprint) { exchange.announceSuspect(fingerprint); })
+        , connector(connectorOptions(settings))
+        , sender({ clock, dispatcher, router, limiter, retries, connector, suspicion, metrics })
+        , identify(clock)
+        , claims(port)
+        , background(settings.http().upstreamThreads)
+        , callers({ clock, identify, claims, admission, dispatcher, sender, metrics, [this](std::function<void()> task) { return background.run(std::move(task)); }, settings.http().streamQueue })
+        , endpoints(directory, router, dispatcher)
+        , http(settings.http())
+    {
+    }
+
+    void onConfiguration(const config::Configuration& configuration)
+    {
+        for (const auto& [name, tenant] : configuration.tenants())
+            admission.setPolicy(name, { tenant.weight, tenant.maxQueuedRequests, tenant.maxQueuedBytes });
+    }
+
+    [[nodiscard]] std::vector<ServiceName> services() const
+    {
+        std::vector<ServiceName> names;
+        if (const auto configuration = holder.current()) {
+            for (const auto& [name, service] : configuration->services())
+                names.push_back(name);
+        }
+        return names;
+    }
+
+    const SystemClock clock {};
+    const std::uint64_t incarnation;
+    const control::Holder self;
+    Random random;
+    metrics::Registry metrics;
+    transport::PeerClient client;
+    transport::PeerServer server;
+    std::unique_ptr<control::ControlGroup> group;
+    control::ControlClient control;
+    const pipeline::ControlPort port;
+    pipeline::LiveDirectory directory;
+    pipeline::LiveRouter router;
+    pipeline::LiveAdmission admission;
+    admission::ConcurrencyLimiter limiter;
+    admission::RetryBudget retries;
+    routing::SuspectTracker suspects;
+    pipeline::Dispatcher dispatcher;
+    pipeline::ConfigurationHolder holder;
+    pipeline::ConfigurationService configurations;
+    pipeline::PeerExchange exchange;
+    const pipeline::Suspicion suspicion;
+    const pipeline::Connector connector;
+    const pipeline::Sender sender;
+    const pipeline::Identify identify;
+    const pipeline::ClaimKeeper claims;
+    pipeline::BackgroundPool background;
+    pipeline::CallerService callers;
+    pipeline::EndpointService endpoints;
+    http::HttpServer http;
+};
+
+Instance::Instance(config::Settings settings)
+    : m_settings(std::move(settings))
+    , m_parts(std::make_unique<Parts>(m_settings))
+{
+    addRoutes();
+}
+
+Instance::~Instance()
+{
+    drainAndStop();
+}
+
+bool Instance::start()
+{
+    Parts& parts = *m_parts;
+    if (parts.group)
+        parts.group->registerHandlers(parts.server);
+    parts.exchange.registerHandlers(parts.server);
+    for (const auto& started : { parts.server.start(), parts.client.start() }) {
+        if (!started) {
+            m_log.error("{}", started.error().message());
+            return false;
+        }
+    }
+    if (parts.group)
+        parts.group->start();
+    if (!parts.http.start())
+        return false;
+    runPeriodically("router", routerInterval, [&parts] { static_cast<void>(parts.router.tick()); });
+    runPeriodically("endpoints", refreshInterval, [&parts] {
+        static_cast<void>(parts.directory.expire());
+        parts.endpoints.refresh(parts.services());
+    });
+    runPeriodically("exchange", m_settings.timing().gossipInterval, [this, &parts] {
+        parts.exchange.setStanding(isReady(), m_isDraining);
+        parts.exchange.pull();
+    });
+    runPeriodically("configuration", configurationInterval, [&parts] { static_cast<void>(parts.configurations.refresh(parts.clock.now() + controlDeadline)); });
+    runPeriodically("demands", demandInterval, [this] { exchangeDemands(); });
+    runPeriodically("dead instances", deadInterval, [this] { reportDead(); });
+    m_log.info("{} listens on {}:{} (HTTP) and {}:{} (peers)", m_settings.instance().name, m_settings.http().address, m_settings.http().port, m_settings.peer().address, m_settings.peer().port);
+    return true;
+}
+
+void Instance::drainAndStop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isStopping)
+            return;
+    }
+    Parts& parts = *m_parts;
+    m_isDraining = true;
+    parts.http.drain();
+    parts.exchange.setStanding(false, true);
+    parts.exchange.pull();
+    std::this_thread::sleep_for(drainNotice);
+    const TimePoint deadline = parts.clock.now() + m_settings.instance().drainTimeout;
+    while (parts.callers.inProgress() > 0 && parts.clock.now() < deadline)
+        std::this_thread::sleep_for(drainPoll);
+    if (parts.callers.inProgress() > 0)
+        m_log.warning("{} requests are still in progress after the drain timeout", parts.callers.inProgress());
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+        m_stopped.notify_all();
+    }
+    for (auto& thread : m_threads)
+        thread.join();
+    parts.http.stop();
+    if (parts.group)
+        parts.group->stop();
+    parts.server.stop();
+    parts.client.stop();
+    m_log.info("stopped");
+}
+
+void Instance::runPeriodically(const std::string& name, Duration interval, std::function<void()> task)
+{
+    m_threads.emplace_back([this, name, interval, task = std::move(task)] {
+        std::unique_lock lock(m_mutex);
+        while (!m_stopped.wait_for(lock, interval, [&] { return m_isStopping; })) {
+            lock.unlock();
+            try {
+                task();
+            } catch (const std::exception& exception) {
+                m_log.error("{}: {}", name, exception.what());
+            }
+            lock.lock();
+        }
+    });
+}
+
+bool Instance::isReady() const
+{
+    return !m_isDraining && m_parts->holder.isConfirmed(m_parts->clock.now(), m_settings.timing().configurationConfirm);
+}
+
+void Instance::exchangeDemands()
+{
+    Parts& parts = *m_parts;
+    const auto services = parts.services();
+    std::map<ServiceName, std::vector<std::vector<admission::InstanceDemand>>> everywhere;
+    std::vector<pipeline::DemandMessage> own;
+    for (const ServiceName& service : services) {
+        everywhere[service].push_back(parts.admission.takeDemands(service));
+        for (const auto& demand : everywhere[service].front())
+            own.push_back({ service, demand.tenant, demand.weight, demand.served, demand.queued });
+    }
+    for (const auto& view : parts.exchange.instances()) {
+        if (view.message.name == parts.self.instance || view.state == "dead")
+            continue;
+        for (const ServiceName& service : services) {
+            auto& demands = everywhere[service].emplace_back();
+            for (const auto& message : view.message.demands) {
+                if (message.service == service)
+                    demands.push_back({ message.tenant, message.weight, message.served, message.queued });
+            }
+        }
+    }
+    for (const ServiceName& service : services)
+        parts.admission.correct(service, everywhere[service], 0);
+    parts.exchange.setDemands(std::move(own));
+}
+
+void Instance::reportDead()
+{
+    Parts& parts = *m_parts;
+    for (const auto& dead : parts.exchange.takeDead()) {
+        const control::ReportDead report { dead.name, dead.incarnation };
+        if (!parts.control.submit(report, parts.clock.now() + controlDeadline))
+            m_log.warning("the death of {} could not be recorded", dead.name);
+    }
+}
+
+void Instance::addRoutes()
+{
+    Parts& parts = *m_parts;
+    http::addCallerRoutes(parts.http, parts.callers, parts.holder);
+    http::addEndpointRoutes(parts.http, parts.endpoints, m_settings.secrets().endpoint);
+    http::addOperatorRoutes(parts.http,
+        { parts.configurations, parts.holder, parts.directory, parts.exchange, parts.control, parts.metrics, [this] { return isReady(); } },
+        m_settings.secrets().operators);
+}
+
+}
