--- a/src/azurepaddle/admission/capacity.cpp
+++ b/src/azurepaddle/admission/capacity.cpp
@@ -94,4 +94,15 @@
     return result;
 }
 
+std::vector<double> longInstanceFractions(std::vector<std::vector<InstanceDemand>> demands)
+{
+    for (auto& instance : demands) {
+        for (InstanceDemand& demand : instance) {
+            demand.served = demand.longServed;
+            demand.queued = demand.longQueued;
+        }
+    }
+    return instanceFractions(demands);
+}
+
 }
--- a/src/azurepaddle/admission/capacity.hpp
+++ b/src/azurepaddle/admission/capacity.hpp
@@ -31,6 +31,8 @@
     double weight = 1;
     double served = 0; ///< Cost sent to endpoints.
     double queued = 0; ///< Cost waiting.
+    double longServed = 0; ///< The part of long work.
+    double longQueued = 0;
 
     friend bool operator==(const InstanceDemand&, const InstanceDemand&) = default;
 };
@@ -41,4 +43,7 @@
 /// instances that compute this from equal demands get equal fractions.
 [[nodiscard]] std::vector<double> instanceFractions(const std::vector<std::vector<InstanceDemand>>& demands);
 
+/// The same for the slots open to long work, from the demands for long work alone.
+[[nodiscard]] std::vector<double> longInstanceFractions(std::vector<std::vector<InstanceDemand>> demands);
+
 }
--- a/src/azurepaddle/admission/fair_queue.cpp
+++ b/src/azurepaddle/admission/fair_queue.cpp
@@ -68,6 +68,7 @@
     Flow& flow = flowOf(tenant, ticket);
     tenant.deficit += ticket.size.cost;
     tenant.served -= ticket.size.cost;
+    tenant.longServed -= ticket.size.workClass == WorkClass::Long ? ticket.size.cost : 0;
     flow.served -= ticket.size.cost / flow.weight;
     count(tenant, ticket, true);
     flow.tickets.push_front(std::move(ticket));
@@ -85,6 +86,9 @@
 void FairQueue::count(Tenant& tenant, const Ticket& ticket, bool added) noexcept
 {
     std::size_t& byClass = tenant.countByClass[indexOf(ticket.size.workClass)];
+    const bool isLong = ticket.size.workClass == WorkClass::Long;
+    if (isLong)
+        tenant.longQueued = std::max(0.0, tenant.longQueued + (added ? ticket.size.cost : -ticket.size.cost));
     if (added) {
         ++m_size;
         ++tenant.count;
@@ -147,6 +151,7 @@
     flow.tickets.pop_front();
     tenant.deficit -= ticket.size.cost;
     tenant.served += ticket.size.cost;
+    tenant.longServed += ticket.size.workClass == WorkClass::Long ? ticket.size.cost : 0;
     flow.served += ticket.size.cost / flow.weight;
     count(tenant, ticket, false);
     return ticket;
--- a/src/azurepaddle/admission/fair_queue.hpp
+++ b/src/azurepaddle/admission/fair_queue.hpp
@@ -30,6 +30,8 @@
     double servedEverywhere = 0;
     double queuedHere = 0; ///< Cost waiting in this instance's queue.
     double queuedEverywhere = 0;
+    double longServedHere = 0; ///< The part of long work.
+    double longQueuedHere = 0;
 
     friend bool operator==(const TenantService&, const TenantService&) = default;
 };
@@ -105,6 +107,8 @@
         double deficit = 0;
         double queued = 0; ///< Cost.
         double served = 0; ///< Cost since the last exchange.
+        double longQueued = 0;
+        double longServed = 0;
         std::size_t count = 0;
         std::array<std::size_t, 2> countByClass {};
         std::map<FlowKey, Flow> flows;
--- a/src/azurepaddle/admission/fair_queue_exchange.cpp
+++ b/src/azurepaddle/admission/fair_queue_exchange.cpp
@@ -15,8 +15,9 @@
     std::vector<TenantService> result;
     for (auto& [name, tenant] : m_tenants) {
         if (tenant.served != 0 || tenant.queued > 0)
-            result.push_back({ name, tenant.served, 0, tenant.queued, 0 });
+            result.push_back({ name, tenant.served, 0, tenant.queued, 0, tenant.longServed, tenant.longQueued });
         tenant.served = 0;
+        tenant.longServed = 0;
     }
     std::sort(result.begin(), result.end(), [](const auto& left, const auto& right) { return left.tenant < right.tenant; });
     return result;
--- a/src/azurepaddle/admission/service_queue.cpp
+++ b/src/azurepaddle/admission/service_queue.cpp
@@ -132,7 +132,8 @@
     const std::lock_guard lock(m_mutex);
     std::vector<InstanceDemand> result;
     for (const TenantService& service : m_queue.takeServices())
-        result.push_back({ service.tenant, m_queue.weight(service.tenant), std::max(0.0, service.servedHere), service.queuedHere });
+        result.push_back({ service.tenant, m_queue.weight(service.tenant), std::max(0.0, service.servedHere), service.queuedHere,
+            std::max(0.0, service.longServedHere), service.longQueuedHere });
     return result;
 }
 
--- a/src/azurepaddle/routing/routing_table.cpp
+++ b/src/azurepaddle/routing/routing_table.cpp
@@ -239,6 +239,15 @@
     return known.endpoint ? known.endpoint->load() : Load {};
 }
 
+Duration RoutingTable::medianTokenGap(const ServiceName& name) const
+{
+    const auto service = serviceOf(name);
+    if (!service)
+        return {};
+    const std::lock_guard lock(service->mutex);
+    return service->slow.medianGap();
+}
+
 Duration RoutingTable::progressDeadline(AttemptId attempt) const
 {
     const AttemptShard& shard = m_shards[attempt % shardCount];
