Run one suspect per endpoint instead of one over all endpoints

Cause: a crash makes suspects of all requests of the endpoint; one trial at a time over all instances left requests without an answer for over 90 s and samples waiting for minutes.

--- a/src/programs/azurepaddle-bench/load.cpp
+++ b/src/programs/azurepaddle-bench/load.cpp
@@ -49,6 +49,7 @@
 void Load::start()
 {
     m_world.setSampleSink([this](const Job& job, const Execution& execution) { onSample(job, execution); });
+    m_world.setRefusedSink([this](const JobPointer& job) { onNotFinished(*job); });
     for (std::size_t i = 0; i < m_world.scenario().streams.size(); ++i)
         startStream(i);
     arrivePlain(m_randoms[m_randoms.size() - 2]);
@@ -126,10 +127,10 @@
         ++*repeats;
         m_world.arrive(job);
     };
-    m_world.setRefusedSink([this, repeats, arrive](const JobPointer& job) {
-        if (job->crashesEndpoint && *repeats < maxCrashingRepeats)
+    m_crashingCaller = [this, repeats, arrive] {
+        if (*repeats < maxCrashingRepeats)
             m_world.simulator().after(std::chrono::seconds(1), arrive);
-    });
+    };
     m_world.simulator().after(fromSeconds(m_world.options().warmUp + 5), arrive);
 }
 
@@ -189,6 +190,22 @@
     tryTrain(*job.trainer);
 }
 
+void Load::onNotFinished(const Job& job)
+{
+    if (job.crashesEndpoint && m_crashingCaller)
+        m_crashingCaller();
+    if (!job.trainer)
+        return;
+    // The trainer was told and asks for another sample in its place.
+    Step& step = m_trainers[*job.trainer].steps[job.step];
+    const auto found = std::find_if(step.jobs.begin(), step.jobs.end(), [&](const JobPointer& other) { return other->id == job.id; });
+    if (found == step.jobs.end())
+        return;
+    *found = makeSample(*job.trainer, job.step, static_cast<std::size_t>(found - step.jobs.begin()), job.id);
+    const JobPointer replacement = *found;
+    m_world.simulator().after(std::chrono::seconds(1), [this, replacement] { m_world.arrive(replacement); });
+}
+
 void Load::tryTrain(std::size_t index)
 {
     Trainer& trainer = m_trainers[index];
--- a/src/programs/azurepaddle-bench/load.hpp
+++ b/src/programs/azurepaddle-bench/load.hpp
@@ -47,6 +47,7 @@
     void startCrashingCaller();
     void submitStep(std::size_t trainer, std::size_t step);
     [[nodiscard]] JobPointer makeSample(std::size_t trainer, std::size_t step, std::size_t index, std::size_t generation);
+    void onNotFinished(const Job& job);
     void onSample(const Job& job, const Execution& execution);
     void tryTrain(std::size_t trainer);
     [[nodiscard]] bool discardStale(std::size_t trainer, Step& step);
@@ -56,6 +57,7 @@
     World& m_world;
     std::vector<Random> m_randoms;
     std::vector<Trainer> m_trainers;
+    std::function<void()> m_crashingCaller;
     std::uint64_t m_nextJob = 1;
     WeightVersion m_version = 1;
     double m_stalenessSum = 0;
--- a/src/programs/azurepaddle-bench/service_front.cpp
+++ b/src/programs/azurepaddle-bench/service_front.cpp
@@ -90,7 +90,7 @@
     instance.hedge.onRequest(profile.tenant);
     instance.retries.onRequest(profile.tenant);
     const admission::TicketId key = job->instance * ticketsPerInstance + ticket->id;
-    m_requests[key] = std::make_unique<Request>(Request { key, job, *ticket, {}, false });
+    m_requests[key] = std::make_unique<Request>(Request { key, job, *ticket, {} });
     dispatch(job->instance, job->service);
 }
 
@@ -111,7 +111,7 @@
         return false;
     const std::uint64_t key = instance * ticketsPerInstance + ticket->id;
     Request& request = *m_requests.at(key);
-    if (m_instances[instance]->suspects.isSuspect(fingerprintOf(*request.job)) && !request.isTrial) {
+    if (m_instances[instance]->suspects.isSuspect(fingerprintOf(*request.job))) {
         m_trials.push_back(key);
         startTrials();
         return true;
@@ -189,11 +189,10 @@
     const Duration runTime = m_world.simulator().now() - m_sent.at(execution->number).sent;
     instance.admission.onFinished(request.ticket, execution->job->outputTokens, runTime);
     endCopies(request);
-    if (request.isTrial) {
+    if (instance.suspects.isSuspect(fingerprintOf(*request.job))) {
         instance.suspects.clear(fingerprintOf(*request.job));
         m_crashes.erase(fingerprintOf(*request.job));
-        --m_trialsRunning;
-        startTrials();
+        endTrial(request);
     }
     m_world.finish(execution);
     dispatch(execution->instance, execution->job->service);
--- a/src/programs/azurepaddle-bench/service_front.hpp
+++ b/src/programs/azurepaddle-bench/service_front.hpp
@@ -54,7 +54,6 @@
         JobPointer job;
         admission::Ticket ticket;
         std::vector<std::uint64_t> copies; ///< Executions in progress, by number.
-        bool isTrial = false;
     };
 
     struct Sent {
@@ -84,6 +83,8 @@
     void exchange();
     void applyShares(std::size_t service, const std::vector<std::vector<admission::InstanceDemand>>& demands);
     void startTrials();
+    [[nodiscard]] bool startTrial(Request& request);
+    void endTrial(const Request& request);
     [[nodiscard]] routing::Fingerprint fingerprintOf(const Job& job) const;
     [[nodiscard]] ServiceName serviceName(std::size_t service) const { return ServiceName(m_world.deployment().services[service].name); }
     [[nodiscard]] double utilisation(std::size_t instance) const;
@@ -97,7 +98,7 @@
     std::uint64_t m_nextNumber = 1;
     std::map<routing::Fingerprint, int> m_crashes; ///< Stands for the log: crashes by fingerprint.
     std::deque<std::uint64_t> m_trials; ///< Suspects that wait for the trial lease.
-    std::size_t m_trialsRunning = 0;
+    std::map<std::uint64_t, std::size_t> m_trialEngines; ///< Engine of each trial in progress, by request.
 };
 
 }
--- a/src/programs/azurepaddle-bench/service_front_events.cpp
+++ b/src/programs/azurepaddle-bench/service_front_events.cpp
@@ -34,11 +34,7 @@
     std::erase(request.copies, execution->number);
     if (execution->isRunning)
         ++m_crashes[fingerprintOf(*request.job)];
-    if (request.isTrial) {
-        request.isTrial = false;
-        --m_trialsRunning;
-        startTrials();
-    }
+    endTrial(request);
     if (request.copies.empty())
         retry(request, execution->isRunning);
 }
@@ -77,22 +73,45 @@
 
 void ServiceFront::startTrials()
 {
-    // One suspect runs at a time over all instances.
-    while (m_trialsRunning == 0 && !m_trials.empty()) {
-        const auto found = m_requests.find(m_trials.front());
-        if (found == m_requests.end()) {
-            m_trials.pop_front();
+    const TimePoint now = m_world.simulator().now();
+    const std::deque<std::uint64_t> waiting = std::move(m_trials);
+    m_trials.clear();
+    for (const std::uint64_t key : waiting) {
+        const auto found = m_requests.find(key);
+        if (found == m_requests.end())
             continue;
-        }
         Request& request = *found->second;
-        if (!sendTo(request, {}))
-            return;
-        m_trials.pop_front();
-        request.isTrial = true;
-        ++m_trialsRunning;
+        if (request.ticket.deadline && *request.ticket.deadline <= now) {
+            const JobPointer job = request.job;
+            m_requests.erase(found);
+            job->starts > 0 ? m_world.fail(job) : m_world.refuse(job);
+        } else if (!startTrial(request)) {
+            m_trials.push_back(key);
+        }
     }
 }
 
+bool ServiceFront::startTrial(Request& request)
+{
+    // An endpoint runs one suspect at a time, and a suspect runs once at a time, over all instances. So a second crash
+    // names the request that caused it.
+    std::vector<EndpointId> busy;
+    for (const auto& [key, engine] : m_trialEngines) {
+        if (fingerprintOf(*m_requests.at(key)->job) == fingerprintOf(*request.job))
+            return false;
+        busy.push_back(endpointOf(engine));
+    }
+    if (!sendTo(request, busy))
+        return false;
+    m_trialEngines[request.key] = m_sent.at(request.copies.back()).execution->engine;
+    return true;
+}
+
+void ServiceFront::endTrial(const Request& request)
+{
+    m_trialEngines.erase(request.key);
+}
+
 void ServiceFront::onReport(std::size_t instance, std::size_t engine, const EngineReport& report)
 {
     Instance& state = *m_instances[instance];
