--- a/src/azurepaddle/control/run_commands.hpp
+++ b/src/azurepaddle/control/run_commands.hpp
@@ -42,20 +42,22 @@
 struct SubmitGroups {
     static constexpr std::uint32_t tag = 52;
     RunName run;
+    Epoch epoch = 0; ///< Of the owner.
     std::vector<GroupSpec> groups;
 
     bool operator==(const SubmitGroups&) const = default;
-    MSGPACK_DEFINE(run, groups)
+    MSGPACK_DEFINE(run, epoch, groups)
 };
 
 /// Announces the trainer's weight version. A lower one than the one known changes nothing.
 struct SetTrainerVersion {
     static constexpr std::uint32_t tag = 53;
     RunName run;
+    Epoch epoch = 0; ///< Of the owner.
     WeightVersion version = 0;
 
     bool operator==(const SetTrainerVersion&) const = default;
-    MSGPACK_DEFINE(run, version)
+    MSGPACK_DEFINE(run, epoch, version)
 };
 
 /// Records one hand-off before any byte of it is sent: confirms the cursor, voids whole groups beyond it, and assigns
@@ -64,6 +66,7 @@
     static constexpr std::uint32_t tag = 54;
     RunName run;
     Epoch epoch = 0; ///< Of the owner.
+    std::uint64_t basedOn = 0; ///< Pull of the last hand-off that the owner knows to be recorded.
     std::uint64_t pull = 0; ///< Number of the trainer's pull, higher than that of any recorded hand-off.
     Sequence cursor = 0; ///< The trainer holds everything up to it and nothing beyond.
     WeightVersion version = 0; ///< The trainer's.
@@ -71,7 +74,7 @@
     std::vector<GroupId> assigned;
 
     bool operator==(const RecordHandOff&) const = default;
-    MSGPACK_DEFINE(run, epoch, pull, cursor, version, voided, assigned)
+    MSGPACK_DEFINE(run, epoch, basedOn, pull, cursor, version, voided, assigned)
 };
 
 /// Moves the cursor of a run whose trainer was restored from an older checkpoint. Unconfirmed samples are voided, and
@@ -79,12 +82,14 @@
 struct ResetRun {
     static constexpr std::uint32_t tag = 55;
     RunName run;
+    Epoch epoch = 0; ///< Of the owner.
+    Sequence held = 0; ///< Cursor of the checkpoint. Samples up to it count as confirmed, as in a hand-off.
     Sequence cursor = 0; ///< New cursor, above the highest sequence number ever assigned.
     WeightVersion version = 0;
     std::uint64_t step = 0;
 
     bool operator==(const ResetRun&) const = default;
-    MSGPACK_DEFINE(run, cursor, version, step)
+    MSGPACK_DEFINE(run, epoch, held, cursor, version, step)
 };
 
 /// Forgets a run that has ended, with all its groups and numbers.
@@ -110,6 +115,7 @@
     StepClosed, ///< The step lies before those whose groups are remembered.
     RunFull, ///< The run holds as many groups or bytes as allowed; submit again after confirming some.
     TooManyRuns,
+    PlanOutdated, ///< Another hand-off was recorded since the one that this is based on.
     PullSuperseded, ///< A hand-off for this or a later pull is recorded.
     CursorBehind, ///< Below the confirmed cursor: the trainer was restored from an older checkpoint.
     CursorInvalid, ///< Names no assigned sample.
@@ -138,11 +144,12 @@
     std::uint64_t pull = 0; ///< Highest pull with a recorded hand-off.
     WeightVersion version = 0; ///< The trainer's, as known.
     std::vector<AssignedGroup> assigned; ///< By a recorded hand-off, in the order of the command.
+    std::vector<GroupId> stored; ///< By a submission: groups that were not known before, in the order of the command.
     GroupId group; ///< First group that was refused.
     std::string detail; ///< How to proceed after a refusal.
 
     bool operator==(const RunReply&) const = default;
-    MSGPACK_DEFINE(status, epoch, owner, wait, confirmed, highest, pull, version, assigned, group, detail)
+    MSGPACK_DEFINE(status, epoch, owner, wait, confirmed, highest, pull, version, assigned, stored, group, detail)
 };
 
 }
--- a/src/azurepaddle/control/run_ledger.cpp
+++ b/src/azurepaddle/control/run_ledger.cpp
@@ -53,68 +53,85 @@
 
 RunReply RunLedger::submit(const SubmitGroups& submission)
 {
-    RunRecord* const run = findOrCreate(submission.run);
+    RunRecord* const run = findMutable(submission.run);
     if (run == nullptr)
-        return withoutRun(RunStatus::TooManyRuns);
+        return withoutRun(RunStatus::NoSuchRun);
+    if (auto refusal = internal::checkOwner(*run, submission.epoch))
+        return *refusal;
     if (auto refusal = internal::checkSubmission(*run, submission.groups))
         return *refusal;
-    for (const GroupSpec& spec : submission.groups)
-        internal::storeGroup(*run, spec);
+    std::vector<GroupId> stored;
+    for (const GroupSpec& spec : submission.groups) {
+        if (internal::storeGroup(*run, spec))
+            stored.push_back(spec.group);
+    }
     internal::closeSteps(*run);
-    return replyFor(*run, RunStatus::Stored);
+    RunReply reply = replyFor(*run, RunStatus::Stored);
+    reply.stored = std::move(stored);
+    return reply;
 }
 
 RunReply RunLedger::setVersion(const SetTrainerVersion& request)
 {
-    RunRecord* const run = findOrCreate(request.run);
+    RunRecord* const run = findMutable(request.run);
     if (run == nullptr)
-        return withoutRun(RunStatus::TooManyRuns);
+        return withoutRun(RunStatus::NoSuchRun);
+    if (auto refusal = internal::checkOwner(*run, request.epoch))
+        return *refusal;
     run->version = std::max(run->version, request.version);
     return replyFor(*run, RunStatus::Recorded);
 }
 
 RunReply RunLedger::recordHandOff(const RecordHandOff& request)
 {
-    const auto found = m_runs.find(request.run);
-    if (found == m_runs.end())
+    RunRecord* const run = findMutable(request.run);
+    if (run == nullptr)
         return withoutRun(RunStatus::NoSuchRun);
-    RunRecord& run = found->second;
-    if (auto refusal = internal::checkHandOff(run, request))
+    if (auto refusal = internal::checkHandOff(*run, request))
         return *refusal;
-    internal::confirm(run, request.cursor);
+    internal::confirm(*run, request.cursor);
     for (const GroupId& group : request.voided)
-        internal::voidGroup(run, group);
+        internal::voidGroup(*run, group);
     std::vector<AssignedGroup> assigned;
     for (const GroupId& group : request.assigned)
-        assigned.push_back(internal::assignGroup(run, group));
-    run.pull = request.pull;
-    run.version = std::max(run.version, request.version);
-    internal::closeSteps(run);
-    RunReply reply = replyFor(run, RunStatus::Recorded);
+        assigned.push_back(internal::assignGroup(*run, group));
+    run->pull = request.pull;
+    run->version = std::max(run->version, request.version);
+    internal::closeSteps(*run);
+    RunReply reply = replyFor(*run, RunStatus::Recorded);
     reply.assigned = std::move(assigned);
     return reply;
 }
 
 RunReply RunLedger::reset(const ResetRun& request)
 {
-    const auto found = m_runs.find(request.run);
-    if (found == m_runs.end())
+    RunRecord* const run = findMutable(request.run);
+    if (run == nullptr)
         return withoutRun(RunStatus::NoSuchRun);
-    RunRecord& run = found->second;
-    if (request.cursor <= run.highest) {
-        RunReply reply = replyFor(run, RunStatus::ResetTooLow);
-        reply.detail = fmt::format("reset with a cursor of at least {}, because the numbers below it are in use", run.highest + 1);
+    if (auto refusal = internal::checkOwner(*run, request.epoch))
+        return *refusal;
+    if (request.cursor <= run->highest) {
+        RunReply reply = replyFor(*run, RunStatus::ResetTooLow);
+        reply.detail = fmt::format("reset with a cursor of at least {}, because the numbers below it are in use", run->highest + 1);
         return reply;
     }
-    while (!run.live.empty())
-        internal::voidGroup(run, GroupId(run.live.begin()->second));
-    run.confirmed = request.cursor;
-    run.highest = request.cursor;
-    run.version = request.version;
-    run.finished.erase(run.finished.lower_bound(request.step), run.finished.end());
-    run.firstOpenStep = std::min(run.firstOpenStep, request.step);
-    run.highestStep = std::min(run.highestStep, request.step);
-    return replyFor(run, RunStatus::Reset);
+    if (request.held > run->confirmed && !internal::isCursorValid(*run, request.held)) {
+        RunReply reply = replyFor(*run, RunStatus::CursorInvalid);
+        reply.detail = fmt::format("held cursor {} names no sample in force; confirmed is {}", request.held, run->confirmed);
+        return reply;
+    }
+    // A checkpoint may be newer than the last confirmation. Its samples must not be delivered again.
+    if (request.held > run->confirmed)
+        internal::confirm(*run, request.held);
+    while (!run->live.empty())
+        internal::voidGroup(*run, GroupId(run->live.begin()->second));
+    run->confirmed = request.cursor;
+    run->highest = request.cursor;
+    run->version = request.version;
+    run->finished.erase(run->finished.lower_bound(request.step), run->finished.end());
+    run->firstOpenStep = std::min(run->firstOpenStep, request.step);
+    run->highestStep = std::min(run->highestStep, request.step);
+    return replyFor(*run, RunStatus::Reset);
 }
 
 RunReply RunLedger::remove(const RemoveRun& request)
@@ -128,6 +145,12 @@
     return found == m_runs.end() ? nullptr : &found->second;
 }
 
+RunRecord* RunLedger::findMutable(const RunName& run)
+{
+    const auto found = m_runs.find(run);
+    return found == m_runs.end() ? nullptr : &found->second;
+}
+
 RunRecord* RunLedger::findOrCreate(const RunName& run)
 {
     if (const auto found = m_runs.find(run); found != m_runs.end())
--- a/src/azurepaddle/control/run_ledger.hpp
+++ b/src/azurepaddle/control/run_ledger.hpp
@@ -73,6 +73,7 @@
 private:
     /// The record of the run, created if the limit allows, or null.
     [[nodiscard]] RunRecord* findOrCreate(const RunName& run);
+    [[nodiscard]] RunRecord* findMutable(const RunName& run);
 
     std::map<RunName, RunRecord> m_runs;
 };
--- a/src/azurepaddle/control/run_ledger_details.cpp
+++ b/src/azurepaddle/control/run_ledger_details.cpp
@@ -41,17 +41,6 @@
         return std::any_of(group.sequences.begin(), group.sequences.end(), [=](Sequence number) { return number > confirmed; });
     }
 
-    bool isCursorValid(const RunRecord& run, Sequence cursor)
-    {
-        if (cursor == run.confirmed)
-            return true;
-        const auto found = run.live.lower_bound(cursor);
-        if (found == run.live.end())
-            return false;
-        const auto& sequences = run.groups.at(found->second).sequences;
-        return std::find(sequences.begin(), sequences.end(), cursor) != sequences.end();
-    }
-
     std::optional<RunReply> checkCursor(const RunRecord& run, const RecordHandOff& request)
     {
         if (request.cursor < run.confirmed)
@@ -86,6 +75,17 @@
 
 }
 
+bool isCursorValid(const RunRecord& run, Sequence cursor)
+{
+    if (cursor == run.confirmed)
+        return true;
+    const auto found = run.live.lower_bound(cursor);
+    if (found == run.live.end())
+        return false;
+    const auto& sequences = run.groups.at(found->second).sequences;
+    return std::find(sequences.begin(), sequences.end(), cursor) != sequences.end();
+}
+
 RunReply replyFor(const RunRecord& run, RunStatus status)
 {
     RunReply reply;
@@ -99,6 +99,13 @@
     return reply;
 }
 
+std::optional<RunReply> checkOwner(const RunRecord& run, Epoch epoch)
+{
+    if (epoch == run.epoch && !run.owner.empty())
+        return std::nullopt;
+    return refuse(run, RunStatus::NotOwner, {}, fmt::format("the owner in force has epoch {}", run.epoch));
+}
+
 std::optional<RunReply> checkSubmission(const RunRecord& run, const std::vector<GroupSpec>& groups)
 {
     std::map<GroupId, const GroupSpec*> added;
@@ -126,22 +133,25 @@
 
 std::optional<RunReply> checkHandOff(const RunRecord& run, const RecordHandOff& request)
 {
-    if (request.epoch != run.epoch || run.owner.empty())
-        return refuse(run, RunStatus::NotOwner, {}, fmt::format("the owner in force has epoch {}", run.epoch));
+    if (auto refusal = checkOwner(run, request.epoch))
+        return refusal;
     if (request.pull <= run.pull)
         return refuse(run, RunStatus::PullSuperseded, {}, fmt::format("use a pull number above {}", run.pull));
+    if (request.basedOn != run.pull)
+        return refuse(run, RunStatus::PlanOutdated, {}, fmt::format("the hand-off for pull {} was recorded meanwhile", run.pull));
     if (auto refusal = checkCursor(run, request))
         return refusal;
     return checkGroups(run, request);
 }
 
-void storeGroup(RunRecord& run, const GroupSpec& spec)
+bool storeGroup(RunRecord& run, const GroupSpec& spec)
 {
     if (run.groups.contains(spec.group) || findFinished(run, spec.group) != nullptr)
-        return;
+        return false;
     run.highestStep = std::max(run.highestStep, spec.step);
     run.bodyBytes += spec.prompt.size();
     run.groups.emplace(spec.group, GroupRecord { spec, ++run.groupsSubmitted, std::vector<Sequence>(spec.samples) });
+    return true;
 }
 
 void confirm(RunRecord& run, Sequence cursor)
--- a/src/azurepaddle/control/run_ledger_details.hpp
+++ b/src/azurepaddle/control/run_ledger_details.hpp
@@ -9,14 +9,20 @@
 /// A reply with the standing of the run.
 [[nodiscard]] RunReply replyFor(const RunRecord& run, RunStatus status);
 
+/// The refusal of a change by someone other than the owner in force, or nothing.
+[[nodiscard]] std::optional<RunReply> checkOwner(const RunRecord& run, Epoch epoch);
+
 /// The refusal of a submission, or nothing if every group may be stored or is known with the same content.
 [[nodiscard]] std::optional<RunReply> checkSubmission(const RunRecord& run, const std::vector<GroupSpec>& groups);
 
 /// The refusal of a hand-off, or nothing.
 [[nodiscard]] std::optional<RunReply> checkHandOff(const RunRecord& run, const RecordHandOff& request);
 
-/// Stores a group that passed the check. Does nothing for a known group.
-void storeGroup(RunRecord& run, const GroupSpec& spec);
+/// True if the trainer may hold everything up to this cursor and nothing beyond: the confirmed one or a live sample.
+[[nodiscard]] bool isCursorValid(const RunRecord& run, Sequence cursor);
+
+/// Stores a group that passed the check. Gives false and does nothing for a known group.
+bool storeGroup(RunRecord& run, const GroupSpec& spec);
 
 /// Confirms all samples up to the cursor and forgets the bodies of groups confirmed in full.
 void confirm(RunRecord& run, Sequence cursor);
--- a/test/azurepaddle/control/fixture.hpp
+++ b/test/azurepaddle/control/fixture.hpp
@@ -38,14 +38,21 @@
     }
     ClaimReply release(const std::string& request, const Holder& holder) { return expect<ClaimReply>(ReleaseClaim { { TenantName("blue"), "key" }, RequestId(request), holder }); }
     RunReply acquireRun(const Holder& holder) { return expect<RunReply>(AcquireRun { RunName("run"), holder, 5'000 }); }
+    Epoch epoch() const
+    {
+        const RunRecord* const run = state.runs().find(RunName("run"));
+        return run == nullptr ? 0 : run->epoch;
+    }
     RunReply submitGroup(const std::string& group, std::uint64_t step, std::uint32_t samples = 2)
     {
-        return expect<RunReply>(SubmitGroups { RunName("run"), { { GroupId(group), step, "prompt", samples, 10 } } });
+        return expect<RunReply>(SubmitGroups { RunName("run"), epoch(), { { GroupId(group), step, "prompt", samples, 10 } } });
     }
-    RunReply handOff(Epoch epoch, std::uint64_t pull, Sequence cursor, std::vector<GroupId> voided, std::vector<GroupId> assigned)
+    RunReply handOff(Epoch by, std::uint64_t pull, Sequence cursor, std::vector<GroupId> voided, std::vector<GroupId> assigned)
     {
-        return expect<RunReply>(RecordHandOff { RunName("run"), epoch, pull, cursor, 0, std::move(voided), std::move(assigned) });
+        return expect<RunReply>(RecordHandOff { RunName("run"), by, run().pull, pull, cursor, 0, std::move(voided), std::move(assigned) });
     }
+    RunReply reset(Sequence cursor, WeightVersion version, std::uint64_t step, Sequence held = 0) { return expect<RunReply>(ResetRun { RunName("run"), epoch(), held, cursor, version, step }); }
+    RunReply announce(WeightVersion version) { return expect<RunReply>(SetTrainerVersion { RunName("run"), epoch(), version }); }
     const RunRecord& run() const { return *state.runs().find(RunName("run")); }
 };
 
--- a/test/azurepaddle/control/random_commands.cpp
+++ b/test/azurepaddle/control/random_commands.cpp
@@ -17,6 +17,13 @@
     {
     }
 
+    /// Hand-offs are mostly based on the last one recorded, or few of them would be.
+    void observe(const ControlState& state)
+    {
+        for (const auto& [run, record] : state.runs().runs())
+            m_recorded[run] = record.pull;
+    }
+
     ControlCommand next()
     {
         if (!m_sent.empty() && m_random.chance(0.1)) {
@@ -67,11 +74,11 @@
         case 12:
             return AcquireRun { run, anyHolder(), 1'000 };
         case 13:
-            return SubmitGroups { run, { { GroupId(name("g", 30)), 1 + m_random.below(60), "prompt", static_cast<std::uint32_t>(1 + m_random.below(3)), 10 } } };
+            return SubmitGroups { run, 1 + m_random.below(6), { { GroupId(name("g", 30)), 1 + m_random.below(60), "prompt", static_cast<std::uint32_t>(1 + m_random.below(3)), 10 } } };
         case 14:
-            return m_random.chance(0.05) ? ControlAction(ResetRun { run, m_random.below(200) + 1, 1, m_random.below(30) }) : ControlAction(SetTrainerVersion { run, m_random.below(50) });
+            return m_random.chance(0.05) ? ControlAction(ResetRun { run, 1 + m_random.below(6), m_random.below(20), m_random.below(200) + 1, 1, m_random.below(30) }) : ControlAction(SetTrainerVersion { run, 1 + m_random.below(6), m_random.below(50) });
         default:
-            return RecordHandOff { run, 1 + m_random.below(6), ++m_pull, m_random.below(12), m_random.below(50), groupsOf(), groupsOf() };
+            return RecordHandOff { run, 1 + m_random.below(6), m_recorded[run], ++m_pull, m_random.below(12), m_random.below(50), groupsOf(), groupsOf() };
         }
     }
 
@@ -86,6 +93,7 @@
     Random m_random;
     LogTime m_now = startTime;
     std::uint64_t m_pull = 0;
+    std::map<RunName, std::uint64_t> m_recorded;
     std::vector<ControlCommand> m_sent;
 };
 
@@ -162,6 +170,7 @@
             const ControlReply reply = state.apply(command);
             cr_assert(restored.apply(decodeCommand(encodeCommand(command)).value()) == reply, "a restored state replied differently, seed %lu", seed);
             observer.check(state);
+            source.observe(state);
             if (seen.insert(command.id).second && !std::holds_alternative<Rejected>(reply))
                 grants.check(command, reply, state.now());
             const std::string snapshot = state.snapshot();
--- a/test/azurepaddle/control/rules.cpp
+++ b/test/azurepaddle/control/rules.cpp
@@ -75,6 +75,8 @@
 {
     Fixture fixture;
     cr_assert(fixture.claim("r1", holder("a"), startTime).status == ClaimStatus::Granted);
+    const Claim neverSeen { { TenantName("red"), "key" }, RequestId("r0"), "digest", holder("a"), startTime - retention, retention };
+    cr_assert(fixture.expect<ClaimReply>(neverSeen).status == ClaimStatus::KeyTooOld);
     fixture.now += retention + 2 * maxClockDifference;
     cr_assert(fixture.claim("r2", holder("a"), startTime).status == ClaimStatus::KeyTooOld);
     cr_assert(fixture.state.claims().records().empty());
@@ -192,6 +194,20 @@
     cr_assert(std::get<Rejected>(fixture.state.apply(command)).reason == RejectionReason::ClockAhead);
 }
 
+// Guards against leases and windows that grow again because a new leader's clock is behind.
+Test(ControlState, earlierTime_applied_doesNotTurnBack)
+{
+    Fixture fixture;
+    ControlCommand command = fixture.command(AcquireOrderLease { ServiceName("models"), holder("a"), 1'000 });
+    static_cast<void>(fixture.state.apply(command));
+    command = fixture.command(AcquireOrderLease { ServiceName("models"), holder("b"), 1'000 });
+    command.time = fixture.now + 900;
+    cr_assert(std::get<OrderLeaseReply>(fixture.state.apply(command)).wait == 600);
+    command.id = CommandId("other");
+    command.time = fixture.now;
+    cr_assert(std::get<OrderLeaseReply>(fixture.state.apply(command)).wait == 600 && fixture.state.now() == fixture.now + 900);
+}
+
 // Guards against an oversized field that enters the log state.
 Test(ControlState, invalidField_applied_isRejectedWithName)
 {
@@ -205,7 +221,7 @@
 Test(Command, unknownTagAndDamage_decoded_areErrors)
 {
     Fixture fixture;
-    const ControlCommand command = fixture.command(SubmitGroups { RunName("run"), { { GroupId("g"), 1, "prompt", 2, 10 } } });
+    const ControlCommand command = fixture.command(SubmitGroups { RunName("run"), 1, { { GroupId("g"), 1, "prompt", 2, 10 } } });
     cr_assert(decodeCommand(encodeCommand(command)).value() == command);
     const ControlReply reply = fixture.state.apply(command);
     cr_assert(decodeReply(encodeReply(reply)).value() == reply);
@@ -224,6 +240,6 @@
     const GroupLayout layout { LogGroupName("global"), { { TenantName("blue"), LogGroupName("west") } }, { { RunName("run"), LogGroupName("east") } } };
     cr_assert(groupOf(keyOf(Claim { { TenantName("blue"), "k" }, {}, {}, {}, 0, 0 }), layout) == LogGroupName("west"));
     cr_assert(groupOf(keyOf(Claim { { TenantName("red"), "k" }, {}, {}, {}, 0, 0 }), layout) == LogGroupName("global"));
-    cr_assert(groupOf(keyOf(ResetRun { RunName("run"), 0, 0, 0 }), layout) == LogGroupName("east"));
+    cr_assert(groupOf(keyOf(ResetRun { RunName("run"), 0, 0, 0, 0, 0 }), layout) == LogGroupName("east"));
     cr_assert(groupOf(keyOf(ReportSuspect { Fingerprint("f"), {}, TenantName("blue") }), layout) == LogGroupName("global"));
 }
--- a/test/azurepaddle/control/runs.cpp
+++ b/test/azurepaddle/control/runs.cpp
@@ -12,7 +12,8 @@
 }
 
 struct OwnedRun : Fixture {
-    Epoch epoch = acquireRun(holder("a")).epoch;
+    Epoch firstEpoch = acquireRun(holder("a")).epoch;
+
     OwnedRun()
     {
         static_cast<void>(submitGroup("g1", 1));
@@ -29,10 +30,10 @@
     cr_assert(fixture.acquireRun(holder("b")).status == RunStatus::Held);
     fixture.now += 5'000 + maxClockDifference;
     const RunReply taken = fixture.acquireRun(holder("b"));
-    cr_assert(taken.status == RunStatus::Granted && taken.epoch == fixture.epoch + 1);
-    cr_assert(fixture.handOff(fixture.epoch, 1, 0, {}, groups({ "g1" })).status == RunStatus::NotOwner);
+    cr_assert(taken.status == RunStatus::Granted && taken.epoch == fixture.firstEpoch + 1);
+    cr_assert(fixture.handOff(fixture.firstEpoch, 1, 0, {}, groups({ "g1" })).status == RunStatus::NotOwner);
     cr_assert(fixture.handOff(taken.epoch, 1, 0, {}, groups({ "g1" })).status == RunStatus::Recorded);
-    cr_assert(fixture.expect<RunReply>(ReleaseRun { RunName("run"), fixture.epoch }).status == RunStatus::NotOwner);
+    cr_assert(fixture.expect<RunReply>(ReleaseRun { RunName("run"), fixture.firstEpoch }).status == RunStatus::NotOwner);
     cr_assert(fixture.expect<RunReply>(ReleaseRun { RunName("run"), taken.epoch }).status == RunStatus::Released);
     cr_assert(fixture.acquireRun(holder("c")).epoch == taken.epoch + 1);
 }
@@ -41,13 +42,14 @@
 Test(RunLedger, groupSubmittedAgain_anyState_isNotStoredTwice)
 {
     OwnedRun fixture;
-    cr_assert(fixture.submitGroup("g1", 1).status == RunStatus::Stored);
-    cr_assert(fixture.run().groups.size() == 2);
+    const RunReply repeated = fixture.submitGroup("g1", 1);
+    cr_assert(repeated.status == RunStatus::Stored && repeated.stored.empty());
+    cr_assert(fixture.run().groups.size() == 2 && fixture.submitGroup("g3", 1).stored == groups({ "g3" }));
     cr_assert(fixture.submitGroup("g1", 1, 3).status == RunStatus::GroupConflict);
-    static_cast<void>(fixture.handOff(fixture.epoch, 1, 0, {}, groups({ "g1" })));
-    static_cast<void>(fixture.handOff(fixture.epoch, 2, 2, {}, {}));
-    cr_assert(fixture.run().groups.size() == 1 && fixture.run().bodyBytes == 6);
-    cr_assert(fixture.submitGroup("g1", 1).status == RunStatus::Stored && fixture.run().groups.size() == 1);
+    static_cast<void>(fixture.handOff(fixture.firstEpoch, 1, 0, {}, groups({ "g1" })));
+    static_cast<void>(fixture.handOff(fixture.firstEpoch, 2, 2, {}, {}));
+    cr_assert(fixture.run().groups.size() == 2 && fixture.run().bodyBytes == 12);
+    cr_assert(fixture.submitGroup("g1", 1).status == RunStatus::Stored && fixture.run().groups.size() == 2);
     cr_assert(fixture.submitGroup("g1", 1, 3).status == RunStatus::GroupConflict);
     static_cast<void>(fixture.submitGroup("later", 2 + RunLedger::rememberedSteps));
     cr_assert(fixture.run().finished.empty());
@@ -58,16 +60,16 @@
 Test(RunLedger, voidedGroup_assignedAgain_getsNewNumbers)
 {
     OwnedRun fixture;
-    const RunReply first = fixture.handOff(fixture.epoch, 1, 0, {}, groups({ "g1", "g2" }));
+    const RunReply first = fixture.handOff(fixture.firstEpoch, 1, 0, {}, groups({ "g1", "g2" }));
     cr_assert(first.assigned[1].sequences == std::vector<Sequence>({ 3, 4 }));
-    cr_assert(fixture.handOff(fixture.epoch, 2, 0, {}, groups({ "g1" })).status == RunStatus::GroupNotAssignable);
-    const RunReply second = fixture.handOff(fixture.epoch, 2, 1, groups({ "g1" }), groups({ "g1" }));
+    cr_assert(fixture.handOff(fixture.firstEpoch, 2, 0, {}, groups({ "g1" })).status == RunStatus::GroupNotAssignable);
+    const RunReply second = fixture.handOff(fixture.firstEpoch, 2, 1, groups({ "g1" }), groups({ "g1" }));
     cr_assert(second.status == RunStatus::Recorded && second.confirmed == 1);
     // The sample that was confirmed keeps its number; only the other one is generated again.
     cr_assert(second.assigned[0].sequences == std::vector<Sequence>({ 1, 5 }));
-    cr_assert(fixture.handOff(fixture.epoch, 3, 2, {}, {}).status == RunStatus::CursorInvalid);
-    cr_assert(fixture.handOff(fixture.epoch, 3, 4, groups({ "g2" }), {}).status == RunStatus::GroupNotVoidable);
-    cr_assert(fixture.handOff(fixture.epoch, 3, 5, {}, {}).status == RunStatus::Recorded);
+    cr_assert(fixture.handOff(fixture.firstEpoch, 3, 2, {}, {}).status == RunStatus::CursorInvalid);
+    cr_assert(fixture.handOff(fixture.firstEpoch, 3, 4, groups({ "g2" }), {}).status == RunStatus::GroupNotVoidable);
+    cr_assert(fixture.handOff(fixture.firstEpoch, 3, 5, {}, {}).status == RunStatus::Recorded);
     cr_assert(fixture.run().groups.empty() && fixture.run().live.empty());
 }
 
@@ -75,20 +77,61 @@
 Test(RunLedger, olderPull_arrivingLate_isSuperseded)
 {
     OwnedRun fixture;
-    static_cast<void>(fixture.handOff(fixture.epoch, 7, 0, {}, groups({ "g1" })));
-    cr_assert(fixture.handOff(fixture.epoch, 6, 0, groups({ "g1" }), {}).status == RunStatus::PullSuperseded);
-    const RunReply equal = fixture.handOff(fixture.epoch, 7, 0, groups({ "g1" }), {});
+    static_cast<void>(fixture.handOff(fixture.firstEpoch, 7, 0, {}, groups({ "g1" })));
+    cr_assert(fixture.handOff(fixture.firstEpoch, 6, 0, groups({ "g1" }), {}).status == RunStatus::PullSuperseded);
+    const RunReply equal = fixture.handOff(fixture.firstEpoch, 7, 0, groups({ "g1" }), {});
     cr_assert(equal.status == RunStatus::PullSuperseded && equal.pull == 7);
     cr_assert(fixture.run().live.size() == 1);
 }
 
+// Guards against a hand-off planned without knowledge of one whose commit was given up and landed late.
+Test(RunLedger, planBasedOnOldHandOff_recorded_isOutdated)
+{
+    OwnedRun fixture;
+    static_cast<void>(fixture.handOff(fixture.firstEpoch, 1, 0, {}, groups({ "g1" })));
+    const RecordHandOff outdated { RunName("run"), fixture.firstEpoch, 0, 2, 0, 0, {}, groups({ "g2" }) };
+    cr_assert(fixture.expect<RunReply>(outdated).status == RunStatus::PlanOutdated);
+}
+
+// Guards against changes of a run by an instance whose ownership has ended.
+Test(RunLedger, oldEpoch_changingRun_isRefused)
+{
+    OwnedRun fixture;
+    const Epoch old = fixture.firstEpoch - 1;
+    cr_assert(fixture.expect<RunReply>(SubmitGroups { RunName("run"), old, { { GroupId("g9"), 1, "p", 1, 1 } } }).status == RunStatus::NotOwner);
+    cr_assert(fixture.expect<RunReply>(SetTrainerVersion { RunName("run"), old, 9 }).status == RunStatus::NotOwner);
+    cr_assert(fixture.expect<RunReply>(ResetRun { RunName("run"), old, 0, 9, 9, 9 }).status == RunStatus::NotOwner);
+    cr_assert(fixture.expect<RunReply>(SetTrainerVersion { RunName("none"), old, 9 }).status == RunStatus::NoSuchRun);
+}
+
+// Guards against a reset that delivers again what a checkpoint newer than the last confirmation holds.
+Test(RunLedger, resetWithHeldCursor_aboveConfirmed_confirmsFirst)
+{
+    OwnedRun fixture;
+    static_cast<void>(fixture.handOff(fixture.firstEpoch, 1, 0, {}, groups({ "g1", "g2" })));
+    cr_assert(fixture.reset(5, 1, 1, 9).status == RunStatus::CursorInvalid);
+    cr_assert(fixture.reset(5, 1, 2, 2).status == RunStatus::Reset);
+    cr_assert(fixture.run().groups.size() == 1 && fixture.run().groups.contains(GroupId("g2")));
+}
+
+// Guards against a reset whose reopened steps close again with the next submission.
+Test(RunLedger, resetToEarlyStep_groupsSubmitted_areStored)
+{
+    OwnedRun fixture;
+    static_cast<void>(fixture.submitGroup("late", 100));
+    cr_assert(fixture.submitGroup("early", 10).status == RunStatus::StepClosed);
+    cr_assert(fixture.reset(1, 1, 10).status == RunStatus::Reset);
+    cr_assert(fixture.submitGroup("early", 10).status == RunStatus::Stored);
+    cr_assert(fixture.submitGroup("early2", 10).status == RunStatus::Stored);
+}
+
 // Guards against a hand-off that is recorded in part.
 Test(RunLedger, handOffWithOneBadGroup_recorded_changesNothing)
 {
     OwnedRun fixture;
-    static_cast<void>(fixture.handOff(fixture.epoch, 1, 0, {}, groups({ "g1" })));
+    static_cast<void>(fixture.handOff(fixture.firstEpoch, 1, 0, {}, groups({ "g1" })));
     const RunRecord before = fixture.run();
-    cr_assert(fixture.handOff(fixture.epoch, 2, 2, {}, groups({ "g2", "unknown" })).group == GroupId("unknown"));
+    cr_assert(fixture.handOff(fixture.firstEpoch, 2, 2, {}, groups({ "g2", "unknown" })).group == GroupId("unknown"));
     cr_assert(fixture.run() == before);
 }
 
@@ -96,21 +139,21 @@
 Test(RunLedger, cursorBelowConfirmed_pulledAndReset_proceeds)
 {
     OwnedRun fixture;
-    static_cast<void>(fixture.apply(SetTrainerVersion { RunName("run"), 9 }));
-    static_cast<void>(fixture.apply(SetTrainerVersion { RunName("run"), 8 }));
+    static_cast<void>(fixture.announce(9));
+    static_cast<void>(fixture.announce(8));
     cr_assert(fixture.run().version == 9);
-    static_cast<void>(fixture.handOff(fixture.epoch, 1, 0, {}, groups({ "g1" })));
-    static_cast<void>(fixture.handOff(fixture.epoch, 2, 2, {}, groups({ "g2" })));
-    const RunReply behind = fixture.handOff(fixture.epoch, 3, 0, {}, {});
+    static_cast<void>(fixture.handOff(fixture.firstEpoch, 1, 0, {}, groups({ "g1" })));
+    static_cast<void>(fixture.handOff(fixture.firstEpoch, 2, 2, {}, groups({ "g2" })));
+    const RunReply behind = fixture.handOff(fixture.firstEpoch, 3, 0, {}, {});
     cr_assert(behind.status == RunStatus::CursorBehind && behind.detail.find("at least 5") != std::string::npos);
-    cr_assert(fixture.expect<RunReply>(ResetRun { RunName("run"), 4, 3, 1 }).status == RunStatus::ResetTooLow);
-    cr_assert(fixture.expect<RunReply>(ResetRun { RunName("run"), 5, 3, 1 }).status == RunStatus::Reset);
+    cr_assert(fixture.reset(4, 3, 1).status == RunStatus::ResetTooLow);
+    cr_assert(fixture.reset(5, 3, 1).status == RunStatus::Reset);
     cr_assert(fixture.run().version == 3 && fixture.run().live.empty());
     // A second reset by a delayed copy of the request must not lower the version again.
-    static_cast<void>(fixture.apply(SetTrainerVersion { RunName("run"), 4 }));
-    cr_assert(fixture.expect<RunReply>(ResetRun { RunName("run"), 5, 3, 1 }).status == RunStatus::ResetTooLow);
+    static_cast<void>(fixture.announce(4));
+    cr_assert(fixture.reset(5, 3, 1).status == RunStatus::ResetTooLow);
     cr_assert(fixture.submitGroup("g1", 1).status == RunStatus::Stored && fixture.run().groups.size() == 2);
-    const RunReply next = fixture.handOff(fixture.epoch, 4, 5, {}, groups({ "g1" }));
+    const RunReply next = fixture.handOff(fixture.firstEpoch, 4, 5, {}, groups({ "g1" }));
     cr_assert(next.assigned[0].sequences == std::vector<Sequence>({ 6, 7 }));
 }
 
@@ -118,8 +161,9 @@
 Test(RunLedger, tooManyGroups_submitted_areRefusedAsAWhole)
 {
     Fixture fixture;
+    static_cast<void>(fixture.acquireRun(holder("a")));
     for (std::size_t batch = 0; batch < 5; ++batch) {
-        SubmitGroups submission { RunName("run"), {} };
+        SubmitGroups submission { RunName("run"), fixture.epoch(), {} };
         for (std::size_t i = 0; i < 4096; ++i)
             submission.groups.push_back({ GroupId(std::to_string(batch * 4096 + i)), 1, "p", 1, 10 });
         const RunReply reply = fixture.expect<RunReply>(submission);
