Add the member table

Cause: instances must notice which others are reachable, at a cost that does not grow with their number, and a region that was away must return by itself. Change: MemberTable probes by SWIM's scheme (ping, ping through others, suspicion, refutation by a higher incarnation), spreads changes on bounded messages, compares tables by digest and keeps and probes dead members for an hour. Deltas with endpoint names of invalid length are dropped.

--- a/src/azurepaddle/membership/directory_deltas.cpp
+++ b/src/azurepaddle/membership/directory_deltas.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr std::size_t maxWanted = 4096;
+    constexpr std::size_t maxSubsets = 4096; ///< Requesters remembered at once.
     // Sizes on the wire without strings and hashes, rounded up; a batch only needs to stay near its bound.
     constexpr std::size_t fullDeltaBytes = 100;
     constexpr std::size_t renewalDeltaBytes = 40;
@@ -191,6 +192,8 @@
 
 void DirectoryState::answerSubset(BatchWriter& writer, const DeltaRequest& request, TimePoint now)
 {
+    if (m_subsets.size() >= maxSubsets && !m_subsets.contains(request.from))
+        m_subsets.clear(); // The others get full announcements once more.
     SubsetView& view = m_subsets[request.from];
     view.lastRequest = now;
     if (writer.batch.since == 0)
@@ -237,10 +240,14 @@
     view.lastMerge = now;
     mergeFulls(batch, view, requestedAt, now);
     mergeRenewals(batch, view, requestedAt, now);
-    for (const LeaveDelta& leave : batch.leaves)
-        markLeft(leave.id, leave.incarnation, now);
-    for (const DrainDelta& drain : batch.drains)
-        applyDrain(drain, now);
+    for (const LeaveDelta& leave : batch.leaves) {
+        if (isEndpointName(leave.id))
+            markLeft(leave.id, leave.incarnation, now);
+    }
+    for (const DrainDelta& drain : batch.drains) {
+        if (isEndpointName(drain.id))
+            applyDrain(drain, now);
+    }
     // A batch that starts behind what is known adds nothing, and one that starts ahead would leave a gap.
     if (batch.since <= view.since)
         view.since = std::max(view.since, batch.upTo);
--- a/src/azurepaddle/membership/endpoint.cpp
+++ b/src/azurepaddle/membership/endpoint.cpp
@@ -34,9 +34,14 @@
 
 }
 
+bool isEndpointName(const EndpointId& id) noexcept
+{
+    return isName(id.value());
+}
+
 tl::expected<void, DirectoryError> checkAnnouncement(const EndpointAnnouncement& announcement)
 {
-    if (!isName(announcement.id.value()))
+    if (!isEndpointName(announcement.id))
         return invalid(fmt::format("the id must have 1 to {} bytes", maxNameBytes));
     if (!isName(announcement.address))
         return invalid(fmt::format("the address must have 1 to {} bytes", maxNameBytes));
--- a/src/azurepaddle/membership/endpoint.hpp
+++ b/src/azurepaddle/membership/endpoint.hpp
@@ -85,6 +85,9 @@
     std::size_t eventHistory = 32; ///< Cache events kept per endpoint.
 };
 
+/// Whether the name has an allowed length.
+[[nodiscard]] bool isEndpointName(const EndpointId& id) noexcept;
+
 /// Checks that all required fields are present and none exceeds its bound.
 [[nodiscard]] tl::expected<void, DirectoryError> checkAnnouncement(const EndpointAnnouncement& announcement);
 
--- /dev/null
+++ b/src/azurepaddle/membership/member.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "azurepaddle/codec/codec.hpp"
+#include "azurepaddle/core/address.hpp"
+#include "azurepaddle/core/clock.hpp"
+#include "azurepaddle/core/error.hpp"
+#include "azurepaddle/core/ident.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace azurepaddle::membership {
+
+/// Within one incarnation a later state overrules an earlier one.
+enum class MemberState : unsigned char {
+    Alive,
+    Suspect, ///< Did not answer probes; becomes dead unless it refutes this in time.
+    Dead, ///< Kept for MemberOptions::deadRetention and probed, so that it returns without a restart.
+    Leaving, ///< Said itself that it stops.
+};
+
+[[nodiscard]] constexpr std::string_view memberStateName(MemberState state) noexcept
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Dead:
+        return "dead";
+    case MemberState::Leaving:
+        return "leaving";
+    }
+    return "unknown";
+}
+
+/// What an instance tells the others about itself.
+struct MemberMetadata {
+    std::string peerAddress; ///< `ip:port` of its PeerServer.
+    std::string httpAddress; ///< `ip:port` for callers.
+    DataCentreName dataCentre;
+    std::vector<std::string> roles;
+    std::uint64_t configuration = 0; ///< Number of the configuration in force.
+    bool draining = false;
+    MSGPACK_DEFINE(peerAddress, httpAddress, dataCentre, roles, configuration, draining)
+
+    friend bool operator==(const MemberMetadata&, const MemberMetadata&) = default;
+};
+
+/// One instance as it is gossiped.
+struct MemberRecord {
+    InstanceId id;
+    std::uint64_t incarnation = 0; ///< Raised by the instance itself: at its start and to refute suspicion.
+    std::uint8_t stateCode = 0;
+    std::uint64_t revision = 0; ///< Of the metadata within the incarnation.
+    MemberMetadata metadata;
+    MSGPACK_DEFINE(id, incarnation, stateCode, revision, metadata)
+
+    [[nodiscard]] MemberState state() const noexcept { return static_cast<MemberState>(stateCode); }
+    void setState(MemberState state) noexcept { stateCode = static_cast<std::uint8_t>(state); }
+
+    friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
+};
+
+/// A state that a member entered.
+struct MemberChange {
+    InstanceId id;
+    MemberState state = MemberState::Alive;
+
+    friend bool operator==(const MemberChange&, const MemberChange&) = default;
+};
+
+/// Settings of a MemberTable.
+struct MemberOptions {
+    InstanceId self;
+    MemberMetadata metadata;
+    std::vector<std::string> seeds; ///< `ip:port` of peers from the settings; the own address may be among them.
+    Duration probeInterval = std::chrono::seconds(1);
+    Duration ackTimeout = std::chrono::milliseconds(300); ///< After it other members are asked to probe.
+    std::size_t indirectProbes = 3;
+    Duration minSuspicion = std::chrono::seconds(4); ///< Grows with the logarithm of the number of members.
+    Duration deadRetention = std::chrono::hours(1);
+    Duration deadProbeInterval = std::chrono::seconds(2); ///< One dead member is probed this often.
+    Duration seedInterval = std::chrono::seconds(2); ///< One seed that is no known member is probed this often.
+    Duration syncInterval = std::chrono::seconds(30); ///< Between comparisons of the whole table with a random member.
+    Duration minSyncInterval = std::chrono::seconds(5); ///< The same when a difference is expected.
+    std::size_t maxMessageBytes = 1200; ///< Fits into one packet.
+    std::size_t maxUpdateBytes = 500; ///< Of the updates on one probe; about 4 messages a second stay under 4 KB/s.
+    std::size_t maxMembers = 8192;
+    unsigned retransmitFactor = 2; ///< An update is sent this often times the logarithm of the number of members.
+};
+
+enum class MemberErrorCode : unsigned char {
+    Malformed, ///< The bytes are no gossip message within the limits.
+};
+
+using MemberError = LayerError<MemberErrorCode>;
+
+/// Whether the record has a valid state and no field exceeds its bound.
+[[nodiscard]] bool isValid(const MemberRecord& record) noexcept;
+
+}
--- a/test/azurepaddle/membership/directory.cpp
+++ b/test/azurepaddle/membership/directory.cpp
@@ -338,3 +338,43 @@
     }
     cr_assert(a.directory.statuses().size() < 70);
 }
+
+// Guards against cut or mutated batches and requests that crash an instance or enter its lists unchecked.
+Test(Directory, mutatedDeltas_decodedAndMerged_neverCrash)
+{
+    Instance a("a");
+    Instance b("b");
+    EndpointAnnouncement announcement = makeAnnouncement("e", 1, 1);
+    announcement.cacheEvents = { { 1, { 5, 6 }, { 7 } } };
+    cr_assert(a.directory.announce(announcement).has_value());
+    cr_assert(a.directory.leave(EndpointId("gone"), 3).has_value());
+    a.directory.setDraining(EndpointId("drained"), true);
+    b.pull(a);
+    const std::string full = encodeBatch(a.directory.deltasSince(0));
+    announcement.sequence = 2;
+    cr_assert(a.directory.announce(announcement).has_value());
+    const std::string renewal = encodeBatch(a.directory.answer(b.directory.makeRequest(InstanceId("a"), DeltaScope::All)));
+    const std::string request = encodeRequest(b.directory.makeRequest(InstanceId("a"), DeltaScope::Subset));
+    Random random(20264);
+    std::size_t merged = 0;
+    for (const std::string& sample : { full, renewal, request }) {
+        for (std::size_t size = 0; size < sample.size(); ++size)
+            cr_assert(!decodeBatch(std::string_view(sample).substr(0, size)) && !decodeRequest(std::string_view(sample).substr(0, size)));
+        for (int i = 0; i < 3000; ++i) {
+            std::string bytes = sample;
+            for (std::uint64_t edits = 1 + random.below(4); edits > 0; --edits)
+                bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+            if (const auto batch = decodeBatch(bytes)) {
+                ++merged;
+                b.directory.merge(*batch);
+            }
+            if (const auto decoded = decodeRequest(bytes))
+                (void)b.directory.answer(*decoded);
+            b.clock.advance(10ms);
+            (void)b.directory.expire();
+        }
+    }
+    cr_assert(merged > 100);
+    for (const EndpointStatus& status : b.directory.statuses())
+        cr_assert(checkAnnouncement(status.record->announcement).has_value() && status.leaseRemaining <= DirectoryOptions {}.lease);
+}
--- /dev/null
+++ b/test/azurepaddle/membership/members.cpp
@@ -0,0 +1,152 @@
+#include "simulation.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace fixture;
+
+// Guards against instances that never learn of each other when only a few are in the settings.
+Test(Members, seedsKnown_started_allLearnOfAll)
+{
+    for (const std::size_t size : { 2U, 9U, 81U }) {
+        Simulation simulation(size, 11);
+        cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 2min), "%zu members", size);
+    }
+}
+
+// Guards against members declared dead because of lost messages.
+Test(Members, tenPercentLost_forMinutes_noneIsDead)
+{
+    Simulation simulation(27, 12);
+    simulation.loss = 0.1;
+    cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 2min));
+    simulation.countChanges = true;
+    simulation.run(5min);
+    cr_assert(simulation.deaths == 0, "%zu deaths", simulation.deaths);
+}
+
+// Guards against a crashed instance that stays in the lists of any other.
+Test(Members, crashedMember_probed_isDeadEverywhere)
+{
+    Simulation simulation(27, 13);
+    cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 2min));
+    simulation.nodes[5].up = false;
+    const auto deadEverywhere = [&] { return simulation.othersSee(5, MemberState::Dead); };
+    cr_assert(simulation.runUntil(deadEverywhere, 60s));
+    simulation.run(50min);
+    cr_assert(deadEverywhere(), "a dead member is kept for the stated hour");
+    simulation.run(20min);
+    for (const Node& node : simulation.nodes)
+        cr_assert(!node.up || node.table->members().size() == 25);
+}
+
+// Guards against a restarted instance that is held for its dead predecessor, even if its wall clock went back.
+Test(Members, memberRestarts_withNewIncarnation_isAliveAgain)
+{
+    Simulation simulation(9, 14);
+    cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 2min));
+    simulation.nodes[4].up = false;
+    cr_assert(simulation.runUntil([&] { return simulation.othersSee(4, MemberState::Dead); }, 60s));
+    const std::uint64_t before = simulation.nodes[4].table->self().incarnation;
+    simulation.restart(4, 0s);
+    cr_assert(simulation.nodes[4].table->self().incarnation > before);
+    cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 60s));
+    simulation.restart(4, -10min);
+    cr_assert(simulation.nodes[4].table->self().incarnation < before);
+    simulation.nodes[4].table->setMetadata(simulation.makeMetadata(4, 77));
+    cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive) && simulation.othersSeeConfiguration(4, 77); }, 60s));
+}
+
+// Guards against a leaving member that is taken for a failure or asked for anything after its farewell.
+Test(Members, memberLeaves_told_isLeavingEverywhere)
+{
+    Simulation simulation(9, 15);
+    cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 2min));
+    simulation.countChanges = true;
+    simulation.post(2, simulation.nodes[2].table->leave());
+    simulation.run(1s);
+    simulation.nodes[2].up = false;
+    cr_assert(simulation.runUntil([&] { return simulation.othersSee(2, MemberState::Leaving); }, 30s));
+    simulation.run(1min);
+    cr_assert(simulation.deaths == 0);
+}
+
+// Guards against lists that stay empty or split after a rack, data centre or region was away for minutes.
+Test(Members, thirdCutOffForMinutes_reconnected_healsWithoutRestart)
+{
+    for (const std::size_t size : { 9U, 81U }) {
+        Simulation simulation(size, 16);
+        cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 2min));
+        simulation.partition = size / 3;
+        simulation.run(10min);
+        for (const Node& node : simulation.nodes)
+            cr_assert(node.table->members().size() == size - 1, "dead members are kept");
+        cr_assert(simulation.othersSee(0, MemberState::Dead, size / 3));
+        simulation.partition = 0;
+        cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 2min), "%zu members", size);
+    }
+}
+
+// Guards against a change of a member's own data (configuration in force, draining) that others do not learn.
+Test(Members, metadataChanges_gossiped_reachesAll)
+{
+    Simulation simulation(27, 17);
+    cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 2min));
+    simulation.nodes[3].table->setMetadata(simulation.makeMetadata(3, 42));
+    cr_assert(simulation.runUntil([&] { return simulation.othersSeeConfiguration(3, 42); }, 30s));
+}
+
+// Guards against an instance with a new identity that answers for the one it replaced.
+Test(Members, addressTakenOver_byNewIdentity_oldOneIsDead)
+{
+    Simulation simulation(5, 18);
+    cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 2min));
+    simulation.replace(4, "replacement");
+    const auto done = [&] { return simulation.othersSee(InstanceId("i4"), MemberState::Dead) && simulation.othersSee(InstanceId("replacement"), MemberState::Alive); };
+    cr_assert(simulation.runUntil(done, 60s));
+}
+
+// Guards against traffic per node that grows with the number of members. The bound is the 4 KB/s of control overhead.
+Test(Members, steadyState_measured_trafficPerNodeIsFlat)
+{
+    double smallest = 0;
+    for (const std::size_t size : { 3U, 9U, 27U, 81U, 243U }) {
+        Simulation simulation(size, 19);
+        cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 3min), "%zu members", size);
+        simulation.run(1min);
+        simulation.bytes = 0;
+        simulation.run(2min);
+        const double bytesPerNode = static_cast<double>(simulation.bytes) / 120 / static_cast<double>(size);
+        smallest = size == 3 ? bytesPerNode : smallest;
+        cr_assert(bytesPerNode < 4096 && bytesPerNode < 1.5 * smallest, "%zu members: %f bytes/s", size, bytesPerNode);
+        cr_assert(simulation.largest <= MemberOptions {}.maxMessageBytes);
+    }
+}
+
+// Guards against malformed, cut or mutated messages that crash an instance or enter its table.
+Test(Members, mutatedMessages_received_neverCrash)
+{
+    Simulation simulation(5, 20);
+    simulation.keepSamples = true;
+    cr_assert(simulation.runUntil([&] { return simulation.allSee(MemberState::Alive); }, 2min));
+    simulation.run(40s);
+    Random random(20263);
+    MemberTable<ManualClock, Random>& table = *simulation.nodes[0].table;
+    std::size_t refused = 0;
+    for (const std::string& sample : simulation.samples) {
+        for (std::size_t size = 0; size < sample.size(); size += 3)
+            cr_assert(!table.receive(std::string_view(sample).substr(0, size)));
+        for (int i = 0; i < 20; ++i) {
+            std::string bytes = sample;
+            for (std::uint64_t edits = 1 + random.below(4); edits > 0; --edits)
+                bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+            const auto result = table.receive(bytes);
+            refused += result ? 0 : 1;
+            simulation.clock.advance(10ms);
+            (void)table.tick();
+        }
+    }
+    cr_assert(refused > simulation.samples.size());
+    cr_assert(!table.receive(std::string(100000, '\xc0')));
+    for (const MemberRecord& record : table.members())
+        cr_assert(isValid(record));
+}
