Add the rollout module

Cause: the owner of a run needs to decide what is generated next and what is handed to the trainer, so that each sample arrives once, labelled and within the staleness bound.

Faults found by the simulation and corrected: a replaced owner refused a cursor it did not know; a second reply to an old plan was taken for the plan in the log; a reset delivered again what a checkpoint newer than the last confirmation held.

--- /dev/null
+++ b/src/azurepaddle/rollout/run_scheduler.hpp
@@ -0,0 +1,184 @@
+#pragma once
+
+#include "azurepaddle/control/run_ledger.hpp"
+#include "azurepaddle/rollout/group_state.hpp"
+#include "azurepaddle/rollout/hand_off.hpp"
+#include "azurepaddle/rollout/run_settings.hpp"
+#include "azurepaddle/rollout/sample_buffer.hpp"
+
+#include <limits>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace azurepaddle::rollout {
+
+/// Work for an engine: one sample of a group.
+struct Attempt {
+    AttemptId id = 0;
+    SampleKey sample;
+    std::string prompt;
+    std::uint32_t tokenLimit = 0;
+    WeightVersion minimumVersion = 0; ///< An endpoint with a lower version cannot produce a sample within the bound.
+    bool isLast = false; ///< Among the last samples of its step; the engine should prefer it.
+    std::optional<AttemptId> duplicates; ///< The slow attempt that this one runs beside or replaces.
+    std::optional<EndpointId> avoid; ///< Where the slow attempt runs.
+};
+
+enum class AttemptVerdict : unsigned char {
+    Accepted,
+    BadLabel, ///< The sample is generated again.
+    Stale, ///< The sample is generated again.
+    TooLarge, ///< The sample is generated again after a delay.
+    Obsolete, ///< The attempt was cancelled or is not known.
+};
+
+/// A sample to be scored.
+struct ScoringTask {
+    SampleKey sample;
+    std::shared_ptr<const SampleBody> body;
+};
+
+struct RunCounters {
+    std::uint64_t accepted = 0; ///< Samples complete with correct labels.
+    std::uint64_t discardedStale = 0; ///< Complete samples dropped because of their age.
+    std::uint64_t cancelledStale = 0; ///< Attempts cancelled because they could only give stale samples.
+    std::uint64_t badLabels = 0;
+    std::uint64_t failedAttempts = 0;
+    std::uint64_t regenerated = 0; ///< Attempts at samples that had been complete or in progress before.
+    std::uint64_t duplicatedAttempts = 0;
+    std::uint64_t duplicateWins = 0; ///< Second attempts that finished first.
+    std::uint64_t evicted = 0; ///< Complete samples dropped to keep the buffer within its limit.
+    std::uint64_t voidedGroups = 0;
+    std::uint64_t handedOff = 0; ///< Samples sent for the first time under their number.
+    std::uint64_t resent = 0;
+    std::uint64_t stalenessTotal = 0; ///< Sum over samples handed off of the versions they were behind.
+    Duration handOffAgeTotal {}; ///< Sum over samples handed off of the time since they were ready.
+    Duration handOffAgeMax {};
+};
+
+/// Runs the groups of one run on the instance that owns it: decides what is generated next and what is handed to the
+/// trainer. Performs no I/O. Not thread-safe.
+///
+/// A pull takes two steps. planPull gives either the reply or a record to commit. After the commit, completePull takes
+/// the ledger's reply and gives the reply to the trainer; when the fate of the commit is unknown, abandonPull and then
+/// reload bring the scheduler back in line with the ledger.
+class RunScheduler {
+public:
+    RunScheduler(RunSettings settings, RunName run, const control::RunRecord& record, TimePoint now);
+
+    /// Takes over the standing of the ledger after an abandoned pull. The trainer's version does not fall.
+    void reload(const control::RunRecord& record, TimePoint now);
+    /// Takes over the standing of the ledger after the trainer has reset the run.
+    void onReset(const control::RunRecord& record, TimePoint now);
+    /// Adds groups that the ledger has stored, in the order of its reply.
+    void submitGroups(const std::vector<control::GroupSpec>& stored);
+    /// Announces the trainer's version, after it is committed. A lower one changes nothing.
+    void setTrainerVersion(WeightVersion version, TimePoint now);
+    /// Newest version that the endpoints of the service serve. Until set, that of the trainer.
+    void setServedVersion(WeightVersion version) noexcept { m_servedVersion = version; }
+
+    /// At most this many attempts to start now, in order of step and group. The last samples of a step come first.
+    [[nodiscard]] std::vector<Attempt> nextAttempts(TimePoint now, std::size_t freeSlots);
+    /// States where an attempt was sent and the version served there.
+    void onAttemptSent(AttemptId id, const EndpointId& endpoint, WeightVersion version);
+    AttemptVerdict onAttemptFinished(AttemptId id, SampleBody body, TimePoint now);
+    void onAttemptFailed(AttemptId id, TimePoint now);
+    /// Attempts to cancel since the last call. Their results are ignored.
+    [[nodiscard]] std::vector<AttemptId> takeCancelled();
+
+    /// Samples to score, each given once.
+    [[nodiscard]] std::vector<ScoringTask> nextScorings(std::size_t limit);
+    void onScored(const ScoringTask& task, double score, TimePoint now);
+    /// The sample is given out for scoring again.
+    void onScoringFailed(const ScoringTask& task);
+
+    [[nodiscard]] PullStep planPull(const PullRequest& request, TimePoint now);
+    [[nodiscard]] PullReply completePull(const HandOffPlan& plan, const control::RunReply& reply, TimePoint now);
+    void abandonPull() noexcept;
+
+    /// True after the ledger refused this owner's epoch. The scheduler gives out no more work.
+    [[nodiscard]] bool isFenced() const noexcept { return m_isFenced; }
+    /// True until reload is called after an abandoned pull.
+    [[nodiscard]] bool needsReload() const noexcept { return m_needsReload; }
+    [[nodiscard]] const RunCounters& counters() const noexcept { return m_counters; }
+    [[nodiscard]] std::size_t bufferedBytes() const noexcept { return m_buffer.bytes(); }
+    [[nodiscard]] std::size_t pendingSamples() const noexcept { return m_pending.size(); }
+    [[nodiscard]] std::size_t runningAttempts() const noexcept { return m_running.size(); }
+    [[nodiscard]] std::size_t openGroups() const noexcept { return m_groups.size(); }
+    [[nodiscard]] WeightVersion trainerVersion() const noexcept { return m_forecast.current(); }
+
+private:
+    using Groups = std::map<internal::GroupOrder, internal::GroupState>;
+
+    // Groups and samples.
+    void addGroup(const control::GroupSpec& spec, std::uint64_t ordinal);
+    void removeGroup(Groups::iterator group);
+    void alignGroup(Groups::iterator group, const std::vector<Sequence>& sequences);
+    void makePending(Groups::iterator group, std::uint32_t index, TimePoint notBefore);
+    void confirmSample(Groups::iterator group, std::uint32_t index);
+    void cancelAttempts(internal::SampleSlot& slot);
+    [[nodiscard]] internal::SampleSlot& slotOf(const internal::RunningAttempt& attempt);
+    [[nodiscard]] static SampleKey keyOf(Groups::const_iterator group, std::uint32_t index);
+    [[nodiscard]] static internal::PendingKey pendingKeyOf(Groups::const_iterator group, std::uint32_t index);
+
+    // Attempts.
+    [[nodiscard]] Attempt startAttempt(Groups::iterator group, std::uint32_t index, TimePoint now);
+    void addStragglers(std::uint64_t step, TimePoint now, std::size_t freeSlots, std::vector<Attempt>& attempts);
+    [[nodiscard]] Attempt startSecond(AttemptId slow, TimePoint now);
+    [[nodiscard]] std::optional<WeightVersion> minimumVersionFor(std::uint64_t step, TimePoint now) const;
+    [[nodiscard]] bool isLastOfStep(std::uint64_t step) const;
+    [[nodiscard]] std::uint64_t lowestOpenStep() const;
+    [[nodiscard]] bool hasMemoryFor(const internal::GroupOrder& order) const;
+    [[nodiscard]] Groups::const_iterator firstUnassigned() const;
+    [[nodiscard]] Duration retryDelay(std::uint32_t failures) const noexcept;
+    void accept(const internal::RunningAttempt& attempt, AttemptId id, SampleBody body, VersionRange versions, TimePoint now);
+    void evict();
+    void cancelStaleAttempts(TimePoint now);
+
+    // Hand-off.
+    [[nodiscard]] std::optional<PullReply> refusePull(const PullRequest& request) const;
+    [[nodiscard]] bool isFresh(const SampleKey& key) const;
+    [[nodiscard]] bool isComplete(Groups::const_iterator group, Sequence cursor) const;
+    void dropStaleUnassigned(TimePoint now);
+    void planAssignments(const PullRequest& request, std::size_t planned, std::vector<GroupId>& assigned) const;
+    [[nodiscard]] bool planLive(const PullRequest& request, control::RecordHandOff& record, std::size_t& resent) const;
+    void applyRecord(const HandOffPlan& plan, const control::RunReply& reply, TimePoint now);
+    void applyConfirmation(Sequence cursor);
+    void applyVoid(const GroupId& group, TimePoint now);
+    [[nodiscard]] PullReply gatherSamples(const PullRequest& request, TimePoint now);
+    void count(const HandedSample& sample, TimePoint readyAt, TimePoint now);
+    [[nodiscard]] PullReply replyTo(const PullRequest& request, PullStatus status) const;
+
+    RunSettings m_settings;
+    RunName m_run;
+    control::Epoch m_epoch;
+    VersionForecast m_forecast;
+    WeightVersion m_servedVersion = std::numeric_limits<WeightVersion>::max();
+    RecentDurations m_durations { 256 };
+    SampleBuffer m_buffer;
+    RunCounters m_counters;
+
+    Groups m_groups;
+    std::map<GroupId, internal::GroupOrder> m_orders;
+    std::uint64_t m_lastOrdinal = 0;
+    std::map<std::uint64_t, internal::StepProgress> m_steps;
+    std::set<internal::PendingKey> m_pending;
+    std::set<SampleKey> m_toScore;
+    std::map<AttemptId, internal::RunningAttempt> m_running;
+    AttemptId m_lastAttempt = 0;
+    std::vector<AttemptId> m_cancelled;
+
+    Sequence m_confirmed = 0;
+    Sequence m_sent = 0; ///< Highest number sent to the trainer.
+    std::uint64_t m_generation = 0; ///< Counts the times the ledger's standing was taken over.
+    std::uint64_t m_recordedPull = 0; ///< Of the last hand-off recorded in the ledger.
+    std::uint64_t m_seenPull = 0;
+    std::uint64_t m_answeredPull = 0;
+    bool m_isTrainerWaiting = false;
+    std::optional<std::uint64_t> m_committingPull; ///< Pull whose record is in the log.
+    bool m_needsReload = false;
+    bool m_isFenced = false;
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/rollout/run_scheduler_hand_off.cpp
@@ -0,0 +1,271 @@
+#include "azurepaddle/rollout/run_scheduler.hpp"
+
+#include "azurepaddle/core/invariant.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::rollout {
+
+using namespace internal;
+
+namespace {
+
+    /// Wait proposed to a trainer when nothing is ready or another hand-off is being recorded.
+    constexpr Duration emptyDelay = std::chrono::milliseconds(100);
+
+    PullStatus statusOf(control::RunStatus status)
+    {
+        switch (status) {
+        case control::RunStatus::NotOwner:
+        case control::RunStatus::NoSuchRun:
+            return PullStatus::NotOwner;
+        case control::RunStatus::PullSuperseded:
+            return PullStatus::Superseded;
+        case control::RunStatus::CursorBehind:
+            return PullStatus::CursorBehind;
+        case control::RunStatus::CursorInvalid:
+            return PullStatus::CursorInvalid;
+        default:
+            return PullStatus::Retry;
+        }
+    }
+
+}
+
+PullStep RunScheduler::planPull(const PullRequest& request, TimePoint now)
+{
+    if (auto refusal = refusePull(request))
+        return *refusal;
+    m_seenPull = request.pull;
+    setTrainerVersion(request.version, now);
+    dropStaleUnassigned(now);
+    HandOffPlan plan { request, { m_run, m_epoch, m_recordedPull, request.pull, request.cursor, m_forecast.current(), {}, {} }, m_generation };
+    std::size_t resent = 0;
+    const bool isCursorKnown = planLive(request, plan.record, resent);
+    if (isCursorKnown)
+        planAssignments(request, resent, plan.record.assigned);
+    // Also a resend is recorded, so that a delayed copy of an older pull cannot void what this one delivers.
+    if (request.cursor == m_confirmed && resent == 0 && plan.record.voided.empty() && plan.record.assigned.empty()) {
+        m_answeredPull = request.pull;
+        m_isTrainerWaiting = true;
+        return replyTo(request, PullStatus::Empty);
+    }
+    m_committingPull = request.pull;
+    return plan;
+}
+
+std::optional<PullReply> RunScheduler::refusePull(const PullRequest& request) const
+{
+    if (m_isFenced)
+        return replyTo(request, PullStatus::NotOwner);
+    if (request.pull < m_seenPull || request.pull <= m_answeredPull) {
+        PullReply reply = replyTo(request, PullStatus::Superseded);
+        reply.detail = fmt::format("use a pull number above {}", std::max(m_seenPull, m_answeredPull));
+        return reply;
+    }
+    if (m_committingPull || m_needsReload)
+        return replyTo(request, PullStatus::Retry);
+    return std::nullopt;
+}
+
+/// Plans the groups with numbers beyond the cursor: void those that cannot be sent again as they are, count the others.
+/// Gives false if the cursor is below the confirmed one. Only the ledger refuses a cursor, because an owner that was
+/// replaced does not know the numbers assigned since.
+bool RunScheduler::planLive(const PullRequest& request, control::RecordHandOff& record, std::size_t& resent) const
+{
+    if (request.cursor < m_confirmed)
+        return false;
+    for (auto group = m_groups.begin(); group != m_groups.end(); ++group) {
+        const auto& samples = group->second.samples;
+        const auto beyond = static_cast<std::size_t>(std::count_if(samples.begin(), samples.end(), [&](const SampleSlot& slot) { return slot.sequence > request.cursor; }));
+        if (beyond == 0)
+            continue;
+        if (isComplete(group, request.cursor))
+            resent += beyond;
+        else
+            record.voided.push_back(group->second.spec.group);
+    }
+    return true;
+}
+
+/// Adds groups of the lowest step that has groups to assign. Later steps wait, because their samples would age at the
+/// trainer unseen.
+void RunScheduler::planAssignments(const PullRequest& request, std::size_t planned, std::vector<GroupId>& assigned) const
+{
+    std::optional<std::uint64_t> incompleteStep;
+    for (auto group = m_groups.begin(); group != m_groups.end(); ++group) {
+        if (incompleteStep && group->first.step != *incompleteStep)
+            return;
+        if (group->second.isLive()) {
+            if (!isComplete(group, request.cursor))
+                incompleteStep = group->first.step;
+            continue;
+        }
+        const std::size_t size = group->second.samples.size();
+        if (!isComplete(group, m_confirmed)) {
+            incompleteStep = group->first.step;
+            continue;
+        }
+        if (planned > 0 && planned + size > request.maxSamples)
+            return;
+        planned += size;
+        assigned.push_back(group->second.spec.group);
+    }
+}
+
+bool RunScheduler::isComplete(Groups::const_iterator group, Sequence cursor) const
+{
+    for (std::uint32_t index = 0; index < group->second.samples.size(); ++index) {
+        const SampleSlot& slot = group->second.samples[index];
+        const bool isHeld = slot.state == SampleState::Confirmed || (slot.sequence != 0 && slot.sequence <= cursor);
+        if (!isHeld && (slot.state != SampleState::Ready || !isFresh(keyOf(group, index))))
+            return false;
+    }
+    return true;
+}
+
+bool RunScheduler::isFresh(const SampleKey& key) const
+{
+    const BufferedSample* const sample = m_buffer.find(key);
+    if (sample == nullptr)
+        return false;
+    const WeightVersion current = m_forecast.current();
+    return sample->versions.newest <= current && sample->versions.oldest + m_settings.stalenessBound >= current;
+}
+
+void RunScheduler::dropStaleUnassigned(TimePoint now)
+{
+    for (auto group = m_groups.begin(); group != m_groups.end(); ++group) {
+        for (std::uint32_t index = 0; index < group->second.samples.size(); ++index) {
+            const SampleSlot& slot = group->second.samples[index];
+            const bool hasBody = slot.state == SampleState::Ready || slot.state == SampleState::Scoring;
+            if (!hasBody || slot.sequence != 0 || isFresh(keyOf(group, index)))
+                continue;
+            ++m_counters.discardedStale;
+            makePending(group, index, now);
+        }
+    }
+}
+
+PullReply RunScheduler::completePull(const HandOffPlan& plan, const control::RunReply& reply, TimePoint now)
+{
+    // A second reply for the same plan, or the ledger's standing was taken over since, with or without this hand-off.
+    if (plan.generation != m_generation || m_committingPull != plan.request.pull)
+        return replyTo(plan.request, PullStatus::Retry);
+    m_committingPull.reset();
+    m_answeredPull = std::max(m_answeredPull, plan.request.pull);
+    if (reply.status == control::RunStatus::Recorded) {
+        applyRecord(plan, reply, now);
+        return gatherSamples(plan.request, now);
+    }
+    PullReply refusal = replyTo(plan.request, statusOf(reply.status));
+    refusal.detail = reply.detail;
+    m_isFenced = m_isFenced || refusal.status == PullStatus::NotOwner;
+    // Any other refusal means that the scheduler and the ledger differ.
+    m_needsReload = refusal.status != PullStatus::CursorBehind && refusal.status != PullStatus::CursorInvalid;
+    return refusal;
+}
+
+void RunScheduler::abandonPull() noexcept
+{
+    m_committingPull.reset();
+    m_needsReload = true;
+}
+
+void RunScheduler::applyRecord(const HandOffPlan& plan, const control::RunReply& reply, TimePoint now)
+{
+    applyConfirmation(plan.request.cursor);
+    for (const GroupId& group : plan.record.voided)
+        applyVoid(group, now);
+    for (const control::AssignedGroup& assigned : reply.assigned)
+        alignGroup(m_groups.find(m_orders.at(assigned.group)), assigned.sequences);
+    m_recordedPull = plan.request.pull;
+}
+
+void RunScheduler::applyConfirmation(Sequence cursor)
+{
+    m_confirmed = cursor;
+    for (auto group = m_groups.begin(); group != m_groups.end();) {
+        const auto current = group++;
+        bool isDone = true;
+        for (std::uint32_t index = 0; index < current->second.samples.size(); ++index) {
+            const Sequence sequence = current->second.samples[index].sequence;
+            if (sequence != 0 && sequence <= cursor)
+                confirmSample(current, index);
+            isDone = isDone && current->second.samples[index].state == SampleState::Confirmed;
+        }
+        if (isDone)
+            removeGroup(current);
+    }
+}
+
+void RunScheduler::applyVoid(const GroupId& id, TimePoint now)
+{
+    ++m_counters.voidedGroups;
+    const auto group = m_groups.find(m_orders.at(id));
+    for (std::uint32_t index = 0; index < group->second.samples.size(); ++index) {
+        SampleSlot& slot = group->second.samples[index];
+        if (slot.state == SampleState::Confirmed)
+            continue;
+        slot.sequence = 0;
+        const bool isStale = slot.state == SampleState::Ready && !isFresh(keyOf(group, index));
+        m_counters.discardedStale += isStale ? 1 : 0;
+        if (isStale || slot.state == SampleState::Remote)
+            makePending(group, index, now);
+    }
+}
+
+PullReply RunScheduler::gatherSamples(const PullRequest& request, TimePoint now)
+{
+    PullReply reply = replyTo(request, PullStatus::Samples);
+    for (auto group = m_groups.begin(); group != m_groups.end(); ++group) {
+        for (std::uint32_t index = 0; index < group->second.samples.size(); ++index) {
+            const SampleSlot& slot = group->second.samples[index];
+            if (slot.sequence <= request.cursor)
+                continue;
+            const SampleKey key = keyOf(group, index);
+            // The trainer's version may have risen while the hand-off was being recorded.
+            if (slot.state != SampleState::Ready || !isFresh(key))
+                return replyTo(request, PullStatus::Retry);
+            const BufferedSample& sample = *m_buffer.find(key);
+            reply.samples.push_back({ slot.sequence, key, group->first.step, sample.versions, sample.score, sample.body });
+        }
+    }
+    if (reply.samples.empty()) {
+        m_isTrainerWaiting = true;
+        return replyTo(request, PullStatus::Empty);
+    }
+    m_isTrainerWaiting = false;
+    std::sort(reply.samples.begin(), reply.samples.end(), [](const HandedSample& left, const HandedSample& right) { return left.sequence < right.sequence; });
+    for (const HandedSample& sample : reply.samples)
+        count(sample, m_buffer.find(sample.key)->readyAt, now);
+    reply.nextCursor = reply.samples.back().sequence;
+    m_sent = std::max(m_sent, reply.nextCursor);
+    return reply;
+}
+
+void RunScheduler::count(const HandedSample& sample, TimePoint readyAt, TimePoint now)
+{
+    if (sample.sequence <= m_sent) {
+        ++m_counters.resent;
+        return;
+    }
+    ++m_counters.handedOff;
+    m_counters.stalenessTotal += m_forecast.current() - sample.versions.oldest;
+    m_counters.handOffAgeTotal += now - readyAt;
+    m_counters.handOffAgeMax = std::max(m_counters.handOffAgeMax, now - readyAt);
+}
+
+PullReply RunScheduler::replyTo(const PullRequest& request, PullStatus status) const
+{
+    PullReply reply;
+    reply.status = status;
+    reply.pull = request.pull;
+    reply.cursor = request.cursor;
+    reply.nextCursor = request.cursor;
+    reply.version = m_forecast.current();
+    reply.retryAfter = status == PullStatus::Empty || status == PullStatus::Retry ? emptyDelay : Duration::zero();
+    return reply;
+}
+
+}
--- /dev/null
+++ b/test/azurepaddle/rollout/simulation_network.cpp
@@ -0,0 +1,133 @@
+#include "azurepaddle/rollout/simulation.hpp"
+
+namespace azurepaddle::rollout::test {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    /// Removes and returns one message that has arrived, if any, in random order.
+    template <typename Message>
+    std::optional<Message> takeArrived(std::deque<Message>& messages, TimePoint now)
+    {
+        for (auto message = messages.begin(); message != messages.end(); ++message) {
+            if (message->arrives > now)
+                continue;
+            Message taken = std::move(*message);
+            messages.erase(message);
+            return taken;
+        }
+        return std::nullopt;
+    }
+
+}
+
+void Simulation::deliverCalls()
+{
+    while (auto call = takeArrived(m_calls, m_now)) {
+        const bool isOld = m_owners.size() > 1 && m_random.chance(0.2);
+        handleCall(isOld ? m_owners.size() - 2 : m_owners.size() - 1, call->request);
+    }
+}
+
+void Simulation::handleCall(std::size_t index, const PullRequest& request)
+{
+    Owner& owner = *m_owners[index];
+    if (owner.scheduler.needsReload() && !owner.scheduler.isFenced())
+        owner.scheduler.reload(record(), m_now);
+    PullStep step = owner.scheduler.planPull(request, m_now);
+    if (auto* const plan = std::get_if<HandOffPlan>(&step)) {
+        owner.waiting = *plan;
+        const control::CommandId id("pull-" + std::to_string(++m_commands));
+        // The command may land late, and its client may send it again.
+        m_commits.push_back({ index, *plan, id, later(m_random.chance(0.1) ? 1'500 : 20) });
+        if (m_random.chance(0.1))
+            m_commits.push_back({ index, *plan, id, later(1'500) });
+        return;
+    }
+    if (!m_random.chance(0.1))
+        m_answers.push_back({ std::get<PullReply>(step), later(20) });
+}
+
+void Simulation::deliverCommits()
+{
+    while (auto commit = takeArrived(m_commits, m_now))
+        landCommit(*commit);
+    // A client that waits too long gives up without knowing whether the command was applied.
+    for (const auto& owner : m_owners) {
+        if (!owner->waiting || !m_random.chance(0.02))
+            continue;
+        owner->waiting.reset();
+        owner->scheduler.abandonPull();
+    }
+}
+
+void Simulation::landCommit(const Commit& commit)
+{
+    const control::RunReply reply = apply(commit.id, commit.plan.record);
+    if (reply.status == control::RunStatus::Recorded)
+        m_voided += commit.plan.record.voided.size();
+    Owner& owner = *m_owners[commit.owner];
+    if (m_random.chance(0.05))
+        return;
+    const PullReply answer = owner.scheduler.completePull(commit.plan, reply, m_now);
+    if (owner.waiting && owner.waiting->request == commit.plan.request)
+        owner.waiting.reset();
+    if (m_random.chance(0.1))
+        return;
+    m_answers.push_back({ answer, later(m_random.chance(0.2) ? 800 : 20) });
+}
+
+void Simulation::deliverAnswers()
+{
+    while (auto answer = takeArrived(m_answers, m_now)) {
+        const PullReply& reply = answer->reply;
+        // The trainer drops replies to older pulls and those checked against an older version of its own.
+        if (reply.pull != m_pull || reply.version < m_trainer.version)
+            continue;
+        if (reply.status == PullStatus::Samples)
+            accept(reply);
+        else if (reply.status == PullStatus::CursorBehind)
+            resetRun();
+        require(reply.status != PullStatus::CursorInvalid, "the trainer's cursor was refused: " + reply.detail);
+    }
+}
+
+bool Simulation::isStepComplete(std::uint64_t step) const
+{
+    for (std::uint32_t group = 0; group < groupsPerStep; ++group) {
+        for (std::uint32_t index = 0; index < samplesPerGroup; ++index) {
+            if (!m_trainer.accepted.contains({ GroupId(std::to_string(step) + "." + std::to_string(group)), index }))
+                return false;
+        }
+    }
+    return true;
+}
+
+void Simulation::accept(const PullReply& reply)
+{
+    require(reply.cursor == m_trainer.cursor, "the reply echoes another cursor");
+    std::map<GroupId, std::uint32_t> counts;
+    Sequence last = m_trainer.cursor;
+    for (const HandedSample& sample : reply.samples) {
+        require(sample.sequence > last, "sequence numbers do not rise");
+        last = sample.sequence;
+        const auto oldest = std::stoull(sample.body->text);
+        require(oldest + stalenessBound >= m_trainer.version, "a sample is older than the bound");
+        require(sample.versions.oldest == oldest && sample.versions.newest <= m_trainer.version, "a label is wrong");
+        require(sample.score.has_value() == m_isScored, "a sample was handed off without its score");
+        require(m_trainer.accepted.insert(sample.key).second, fmt::format("sample {}/{} reached the trainer twice", sample.key.group, sample.key.index));
+        ++counts[sample.key.group];
+    }
+    for (const auto& [group, count] : counts)
+        require(count == samplesPerGroup, "a group was handed off in part");
+    require(reply.nextCursor == last, "the next cursor is not the last number");
+    m_trainer.cursor = last;
+    m_pulledAt = {};
+    // A further copy of this reply is not a reply to the current pull.
+    ++m_pull;
+    while (m_trainer.step <= steps && isStepComplete(m_trainer.step))
+        ++m_trainer.step;
+}
+
+}
