Add the weights module

Cause: endpoints must reach a new weight version within 7 s of the first switch without stopping the service, and only one instance may order them.

Change: RolloutPlanner prefetches within the rate of the weight store, switches in waves, judges success by stated versions and repairs failed, partial and lost swaps.

Conclusion: usable by the daemon, which translates endpoint records to EndpointReport and sends the orders.

--- /dev/null
+++ b/src/azurepaddle/weights/rollout_planner.cpp
@@ -0,0 +1,281 @@
+#include "azurepaddle/weights/rollout_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurepaddle::weights {
+
+namespace {
+
+    template <typename Value>
+    bool contains(const std::vector<Value>& values, const Value& value)
+    {
+        return std::find(values.begin(), values.end(), value) != values.end();
+    }
+
+}
+
+RolloutPlanner::RolloutPlanner(PlannerSettings settings) noexcept
+    : m_settings(settings)
+    , m_store(settings.storeBytesPerSecond, settings.weightBytes)
+    , m_swapDuration(settings.firstSwapDuration)
+{
+}
+
+void RolloutPlanner::want(WantedWeights wanted, TimePoint now)
+{
+    if (wanted == m_wanted)
+        return;
+    if (wanted.version != m_wanted.version) {
+        m_wantedSince = now;
+        m_switchStarted.reset();
+        m_switchTime.reset();
+        for (auto& [id, endpoint] : m_endpoints)
+            endpoint.wasOrdered = false;
+    }
+    m_wanted = std::move(wanted);
+}
+
+void RolloutPlanner::onReport(const EndpointReport& report, TimePoint now)
+{
+    Endpoint& endpoint = m_endpoints[report.endpoint];
+    const bool isRestart = endpoint.report.incarnation != report.incarnation;
+    // A report that was overtaken by a later one says nothing new.
+    if (!isRestart && report.asked < endpoint.report.asked)
+        return;
+    endpoint.report = report;
+    if (!report.isSwapping || isRestart)
+        endpoint.swappingSince.reset();
+    if (report.isSwapping && !endpoint.swappingSince)
+        endpoint.swappingSince = report.asked;
+    if (isRestart) {
+        endpoint.prefetch.reset();
+        endpoint.change.reset();
+    }
+    settle(endpoint, now);
+    noteCompletion(now);
+}
+
+/// Ends orders whose effect, or lack of effect, the stated state shows.
+void RolloutPlanner::settle(Endpoint& endpoint, TimePoint now)
+{
+    const EndpointReport& report = endpoint.report;
+    if (endpoint.prefetch) {
+        const WeightVersion version = endpoint.prefetch->action.version;
+        if (contains(report.prefetched, version) || contains(report.versions, version))
+            endpoint.prefetch.reset();
+    }
+    if (!endpoint.change || report.asked <= endpoint.change->sent)
+        return;
+    const OrderAction& action = endpoint.change->action;
+    const bool isDone = (action.kind == OrderKind::Switch && clearVersion(endpoint) == action.version)
+        || (action.kind == OrderKind::LoadAdapter && contains(report.adapters, action.adapter))
+        || (action.kind == OrderKind::UnloadAdapter && !contains(report.adapters, action.adapter));
+    if (isDone && action.kind == OrderKind::Switch)
+        m_swapDuration = (3 * m_swapDuration + (now - endpoint.change->sent)) / 4;
+    const Duration limit = report.isSwapping ? m_settings.swapTimeout : m_settings.orderTimeout;
+    if (isDone || report.asked - endpoint.change->sent >= limit)
+        endpoint.change.reset();
+}
+
+void RolloutPlanner::onEndpointGone(const EndpointId& endpoint)
+{
+    m_endpoints.erase(endpoint);
+}
+
+void RolloutPlanner::onOrderFailed(const OrderAction& action, TimePoint now)
+{
+    const auto found = m_endpoints.find(action.endpoint);
+    if (found == m_endpoints.end())
+        return;
+    Endpoint& endpoint = found->second;
+    // Whether a failed switch took effect is known from the next state only.
+    if (endpoint.change && endpoint.change->action == action && action.kind == OrderKind::Switch)
+        endpoint.unclearUntil = std::max(endpoint.unclearUntil, now);
+    if (endpoint.change && endpoint.change->action == action)
+        endpoint.change->sent = std::min(endpoint.change->sent, now - m_settings.orderTimeout);
+    if (endpoint.prefetch && endpoint.prefetch->action == action)
+        endpoint.prefetch.reset();
+}
+
+void RolloutPlanner::onOrderNotSent(const OrderAction& action)
+{
+    const auto found = m_endpoints.find(action.endpoint);
+    if (found == m_endpoints.end())
+        return;
+    Endpoint& endpoint = found->second;
+    if (endpoint.prefetch && endpoint.prefetch->action == action)
+        endpoint.prefetch.reset();
+    if (endpoint.change && endpoint.change->action == action)
+        endpoint.change.reset();
+}
+
+std::vector<OrderAction> RolloutPlanner::plan(TimePoint now)
+{
+    std::vector<OrderAction> actions;
+    if (m_wanted.version == 0)
+        return actions;
+    for (auto& [id, endpoint] : m_endpoints)
+        planPrefetch(endpoint, now, actions);
+    const bool isSwitchAllowed = maySwitch(now);
+    for (auto& [id, endpoint] : m_endpoints) {
+        if (isSwitchAllowed)
+            planSwitch(endpoint, now, actions);
+        planAdapters(endpoint, now, actions);
+    }
+    return actions;
+}
+
+void RolloutPlanner::planPrefetch(Endpoint& endpoint, TimePoint now, std::vector<OrderAction>& actions)
+{
+    if (endpoint.prefetch && now - endpoint.prefetch->sent >= m_settings.prefetchTimeout)
+        endpoint.prefetch.reset();
+    const bool isBusy = endpoint.prefetch && endpoint.prefetch->action.version == m_wanted.version;
+    if (isBusy || hasPrefetched(endpoint) || !m_store.tryTake(now))
+        return;
+    const OrderAction action { endpoint.report.endpoint, OrderKind::Prefetch, m_wanted.version, {} };
+    endpoint.prefetch = Pending { action, now };
+    actions.push_back(action);
+}
+
+void RolloutPlanner::planSwitch(Endpoint& endpoint, TimePoint now, std::vector<OrderAction>& actions)
+{
+    if (endpoint.change || hasSwitched(endpoint) || !hasPrefetched(endpoint))
+        return;
+    if (endpoint.report.isSwapping && !isSwapStuck(endpoint))
+        return;
+    // An endpoint whose state is older than its last switch order may have switched.
+    if (endpoint.report.asked < endpoint.unclearUntil || switchesInProgress(now) >= waveSize())
+        return;
+    const OrderAction action { endpoint.report.endpoint, OrderKind::Switch, m_wanted.version, {} };
+    m_repairs += endpoint.wasOrdered ? 1 : 0;
+    endpoint.wasOrdered = true;
+    endpoint.change = Pending { action, now };
+    endpoint.unclearUntil = now;
+    endpoint.swappingSince.reset();
+    if (!m_switchStarted)
+        m_switchStarted = now;
+    actions.push_back(action);
+}
+
+void RolloutPlanner::planAdapters(Endpoint& endpoint, TimePoint now, std::vector<OrderAction>& actions)
+{
+    if (endpoint.change || endpoint.report.isSwapping)
+        return;
+    OrderAction action { endpoint.report.endpoint, OrderKind::LoadAdapter, 0, {} };
+    for (const std::string& adapter : m_wanted.adapters) {
+        if (action.adapter.empty() && !contains(endpoint.report.adapters, adapter))
+            action.adapter = adapter;
+    }
+    for (const std::string& adapter : endpoint.report.adapters) {
+        if (!action.adapter.empty() || m_wanted.adapters.contains(adapter))
+            continue;
+        action.kind = OrderKind::UnloadAdapter;
+        action.adapter = adapter;
+    }
+    if (action.adapter.empty())
+        return;
+    endpoint.change = Pending { action, now };
+    actions.push_back(action);
+}
+
+bool RolloutPlanner::maySwitch(TimePoint now) const
+{
+    if (m_switchStarted || now - m_wantedSince >= m_settings.prefetchPatience)
+        return true;
+    return std::all_of(m_endpoints.begin(), m_endpoints.end(), [this](const auto& endpoint) { return hasPrefetched(endpoint.second); });
+}
+
+std::size_t RolloutPlanner::switchesInProgress(TimePoint now) const noexcept
+{
+    // An endpoint that went silent does not hold up the others.
+    return static_cast<std::size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& endpoint) {
+        const auto& change = endpoint.second.change;
+        return change && change->action.kind == OrderKind::Switch && now - change->sent < m_settings.swapTimeout;
+    }));
+}
+
+bool RolloutPlanner::isSwapStuck(const Endpoint& endpoint) const noexcept
+{
+    return endpoint.swappingSince && endpoint.report.asked - *endpoint.swappingSince >= m_settings.swapTimeout;
+}
+
+std::size_t RolloutPlanner::waveSize() const noexcept
+{
+    const double budget = std::chrono::duration<double>(m_settings.switchTarget).count() * m_settings.targetShare;
+    const double swap = std::chrono::duration<double>(m_swapDuration).count();
+    // Waves follow each other, so the number of whole swaps that fit in the budget is the number of waves.
+    const double waves = std::max(1.0, std::floor(budget / std::max(swap, 1e-3)));
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(static_cast<double>(m_endpoints.size()) / waves)));
+}
+
+std::optional<WeightVersion> RolloutPlanner::clearVersion(const Endpoint& endpoint)
+{
+    const EndpointReport& report = endpoint.report;
+    if (report.isSwapping || report.versions.size() != 1 || report.asked <= endpoint.unclearUntil)
+        return std::nullopt;
+    return report.versions.front();
+}
+
+std::optional<WeightVersion> RolloutPlanner::clearVersion(const EndpointId& endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? std::nullopt : clearVersion(found->second);
+}
+
+bool RolloutPlanner::hasPrefetched(const Endpoint& endpoint) const
+{
+    return contains(endpoint.report.prefetched, m_wanted.version) || hasSwitched(endpoint);
+}
+
+bool RolloutPlanner::hasSwitched(const Endpoint& endpoint) const
+{
+    return clearVersion(endpoint) == m_wanted.version;
+}
+
+bool RolloutPlanner::isAsWanted(const EndpointId& endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end() || !hasSwitched(found->second))
+        return false;
+    const auto& adapters = found->second.report.adapters;
+    return std::set<std::string>(adapters.begin(), adapters.end()) == m_wanted.adapters;
+}
+
+WeightVersion RolloutPlanner::servedVersion(double share) const
+{
+    std::vector<WeightVersion> versions;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (const auto version = clearVersion(endpoint))
+            versions.push_back(*version);
+    }
+    if (versions.empty())
+        return 0;
+    std::sort(versions.begin(), versions.end(), std::greater<>());
+    const auto needed = static_cast<std::size_t>(std::ceil(share * static_cast<double>(versions.size())));
+    return versions[std::clamp<std::size_t>(needed, 1, versions.size()) - 1];
+}
+
+void RolloutPlanner::noteCompletion(TimePoint now)
+{
+    if (!m_switchStarted || m_switchTime)
+        return;
+    if (std::all_of(m_endpoints.begin(), m_endpoints.end(), [this](const auto& endpoint) { return hasSwitched(endpoint.second); }))
+        m_switchTime = now - *m_switchStarted;
+}
+
+RolloutProgress RolloutPlanner::progress() const
+{
+    RolloutProgress progress;
+    progress.endpoints = m_endpoints.size();
+    for (const auto& [id, endpoint] : m_endpoints) {
+        progress.prefetched += hasPrefetched(endpoint) ? 1 : 0;
+        progress.switched += hasSwitched(endpoint) ? 1 : 0;
+    }
+    progress.isSwitching = m_switchStarted.has_value();
+    progress.switchTime = m_switchTime;
+    progress.repairs = m_repairs;
+    return progress;
+}
+
+}
--- /dev/null
+++ b/test/azurepaddle/weights/sender.cpp
@@ -0,0 +1,162 @@
+#include "azurepaddle/control/control_state.hpp"
+#include "azurepaddle/core/random.hpp"
+#include "azurepaddle/weights/order_sender.hpp"
+
+#include <criterion/criterion.h>
+#include <cstdlib>
+
+using namespace azurepaddle;
+using namespace azurepaddle::weights;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceName service("models");
+const EndpointId checking("checking");
+const EndpointId ignoring("ignoring");
+
+OrderAction switchTo(const EndpointId& endpoint, WeightVersion version)
+{
+    return { endpoint, OrderKind::Switch, version, {} };
+}
+
+/// A sender that talks to the lease state directly.
+struct Instance {
+    OrderSender sender;
+
+    explicit Instance(const std::string& name)
+        : sender({}, service, { InstanceId(name), 1 })
+    {
+        sender.setChecksToken(checking, true);
+        sender.setChecksToken(ignoring, false);
+    }
+
+    void renew(control::OrderLeases& leases, TimePoint now)
+    {
+        if (const auto request = sender.leaseRequest(now))
+            sender.onLeaseReply(leases.acquire(*request, std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count()), now, now);
+    }
+};
+
+struct Fixture {
+    control::OrderLeases leases;
+    TimePoint now { 100s };
+    Instance first { "a" };
+    Instance second { "b" };
+};
+
+}
+
+// Guards against orders without a lease or within its margin, and against a deadline that outlives the successor's wait.
+Test(OrderSender, leaseNearItsEnd_asked_sendsNothing)
+{
+    Fixture fixture;
+    cr_assert(!fixture.first.sender.authorize(switchTo(checking, 2), fixture.now));
+    fixture.first.renew(fixture.leases, fixture.now);
+    const auto order = fixture.first.sender.authorize(switchTo(checking, 2), fixture.now);
+    cr_assert(order && order->fencingToken == 1 && order->deadline <= fixture.now + 2s);
+    fixture.now += 4499ms;
+    cr_assert(fixture.first.sender.holdsLease(fixture.now));
+    fixture.now += 1ms;
+    cr_assert(!fixture.first.sender.authorize(switchTo(checking, 2), fixture.now));
+}
+
+// Guards against a lease counted from the reply instead of from the request.
+Test(OrderSender, slowLeaseReply_received_countsFromRequest)
+{
+    Fixture fixture;
+    static_cast<void>(fixture.first.sender.leaseRequest(fixture.now));
+    const control::OrderLeaseReply reply { control::OrderLeaseStatus::Granted, 1, {}, 5'000, 0 };
+    fixture.first.sender.onLeaseReply(reply, fixture.now, fixture.now + 4s);
+    cr_assert(fixture.first.sender.holdsLease(fixture.now + 4400ms) && !fixture.first.sender.holdsLease(fixture.now + 4600ms));
+}
+
+// Guards against a successor that orders endpoints without tokens while orders of the old holder may arrive.
+Test(OrderSender, successor_granted_waitsAndReadsBeforeOrdering)
+{
+    Fixture fixture;
+    fixture.first.renew(fixture.leases, fixture.now);
+    fixture.now += 5s + 500ms;
+    fixture.second.renew(fixture.leases, fixture.now);
+    OrderSender& sender = fixture.second.sender;
+    cr_assert(sender.epoch() == 2 && sender.authorize(switchTo(checking, 2), fixture.now));
+    cr_assert(!sender.authorize(switchTo(ignoring, 2), fixture.now));
+    sender.onState(ignoring, false, fixture.now, fixture.now);
+    cr_assert(!sender.authorize(switchTo(ignoring, 2), fixture.now), "a state read before the wait was over was trusted");
+    cr_assert(sender.readsDue(fixture.now).empty());
+    fixture.now += 2s;
+    fixture.second.renew(fixture.leases, fixture.now);
+    cr_assert(sender.readsDue(fixture.now) == std::vector<EndpointId> { ignoring });
+    sender.onState(ignoring, false, fixture.now, fixture.now);
+    cr_assert(sender.authorize(switchTo(ignoring, 2), fixture.now));
+}
+
+// Guards against an endpoint without tokens that counts as settled before the state has held for one lease.
+Test(OrderSender, ignoringEndpoint_readAsWanted_settlesAfterOneLease)
+{
+    Fixture fixture;
+    OrderSender& sender = fixture.first.sender;
+    constexpr TimePoint never = TimePoint::max();
+    TimePoint wantedSince = never;
+    for (int i = 0; i < 40; ++i, fixture.now += 250ms) {
+        fixture.first.renew(fixture.leases, fixture.now);
+        const bool isAsWanted = i >= 4 && i != 10;
+        if (i == 3)
+            static_cast<void>(sender.authorize(switchTo(ignoring, 2), fixture.now));
+        sender.onState(ignoring, isAsWanted, fixture.now, fixture.now);
+        if (!isAsWanted)
+            wantedSince = never;
+        else if (wantedSince == never)
+            wantedSince = fixture.now;
+        cr_assert(sender.isSettled(ignoring) == (wantedSince != never && fixture.now - wantedSince >= 5s));
+    }
+    cr_assert(sender.isSettled(ignoring) && sender.readsDue(fixture.now).empty());
+    sender.onState(ignoring, false, fixture.now, fixture.now);
+    cr_assert(!sender.isSettled(ignoring));
+}
+
+// Guards against an order of an old holder that changes an endpoint after its successor has settled it.
+Test(OrderSender, pausedHolder_resumed_neverChangesSettledEndpoint)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        Random random(seed);
+        Fixture fixture;
+        control::Epoch seenToken = 0;
+        std::map<EndpointId, WeightVersion> served { { checking, 1 }, { ignoring, 1 } };
+        std::vector<std::pair<TimePoint, Order>> flying;
+        Instance* const instances[] = { &fixture.first, &fixture.second };
+        bool wasSettled = false;
+        for (int tick = 0; tick < 600; ++tick, fixture.now += 50ms) {
+            const bool isFirstPaused = tick > 100 && tick % 200 < 150;
+            for (std::size_t i = 0; i < 2; ++i) {
+                if (i == 0 && isFirstPaused)
+                    continue;
+                OrderSender& sender = instances[i]->sender;
+                // The old holder keeps wanting version 2, the successor wants 3.
+                const WeightVersion wanted = 2 + i;
+                instances[i]->renew(fixture.leases, fixture.now);
+                for (const auto& [id, version] : served) {
+                    sender.onState(id, version == wanted, fixture.now, fixture.now);
+                    if (version == wanted || random.chance(0.5))
+                        continue;
+                    if (const auto order = sender.authorize(switchTo(id, wanted), fixture.now))
+                        flying.emplace_back(fixture.now + std::chrono::milliseconds(random.below(1'500)), *order);
+                }
+            }
+            for (const auto& [arrives, order] : flying) {
+                // Endpoints refuse orders after their deadline; one of them also refuses old tokens.
+                if (arrives > fixture.now || arrives + 50ms <= fixture.now || fixture.now > order.deadline)
+                    continue;
+                if (order.action.endpoint == checking && order.fencingToken < seenToken)
+                    continue;
+                if (order.action.endpoint == checking)
+                    seenToken = order.fencingToken;
+                const bool isSettled = fixture.second.sender.isSettled(ignoring) && fixture.second.sender.holdsLease(fixture.now);
+                cr_assert(!isSettled || order.action.version == 3, "an old order changed a settled endpoint, seed %lu", seed);
+                served[order.action.endpoint] = order.action.version;
+            }
+            wasSettled = wasSettled || fixture.second.sender.isSettled(ignoring);
+        }
+        cr_assert(wasSettled, "the successor never settled, seed %lu", seed);
+    }
+}
