--- a/src/azurepaddle/http/problem.cpp
+++ b/src/azurepaddle/http/problem.cpp
@@ -36,6 +36,10 @@
             return { 504, "deadline-exceeded", "The deadline cannot be met" };
         case PipelineErrorCode::Conflict:
             return { 409, "conflict", "The request contradicts an earlier one" };
+        case PipelineErrorCode::CursorBehind:
+            return { 409, "cursor-behind", "The cursor lies below the confirmed one" };
+        case PipelineErrorCode::Superseded:
+            return { 409, "superseded", "A later pull of the run is known" };
         case PipelineErrorCode::KeyExpired:
             return { 410, "key-expired", "The idempotency key is older than the retention window" };
         case PipelineErrorCode::InProgress:
--- a/src/azurepaddle/pipeline/caller_service.cpp
+++ b/src/azurepaddle/pipeline/caller_service.cpp
@@ -45,6 +45,9 @@
         profile.prefixes = prefixHashes(item.generation.prompt);
         profile.tokensPerPrefix = prefixBlockBytes / bytesPerToken;
         profile.adapter = item.generation.adapter;
+        profile.minVersion = item.minVersion;
+        if (item.avoid)
+            profile.avoid.push_back(*item.avoid);
         return profile;
     }
 
--- a/src/azurepaddle/pipeline/error.hpp
+++ b/src/azurepaddle/pipeline/error.hpp
@@ -18,6 +18,8 @@
     Draining, ///< The instance is shutting down.
     DeadlineExceeded, ///< The deadline passed, or cannot be met.
     Conflict, ///< The idempotency key was used with another body, or a cursor contradicts the ledger.
+    CursorBehind, ///< The trainer's cursor lies below the confirmed one.
+    Superseded, ///< A later pull of the run is known.
     KeyExpired, ///< The idempotency key is older than the retention window.
     InProgress, ///< A request with this idempotency key is running.
     Blocked, ///< The request crashed endpoints and is blocked.
--- a/src/azurepaddle/pipeline/sender.cpp
+++ b/src/azurepaddle/pipeline/sender.cpp
@@ -210,10 +210,14 @@
     }
 }
 
-PipelineResult<Answer> Sender::generate(const WorkItem& item, const std::shared_ptr<Dispatcher::Entry>& entry, const OnPiece& onPiece, const std::stop_token& stop) const
+PipelineResult<Answer> Sender::generate(const WorkItem& item, const std::shared_ptr<Dispatcher::Entry>& entry, const OnPiece& onPiece, const std::stop_token& stop, const OnGranted& onGranted) const
 {
     Progress progress { onPiece, {}, {}, false, false, false, {}, item.deadline };
-    const auto result = repeat(item, entry, [&](const Grant& grant, unsigned number) { return streamOnce(item, grant, number, progress, stop); });
+    const auto result = repeat(item, entry, [&](const Grant& grant, unsigned number) {
+        if (onGranted)
+            onGranted(grant);
+        return streamOnce(item, grant, number, progress, stop);
+    });
     if (!result)
         return tl::unexpected(result.error());
     return std::move(progress.current);
--- a/src/azurepaddle/pipeline/sender.hpp
+++ b/src/azurepaddle/pipeline/sender.hpp
@@ -26,6 +26,9 @@
 /// Receives the pieces of an answer as they arrive. Returns false to cancel, because nobody waits any more.
 using OnPiece = std::function<bool(const EngineEvent&)>;
 
+/// Hears of each endpoint that an attempt is sent to.
+using OnGranted = std::function<void(const Grant&)>;
+
 /// Sends a request to endpoints until it has a whole answer, may not be repeated, or is out of time.
 class Sender {
 public:
@@ -37,7 +40,7 @@
     /// Runs an admitted engine request. When it is repeated, pieces passed on before are not passed on again, and the
     /// repetition must begin with them.
     [[nodiscard]] PipelineResult<Answer> generate(const WorkItem& item, const std::shared_ptr<Dispatcher::Entry>& entry, const OnPiece& onPiece,
-        const std::stop_token& stop) const;
+        const std::stop_token& stop, const OnGranted& onGranted = {}) const;
 
     /// Runs an admitted request to a plain service.
     [[nodiscard]] PipelineResult<AttemptResult> call(
--- a/src/azurepaddle/rollout/run_scheduler_hand_off.cpp
+++ b/src/azurepaddle/rollout/run_scheduler_hand_off.cpp
@@ -46,7 +46,7 @@
         planAssignments(request, resent, plan.record.assigned);
     // Also a resend is recorded, so that a delayed copy of an older pull cannot void what this one delivers.
     if (request.cursor == m_confirmed && resent == 0 && plan.record.voided.empty() && plan.record.assigned.empty()) {
-        m_answeredPull = request.pull;
+        // The pull may be planned again under its number, so that it can wait for samples.
         m_isTrainerWaiting = true;
         return replyTo(request, PullStatus::Empty);
     }
--- a/src/azurepaddle/routing/endpoint_state.cpp
+++ b/src/azurepaddle/routing/endpoint_state.cpp
@@ -49,10 +49,12 @@
 {
     if (std::find(profile.avoid.begin(), profile.avoid.end(), m_id) != profile.avoid.end())
         return false;
-    if (!profile.version)
+    if (!profile.version && !profile.minVersion)
         return true;
     const std::lock_guard lock(m_mutex);
-    return std::find(m_view.versions.begin(), m_view.versions.end(), *profile.version) != m_view.versions.end();
+    return std::any_of(m_view.versions.begin(), m_view.versions.end(), [&](WeightVersion version) {
+        return profile.version.value_or(version) == version && profile.minVersion.value_or(version) <= version;
+    });
 }
 
 bool EndpointState::hasRoom(WorkClass workClass, Health health) const
--- a/src/azurepaddle/routing/types.hpp
+++ b/src/azurepaddle/routing/types.hpp
@@ -40,6 +40,7 @@
     double tokensPerPrefix = 0; ///< Each further prefix is longer by this many tokens.
     std::string adapter; ///< Empty if none is needed.
     std::optional<WeightVersion> version; ///< Only endpoints with this version are eligible.
+    std::optional<WeightVersion> minVersion; ///< Only endpoints that serve this version or a newer one are eligible.
     std::vector<EndpointId> avoid; ///< Endpoints already tried, or running another copy.
 
     friend bool operator==(const RequestProfile&, const RequestProfile&) = default;
