Add the trainer and caller load stand-ins and their checkers

Cause: failure tests need clients that notice a broken guarantee by themselves. Change: azurepaddle-standin trainer checks exactly-once, order, whole groups, labels, staleness and scores, and keeps its cursor in a file; load checks that each answer is complete and its own and measures latencies from the schedule.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -24,7 +24,7 @@
     endif()
 endfunction()
 
-# Builds src/programs/<name> as an executable.
+# Builds src/programs/<name> as an executable and test/programs/<name> as a Criterion executable.
 function(azurepaddle_program name)
     cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
     list(TRANSFORM ARG_DEPENDS PREPEND azurepaddle-module-)
@@ -34,4 +34,13 @@
         target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
         target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} ${ARG_LIBRARIES})
     endif()
+
+    file(GLOB tests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/test/programs/${name}/*.cpp)
+    if(tests)
+        list(REMOVE_ITEM sources ${PROJECT_SOURCE_DIR}/src/programs/${name}/main.cpp)
+        add_executable(test-program-${name} ${tests} ${sources})
+        target_include_directories(test-program-${name} PRIVATE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/src/programs/${name})
+        target_link_libraries(test-program-${name} PRIVATE ${ARG_DEPENDS} ${ARG_LIBRARIES} PkgConfig::CRITERION)
+        add_test(NAME program-${name} COMMAND test-program-${name})
+    endif()
 endfunction()
--- a/src/programs/azurepaddle-standin/main.cpp
+++ b/src/programs/azurepaddle-standin/main.cpp
@@ -13,11 +13,13 @@
     std::string_view summary;
 };
 
-constexpr std::array<Subcommand, 4> subcommands { {
+constexpr std::array<Subcommand, 6> subcommands { {
     { "engine", runEngine, "a model engine that announces itself" },
     { "service", runService, "a plain service whose calls must not be repeated" },
     { "scorer", runScorer, "a plain service that scores samples" },
     { "store", runStore, "a rate-limited weight store" },
+    { "trainer", runTrainer, "a trainer that checks the samples it receives" },
+    { "load", runLoad, "callers that check every answer they receive" },
 } };
 
 void printHelp(std::ostream& stream)
