Prove the path of trainers and callers on real processes

Cause: the daemon had no test with real stand-ins. Change: operators' paths, drain, trainers and weights are served by the daemon; tests run a trainer while weights change and a mixed caller load, and judge both from outside. Spans in answers state their first token.

--- a/src/azurepaddle/pipeline/answer_format.cpp
+++ b/src/azurepaddle/pipeline/answer_format.cpp
@@ -23,8 +23,11 @@
     Json spansOf(const Answer& answer)
     {
         Json spans = Json::array();
-        for (const Span& span : answer.spans)
-            spans.push_back({ { "weight_version", span.version }, { "tokens", span.tokens } });
+        std::uint32_t from = 0;
+        for (const Span& span : answer.spans) {
+            spans.push_back({ { "from", from }, { "tokens", span.tokens }, { "weight_version", span.version } });
+            from += span.tokens;
+        }
         return spans;
     }
 
--- a/src/azurepaddle/pipeline/configuration_service.cpp
+++ b/src/azurepaddle/pipeline/configuration_service.cpp
@@ -37,12 +37,8 @@
 PipelineResult<SubmissionResult> ConfigurationService::submit(const std::string& text, TimePoint deadline)
 {
     const auto parsed = config::parseConfiguration(text, "configuration");
-    if (!parsed) {
-        SubmissionResult result { "invalid", m_holder.number(), {}, {} };
-        for (const auto& problem : parsed.error())
-            result.problems.push_back(config::describe(problem));
-        return result;
-    }
+    if (!parsed)
+        return SubmissionResult { "invalid", m_holder.number(), {}, parsed.error() };
     const auto reply = m_control.submit(control::SubmitConfiguration { parsed->number(), text }, deadline);
     if (!reply)
         return tl::unexpected(controlError(reply.error()));
--- a/src/azurepaddle/pipeline/configuration_service.hpp
+++ b/src/azurepaddle/pipeline/configuration_service.hpp
@@ -15,7 +15,7 @@
     std::string result; ///< accepted, already-accepted, superseded, conflict, stale or invalid.
     std::uint64_t number = 0; ///< In force afterwards.
     std::string digest; ///< Of the text in force.
-    std::vector<std::string> problems; ///< Every reason, if invalid.
+    config::Problems problems; ///< Every reason, if invalid.
 
     friend bool operator==(const SubmissionResult&, const SubmissionResult&) = default;
 };
--- a/src/programs/azurepaddled/instance.cpp
+++ b/src/programs/azurepaddled/instance.cpp
@@ -4,6 +4,7 @@
 #include "azurepaddle/http/caller_routes.hpp"
 #include "azurepaddle/http/endpoint_routes.hpp"
 #include "azurepaddle/http/operator_routes.hpp"
+#include "azurepaddle/http/trainer_routes.hpp"
 
 #include <fstream>
 #include <sstream>
@@ -18,6 +19,8 @@
     constexpr Duration demandInterval = std::chrono::seconds(1);
     constexpr Duration deadInterval = std::chrono::milliseconds(500);
     constexpr Duration controlDeadline = std::chrono::seconds(2);
+    constexpr Duration runInterval = std::chrono::milliseconds(20);
+    constexpr Duration weightInterval = std::chrono::milliseconds(100);
     constexpr Duration drainPoll = std::chrono::milliseconds(50);
     constexpr Duration drainNotice = std::chrono::milliseconds(300);
     constexpr std::size_t seedDigits = 15;
@@ -119,6 +122,28 @@
         return std::make_unique<control::ControlGroup>(groupOptions(settings), client);
     }
 
+    /// The ledger's record of a run.
+    pipeline::PipelineResult<control::RunRecord> readRun(control::ControlClient& client, const RunName& run, TimePoint deadline)
+    {
+        auto answer = client.read(control::RunQuery { run }, deadline);
+        if (!answer)
+            return tl::unexpected(pipeline::controlError(answer.error()));
+        auto* found = std::get_if<control::RunAnswer>(&*answer);
+        if (!found || !found->exists)
+            return pipeline::refuse(pipeline::PipelineErrorCode::NotFound, fmt::format("the ledger does not know run {}", run));
+        return std::move(found->record);
+    }
+
+    weights::SenderSettings orderSettings(const config::Settings& settings)
+    {
+        weights::SenderSettings sender;
+        sender.leaseDuration = settings.timing().orderLease;
+        sender.renewInterval = settings.timing().orderLease / 3;
+        sender.leaseMargin = settings.timing().orderLease / 10;
+        sender.orderDeadline = settings.timing().orderDeadline;
+        return sender;
+    }
+
     pipeline::ControlPort makePort(control::ControlClient& client, control::Holder self)
     {
         return { [&client](control::ControlAction action, TimePoint deadline) -> pipeline::PipelineResult<control::ControlReply> {
@@ -155,12 +180,22 @@
         , identify(clock)
         , claims(port)
         , background(settings.http().upstreamThreads)
+        , sampling(settings.http().upstreamThreads)
         , callers({ clock, identify, claims, admission, dispatcher, sender, metrics, [this](std::function<void()> task) { return background.run(std::move(task)); }, settings.http().streamQueue })
         , endpoints(directory, router, dispatcher)
+        , runs(runParts(settings), settings.instance().name, addressesOf(settings, nullptr), client)
+        , weights({ clock, holder, directory, connector, control, port, sampling, settings.secrets().endpoint, orderSettings(settings) })
         , http(settings.http())
     {
     }
 
+    [[nodiscard]] pipeline::RunParts runParts(const config::Settings& settings)
+    {
+        return { clock, holder, callers, sender, directory, sampling, metrics, port,
+            [this](const RunName& run, TimePoint deadline) { return readRun(control, run, deadline); }, settings.timing().runLease,
+            settings.limits().maxSampleBytes };
+    }
+
     void onConfiguration(const config::Configuration& configuration)
     {
         for (const auto& [name, tenant] : configuration.tenants())
@@ -202,9 +237,12 @@
     const pipeline::Sender sender;
     const pipeline::Identify identify;
     const pipeline::ClaimKeeper claims;
-    pipeline::BackgroundPool background;
+    pipeline::BackgroundPool background; ///< Streams of callers.
+    pipeline::BackgroundPool sampling; ///< Samples of runs, scorings, leases and orders.
     pipeline::CallerService callers;
     pipeline::EndpointService endpoints;
+    pipeline::RunService runs;
+    pipeline::WeightService weights;
     http::HttpServer http;
 };
 
@@ -226,6 +264,8 @@
     if (parts.group)
         parts.group->registerHandlers(parts.server);
     parts.exchange.registerHandlers(parts.server);
+    parts.runs.registerHandlers(parts.server);
+    parts.server.handle("drain", [this](const transport::PeerRequest&) -> transport::PeerReply { return beginDrain() ? std::string("draining") : std::string("already-draining"); });
     for (const auto& started : { parts.server.start(), parts.client.start() }) {
         if (!started) {
             m_log.error("{}", started.error().message());
@@ -246,6 +286,9 @@
         parts.exchange.pull();
     });
     runPeriodically("configuration", configurationInterval, [&parts] { static_cast<void>(parts.configurations.refresh(parts.clock.now() + controlDeadline)); });
+    runPeriodically("runs", runInterval, [&parts] { parts.runs.work(); });
+    if (m_settings.hasRole("control"))
+        runPeriodically("weights", weightInterval, [&parts] { parts.weights.work(); });
     runPeriodically("demands", demandInterval, [this] { exchangeDemands(); });
     runPeriodically("dead instances", deadInterval, [this] { reportDead(); });
     m_log.info("{} listens on {}:{} (HTTP) and {}:{} (peers)", m_settings.instance().name, m_settings.http().address, m_settings.http().port, m_settings.peer().address, m_settings.peer().port);
@@ -260,14 +303,12 @@
             return;
     }
     Parts& parts = *m_parts;
-    m_isDraining = true;
-    parts.http.drain();
-    parts.exchange.setStanding(false, true);
-    parts.exchange.pull();
+    static_cast<void>(beginDrain());
     std::this_thread::sleep_for(drainNotice);
     const TimePoint deadline = parts.clock.now() + m_settings.instance().drainTimeout;
-    while (parts.callers.inProgress() > 0 && parts.clock.now() < deadline)
+    while (parts.callers.inProgress() + parts.runs.inProgress() > 0 && parts.clock.now() < deadline)
         std::this_thread::sleep_for(drainPoll);
+    parts.runs.releaseAll();
     if (parts.callers.inProgress() > 0)
         m_log.warning("{} requests are still in progress after the drain timeout", parts.callers.inProgress());
     {
@@ -285,6 +326,17 @@
     m_log.info("stopped");
 }
 
+bool Instance::beginDrain()
+{
+    if (m_isDraining.exchange(true))
+        return false;
+    m_log.info("draining: new requests are refused");
+    m_parts->http.drain();
+    m_parts->exchange.setStanding(false, true);
+    m_parts->exchange.pull();
+    return true;
+}
+
 void Instance::runPeriodically(const std::string& name, Duration interval, std::function<void()> task)
 {
     m_threads.emplace_back([this, name, interval, task = std::move(task)] {
@@ -348,9 +400,28 @@
     Parts& parts = *m_parts;
     http::addCallerRoutes(parts.http, parts.callers, parts.holder);
     http::addEndpointRoutes(parts.http, parts.endpoints, m_settings.secrets().endpoint);
-    http::addOperatorRoutes(parts.http,
-        { parts.configurations, parts.holder, parts.directory, parts.exchange, parts.control, parts.metrics, [this] { return isReady(); } },
-        m_settings.secrets().operators);
+    http::addTrainerRoutes(parts.http, parts.runs);
+    http::addOperatorRoutes(parts.http, operatorParts(), m_settings.secrets().operators);
+}
+
+http::OperatorParts Instance::operatorParts()
+{
+    Parts& parts = *m_parts;
+    return { m_settings.instance().name, parts.configurations, parts.holder, parts.directory, parts.exchange, parts.control, parts.group.get(), parts.metrics, parts.router, parts.dispatcher, parts.callers, parts.runs, parts.weights,
+        [this] { return isReady(); }, [this](const std::string& name) { return drainInstance(name); } };
+}
+
+std::string Instance::drainInstance(const std::string& name)
+{
+    Parts& parts = *m_parts;
+    if (name == m_settings.instance().name)
+        return beginDrain() ? "draining" : "already-draining";
+    const auto peers = addressesOf(m_settings, nullptr);
+    const auto peer = peers.find(name);
+    if (peer == peers.end())
+        return {};
+    const auto answer = parts.client.call(peer->second, "drain", {}, parts.clock.now() + controlDeadline);
+    return answer ? *answer : std::string();
 }
 
 }
--- a/src/programs/azurepaddled/instance.hpp
+++ b/src/programs/azurepaddled/instance.hpp
@@ -3,12 +3,15 @@
 #include "azurepaddle/config/settings.hpp"
 #include "azurepaddle/control/client.hpp"
 #include "azurepaddle/control/group.hpp"
+#include "azurepaddle/http/operator_routes.hpp"
 #include "azurepaddle/http/server.hpp"
 #include "azurepaddle/pipeline/background_pool.hpp"
 #include "azurepaddle/pipeline/caller_service.hpp"
 #include "azurepaddle/pipeline/configuration_service.hpp"
 #include "azurepaddle/pipeline/endpoint_service.hpp"
 #include "azurepaddle/pipeline/peer_exchange.hpp"
+#include "azurepaddle/pipeline/run_service.hpp"
+#include "azurepaddle/pipeline/weight_service.hpp"
 
 namespace azurepaddle::daemon {
 
@@ -29,6 +32,11 @@
 
 private:
     void addRoutes();
+    [[nodiscard]] http::OperatorParts operatorParts();
+    /// Refuses new work from now on. False if it did so already.
+    bool beginDrain();
+    /// Drains this or another instance. The result's name, or an empty text if it is unknown or cannot be reached.
+    [[nodiscard]] std::string drainInstance(const std::string& name);
     void runPeriodically(const std::string& name, Duration interval, std::function<void()> task);
     void exchangeDemands();
     void reportDead();
--- a/test/processes/harness.py
+++ b/test/processes/harness.py
@@ -202,7 +202,7 @@
         self.http_port = http_port
         self.peer_port = peer_port
         self.settings = settings
-        super().__init__(folder, name, "azurepaddled", ["--settings-file", settings])
+        super().__init__(folder, name, "azurepaddled", ["--config", settings])
 
     def get(self, path):
         return call("GET", self.address, path, token=OPERATOR_SECRET).json()
