--- a/src/azurepaddle/admission/budgets.cpp
+++ b/src/azurepaddle/admission/budgets.cpp
@@ -44,7 +44,7 @@
 {
     if (!question.isIdempotent || question.isSuspect || question.hasCopy)
         return false;
-    if (question.utilisation > m_settings.maxUtilisation)
+    if (question.utilisation >= m_settings.maxUtilisation)
         return false;
     if (question.remainingHere < minHedgeGain * question.remainingElsewhere)
         return false;
--- a/src/azurepaddle/admission/budgets.hpp
+++ b/src/azurepaddle/admission/budgets.hpp
@@ -11,8 +11,8 @@
 /// Settings of a budget of additional attempts.
 struct BudgetSettings {
     double ratio = 0.1; ///< Additional attempts per first attempt.
-    double burst = 10; ///< Additional attempts that a tenant may save up.
-    double totalBurst = 50; ///< The same for all tenants together.
+    double burst = 32; ///< Additional attempts that a tenant may save up: two endpoints of 16 slots full of its work.
+    double totalBurst = 128; ///< The same for all tenants together.
     std::size_t maxTenants = 10000;
 
     friend bool operator==(const BudgetSettings&, const BudgetSettings&) = default;
@@ -45,7 +45,7 @@
 
 /// Settings of hedging.
 struct HedgeSettings {
-    double maxUtilisation = 0.9; ///< Fraction of the slots in use above which a copy would delay other work.
+    double maxUtilisation = 1.0; ///< Fraction of the slots in use from which a copy would delay other work.
     BudgetSettings budget { 0.1, 40, 100, 10000 };
 
     friend bool operator==(const HedgeSettings&, const HedgeSettings&) = default;
--- a/src/azurepaddle/routing/endpoint_state.hpp
+++ b/src/azurepaddle/routing/endpoint_state.hpp
@@ -20,7 +20,7 @@
     double adapterLoadCost = 300;
     double remoteDataCentreCost = 2;
     double longSlotShare = 0.75; ///< Part of an endpoint's slots open to long work.
-    double longFill = 0.85; ///< Long work is sent only while the estimated requests stay below this fraction of the slots.
+    double longFill = 0.9; ///< Long work is sent only while the estimated requests stay below this fraction of the slots.
     double borrowLimit = 0.85; ///< An endpoint estimated below this fraction of its slots lends slots beyond the own part.
     double returningLoad = 0.5; ///< Part of the slots used on an endpoint that returns from an exclusion.
     double otherInstancesWeight = 1; ///< How far changes of the load by this instance stand for those of all instances.
