Let long work exceed its part where endpoints are idle

Cause: after a run moved to another instance, its long work waited for the next exchange while slots were idle. Change: long work beyond the own part is sent while all requests fit into the slots open to long work; tests from several threads for the router and the controller.

--- a/src/azurepaddle/routing/endpoint_state.cpp
+++ b/src/azurepaddle/routing/endpoint_state.cpp
@@ -42,6 +42,7 @@
     // At least one slot stays closed to long work, unless the endpoint has only one.
     const auto open = static_cast<std::uint32_t>(m_settings.longSlotShare * static_cast<double>(m_view.slots));
     const std::uint32_t longSlots = std::clamp(open, 1U, std::max(1U, m_view.slots - 1));
+    m_openLongSlots = longSlots;
     m_ownLongSlots = slotsInPart(longSlots, share.longWork, offset);
 }
 
@@ -61,9 +62,10 @@
     const double limit = (health == Health::Returning ? m_settings.returningLoad : 1.0);
     const double own = m_load.own().requests;
     const double slots = static_cast<double>(m_view.slots);
-    if (workClass == WorkClass::Long && m_longInProgress >= m_ownLongSlots)
-        return false;
     const double estimated = m_load.mostRequests(scale()) + 1;
+    // Beyond the own part, long work is sent only if all requests together fit into the slots open to long work.
+    if (workClass == WorkClass::Long && m_longInProgress >= m_ownLongSlots && (m_longInProgress >= m_openLongSlots || estimated > m_openLongSlots))
+        return false;
     if (workClass == WorkClass::Long && estimated > m_settings.longFill * slots)
         return false;
     return own + 1 <= limit * static_cast<double>(m_ownSlots) || estimated <= limit * m_settings.borrowLimit * slots;
--- a/src/azurepaddle/routing/endpoint_state.hpp
+++ b/src/azurepaddle/routing/endpoint_state.hpp
@@ -72,6 +72,7 @@
     LoadEstimator m_load;
     InstanceShare m_share;
     std::uint32_t m_ownSlots = 0; ///< Slots of this instance's part.
+    std::uint32_t m_openLongSlots = 1; ///< To long work of all instances.
     std::uint32_t m_ownLongSlots = 0;
     std::uint32_t m_longInProgress = 0;
     std::unordered_map<std::uint64_t, TimePoint> m_sentPrefixes;
--- a/test/azurepaddle/admission/admission.cpp
+++ b/test/azurepaddle/admission/admission.cpp
@@ -2,7 +2,10 @@
 #include "azurepaddle/admission/concurrency_limiter.hpp"
 #include "azurepaddle/admission/controller.hpp"
 
+#include <atomic>
 #include <criterion/criterion.h>
+#include <thread>
+#include <vector>
 
 using namespace azurepaddle;
 using namespace azurepaddle::admission;
@@ -99,6 +102,32 @@
     cr_assert(!controller.next(service));
 }
 
+// Guards against data races and lost tickets (run with -fsanitize=thread).
+Test(AdmissionController, severalThreads_admitAndTake_loseNoTicket)
+{
+    SystemClock clock;
+    AdmissionController controller(clock);
+    std::atomic<int> taken { 0 };
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([&controller, &taken] {
+            for (int j = 0; j < 300; ++j) {
+                (void)controller.admit(profileOf(j % 2 == 0 ? 50 : 5000));
+                const auto ticket = controller.next(service);
+                if (!ticket)
+                    continue;
+                ++taken;
+                controller.onFinished(*ticket, 50, 500ms);
+                if (j % 100 == 0)
+                    (void)controller.takeDemands(service);
+            }
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    cr_assert(taken + static_cast<int>(controller.waiting(service, WorkClass::Short) + controller.waiting(service, WorkClass::Long)) == 1200);
+}
+
 // Guards against estimates that ignore what a tenant's requests really generate, or that exceed the stated limit.
 Test(SizeEstimator, history_estimated_followsObservedSizesWithinLimit)
 {
--- a/test/azurepaddle/routing/router.cpp
+++ b/test/azurepaddle/routing/router.cpp
@@ -3,7 +3,9 @@
 #include <criterion/criterion.h>
 #include <deque>
 #include <map>
-#include <set>
+#include <string>
+#include <thread>
+#include <vector>
 
 using namespace azurepaddle;
 using namespace azurepaddle::routing;
@@ -108,6 +110,20 @@
     cr_assert(fixture.router.choose(profileOf()).has_value());
 }
 
+// Guards against idle slots kept for long work of other instances until the next exchange.
+Test(Router, smallPartOfIdleEndpoints_longWork_usesAllOpenSlots)
+{
+    Fixture fixture(1);
+    fixture.router.setShare({ { 0, 0.1 }, { 0, 0.1 }, 0.9 });
+    int sent = 0;
+    for (auto choice = fixture.router.choose(profileOf(WorkClass::Long)); choice; choice = fixture.router.choose(profileOf(WorkClass::Long))) {
+        (void)fixture.router.onSent(profileOf(WorkClass::Long), *choice);
+        ++sent;
+    }
+    cr_assert(sent > 8, "%d of 16 slots", sent);
+    cr_assert(sent <= 12, "%d of 16 slots, 12 are open to long work", sent);
+}
+
 // Guards against instances that together exceed the slots open to long work.
 Test(SlotPart, partsOfAllInstances_summed_giveAllSlots)
 {
@@ -140,6 +156,38 @@
         cr_assert(fixture.router.choose(profile).value() != cached.id);
 }
 
+// Guards against data races and against load that stays counted after all requests ended (run with -fsanitize=thread).
+Test(Router, severalThreads_sendAndEnd_loadReturnsToZero)
+{
+    SystemClock clock;
+    Router<SystemClock, Random> router(clock, Random(1), here);
+    for (int i = 0; i < 12; ++i)
+        router.update(viewOf(i, clock.now()));
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([&router] {
+            for (int j = 0; j < 300; ++j) {
+                const auto endpoint = router.choose(profileOf(j % 3 == 0 ? WorkClass::Long : WorkClass::Short));
+                if (!endpoint)
+                    continue;
+                const AttemptId attempt = router.onSent(profileOf(), *endpoint);
+                router.onToken(attempt, 50);
+                j % 7 == 0 ? router.onFailed(attempt) : router.onFinished(attempt);
+                if (j % 50 == 0)
+                    (void)router.tick();
+            }
+        });
+    }
+    for (int i = 0; i < 100; ++i) {
+        router.remove(EndpointId("e11"));
+        router.update(viewOf(11, clock.now()));
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    for (int i = 0; i < 11; ++i)
+        cr_assert(router.load(EndpointId("e" + std::to_string(i))).requests == 0);
+}
+
 // Guards against the loss of requests in progress when a report older than the sending arrives.
 Test(LoadEstimator, lateReport_applied_keepsWorkSentSince)
 {
