Bound kept responses and submissions, test the guards that nothing caught

Cause: a million claims with a response of 4 KiB each would have taken 4 GB; a submission of many large prompts could exceed the size that the codec decodes; four guards of rollout and weights could be removed without a failing test.

Change: response bodies are kept up to 256 MiB in all, a submission holds at most 8 MiB of prompts. The group exempt from the memory bound is looked up once per nextAttempts instead of once per sample. New tests for an abandoned pull planned again, an endpoint without the version after the prefetch patience, a lease regained after another holder, and the limit of response bodies.

--- a/src/azurepaddle/control/claims.cpp
+++ b/src/azurepaddle/control/claims.cpp
@@ -97,10 +97,12 @@
         return { ClaimStatus::Done, record->result, record->request };
     record->state = ClaimState::Done;
     record->result = request.result;
-    if (!record->result.hasBody || record->result.body.size() > maxResultBody) {
+    const std::size_t size = record->result.body.size();
+    if (!record->result.hasBody || size > maxResultBody || m_resultBytes + size > maxResultBytes) {
         record->result.body = std::string();
         record->result.hasBody = false;
     }
+    m_resultBytes += record->result.body.size();
     return { ClaimStatus::Completed, {}, record->request };
 }
 
@@ -118,6 +120,7 @@
     while (!m_byExpiry.empty() && m_byExpiry.begin()->first <= now) {
         const auto record = m_byExpiry.begin()->second;
         m_forgottenUpTo = std::max(m_forgottenUpTo, record->second.claimedAt + maxClockDifference);
+        m_resultBytes -= record->second.result.body.size();
         m_byExpiry.erase(m_byExpiry.begin());
         m_records.erase(record);
     }
@@ -126,8 +129,11 @@
 void Claims::rebuildIndex()
 {
     m_byExpiry.clear();
-    for (auto record = m_records.begin(); record != m_records.end(); ++record)
+    m_resultBytes = 0;
+    for (auto record = m_records.begin(); record != m_records.end(); ++record) {
         m_byExpiry.emplace(record->second.expires, record);
+        m_resultBytes += record->second.result.body.size();
+    }
 }
 
 }
--- a/src/azurepaddle/control/claims.hpp
+++ b/src/azurepaddle/control/claims.hpp
@@ -124,6 +124,8 @@
     static constexpr std::size_t maxClaims = 1'000'000;
     /// Largest response body kept with a claim, in bytes.
     static constexpr std::size_t maxResultBody = 4096;
+    /// Bytes of all response bodies kept. Beyond them, claims are completed without their body.
+    static constexpr std::size_t maxResultBytes = 256ULL * 1024 * 1024;
     /// Longest retention window that may be asked for.
     static constexpr Milliseconds maxRetention = 7LL * 24 * 3'600'000;
 
@@ -141,7 +143,9 @@
     void expire(LogTime now);
 
     [[nodiscard]] const std::map<ClaimKey, ClaimRecord>& records() const noexcept { return m_records; }
-    /// Rebuilds the expiry index after decoding.
+    /// Bytes of all response bodies kept.
+    [[nodiscard]] std::size_t resultBytes() const noexcept { return m_resultBytes; }
+    /// Rebuilds the expiry index and the byte count after decoding.
     void rebuildIndex();
 
     bool operator==(const Claims& other) const { return m_records == other.m_records && m_forgottenUpTo == other.m_forgottenUpTo; }
@@ -156,6 +160,7 @@
 
     Records m_records;
     std::multimap<LogTime, Records::iterator> m_byExpiry;
+    std::size_t m_resultBytes = 0;
     LogTime m_forgottenUpTo = 0; ///< A key first seen up to this time may belong to a forgotten claim.
 };
 
--- a/src/azurepaddle/control/validate.cpp
+++ b/src/azurepaddle/control/validate.cpp
@@ -14,6 +14,7 @@
     constexpr std::size_t maxConfigurationSize = 4U * 1024U * 1024U;
     constexpr std::size_t maxPromptSize = 1024U * 1024U;
     constexpr std::size_t maxGroupsPerCommand = 4096;
+    constexpr std::size_t maxSubmissionSize = 8U * 1024U * 1024U;
 
     Problem checkName(std::string_view field, const std::string& name)
     {
@@ -135,11 +136,14 @@
 
     Problem check(const SubmitGroups& action)
     {
+        std::size_t bytes = 0;
         for (const GroupSpec& spec : action.groups) {
             if (auto problem = check(spec))
                 return problem;
+            bytes += spec.prompt.size();
         }
-        return firstOf(checkName("run", action.run.value()), checkRange<std::size_t>("groups", action.groups.size(), 1, maxGroupsPerCommand));
+        return firstOf(checkName("run", action.run.value()), checkRange<std::size_t>("groups", action.groups.size(), 1, maxGroupsPerCommand),
+            checkRange<std::size_t>("size of all prompts", bytes, 0, maxSubmissionSize));
     }
 
     Problem check(const SetTrainerVersion& action) { return checkName("run", action.run.value()); }
--- a/src/azurepaddle/rollout/run_scheduler.hpp
+++ b/src/azurepaddle/rollout/run_scheduler.hpp
@@ -129,7 +129,7 @@
     [[nodiscard]] std::optional<WeightVersion> minimumVersionFor(std::uint64_t step, TimePoint now) const;
     [[nodiscard]] bool isLastOfStep(std::uint64_t step) const;
     [[nodiscard]] std::uint64_t lowestOpenStep() const;
-    [[nodiscard]] bool hasMemoryFor(const internal::GroupOrder& order) const;
+    [[nodiscard]] bool hasMemoryForMore() const;
     [[nodiscard]] Groups::const_iterator firstUnassigned() const;
     [[nodiscard]] Duration retryDelay(std::uint32_t failures) const noexcept;
     void accept(const internal::RunningAttempt& attempt, AttemptId id, SampleBody body, VersionRange versions, TimePoint now);
--- a/src/azurepaddle/rollout/run_scheduler_attempts.cpp
+++ b/src/azurepaddle/rollout/run_scheduler_attempts.cpp
@@ -19,6 +19,7 @@
     std::vector<Attempt> attempts;
     if (m_isFenced)
         return attempts;
+    const auto first = firstUnassigned();
     for (auto step = m_steps.begin(); step != m_steps.end() && attempts.size() < freeSlots; ++step) {
         const auto minimum = minimumVersionFor(step->first, now);
         if (!minimum)
@@ -31,7 +32,9 @@
             ++key;
             if (attempts.size() >= freeSlots)
                 break;
-            if (group->second.samples[index].notBefore > now || !hasMemoryFor(group->first))
+            // The first group to hand off must complete whatever its size, or the run would stop.
+            const bool isExempt = first != m_groups.end() && first->first == group->first;
+            if (group->second.samples[index].notBefore > now || (!isExempt && !hasMemoryForMore()))
                 continue;
             attempts.push_back(startAttempt(group, index, now));
             attempts.back().minimumVersion = *minimum;
@@ -140,11 +143,9 @@
     return std::find_if(m_groups.begin(), m_groups.end(), [](const auto& group) { return !group.second.isLive(); });
 }
 
-bool RunScheduler::hasMemoryFor(const GroupOrder& order) const
+bool RunScheduler::hasMemoryForMore() const
 {
-    // The first group to hand off must complete whatever its size, or the run would stop.
-    const auto first = firstUnassigned();
-    if (m_buffer.size() == 0 || (first != m_groups.end() && first->first == order))
+    if (m_buffer.size() == 0)
         return true;
     const std::size_t mean = m_buffer.bytes() / m_buffer.size();
     return m_buffer.bytes() + (m_running.size() + 1) * mean <= m_settings.bufferBytes;
--- a/test/azurepaddle/control/rules.cpp
+++ b/test/azurepaddle/control/rules.cpp
@@ -93,6 +93,7 @@
     Fixture fixture;
     static_cast<void>(fixture.claim("r1", holder("a")));
     static_cast<void>(fixture.complete("r1", holder("a"), std::string(Claims::maxResultBody + 1, 'x')));
+    cr_assert(fixture.state.claims().resultBytes() == 0);
     const ClaimReply done = fixture.claim("r2", holder("a"));
     cr_assert(done.status == ClaimStatus::Done && !done.result.hasBody && done.result.body.empty());
     static_cast<void>(fixture.apply(ReportDead { InstanceId("c"), 3 }));
@@ -100,6 +101,25 @@
     cr_assert(fixture.expect<ClaimReply>(byDead).status == ClaimStatus::HolderDead);
 }
 
+// Guards against unbounded memory through many small responses, and against a count that drifts.
+Test(Claims, manyResponses_completed_areKeptUpToLimit)
+{
+    Fixture fixture;
+    const std::size_t fitting = Claims::maxResultBytes / Claims::maxResultBody;
+    for (std::size_t i = 0; i <= fitting; ++i) {
+        const ClaimKey key { TenantName("blue"), std::to_string(i) };
+        static_cast<void>(fixture.apply(Claim { key, RequestId("r"), "digest", holder("a"), 0, retention }));
+        const ClaimResult result { ClaimOutcome::Succeeded, 200, "text/plain", std::string(Claims::maxResultBody, 'x'), true };
+        cr_assert(fixture.expect<ClaimReply>(CompleteClaim { key, RequestId("r"), holder("a"), result }).status == ClaimStatus::Completed);
+    }
+    const auto& records = fixture.state.claims().records();
+    cr_assert(fixture.state.claims().resultBytes() == Claims::maxResultBytes);
+    cr_assert(!records.at({ TenantName("blue"), std::to_string(fitting) }).result.hasBody);
+    fixture.now += retention + 2 * maxClockDifference;
+    static_cast<void>(fixture.apply(AdvanceTime {}));
+    cr_assert(fixture.state.claims().resultBytes() == 0);
+}
+
 // Guards against two holders of one order lease, and against a successor that starts while old orders may arrive.
 Test(OrderLeases, secondHolder_acquiring_waitsForLeaseAndOrders)
 {
--- a/test/azurepaddle/rollout/scheduler.cpp
+++ b/test/azurepaddle/rollout/scheduler.cpp
@@ -273,6 +273,20 @@
     cr_assert(fixture.pull(0).samples.size() == 4);
 }
 
+// Guards against pulls planned from a standing that may be outdated, and against the reply to a plan given up before.
+Test(RunScheduler, abandonedPull_plannedAgain_waitsForReloadAndIgnoresOldReply)
+{
+    Fixture fixture;
+    fixture.finishAll(5);
+    const PullRequest request { 1, 0, 5, 100 };
+    const auto old = std::get<HandOffPlan>(fixture.scheduler.planPull(request, fixture.now));
+    fixture.scheduler.abandonPull();
+    cr_assert(std::get<PullReply>(fixture.scheduler.planPull(request, fixture.now)).status == PullStatus::Retry);
+    fixture.scheduler.reload(fixture.record(), fixture.now);
+    cr_assert(std::holds_alternative<HandOffPlan>(fixture.scheduler.planPull(request, fixture.now)));
+    cr_assert(fixture.scheduler.completePull(old, fixture.ledger.recordHandOff(old.record), fixture.now).status == PullStatus::Retry);
+}
+
 // Guards against an old owner that hands off after a new one, and against a new owner that resends numbers without bodies.
 Test(RunScheduler, ownerChange_pulled_voidsAndGeneratesAgain)
 {
--- a/test/azurepaddle/weights/planner.cpp
+++ b/test/azurepaddle/weights/planner.cpp
@@ -198,6 +198,25 @@
     cr_assert(service.planner.servedVersion(0.5) == 2 && service.planner.servedVersion(1.0) == 1);
 }
 
+// Guards against a switch order to an endpoint that does not hold the version, and against one that holds up all others.
+Test(RolloutPlanner, endpointWithoutVersion_patienceOver_isLeftOut)
+{
+    Service service(3);
+    service.planner.want({ 2, {} }, service.now);
+    const EndpointId lagging = endpointName(0);
+    std::size_t switches = 0;
+    service.run(80s, [&](const OrderAction& action) {
+        cr_assert(action.endpoint != lagging || action.kind == OrderKind::Prefetch);
+        switches += action.kind == OrderKind::Switch ? 1 : 0;
+        cr_assert(action.kind == OrderKind::Prefetch || service.now >= TimePoint(70s));
+        if (action.endpoint != lagging)
+            service.deliver(action);
+    });
+    cr_assert(switches == 2);
+    service.run(20s, [&](const OrderAction& action) { service.deliver(action); });
+    cr_assert(service.isDone(2));
+}
+
 // Guards against a rollout that never ends because an endpoint hangs in a swap or went silent.
 Test(RolloutPlanner, hungSwapAndSilentEndpoint_planned_areOrderedAgainAndPassedOver)
 {
--- a/test/azurepaddle/weights/sender.cpp
+++ b/test/azurepaddle/weights/sender.cpp
@@ -115,6 +115,25 @@
     cr_assert(!sender.isSettled(ignoring));
 }
 
+// Guards against trust in a state that was read before another holder had the lease.
+Test(OrderSender, leaseRegained_afterOtherHolder_readsAgain)
+{
+    Fixture fixture;
+    OrderSender& sender = fixture.first.sender;
+    for (int i = 0; i < 30; ++i, fixture.now += 250ms) {
+        fixture.first.renew(fixture.leases, fixture.now);
+        sender.onState(ignoring, true, fixture.now, fixture.now);
+    }
+    cr_assert(sender.isSettled(ignoring));
+    fixture.now += 6s;
+    fixture.second.renew(fixture.leases, fixture.now);
+    cr_assert(fixture.second.sender.holdsLease(fixture.now));
+    fixture.now += 6s;
+    fixture.first.renew(fixture.leases, fixture.now);
+    cr_assert(sender.epoch() == 3 && !sender.isSettled(ignoring));
+    cr_assert(!sender.authorize(switchTo(ignoring, 2), fixture.now));
+}
+
 // Guards against an order of an old holder that changes an endpoint after its successor has settled it.
 Test(OrderSender, pausedHolder_resumed_neverChangesSettledEndpoint)
 {
