Test the configuration parser with changed bytes

Cause: a configuration arrives over HTTP and must be refused or mean exactly what its canonical text means. Change: 3000 texts with one to three changed bytes, from a fixed seed, are refused with a reason or round-trip through their canonical text.

--- a/test/azurepaddle/config/configuration.cpp
+++ b/test/azurepaddle/config/configuration.cpp
@@ -1,4 +1,5 @@
 #include "azurepaddle/config/configuration.hpp"
+#include "azurepaddle/core/random.hpp"
 
 #include <algorithm>
 #include <criterion/criterion.h>
@@ -129,3 +130,27 @@
     cr_assert(diff(before, after) == expected);
     cr_assert(diff(before, before).empty());
 }
+
+// Guards against input that crashes the parser, and accepted input whose canonical text means something else.
+Test(Configuration, changedBytes_parsed_areRefusedOrRoundTrip)
+{
+    constexpr std::uint64_t seed = 20261204;
+    constexpr int rounds = 3000;
+    constexpr std::string_view alphabet = "[]=:;#\n \t,.0123456789-abcdefyn\r\0\xff";
+    Random random(seed);
+    int accepted = 0;
+    for (int round = 0; round < rounds; ++round) {
+        std::string text = sample();
+        for (std::uint64_t changes = 1 + random.below(3); changes > 0; --changes)
+            text[random.below(text.size())] = alphabet[random.below(alphabet.size())];
+        const auto result = parseConfiguration(text, "test.ini");
+        if (!result) {
+            cr_assert(!result.error().empty(), "seed %lu round %d", seed, round);
+            continue;
+        }
+        ++accepted;
+        const auto again = parseConfiguration(result->canonicalText(), "canonical");
+        cr_assert(again.has_value() && *again == *result, "seed %lu round %d", seed, round);
+    }
+    cr_assert(accepted > 0);
+}
