Test that lost plain answers are resent with their key and counted

Cause: a second run of a call must be visible, and the HTTP library must not resend by itself. Change: a process test drops two answers and compares resends with runs. Conclusion: the load counts every sending.

--- a/test/processes/test_standin_clients.py
+++ b/test/processes/test_standin_clients.py
@@ -91,6 +91,17 @@
         self.assertEqual(sum(results["short"].values()) + sum(results["long"].values()), 100)
         self.assertEqual(results["short"], {"ok": results["short"]["ok"]})
 
+    # Guards against a second run that goes unnoticed, and against resends of the HTTP library that nobody counts.
+    def test_lostPlainAnswers_areResentWithTheirKey(self):
+        service = self.service("s1", "desk")
+        service.fault(drop_answers=2)
+        load = self.load([service.address], plain_service="desk", plain_fraction=1, requests=10, concurrency=1)
+        self.assertEqual(load.wait(), 0, load.output() + load.errors())
+        self.assertEqual((load.json()["results"], load.json()["resent"]), ({"plain": {"ok": 10}}, 2))
+        runs = service.ran()["keys"]
+        self.assertEqual(set(runs), set(load.json()["keys"]["ok"]))
+        self.assertEqual(sum(runs.values()), 12)
+
     # Guards against an answer to another request that passes as the caller's own.
     def test_foreignAnswers_areViolations(self):
         instance = self.instance()
