Let AZUREPADDLE_SEEDS set the seeds of the paused-holder test

Cause: the test of a paused order holder ran a fixed number of seeds.

Change: it reads AZUREPADDLE_SEEDS like the other randomised tests.

--- a/test/azurepaddle/weights/sender.cpp
+++ b/test/azurepaddle/weights/sender.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+std::uint64_t seeds(std::uint64_t usual)
+{
+    const char* const wanted = std::getenv("AZUREPADDLE_SEEDS");
+    return wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
+}
+
 const ServiceName service("models");
 const EndpointId checking("checking");
 const EndpointId ignoring("ignoring");
@@ -137,7 +143,7 @@
 // Guards against an order of an old holder that changes an endpoint after its successor has settled it.
 Test(OrderSender, pausedHolder_resumed_neverChangesSettledEndpoint)
 {
-    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    for (std::uint64_t seed = 1; seed <= seeds(40); ++seed) {
         Random random(seed);
         Fixture fixture;
         control::Epoch seenToken = 0;
