--- a/src/azurepaddle/routing/routing_table.hpp
+++ b/src/azurepaddle/routing/routing_table.hpp
@@ -14,7 +14,8 @@
 
 namespace azurepaddle::routing {
 
-/// Tells whether the caller's own limits admit a further request at an endpoint.
+/// Tells whether the caller's own limits admit a further request at an endpoint. It is called under a lock of the router
+/// and must not call the router.
 using EndpointFilter = std::function<bool(const EndpointId&)>;
 
 }
