--- a/src/azurepaddle/control/suspects.cpp
+++ b/src/azurepaddle/control/suspects.cpp
@@ -18,7 +18,7 @@
     SuspectRecord& record = m_records[report.fingerprint];
     m_byAge.erase({ record.isBlocked(), record.lastEvent, report.fingerprint });
     record.tenant = report.tenant;
-    addCrash(record, report.endpoint);
+    addCrash(record, { report.endpoint, report.incarnation });
     touch(report.fingerprint, record, now);
     const SuspectReply reply { standingOf(record), 0, 0, record.crashes };
     dropOldest();
@@ -35,8 +35,11 @@
         return { SuspectStatus::Blocked, 0, 0, record.crashes };
     if (record.isTrialRunning)
         return { SuspectStatus::TrialBusy, 0, std::max<Milliseconds>(1, record.trialExpires - now), record.crashes };
+    if (isTrialEndpoint(request.endpoint))
+        return { SuspectStatus::TrialBusy, 0, 1, record.crashes };
     record.isTrialRunning = true;
     record.isTrialLost = false;
+    record.trialEndpoint = request.endpoint;
     record.holder = request.holder;
     record.epoch = ++m_epochs;
     record.trialExpires = now + request.duration + maxClockDifference;
@@ -62,7 +65,7 @@
     record.isTrialRunning = false;
     record.isTrialLost = false;
     if (request.result == TrialResult::Crashed && !wasCounted)
-        addCrash(record, request.endpoint);
+        addCrash(record, { request.endpoint, request.incarnation });
     if (request.result == TrialResult::NotRun && wasCounted)
         --record.crashes;
     touch(request.fingerprint, record, now);
@@ -91,12 +94,22 @@
     }
 }
 
-void Suspects::addCrash(SuspectRecord& record, const EndpointId& endpoint)
+bool Suspects::isTrialEndpoint(const EndpointId& endpoint) const
+{
+    return !endpoint.empty() && std::any_of(m_trials.begin(), m_trials.end(), [&](const auto& trial) { return m_records.at(trial.second).trialEndpoint == endpoint; });
+}
+
+void Suspects::addCrash(SuspectRecord& record, const CrashEvent& crash)
 {
     constexpr std::size_t maxEndpoints = 4;
+    const bool isCounted = std::find(record.counted.begin(), record.counted.end(), crash) != record.counted.end();
+    if (crash.incarnation != 0 && isCounted)
+        return;
     ++record.crashes;
     if (record.endpoints.size() < maxEndpoints)
-        record.endpoints.push_back(endpoint);
+        record.endpoints.push_back(crash.endpoint);
+    if (crash.incarnation != 0 && record.counted.size() < maxEndpoints)
+        record.counted.push_back(crash);
 }
 
 void Suspects::touch(const Fingerprint& fingerprint, SuspectRecord& record, LogTime now)
--- a/src/azurepaddle/control/suspects.hpp
+++ b/src/azurepaddle/control/suspects.hpp
@@ -14,20 +14,23 @@
     Fingerprint fingerprint;
     EndpointId endpoint;
     TenantName tenant;
+    std::uint64_t incarnation = 0; ///< Of the endpoint. Several reports of one crash count once; 0 if not known.
 
     bool operator==(const ReportSuspect&) const = default;
-    MSGPACK_DEFINE(fingerprint, endpoint, tenant)
+    MSGPACK_DEFINE(fingerprint, endpoint, tenant, incarnation)
 };
 
-/// Asks to run a suspect. At most one trial of a fingerprint runs over all instances.
+/// Asks to run a suspect. Over all instances at most one trial of a fingerprint runs, and at most one on an endpoint, so
+/// that a crash is never blamed on the wrong suspect.
 struct AcquireTrial {
     static constexpr std::uint32_t tag = 41;
     Fingerprint fingerprint;
     Holder holder;
     Milliseconds duration = 0; ///< Longer than the deadline of the request.
+    EndpointId endpoint; ///< Where it is to run.
 
     bool operator==(const AcquireTrial&) const = default;
-    MSGPACK_DEFINE(fingerprint, holder, duration)
+    MSGPACK_DEFINE(fingerprint, holder, duration, endpoint)
 };
 
 enum class TrialResult : unsigned char {
@@ -42,9 +45,10 @@
     Epoch epoch = 0;
     TrialResult result = TrialResult::NotRun;
     EndpointId endpoint;
+    std::uint64_t incarnation = 0; ///< Of the endpoint, as in a report.
 
     bool operator==(const FinishTrial&) const = default;
-    MSGPACK_DEFINE(fingerprint, epoch, result, endpoint)
+    MSGPACK_DEFINE(fingerprint, epoch, result, endpoint, incarnation)
 };
 
 /// An operator allows a blocked fingerprint again.
@@ -76,6 +80,15 @@
     MSGPACK_DEFINE(status, epoch, wait, crashes)
 };
 
+/// One crash of one incarnation of an endpoint.
+struct CrashEvent {
+    EndpointId endpoint;
+    std::uint64_t incarnation = 0;
+
+    bool operator==(const CrashEvent&) const = default;
+    MSGPACK_DEFINE(endpoint, incarnation)
+};
+
 struct SuspectRecord {
     TenantName tenant;
     std::vector<EndpointId> endpoints; ///< Endpoints that crashed, for operators.
@@ -86,10 +99,12 @@
     Holder holder;
     LogTime trialExpires = 0;
     LogTime lastEvent = 0;
+    EndpointId trialEndpoint; ///< Of the last trial.
+    std::vector<CrashEvent> counted; ///< Crashes of known incarnations.
 
     [[nodiscard]] bool isBlocked() const noexcept { return crashes >= 2; }
     bool operator==(const SuspectRecord&) const = default;
-    MSGPACK_DEFINE(tenant, endpoints, crashes, epoch, isTrialRunning, isTrialLost, holder, trialExpires, lastEvent)
+    MSGPACK_DEFINE(tenant, endpoints, crashes, epoch, isTrialRunning, isTrialLost, holder, trialExpires, lastEvent, trialEndpoint, counted)
 };
 
 /// Fingerprints of requests that were running when an endpoint crashed.
@@ -114,7 +129,8 @@
     MSGPACK_DEFINE(m_records, m_epochs)
 
 private:
-    void addCrash(SuspectRecord& record, const EndpointId& endpoint);
+    [[nodiscard]] bool isTrialEndpoint(const EndpointId& endpoint) const;
+    void addCrash(SuspectRecord& record, const CrashEvent& crash);
     void touch(const Fingerprint& fingerprint, SuspectRecord& record, LogTime now);
     void forget(const Fingerprint& fingerprint);
     void dropOldest();
--- a/src/azurepaddle/http/operator_views.cpp
+++ b/src/azurepaddle/http/operator_views.cpp
@@ -135,6 +135,8 @@
         status["term"] = view.raft.term;
         status["log_index"] = view.raft.commitIndex;
         status["log_voters"] = view.raft.membership.voters.size();
+        status["log_learners"] = view.raft.membership.learners.size();
+        status["log_is_voter"] = view.raft.membership.voters.contains(view.raft.id);
         status["claims"] = view.claims;
     }
     return { { "status", Json::array({ status }) } };
--- a/src/azurepaddle/http/server.cpp
+++ b/src/azurepaddle/http/server.cpp
@@ -10,6 +10,7 @@
     using pipeline::PipelineError;
     using pipeline::PipelineErrorCode;
 
+    constexpr int listenBacklog = 1024;
     constexpr std::size_t overflowThreads = 8;
     constexpr Duration overloadRetry = std::chrono::milliseconds(500);
     constexpr Duration drainRetry = std::chrono::milliseconds(100);
@@ -21,11 +22,28 @@
         return path == "/v1/completions" || path == "/v1/chat/completions" || path.starts_with("/v1/services/") || path.starts_with("/v1/runs/");
     }
 
+    /// Debian's library fixes the listen backlog at 5, which drops connections in a burst; a second listen deepens it.
+    template <typename Base>
+    class DeepServer final : public Base {
+    public:
+        using Base::Base;
+
+        void deepenBacklog() const { ::listen(this->svr_sock_, listenBacklog); }
+    };
+
     std::unique_ptr<httplib::Server> makeServer(const config::HttpSettings& settings)
     {
         if (settings.tlsCertificate.empty())
-            return std::make_unique<httplib::Server>();
-        return std::make_unique<httplib::SSLServer>(settings.tlsCertificate.c_str(), settings.tlsKey.c_str());
+            return std::make_unique<DeepServer<httplib::Server>>();
+        return std::make_unique<DeepServer<httplib::SSLServer>>(settings.tlsCertificate.c_str(), settings.tlsKey.c_str());
+    }
+
+    void deepenBacklog(const httplib::Server& server)
+    {
+        if (const auto* plain = dynamic_cast<const DeepServer<httplib::Server>*>(&server))
+            plain->deepenBacklog();
+        else if (const auto* secure = dynamic_cast<const DeepServer<httplib::SSLServer>*>(&server))
+            secure->deepenBacklog();
     }
 
     std::size_t headerBytes(const httplib::Request& request)
@@ -104,6 +122,7 @@
         Log("http").error("cannot listen on {}:{}", m_settings.address, m_settings.port);
         return false;
     }
+    deepenBacklog(*m_server);
     m_thread = std::thread([this] { m_server->listen_after_bind(); });
     while (!m_server->is_running())
         std::this_thread::yield();
--- a/src/azurepaddle/pipeline/caller_service.cpp
+++ b/src/azurepaddle/pipeline/caller_service.cpp
@@ -4,6 +4,8 @@
 #include "azurepaddle/pipeline/answer_format.hpp"
 
 #include <condition_variable>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 namespace azurepaddle::pipeline {
 
@@ -15,12 +17,16 @@
     constexpr Duration overloadRetry = std::chrono::milliseconds(500);
     constexpr auto streamContentType = "text/event-stream";
 
-    /// Hashes of the prompt's prefixes of one, two and more blocks.
+    /// Hashes of the prompt's prefixes of one, two and more blocks, as engines report them: XXH64 of a block, seeded with
+    /// the hash of the prefix before it.
     std::vector<std::uint64_t> prefixHashes(const std::string& prompt)
     {
         std::vector<std::uint64_t> hashes;
-        for (std::size_t end = prefixBlockBytes; end <= prompt.size() && hashes.size() < maxPrefixes; end += prefixBlockBytes)
-            hashes.push_back(std::hash<std::string_view> {}(std::string_view(prompt).substr(0, end)));
+        std::uint64_t previous = 0;
+        for (std::size_t begin = 0; begin + prefixBlockBytes <= prompt.size() && hashes.size() < maxPrefixes; begin += prefixBlockBytes) {
+            previous = XXH64(prompt.data() + begin, prefixBlockBytes, previous);
+            hashes.push_back(previous);
+        }
         return hashes;
     }
 
--- a/src/azurepaddle/pipeline/dispatcher.cpp
+++ b/src/azurepaddle/pipeline/dispatcher.cpp
@@ -194,7 +194,7 @@
         waiter.result = refuse(PipelineErrorCode::NoEndpoint, fmt::format("no endpoint of {} can take the request", profile.service), noEndpointRetry);
     } else {
         m_limiter.onSent(*choice);
-        waiter.result = Grant { *choice, record->announcement.address, m_router.onSent(profile, *choice) };
+        waiter.result = Grant { *choice, record->announcement.address, record->announcement.incarnation, m_router.onSent(profile, *choice) };
     }
     waiter.settled = true;
     waiter.changed.notify_all();
--- a/src/azurepaddle/pipeline/dispatcher.hpp
+++ b/src/azurepaddle/pipeline/dispatcher.hpp
@@ -23,6 +23,7 @@
 struct Grant {
     EndpointId endpoint;
     std::string address;
+    std::uint64_t incarnation = 0; ///< Of the endpoint.
     routing::AttemptId attempt = 0;
 };
 
--- a/src/azurepaddle/pipeline/request.hpp
+++ b/src/azurepaddle/pipeline/request.hpp
@@ -66,7 +66,7 @@
     std::uint32_t sampleIndex = 0;
     std::optional<WeightVersion> minVersion; ///< Older weights would be discarded as stale.
     std::optional<EndpointId> avoid; ///< Where another copy of the request runs.
-    int priority = 0; ///< Higher goes first at the engine.
+    int priority = 0; ///< Lower goes first at the engine.
 };
 
 }
--- a/src/azurepaddle/pipeline/run_worker.cpp
+++ b/src/azurepaddle/pipeline/run_worker.cpp
@@ -17,7 +17,7 @@
     constexpr Duration waitPoll = std::chrono::milliseconds(100);
     constexpr Duration controlDeadline = std::chrono::seconds(5);
     constexpr Duration busyRetry = std::chrono::milliseconds(200);
-    constexpr int lastSamplesPriority = 1;
+    constexpr int lastSamplesPriority = -1;
 
     rollout::RunSettings settingsFor(const RunParts& parts, const RunName& name)
     {
--- a/src/azurepaddle/pipeline/sender.cpp
+++ b/src/azurepaddle/pipeline/sender.cpp
@@ -1,6 +1,7 @@
 #include "azurepaddle/pipeline/sender.hpp"
 
 #include <algorithm>
+#include <thread>
 
 namespace azurepaddle::pipeline {
 
@@ -9,6 +10,7 @@
     constexpr unsigned maxAttempts = 8;
     constexpr unsigned maxResumes = 4;
     constexpr Duration shortestProgressDeadline = std::chrono::milliseconds(500);
+    constexpr Duration trialPoll = std::chrono::milliseconds(100);
     constexpr Duration retryAfterFailure = std::chrono::seconds(1);
 
     OutgoingRequest outgoingGeneration(const WorkItem& item, const RequestId& id)
@@ -174,26 +176,29 @@
     m_parts.retries.onRequest(item.tenant);
     PipelineError last(PipelineErrorCode::EndpointFailed, Outcome::NotRun, "not sent");
     for (unsigned number = 1;; ++number) {
-        const auto trial = m_parts.suspicion.begin(item, fingerprint);
-        if (!trial) {
-            m_parts.dispatcher.abandon(entry);
-            return tl::unexpected(number == 1 ? trial.error() : PipelineError(trial.error().code(), last.outcome(), trial.error().message(), trial.error().retryAfter()));
-        }
         auto grant = m_parts.dispatcher.wait(entry, item.deadline);
-        if (!grant) {
-            m_parts.suspicion.finish(fingerprint, *trial, control::TrialResult::NotRun, {});
+        if (!grant)
             return tl::unexpected(number == 1 ? grant.error() : last);
+        const auto trial = m_parts.suspicion.begin(item, fingerprint, grant->endpoint);
+        if (!trial || !*trial) {
+            m_parts.dispatcher.endAttempt(item.service, *grant, false);
+            if (!trial)
+                return tl::unexpected(number == 1 ? trial.error() : PipelineError(trial.error().code(), last.outcome(), trial.error().message(), trial.error().retryAfter()));
+            std::this_thread::sleep_for(trialPoll);
+            m_parts.dispatcher.requeue(entry);
+            --number;
+            continue;
         }
         AttemptResult result = tryOnce(*grant, number);
         const bool finished = result.status == AttemptStatus::Complete;
         m_parts.dispatcher.endAttempt(item.service, *grant, finished);
         if (hasDied(*grant, result)) {
-            const auto reported = m_parts.suspicion.report(item, fingerprint, *trial, grant->endpoint);
+            const auto reported = m_parts.suspicion.report(item, fingerprint, **trial, { grant->endpoint, grant->incarnation });
             if (!reported)
                 return tl::unexpected(reported.error());
         } else {
             const bool neverRan = result.status == AttemptStatus::NotSent || result.status == AttemptStatus::NotRun;
-            m_parts.suspicion.finish(fingerprint, *trial, neverRan ? control::TrialResult::NotRun : control::TrialResult::Clean, grant->endpoint);
+            m_parts.suspicion.finish(fingerprint, **trial, neverRan ? control::TrialResult::NotRun : control::TrialResult::Clean, grant->endpoint);
         }
         if (finished)
             return result;
--- a/src/azurepaddle/pipeline/suspicion.hpp
+++ b/src/azurepaddle/pipeline/suspicion.hpp
@@ -5,6 +5,7 @@
 #include "azurepaddle/routing/suspect_tracker.hpp"
 
 #include <functional>
+#include <optional>
 
 namespace azurepaddle::pipeline {
 
@@ -24,9 +25,10 @@
 
     [[nodiscard]] static routing::Fingerprint fingerprintOf(const WorkItem& item);
 
-    /// The epoch of a trial if the request is a suspect, 0 if it is none. Waits while another trial runs. Refused if
-    /// the request is blocked.
-    [[nodiscard]] PipelineResult<control::Epoch> begin(const WorkItem& item, const routing::Fingerprint& fingerprint) const;
+    /// The epoch of a trial on this endpoint if the request is a suspect, 0 if it is none. Nothing while another trial of
+    /// the request runs, or one on the endpoint. Refused if the request is blocked.
+    [[nodiscard]] PipelineResult<std::optional<control::Epoch>> begin(
+        const WorkItem& item, const routing::Fingerprint& fingerprint, const EndpointId& endpoint) const;
 
     /// Ends a trial. Does nothing for epoch 0.
     void finish(const routing::Fingerprint& fingerprint, control::Epoch epoch, control::TrialResult result, const EndpointId& endpoint) const;
@@ -34,7 +36,7 @@
     /// Records that an endpoint died while it ran the request. Refused if that blocks the request. Until the record is
     /// made the request must not be sent again.
     [[nodiscard]] PipelineResult<void> report(
-        const WorkItem& item, const routing::Fingerprint& fingerprint, control::Epoch trial, const EndpointId& endpoint) const;
+        const WorkItem& item, const routing::Fingerprint& fingerprint, control::Epoch trial, const control::CrashEvent& crash) const;
 
 private:
     ControlPort m_control;
--- a/test/azurepaddle/control/random_commands.cpp
+++ b/test/azurepaddle/control/random_commands.cpp
@@ -66,11 +66,11 @@
         case 8:
             return ReleaseClaim { key(), request(), anyHolder() };
         case 9:
-            return ReportSuspect { print, EndpointId("e"), TenantName("blue") };
+            return ReportSuspect { print, EndpointId("e"), TenantName("blue"), 0 };
         case 10:
-            return AcquireTrial { print, anyHolder(), 1'000 };
+            return AcquireTrial { print, anyHolder(), 1'000, {} };
         case 11:
-            return FinishTrial { print, 1 + m_random.below(20), static_cast<TrialResult>(m_random.below(3)), EndpointId("e") };
+            return FinishTrial { print, 1 + m_random.below(20), static_cast<TrialResult>(m_random.below(3)), EndpointId("e"), 0 };
         case 12:
             return AcquireRun { run, anyHolder(), 1'000 };
         case 13:
--- a/test/azurepaddle/control/rules.cpp
+++ b/test/azurepaddle/control/rules.cpp
@@ -145,9 +145,9 @@
 {
     Fixture fixture;
     const Fingerprint print("f");
-    const auto acquire = [&] { return fixture.expect<SuspectReply>(AcquireTrial { print, holder("a"), 1'000 }); };
-    const auto finish = [&](Epoch epoch, TrialResult result) { return fixture.expect<SuspectReply>(FinishTrial { print, epoch, result, EndpointId("e") }).status; };
-    const ReportSuspect report { print, EndpointId("e"), TenantName("blue") };
+    const auto acquire = [&] { return fixture.expect<SuspectReply>(AcquireTrial { print, holder("a"), 1'000, {} }); };
+    const auto finish = [&](Epoch epoch, TrialResult result) { return fixture.expect<SuspectReply>(FinishTrial { print, epoch, result, EndpointId("e"), 0 }).status; };
+    const ReportSuspect report { print, EndpointId("e"), TenantName("blue"), 0 };
     cr_assert(acquire().status == SuspectStatus::Clear);
     cr_assert(fixture.expect<SuspectReply>(report).status == SuspectStatus::Suspected);
     const SuspectReply first = acquire();
@@ -170,11 +170,39 @@
 {
     Fixture fixture;
     const Fingerprint print("f");
-    static_cast<void>(fixture.apply(ReportSuspect { print, EndpointId("e"), TenantName("blue") }));
-    const Epoch epoch = fixture.expect<SuspectReply>(AcquireTrial { print, holder("a"), 1'000 }).epoch;
+    static_cast<void>(fixture.apply(ReportSuspect { print, EndpointId("e"), TenantName("blue"), 0 }));
+    const Epoch epoch = fixture.expect<SuspectReply>(AcquireTrial { print, holder("a"), 1'000, {} }).epoch;
     fixture.now += 1'000 + maxClockDifference;
-    cr_assert(fixture.expect<SuspectReply>(AcquireTrial { print, holder("b"), 1'000 }).status == SuspectStatus::Blocked);
-    cr_assert(fixture.expect<SuspectReply>(FinishTrial { print, epoch, TrialResult::Clean, EndpointId("e") }).status == SuspectStatus::Clear);
+    cr_assert(fixture.expect<SuspectReply>(AcquireTrial { print, holder("b"), 1'000, {} }).status == SuspectStatus::Blocked);
+    cr_assert(fixture.expect<SuspectReply>(FinishTrial { print, epoch, TrialResult::Clean, EndpointId("e"), 0 }).status == SuspectStatus::Clear);
+}
+
+// Guards against a block after one crash, because several copies of the request were running on the endpoint.
+Test(Suspects, oneCrash_reportedTwice_countsOnce)
+{
+    Fixture fixture;
+    const auto report = [&](std::uint64_t incarnation) {
+        return fixture.expect<SuspectReply>(ReportSuspect { Fingerprint("f"), EndpointId("e"), TenantName("blue"), incarnation });
+    };
+    cr_assert(report(7).crashes == 1);
+    cr_assert(report(7).crashes == 1 && report(7).status == SuspectStatus::Suspected);
+    cr_assert(report(8).status == SuspectStatus::Blocked);
+}
+
+// Guards against a suspect that is blamed for the crash that another one on the same endpoint caused.
+Test(Suspects, twoSuspects_onOneEndpoint_runOneAfterTheOther)
+{
+    Fixture fixture;
+    const auto acquire = [&](const char* print, const char* endpoint) {
+        return fixture.expect<SuspectReply>(AcquireTrial { Fingerprint(print), holder("a"), 1'000, EndpointId(endpoint) });
+    };
+    for (const char* print : { "f", "g" })
+        static_cast<void>(fixture.apply(ReportSuspect { Fingerprint(print), EndpointId("dead"), TenantName("blue"), 1 }));
+    const SuspectReply first = acquire("f", "e");
+    cr_assert(first.status == SuspectStatus::TrialGranted);
+    cr_assert(acquire("g", "e").status == SuspectStatus::TrialBusy);
+    cr_assert(fixture.expect<SuspectReply>(FinishTrial { Fingerprint("f"), first.epoch, TrialResult::Clean, EndpointId("e"), 1 }).status == SuspectStatus::Clear);
+    cr_assert(acquire("g", "e").status == SuspectStatus::TrialGranted);
 }
 
 // Guards against two instances with one identity, and against a lost identity that returns.
