--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -23,12 +23,12 @@
     endif()
 endfunction()
 
-# Builds src/programs/<name> as an executable.
+# Builds src/programs/<name> as an executable once it has a main.cpp.
 function(azurepaddle_program name)
     cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
     list(TRANSFORM ARG_DEPENDS PREPEND azurepaddle-module-)
     file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/programs/${name}/*.cpp)
-    if(sources)
+    if(EXISTS ${PROJECT_SOURCE_DIR}/src/programs/${name}/main.cpp)
         add_executable(${name} ${sources})
         target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
         target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} ${ARG_LIBRARIES})
--- a/src/azurepaddle/membership/endpoint_directory.hpp
+++ b/src/azurepaddle/membership/endpoint_directory.hpp
@@ -29,9 +29,9 @@
 
     /// Registers an endpoint or renews its lease. The newest (incarnation, sequence) wins; Left after a leave under the
     /// same incarnation.
-    [[nodiscard]] tl::expected<void, DirectoryError> announce(EndpointAnnouncement announcement)
+    [[nodiscard]] tl::expected<void, DirectoryError> announce(const EndpointAnnouncement& announcement)
     {
-        return m_state.announce(std::move(announcement), m_clock.now());
+        return m_state.announce(announcement, m_clock.now());
     }
 
     /// Ends the lease of an endpoint for good under this incarnation, by default the one known here. Unknown if the
--- a/src/azurepaddle/membership/member.hpp
+++ b/src/azurepaddle/membership/member.hpp
@@ -49,16 +49,18 @@
     friend bool operator==(const MemberMetadata&, const MemberMetadata&) = default;
 };
 
-/// One instance as it is gossiped.
+/// One instance as it is gossiped. Without a peer address it is only a change of state, for those who know the member.
 struct MemberRecord {
     InstanceId id;
     std::uint64_t incarnation = 0; ///< Raised by the instance itself: at its start and to refute suspicion.
     std::uint8_t stateCode = 0;
-    std::uint64_t revision = 0; ///< Of the metadata within the incarnation.
+    std::uint64_t revision = 0; ///< Of the metadata within the incarnation, from 1.
     MemberMetadata metadata;
     MSGPACK_DEFINE(id, incarnation, stateCode, revision, metadata)
 
     [[nodiscard]] MemberState state() const noexcept { return static_cast<MemberState>(stateCode); }
+    [[nodiscard]] bool isStateOnly() const noexcept { return metadata.peerAddress.empty(); }
+    [[nodiscard]] MemberRecord stateOnly() const { return { id, incarnation, stateCode, 0, {} }; }
     void setState(MemberState state) noexcept { stateCode = static_cast<std::uint8_t>(state); }
 
     friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
--- a/src/azurepaddle/membership/member_core.cpp
+++ b/src/azurepaddle/membership/member_core.cpp
@@ -22,6 +22,7 @@
 {
     m_self.id = m_options.self;
     m_self.incarnation = incarnation;
+    m_self.revision = 1;
     m_self.metadata = m_options.metadata;
     m_store.queue().push(m_self);
 }
@@ -84,7 +85,7 @@
 {
     const auto* member = m_store.find(id);
     if (member != nullptr && member->record.state() != MemberState::Alive)
-        message.updates.push_back(member->record);
+        message.updates.push_back(member->record.stateOnly());
 }
 
 void MemberCore::send(GossipMessage message, const std::string& address)
@@ -131,7 +132,10 @@
         m_probe.reset();
         return false;
     }
-    return waited >= m_options.ackTimeout && !std::exchange(m_probe->indirect, true);
+    if (waited < m_options.ackTimeout || std::exchange(m_probe->indirect, true))
+        return false;
+    ping(m_probe->target, m_probe->sequence);
+    return true;
 }
 
 void MemberCore::askToProbe(const InstanceId& helper)
@@ -227,7 +231,7 @@
     const auto* member = m_store.find(message.from);
     // An instance whose wall clock went back before its restart must raise its incarnation.
     if (member != nullptr && member->record.incarnation > message.incarnation)
-        ack.updates.push_back(member->record);
+        ack.updates.push_back(member->record.stateOnly());
     send(std::move(ack), message.fromAddress);
     const bool isCurrent = isPresent(message.from)
         && std::pair(member->record.incarnation, member->record.revision) >= std::pair(message.incarnation, message.revision);
--- a/src/azurepaddle/membership/member_core.hpp
+++ b/src/azurepaddle/membership/member_core.hpp
@@ -32,7 +32,8 @@
     // The probe in progress.
     [[nodiscard]] bool isProbing() const noexcept { return m_probe.has_value(); }
     void startProbe(const InstanceId& id, TimePoint now);
-    /// Suspects the target when its time is over. True once, when others are to be asked.
+    /// Pings the target once more after the ack timeout and suspects it when its time is over. True once, when others
+    /// are to be asked.
     [[nodiscard]] bool checkProbe(TimePoint now);
     [[nodiscard]] const InstanceId& probeTarget() const { return m_probe->target; }
     void askToProbe(const InstanceId& helper);
--- a/src/azurepaddle/membership/member_store.cpp
+++ b/src/azurepaddle/membership/member_store.cpp
@@ -50,7 +50,7 @@
     const auto found = m_members.find(record.id);
     if (found == m_members.end()) {
         // A dead member that was forgotten must not return from the memory of others.
-        if (!isPresent(record) || m_members.size() >= m_maxMembers)
+        if (!isPresent(record) || record.isStateOnly() || m_members.size() >= m_maxMembers)
             return;
         Member& member = m_members[record.id];
         member.record = record;
@@ -62,9 +62,11 @@
     if (record.incarnation < known.incarnation)
         return;
     const bool newIncarnation = record.incarnation > known.incarnation;
-    const bool newMetadata = newIncarnation || record.revision > known.revision;
+    const bool newMetadata = !record.isStateOnly() && (newIncarnation || record.revision > known.revision);
     const bool newState = record.stateCode != known.stateCode && (newIncarnation || record.stateCode > known.stateCode);
     known.incarnation = record.incarnation;
+    if (newIncarnation)
+        known.revision = 0;
     if (newMetadata) {
         known.metadata = record.metadata;
         known.revision = record.revision;
@@ -84,8 +86,9 @@
         --m_present;
     if (!wasPresent && isPresent(member.record))
         ++m_present;
+    const bool isKnownToAll = state == MemberState::Suspect || state == MemberState::Dead;
     if (spread)
-        m_queue.push(member.record);
+        m_queue.push(isKnownToAll ? member.record.stateOnly() : member.record);
     if (m_changes.size() >= maxChanges)
         m_changes.erase(m_changes.begin());
     m_changes.push_back({ member.record.id, state });
--- a/src/azurepaddle/transport/options.hpp
+++ b/src/azurepaddle/transport/options.hpp
@@ -33,12 +33,13 @@
     std::string secret; ///< Compared with the request's header in constant time; empty means that none is required.
     std::optional<TlsIdentity> tls;
     std::size_t maxMessageBytes = 16U * 1024U * 1024U; ///< Body of one request or response.
-    std::size_t maxBufferedBytes = 64U * 1024U * 1024U; ///< Request bodies held at once over all connections.
+    std::size_t maxBufferedBytes = 64U * 1024U * 1024U; ///< Bodies held at once; beyond it requests are refused.
     std::uint32_t maxStreamsPerConnection = 128;
     std::size_t maxConnections = 1024;
     Duration handshakeTimeout = std::chrono::seconds(5); ///< From accept to the HTTP/2 settings of the client.
     Duration requestTimeout = std::chrono::seconds(30); ///< From the header to the end of the body of a request.
-    Duration writeTimeout = std::chrono::seconds(10); ///< For a peer that does not read its responses.
+    Duration responseTimeout = std::chrono::seconds(30); ///< For a peer that does not take a response off its stream.
+    Duration writeTimeout = std::chrono::seconds(10); ///< For a peer that does not read from its connection.
     Duration idleTimeout = std::chrono::seconds(30); ///< Without any byte received; clients ping more often.
     Duration stopTimeout = std::chrono::seconds(5); ///< For requests in progress when the server stops.
     std::shared_ptr<TrafficMeter> traffic = std::make_shared<TrafficMeter>();
@@ -50,6 +51,7 @@
     std::optional<TlsIdentity> tls;
     std::size_t maxMessageBytes = 16U * 1024U * 1024U;
     std::size_t maxCallsPerPeer = 1024; ///< Waiting and in progress; further calls fail with NotSent.
+    std::size_t maxBufferedBytes = 64U * 1024U * 1024U; ///< Request bodies of calls in progress; beyond it calls fail with NotSent.
     std::size_t maxPeers = 4096;
     Duration connectTimeout = std::chrono::seconds(1); ///< From connect to the HTTP/2 settings of the server.
     Duration pingInterval = std::chrono::seconds(1); ///< Silence after which a connection with calls in progress is pinged.
--- a/src/azurepaddle/transport/peer_client.cpp
+++ b/src/azurepaddle/transport/peer_client.cpp
@@ -69,6 +69,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> work { io.get_executor() };
     asio::steady_timer sweepTimer { io };
     std::map<InstanceAddress, Peer> peers;
+    std::size_t bufferedBytes = 0;
     std::vector<std::shared_ptr<ClientConnection>> connections; ///< Those that take calls and those that drain.
     SystemClock clock;
     TimePoint lastSweep;
@@ -110,8 +111,15 @@
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(peer.retryAt - now);
         return call->finish(notSent(fmt::format("the peer was unreachable; the next attempt is in {} ms", wait.count())));
     }
+    const std::size_t size = call->body.size();
+    if (bufferedBytes + size > options.maxBufferedBytes)
+        return call->finish(notSent("the request buffers are full"));
     ++peer.calls;
-    call->onDone = [this, address = call->peer] { --peers.at(address).calls; };
+    bufferedBytes += size;
+    call->onDone = [this, address = call->peer, size] {
+        --peers.at(address).calls;
+        bufferedBytes -= size;
+    };
     call->requestId = fmt::format("{}-{:x}", requestIdPrefix, ++requestCount);
     armDeadline(call);
     if (peer.connection && peer.connection->ready())
--- a/src/azurepaddle/transport/server_connection.cpp
+++ b/src/azurepaddle/transport/server_connection.cpp
@@ -100,7 +100,9 @@
     if (now - m_link->lastReceived() > options.idleTimeout)
         return close();
     for (const auto& [stream, state] : m_streams) {
-        if (state.receiving && now - state.started > options.requestTimeout)
+        const bool requestLate = state.receiving && now - state.started > options.requestTimeout;
+        const bool responseLate = state.responded && now - state.started > options.responseTimeout;
+        if (requestLate || responseLate)
             m_link->reset(stream, NGHTTP2_CANCEL);
     }
     m_link->flush();
@@ -153,7 +155,7 @@
         return false;
     }
     if (m_shared.bufferedBytes + size > m_shared.options.maxBufferedBytes) {
-        refuse(stream, PeerErrorCode::Overloaded, "the request buffers are full");
+        refuse(stream, PeerErrorCode::Overloaded, "the buffers are full");
         return false;
     }
     m_shared.bufferedBytes += size;
@@ -232,7 +234,11 @@
         return;
     Stream& state = found->second;
     state.receiving = false;
+    state.responded = true;
+    state.started = m_clock.now();
     release(state);
+    state.buffered = body.size();
+    m_shared.bufferedBytes += body.size();
     std::vector<HeaderField> fields { { ":status", std::string(status) } };
     if (!state.requestId.empty())
         fields.push_back({ std::string(requestIdField), state.requestId });
--- a/src/azurepaddle/transport/server_connection.hpp
+++ b/src/azurepaddle/transport/server_connection.hpp
@@ -60,7 +60,8 @@
         MethodEntry* entry = nullptr; ///< Nothing for an unknown method.
         std::size_t buffered = 0;
         bool receiving = true;
-        TimePoint started;
+        bool responded = false;
+        TimePoint started; ///< Of the request, and later of the response.
         Deadline deadline;
     };
 
--- a/test/azurepaddle/membership/directory.cpp
+++ b/test/azurepaddle/membership/directory.cpp
@@ -2,9 +2,11 @@
 #include "azurepaddle/membership/endpoint_directory.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <criterion/criterion.h>
 #include <deque>
 #include <set>
+#include <thread>
 
 using namespace azurepaddle;
 using namespace azurepaddle::membership;
@@ -313,6 +315,34 @@
     cr_assert(ids(node.directory.candidates(service)) == ids(complete.directory.candidates(service)));
 }
 
+// Guards against data races between the threads of callers, endpoints and peers.
+Test(Directory, severalThreads_use_seeConsistentLists)
+{
+    ManualClock clock;
+    Random random(3);
+    EndpointDirectory<ManualClock> directory(Instance::makeOptions("a"), clock, random);
+    Instance b("b");
+    std::atomic<int> wrong = 0;
+    std::vector<std::thread> threads;
+    for (int t = 0; t < 4; ++t) {
+        threads.emplace_back([&, t] {
+            for (int i = 0; i < 500; ++i) {
+                const bool announced = directory.announce(makeAnnouncement("e" + std::to_string(t) + "-" + std::to_string(i % 40))).has_value();
+                const CandidateList candidates = directory.candidates(service);
+                wrong += announced && !candidates.empty() && candidates.size() <= 64 ? 0 : 1;
+                (void)directory.expire();
+            }
+        });
+    }
+    for (int i = 0; i < 100; ++i)
+        b.directory.merge(directory.answer(b.directory.makeRequest(InstanceId("a"), DeltaScope::All)));
+    for (std::thread& thread : threads)
+        thread.join();
+    cr_assert(wrong == 0);
+    b.directory.merge(directory.answer(b.directory.makeRequest(InstanceId("a"), DeltaScope::All)));
+    cr_assert(b.directory.statuses().size() == 160);
+}
+
 // Guards against announcements that could fill the memory of every instance.
 Test(Directory, oversizedAnnouncement_made_isInvalid)
 {
--- a/test/azurepaddle/transport/faults.cpp
+++ b/test/azurepaddle/transport/faults.cpp
@@ -25,6 +25,9 @@
     return preface + emptySettings() + http2Frame(1, 4, 1, head) + http2Frame(0, 1, 1, "hello");
 }
 
+/// RST_STREAM with CANCEL for the first stream.
+const std::string cancelledStream("\0\0\4\3\0\0\0\0\1\0\0\0\x8", 13);
+
 std::string mutate(std::string bytes, Random& random)
 {
     for (std::uint64_t edits = 1 + random.below(4); edits > 0 && !bytes.empty(); --edits) {
@@ -106,9 +109,25 @@
     socket.connect({ asio::ip::make_address("127.0.0.1"), pair.server.address().port });
     const std::string valid = validRequestBytes();
     writeAll(socket, valid.substr(0, valid.size() - 14));
-    const std::string received = readToEnd(socket);
-    const std::string cancelled("\0\0\4\3\0\0\0\0\1\0\0\0\x8", 13);
-    cr_assert(received.find(cancelled) != std::string::npos);
+    cr_assert(readToEnd(socket).find(cancelledStream) != std::string::npos);
+}
+
+// Guards against a peer that asks for responses and never takes them, which would fill the memory of the server.
+Test(ServerFaults, responseNeverTaken_held_isReset)
+{
+    ServerOptions forServer = serverOptions();
+    forServer.responseTimeout = std::chrono::milliseconds(100);
+    forServer.idleTimeout = std::chrono::milliseconds(400);
+    Pair pair(forServer);
+    cr_assert(pair.start());
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), pair.server.address().port });
+    const std::string noWindow = http2Frame(4, 0, 0, std::string("\0\4\0\0\0\0", 6));
+    std::string bytes = validRequestBytes();
+    bytes.replace(bytes.find(emptySettings()), emptySettings().size(), noWindow);
+    writeAll(socket, bytes);
+    cr_assert(readToEnd(socket).find(cancelledStream) != std::string::npos);
 }
 
 // Guards against a wait without end, or a repeat of work, when the port is closed.
