--- a/src/azurepaddle/transport/peer_client.cpp
+++ b/src/azurepaddle/transport/peer_client.cpp
@@ -209,6 +209,9 @@
 
 void PeerClient::Implementation::sweep()
 {
+    // A timer that has fired already is not cancelled by the shutdown and must not start again.
+    if (!work.owns_work())
+        return;
     const Duration interval = std::min<Duration>(maxSweepInterval, options.pingDeadline / 4);
     const TimePoint now = clock.now();
     const Duration lag = std::max<Duration>(Duration::zero(), now - lastSweep - 2 * interval);
--- a/src/azurepaddle/transport/peer_server.cpp
+++ b/src/azurepaddle/transport/peer_server.cpp
@@ -48,6 +48,7 @@
     SystemClock clock;
     std::thread thread;
     bool started = false;
+    bool closed = false; ///< Used on the I/O thread.
 };
 
 tl::expected<void, TransportError> PeerServer::Implementation::listen()
@@ -107,6 +108,9 @@
 
 void PeerServer::Implementation::sweep()
 {
+    // A timer that has fired already is not cancelled by the stop and must not start again.
+    if (closed)
+        return;
     const TimePoint now = clock.now();
     std::erase_if(connections, [now](const auto& connection) {
         if (!connection->closed())
@@ -123,6 +127,7 @@
 
 void PeerServer::Implementation::closeAll()
 {
+    closed = true;
     for (const auto& connection : connections)
         connection->close();
     connections.clear();
