--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -24,7 +24,7 @@
     endif()
 endfunction()
 
-# Builds src/programs/<name> as an executable and test/programs/<name> as a Criterion executable.
+# Builds src/programs/<name> as an executable once it has a main.cpp, and test/programs/<name> as a Criterion executable.
 function(azurepaddle_program name)
     cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
     list(TRANSFORM ARG_DEPENDS PREPEND azurepaddle-module-)
--- a/src/programs/azurepaddle-figures/commands.hpp
+++ b/src/programs/azurepaddle-figures/commands.hpp
@@ -6,3 +6,7 @@
 int runControlFigures(int argc, char** argv);
 
 }
+
+/// Prints the bytes, messages and processor time that membership and endpoint directories cost per node, against the
+/// number of members and endpoints. Returns the exit status of the program.
+[[nodiscard]] int runMembershipFigures(int argc, char** argv);
--- a/src/programs/azurepaddle-figures/main.cpp
+++ b/src/programs/azurepaddle-figures/main.cpp
@@ -1,3 +1,4 @@
+#include "commands.hpp"
 #include "figures.hpp"
 
 #include "azurepaddle/core/digest.hpp"
@@ -18,10 +19,21 @@
         int (*run)(const Options&);
     };
 
+    /// Runs a command that takes no options.
+    template <int (*Run)(int, char**)>
+    int runPlain(const Options&)
+    {
+        char name[] = "azurepaddle-figures";
+        char* arguments[] = { name, nullptr };
+        return Run(1, arguments);
+    }
+
     constexpr std::array commands {
         Command { "log", "commits per second, fsyncs per commit, restart time", runLog },
         Command { "snapshot", "cost of two snapshot formats", runSnapshot },
         Command { "election", "time without a leader after a kill (simulated)", runElection },
+        Command { "control", "bytes per claim, sample and group; time to apply, snapshot and restore", runPlain<runControlFigures> },
+        Command { "membership", "bytes, messages and processor time per node against members and endpoints", runPlain<runMembershipFigures> },
     };
 
     int printUsage(const boost::program_options::options_description& described)
--- a/test/processes/test_failures.py
+++ b/test/processes/test_failures.py
@@ -166,8 +166,12 @@
         self.start(engines=1)
         load = self.load(requests=120, plain_fraction=0, stream_fraction=1.0, long_fraction=0.5)
         self.wait(lambda: self.engines[0].get("/state")["running"] >= 2, "requests are running")
-        self.engines[0].fault(silent_streams=True)
+        self.engines[0].fault(silent_after_tokens=5, silent_count=8)
+        self.engines[0].fault(silent_open=True)
         self.check_load(load)
+        resumed = sum(float(line.split()[-1]) for daemon in self.daemons.daemons
+                      for line in call("GET", daemon.address, "/metrics").body.splitlines() if line.startswith("azurepaddle_streams_resumed_total"))
+        self.assertGreater(resumed, 0)
 
     def test_swap_failsAndIsPartial_isRepaired(self):
         """Guards against samples labelled with weights that were never loaded, and an engine left on the old version."""
