Add the demo, the soak, fair shares over all instances and bounds of age

Cause: nothing showed a newcomer the whole path; slots were not divided among instances; staleness_time was accepted by the configuration but not enforced.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: build check check-asan check-tsan demo format format-check lint test traces install-packages
+.PHONY: bench build capacity check check-asan check-tsan demo soak format format-check lint test traces install-packages
 
 build:
 	cmake -S . -B $(BUILD) -G Ninja --log-level=WARNING
@@ -26,7 +26,30 @@
 traces: build
 	for trace in test/traces/*.trace; do $(BUILD)/azurepaddle-bench replay $$trace || exit 1; done
 
-check: install-packages format-check lint test
+check: install-packages format-check lint test traces
+
+demo: install-packages build
+	tools/demo $(BUILD)
+
+# The programs run under ThreadSanitizer; Criterion's runner does not start there.
+check-tsan:
+	cmake -S . -B build-tsan -G Ninja --log-level=WARNING -DAZUREPADDLE_SANITIZE=thread
+	cmake --build build-tsan -j $(JOBS) --target azurepaddled azurepaddle azurepaddle-standin
+	TSAN_OPTIONS="halt_on_error=0 exitcode=0 log_path=build-tsan/tsan" tools/demo build-tsan
+	tools/tsan-report build-tsan
+
+# Longer random faults; SEEDS sets how many.
+SEEDS ?= 20
+soak: build
+	tools/soak $(BUILD) $(SEEDS)
+
+bench: build
+	$(BUILD)/azurepaddle-bench run
+
+capacity: build
+	for figures in log election control membership; do $(BUILD)/azurepaddle-figures $$figures || exit 1; done
+	$(BUILD)/azurepaddle-bench cost
+	tools/load-figures $(BUILD)
 
 check-asan:
 	cmake -S . -B build-asan -G Ninja -DAZUREPADDLE_SANITIZE=address,undefined
--- a/src/azurepaddle/control/client.cpp
+++ b/src/azurepaddle/control/client.cpp
@@ -61,7 +61,7 @@
 
 std::string ControlClient::pickTarget(unsigned attempt) const
 {
-    const std::string known = leader();
+    std::string known = leader();
     if (!known.empty())
         return known;
     auto target = m_voters.begin();
--- a/src/azurepaddle/pipeline/peer_exchange.hpp
+++ b/src/azurepaddle/pipeline/peer_exchange.hpp
@@ -21,7 +21,9 @@
     double weight = 1;
     double served = 0;
     double queued = 0;
-    MSGPACK_DEFINE(service, tenant, weight, served, queued)
+    double longServed = 0; ///< The part of long work.
+    double longQueued = 0;
+    MSGPACK_DEFINE(service, tenant, weight, served, queued, longServed, longQueued)
 };
 
 /// What an instance tells its peers about itself.
--- a/src/azurepaddle/pipeline/run_worker.cpp
+++ b/src/azurepaddle/pipeline/run_worker.cpp
@@ -26,6 +26,7 @@
         const auto configuration = parts.configuration.current();
         if (const auto* run = configuration ? configuration->run(name) : nullptr) {
             settings.stalenessBound = run->stalenessVersions;
+            settings.ageBound = run->stalenessTime;
             settings.isScored = !run->scoringService.empty();
         }
         return settings;
--- a/src/azurepaddle/pipeline/sender.cpp
+++ b/src/azurepaddle/pipeline/sender.cpp
@@ -54,6 +54,8 @@
 /// What an engine request has brought so far.
 struct Sender::Progress {
     const OnPiece& onPiece;
+    const metrics::Labels labels;
+    const TimePoint arrived;
     std::string delivered; ///< Text passed on to the caller, over all attempts.
     Answer current; ///< Of the attempt in progress.
     bool contradicts = false; ///< A repetition does not begin with what was delivered.
@@ -72,8 +74,11 @@
         return false;
     }
     if (event.tokens > 0) {
+        const TimePoint now = m_parts.clock.now();
         if (progress.current.tokens == 0)
-            m_parts.limiter.onFirstToken(grant.endpoint, m_parts.clock.now() - progress.sent);
+            m_parts.limiter.onFirstToken(grant.endpoint, now - progress.sent);
+        if (progress.current.tokens == 0 && progress.delivered.empty())
+            m_parts.metrics.histogram("azurepaddle_first_token_seconds", progress.labels).record(now - progress.arrived);
         m_parts.router.onToken(grant.attempt, event.tokens);
     }
     const std::size_t before = progress.current.text.size();
@@ -189,6 +194,8 @@
             --number;
             continue;
         }
+        if (number == 1)
+            m_parts.metrics.histogram("azurepaddle_queue_seconds", { item.tenant, entry->ticket.size.workClass }).record(m_parts.clock.now() - item.arrived);
         AttemptResult result = tryOnce(*grant, number);
         const bool finished = result.status == AttemptStatus::Complete;
         m_parts.dispatcher.endAttempt(item.service, *grant, finished);
@@ -217,7 +224,7 @@
 
 PipelineResult<Answer> Sender::generate(const WorkItem& item, const std::shared_ptr<Dispatcher::Entry>& entry, const OnPiece& onPiece, const std::stop_token& stop, const OnGranted& onGranted) const
 {
-    Progress progress { onPiece, {}, {}, false, false, false, {}, item.deadline };
+    Progress progress { onPiece, { item.tenant, entry->ticket.size.workClass }, item.arrived, {}, {}, false, false, false, {}, item.deadline };
     const auto result = repeat(item, entry, [&](const Grant& grant, unsigned number) {
         if (onGranted)
             onGranted(grant);
--- a/src/azurepaddle/rollout/run_scheduler.hpp
+++ b/src/azurepaddle/rollout/run_scheduler.hpp
@@ -152,6 +152,7 @@
 
     RunSettings m_settings;
     RunName m_run;
+    TimePoint m_now {}; ///< Of the last call that judges the age of samples.
     control::Epoch m_epoch;
     VersionForecast m_forecast;
     WeightVersion m_servedVersion = std::numeric_limits<WeightVersion>::max();
--- a/src/azurepaddle/rollout/run_scheduler_attempts.cpp
+++ b/src/azurepaddle/rollout/run_scheduler_attempts.cpp
@@ -193,8 +193,9 @@
     const auto group = m_groups.find(attempt.order);
     SampleSlot& slot = group->second.samples[attempt.index];
     StepProgress& progress = m_steps[attempt.order.step];
-    progress.durations.add(now - attempt.started);
-    m_durations.add(now - attempt.started);
+    const TimePoint started = attempt.started;
+    progress.durations.add(now - started);
+    m_durations.add(now - started);
     ++progress.complete;
     ++m_counters.accepted;
     m_counters.duplicateWins += attempt.isDuplicate ? 1 : 0;
@@ -203,7 +204,8 @@
     cancelAttempts(slot);
     slot.failures = 0;
     const SampleKey key = keyOf(group, attempt.index);
-    m_buffer.put(key, { std::make_shared<const SampleBody>(std::move(body)), versions, now, std::nullopt });
+    m_now = now;
+    m_buffer.put(key, { std::make_shared<const SampleBody>(std::move(body)), versions, now, std::nullopt, started });
     slot.state = m_settings.isScored ? SampleState::Scoring : SampleState::Ready;
     if (m_settings.isScored)
         m_toScore.insert(key);
--- a/src/azurepaddle/rollout/run_scheduler_hand_off.cpp
+++ b/src/azurepaddle/rollout/run_scheduler_hand_off.cpp
@@ -34,6 +34,7 @@
 
 PullStep RunScheduler::planPull(const PullRequest& request, TimePoint now)
 {
+    m_now = now;
     if (auto refusal = refusePull(request))
         return *refusal;
     m_seenPull = request.pull;
@@ -130,6 +131,8 @@
     if (sample == nullptr)
         return false;
     const WeightVersion current = m_forecast.current();
+    if (m_settings.ageBound > Duration::zero() && m_now - sample->started > m_settings.ageBound)
+        return false;
     return sample->versions.newest <= current && sample->versions.oldest + m_settings.stalenessBound >= current;
 }
 
@@ -149,6 +152,7 @@
 
 PullReply RunScheduler::completePull(const HandOffPlan& plan, const control::RunReply& reply, TimePoint now)
 {
+    m_now = now;
     // A second reply for the same plan, or the ledger's standing was taken over since, with or without this hand-off.
     if (plan.generation != m_generation || m_committingPull != plan.request.pull)
         return replyTo(plan.request, PullStatus::Retry);
--- a/src/azurepaddle/rollout/run_settings.hpp
+++ b/src/azurepaddle/rollout/run_settings.hpp
@@ -15,6 +15,7 @@
 
 struct RunSettings {
     std::uint64_t stalenessBound = 1; ///< Versions that a sample may be behind the trainer's at hand-off.
+    Duration ageBound {}; ///< Longest time from the start of a sample's generation to its hand-off. Zero for no bound.
     bool isScored = false; ///< Samples are scored before they count as ready.
     StragglerPolicy stragglerPolicy = StragglerPolicy::Duplicate;
     double stragglerFactor = 2.0; ///< Multiple of the median of the step.
--- a/src/azurepaddle/rollout/sample_buffer.hpp
+++ b/src/azurepaddle/rollout/sample_buffer.hpp
@@ -15,6 +15,7 @@
     VersionRange versions;
     TimePoint readyAt {}; ///< When it was complete, and scored if the run is.
     std::optional<double> score;
+    TimePoint started {}; ///< When its generation was started.
 };
 
 /// Bodies of samples with the number of bytes they take.
--- a/src/programs/azurepaddled/instance.cpp
+++ b/src/programs/azurepaddled/instance.cpp
@@ -249,6 +249,7 @@
 Instance::Instance(config::Settings settings)
     : m_settings(std::move(settings))
     , m_parts(std::make_unique<Parts>(m_settings))
+    , m_shares(InstanceId(m_settings.instance().name))
 {
     addRoutes();
 }
@@ -361,28 +362,7 @@
 void Instance::exchangeDemands()
 {
     Parts& parts = *m_parts;
-    const auto services = parts.services();
-    std::map<ServiceName, std::vector<std::vector<admission::InstanceDemand>>> everywhere;
-    std::vector<pipeline::DemandMessage> own;
-    for (const ServiceName& service : services) {
-        everywhere[service].push_back(parts.admission.takeDemands(service));
-        for (const auto& demand : everywhere[service].front())
-            own.push_back({ service, demand.tenant, demand.weight, demand.served, demand.queued });
-    }
-    for (const auto& view : parts.exchange.instances()) {
-        if (view.message.name == parts.self.instance || view.state == "dead")
-            continue;
-        for (const ServiceName& service : services) {
-            auto& demands = everywhere[service].emplace_back();
-            for (const auto& message : view.message.demands) {
-                if (message.service == service)
-                    demands.push_back({ message.tenant, message.weight, message.served, message.queued });
-            }
-        }
-    }
-    for (const ServiceName& service : services)
-        parts.admission.correct(service, everywhere[service], 0);
-    parts.exchange.setDemands(std::move(own));
+    m_shares.exchange(parts.services(), parts.admission, parts.router, parts.exchange);
 }
 
 void Instance::reportDead()
--- a/src/programs/azurepaddled/instance.hpp
+++ b/src/programs/azurepaddled/instance.hpp
@@ -11,6 +11,7 @@
 #include "azurepaddle/pipeline/endpoint_service.hpp"
 #include "azurepaddle/pipeline/peer_exchange.hpp"
 #include "azurepaddle/pipeline/run_service.hpp"
+#include "azurepaddle/pipeline/share_exchange.hpp"
 #include "azurepaddle/pipeline/weight_service.hpp"
 
 namespace azurepaddle::daemon {
@@ -47,6 +48,7 @@
     const config::Settings m_settings;
     const Log m_log { "instance" };
     std::unique_ptr<Parts> m_parts;
+    pipeline::ShareExchange m_shares;
     std::mutex m_mutex;
     std::condition_variable m_stopped;
     bool m_isStopping = false;
--- a/test/azurepaddle/rollout/scheduler.cpp
+++ b/test/azurepaddle/rollout/scheduler.cpp
@@ -228,6 +228,22 @@
     cr_assert(fixture.scheduler.openGroups() == 0 && fixture.scheduler.bufferedBytes() == 0);
 }
 
+// Guards against samples that are older in time than the run allows, although their version is fresh.
+Test(RunScheduler, ageBound_passed_samplesAreGeneratedAgain)
+{
+    RunSettings settings;
+    settings.ageBound = 60s;
+    Fixture fixture(settings);
+    fixture.finishAll(5);
+    fixture.now += 61s;
+    cr_assert(fixture.pull(0).status == PullStatus::Empty);
+    cr_assert(fixture.scheduler.counters().discardedStale == 4);
+    fixture.finishAll(5);
+    cr_assert(fixture.pull(0).samples.size() == 4);
+    fixture.now += 61s;
+    cr_assert(fixture.pull(0).status == PullStatus::Empty, "a sample past its age was sent again");
+}
+
 // Guards against a stale hand-off when the version rises while the record is being committed.
 Test(RunScheduler, versionRisesDuringCommit_completed_sendsNothing)
 {
