--- a/src/azurepaddle/control/types.hpp
+++ b/src/azurepaddle/control/types.hpp
@@ -21,7 +21,7 @@
 /// One command over all its retries.
 using CommandId = Identifier<struct CommandTag>;
 /// Digest of a request that identifies it over all instances.
-using Fingerprint = Identifier<struct FingerprintTag>;
+using Fingerprint = Identifier<struct RecordedFingerprintTag>;
 
 /// Largest difference between the wall clocks of two instances that leases and windows allow for.
 constexpr Milliseconds maxClockDifference = 500;
--- a/src/azurepaddle/http/endpoint_routes.cpp
+++ b/src/azurepaddle/http/endpoint_routes.cpp
@@ -12,7 +12,7 @@
     return false;
 }
 
-void addEndpointRoutes(HttpServer& server, pipeline::EndpointService& endpoints, std::string secret)
+void addEndpointRoutes(HttpServer& server, pipeline::EndpointService& endpoints, const std::string& secret)
 {
     server.routes().Post("/v1/endpoints/announce", [&endpoints, secret](const httplib::Request& request, httplib::Response& response) {
         if (!checkSecret(request, response, secret))
--- a/src/azurepaddle/http/operator_routes.cpp
+++ b/src/azurepaddle/http/operator_routes.cpp
@@ -130,7 +130,7 @@
 
 }
 
-void addOperatorRoutes(HttpServer& server, OperatorParts parts, std::string secret)
+void addOperatorRoutes(HttpServer& server, const OperatorParts& parts, const std::string& secret)
 {
     addProbes(server, parts);
     ProtectedRoutes routes(server, parts, secret);
--- a/src/azurepaddle/http/operator_routes.hpp
+++ b/src/azurepaddle/http/operator_routes.hpp
@@ -32,6 +32,6 @@
 
 /// Adds the routes of operators and of the platform: configuration, state, drain, metrics and probes. Metrics and probes
 /// need no secret.
-void addOperatorRoutes(HttpServer& server, OperatorParts parts, std::string secret);
+void addOperatorRoutes(HttpServer& server, const OperatorParts& parts, const std::string& secret);
 
 }
--- a/src/azurepaddle/pipeline/endpoint_service.cpp
+++ b/src/azurepaddle/pipeline/endpoint_service.cpp
@@ -95,7 +95,7 @@
     if (!announcement)
         return tl::unexpected(announcement.error());
     const ServiceName service = announcement->service;
-    const auto result = translate(m_directory.announce(std::move(*announcement)));
+    auto result = translate(m_directory.announce(*announcement));
     if (result)
         refreshService(service);
     return result;
@@ -110,7 +110,7 @@
     if (object.contains("incarnation") && object["incarnation"].is_number_unsigned())
         incarnation = object["incarnation"].get<std::uint64_t>();
     const EndpointId id(object["id"].get<std::string>());
-    const auto result = translate(m_directory.leave(id, incarnation));
+    auto result = translate(m_directory.leave(id, incarnation));
     if (result)
         m_router.remove(id);
     return result;
--- a/test/processes/test_failures.py
+++ b/test/processes/test_failures.py
@@ -170,7 +170,7 @@
         self.engines[0].fault(silent_open=True)
         self.check_load(load)
         resumed = sum(float(line.split()[-1]) for daemon in self.daemons.daemons
-                      for line in call("GET", daemon.address, "/metrics").body.splitlines() if line.startswith("azurepaddle_streams_resumed_total"))
+                      for line in call("GET", daemon.address, "/metrics").body.decode().splitlines() if line.startswith("azurepaddle_streams_resumed_total"))
         self.assertGreater(resumed, 0)
 
     def test_swap_failsAndIsPartial_isRepaired(self):
