--- a/test/azurepaddle/pipeline/connector.cpp
+++ b/test/azurepaddle/pipeline/connector.cpp
@@ -31,7 +31,7 @@
 // Guards against a client library that sends a request again on its own after the peer read it and closed.
 Test(Connector, peerReadsAndCloses_called_sendsOnce)
 {
-    const RawPeer peer([](RawPeer::Socket&) {});
+    const RawPeer peer([](RawPeer::Socket&, const RawRequest&) {});
     const auto result = Connector({}).call(peer.address(), sampleRequest(), 10s, {});
     cr_assert(result.status == AttemptStatus::Broken);
     cr_assert(peer.requests() == 1);
@@ -42,7 +42,7 @@
 {
     std::string address;
     {
-        const RawPeer peer([](RawPeer::Socket&) {});
+        const RawPeer peer([](RawPeer::Socket&, const RawRequest&) {});
         address = peer.address();
     }
     cr_assert(Connector({}).call(address, sampleRequest(), 10s, {}).status == AttemptStatus::NotSent);
@@ -51,7 +51,7 @@
 // Guards against a stream without its end mark that is taken for whole.
 Test(Connector, streamEndsEarly_read_isBroken)
 {
-    const RawPeer peer([](RawPeer::Socket& socket) { writeAll(socket, streamHead + "data: {\"text\":\"a\",\"tokens\":1}\n\n"); });
+    const RawPeer peer([](RawPeer::Socket& socket, const RawRequest&) { writeAll(socket, streamHead + "data: {\"text\":\"a\",\"tokens\":1}\n\n"); });
     Answer answer;
     cr_assert(streamFrom(peer, answer).status == AttemptStatus::Broken);
     cr_assert(answer.text == "a");
@@ -61,7 +61,7 @@
 // Guards against labels that differ from what the engine stated.
 Test(Connector, versionChangesInStream_read_keepsSpans)
 {
-    const RawPeer peer([](RawPeer::Socket& socket) {
+    const RawPeer peer([](RawPeer::Socket& socket, const RawRequest&) {
         writeAll(socket, streamHead + "data: {\"text\":\"a\",\"tokens\":2,\"weight_version\":4}\n\ndata: {\"text\":\"b\",\"tok");
         writeAll(socket, "ens\":1,\"weight_version\":5,\"finish_reason\":\"stop\"}\n\ndata: [DONE]\n\n");
     });
@@ -75,7 +75,7 @@
 Test(Connector, silentPeer_read_isSilent)
 {
     std::latch done(1);
-    RawPeer peer([&](RawPeer::Socket&) { done.wait(); });
+    RawPeer peer([&](RawPeer::Socket&, const RawRequest&) { done.wait(); });
     Answer answer;
     const auto result = streamFrom(peer, answer, 50ms);
     done.count_down();
@@ -85,7 +85,7 @@
 // Guards against endless memory use by an endpoint that sends an event without end.
 Test(Connector, oversizedEvent_read_isFailed)
 {
-    const RawPeer peer([](RawPeer::Socket& socket) { writeAll(socket, streamHead + "data: " + std::string(4U << 20U, 'x')); });
+    const RawPeer peer([](RawPeer::Socket& socket, const RawRequest&) { writeAll(socket, streamHead + "data: " + std::string(4U << 20U, 'x')); });
     Answer answer;
     cr_assert(streamFrom(peer, answer).status == AttemptStatus::Failed);
 }
@@ -93,8 +93,8 @@
 // Guards against a "not-run" that the endpoint did not attest.
 Test(Connector, serverError_called_isNotRunOnlyIfAttested)
 {
-    const RawPeer plain([](RawPeer::Socket& socket) { writeAll(socket, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"); });
-    const RawPeer attested([](RawPeer::Socket& socket) {
+    const RawPeer plain([](RawPeer::Socket& socket, const RawRequest&) { writeAll(socket, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"); });
+    const RawPeer attested([](RawPeer::Socket& socket, const RawRequest&) {
         writeAll(socket, "HTTP/1.1 503 Busy\r\nX-Azurepaddle-Outcome: not-run\r\nContent-Length: 0\r\n\r\n");
     });
     cr_assert(Connector({}).call(plain.address(), sampleRequest(), 10s, {}).status == AttemptStatus::Failed);
@@ -106,7 +106,7 @@
 {
     std::latch received(1);
     std::latch done(1);
-    RawPeer peer([&](RawPeer::Socket&) {
+    RawPeer peer([&](RawPeer::Socket&, const RawRequest&) {
         received.count_down();
         done.wait();
     });
--- a/test/azurepaddle/pipeline/rawpeer.hpp
+++ b/test/azurepaddle/pipeline/rawpeer.hpp
@@ -3,17 +3,26 @@
 #include <asio.hpp>
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 
 namespace azurepaddle::pipeline {
 
+/// One request as a RawPeer read it.
+struct RawRequest {
+    std::string id; ///< Of the X-Azurepaddle-Request-Id header.
+    int number = 0; ///< Counted from 1.
+};
+
 /// A TCP server that reads one request head and body per connection and then does as it is told. It counts requests.
 class RawPeer {
 public:
     using Socket = asio::ip::tcp::socket;
 
-    explicit RawPeer(std::function<void(Socket&)> onRequest)
+    using OnRequest = std::function<void(Socket&, const RawRequest&)>;
+
+    explicit RawPeer(OnRequest onRequest)
         : m_onRequest(std::move(onRequest))
         , m_thread([this] { serve(); })
     {
@@ -41,17 +50,40 @@
         while (!m_stopping) {
             Socket socket(m_context);
             m_acceptor.accept(socket);
-            asio::error_code error;
-            std::string head;
-            asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", error);
-            if (error)
-                continue;
-            ++m_requests;
-            m_onRequest(socket);
+            const auto request = readRequest(socket);
+            if (request)
+                m_onRequest(socket, *request);
         }
     }
 
-    std::function<void(Socket&)> m_onRequest;
+    /// Value of a header of the request, or an empty text.
+    static std::string headerOf(const std::string& head, const std::string& name)
+    {
+        const std::size_t at = head.find(name + ": ");
+        if (at == std::string::npos)
+            return {};
+        const std::size_t begin = at + name.size() + 2;
+        return head.substr(begin, head.find('\r', begin) - begin);
+    }
+
+    std::optional<RawRequest> readRequest(Socket& socket)
+    {
+        asio::error_code error;
+        std::string bytes;
+        const std::size_t headSize = asio::read_until(socket, asio::dynamic_buffer(bytes), "\r\n\r\n", error);
+        if (error)
+            return std::nullopt;
+        const std::string length = headerOf(bytes, "Content-Length");
+        const std::size_t whole = headSize + (length.empty() ? 0 : std::stoul(length));
+        // An unread rest would reset the connection when it is closed, and the answer would be lost.
+        if (bytes.size() < whole)
+            asio::read(socket, asio::dynamic_buffer(bytes), asio::transfer_exactly(whole - bytes.size()), error);
+        if (!bytes.starts_with("POST /v1") && !bytes.starts_with("POST /call"))
+            return std::nullopt;
+        return RawRequest { headerOf(bytes, "X-Azurepaddle-Request-Id"), ++m_requests };
+    }
+
+    OnRequest m_onRequest;
     asio::io_context m_context;
     asio::ip::tcp::acceptor m_acceptor { m_context, { asio::ip::address_v4::loopback(), 0 } };
     std::atomic<int> m_requests = 0;
