Answer at once when the log is slow to record an outcome

Cause: a caller's final answer waited up to 20 s for the log when it had no leader, although the request had been answered or given up. Figures: longest wait of a caller for recording: before 20 s, after 2 s (claim 5 s, crash 5 s), by the constants in claims.cpp and suspicion.cpp. Conclusion: a request that is given up gets its answer at once.

--- a/src/azurepaddle/config/settings_table.cpp
+++ b/src/azurepaddle/config/settings_table.cpp
@@ -67,7 +67,7 @@
         { "address", &S::address, ipAddress, false, "Address to listen on, which is also told to other instances." },
         { "port", &S::port, range(1, maxPort), false, "Port to listen on." },
         { "seeds", &S::seeds, { Form::PeerAddress, 0, 0, {} }, false, "Instances that are contacted at start; this instance may be among them." },
-        { "voters", &S::voters, plainName, false, "Names of the instances that vote on a new log; read only when the log does not exist yet." },
+        { "voters", &S::voters, plainName, false, "Names of the instances that hold the log. The first founds a new log; a replacement of a named instance is taken in." },
         { "secret", &S::secret, secret, false, "Secret shared by all instances." },
         { "secret_file", &S::secretFile, path, false, "File whose first line is the secret." },
         { "tls_certificate", &S::tlsCertificate, path, false, "Certificate chain in PEM that this instance presents to others." },
--- a/src/azurepaddle/pipeline/claims.cpp
+++ b/src/azurepaddle/pipeline/claims.cpp
@@ -3,11 +3,16 @@
 #include "azurepaddle/config/configuration.hpp"
 #include "azurepaddle/core/digest.hpp"
 
+#include <algorithm>
+
 namespace azurepaddle::pipeline {
 
 namespace {
 
-    constexpr Duration recordTimeout = std::chrono::seconds(20);
+    constexpr Duration claimTimeout = std::chrono::seconds(5);
+    constexpr Duration releaseTimeout = std::chrono::milliseconds(300);
+    constexpr Duration inlineTimeout = std::chrono::seconds(2);
+    constexpr Duration recordTimeout = std::chrono::seconds(60);
     constexpr Duration inProgressRetry = std::chrono::seconds(1);
 
     control::ClaimKey keyOf(const WorkItem& item)
@@ -37,7 +42,7 @@
 {
     const auto retention = std::chrono::duration_cast<std::chrono::milliseconds>(item.configuration->defaults().claimRetention);
     const control::Claim claim { keyOf(item), item.id, digestOf(item), m_control.self, item.keyFirstSeenMs, retention.count() };
-    const auto reply = submitFor<control::ClaimReply>(m_control, claim, item.deadline);
+    const auto reply = submitFor<control::ClaimReply>(m_control, claim, std::min(item.deadline, SystemClock().now() + claimTimeout));
     if (!reply) {
         // A claim that may have been granted is held by this request, which will never send: the key can be released.
         release(item);
@@ -72,13 +77,16 @@
     if (!result.hasBody)
         result.body.clear();
     const control::CompleteClaim command { keyOf(item), item.id, m_control.self, std::move(result) };
-    static_cast<void>(m_control.submit(command, SystemClock().now() + recordTimeout));
+    if (!m_control.submit(command, SystemClock().now() + inlineTimeout))
+        runLater(m_control, [control = m_control, command] { static_cast<void>(control.submit(command, SystemClock().now() + recordTimeout)); });
 }
 
 void ClaimKeeper::release(const WorkItem& item) const
 {
     const control::ReleaseClaim command { keyOf(item), item.id, m_control.self };
-    static_cast<void>(m_control.submit(command, SystemClock().now() + recordTimeout));
+    // A caller that repeats the request at once should find the key free.
+    if (!m_control.submit(command, SystemClock().now() + releaseTimeout))
+        runLater(m_control, [control = m_control, command] { static_cast<void>(control.submit(command, SystemClock().now() + recordTimeout)); });
 }
 
 }
--- a/src/azurepaddle/pipeline/claims.hpp
+++ b/src/azurepaddle/pipeline/claims.hpp
@@ -30,10 +30,11 @@
     /// Claims the key. Nothing if the request may be sent; the recorded answer if it ran before.
     [[nodiscard]] PipelineResult<std::optional<RecordedAnswer>> claim(const WorkItem& item) const;
 
-    /// Records the outcome. Retries until the log has it or the time is up; an unrecorded claim stays "unknown".
+    /// Records the outcome, so that a repetition gets it. When the log does not take it soon, the caller is not kept
+    /// waiting: recording goes on in the background, and until then repetitions are told "in progress".
     void complete(const WorkItem& item, control::ClaimResult result) const;
 
-    /// Gives the claim up. Only if no byte of the request was sent.
+    /// Gives the claim up, in the background if the log is slow. Only if no byte of the request was sent.
     void release(const WorkItem& item) const;
 
 private:
--- a/src/azurepaddle/pipeline/control_port.hpp
+++ b/src/azurepaddle/pipeline/control_port.hpp
@@ -12,8 +12,18 @@
 struct ControlPort {
     std::function<PipelineResult<control::ControlReply>(control::ControlAction, TimePoint)> submit;
     control::Holder self; ///< This process.
+    std::function<void(std::function<void()>)> defer = {}; ///< Runs a task in the background. Empty: tasks run at once.
 };
 
+/// Runs a task that nobody waits for.
+inline void runLater(const ControlPort& port, std::function<void()> task)
+{
+    if (port.defer)
+        port.defer(std::move(task));
+    else
+        task();
+}
+
 /// Submits an action whose reply is of the type given.
 template <typename Reply>
 [[nodiscard]] PipelineResult<Reply> submitFor(const ControlPort& port, control::ControlAction action, TimePoint deadline)
--- a/src/azurepaddle/pipeline/suspicion.cpp
+++ b/src/azurepaddle/pipeline/suspicion.cpp
@@ -8,7 +8,8 @@
 
     // A trial whose instance died counts as a crash after this time; a clean result that comes later clears it.
     constexpr control::Milliseconds longestTrialMs = 120'000;
-    constexpr Duration recordTimeout = std::chrono::seconds(20);
+    constexpr Duration inlineTimeout = std::chrono::seconds(5);
+    constexpr Duration recordTimeout = std::chrono::seconds(60);
 
     control::Fingerprint inLog(const routing::Fingerprint& fingerprint)
     {
@@ -55,7 +56,7 @@
     if (epoch == 0)
         return;
     const control::FinishTrial command { inLog(fingerprint), epoch, result, endpoint, 0 };
-    static_cast<void>(m_control.submit(command, SystemClock().now() + recordTimeout));
+    runLater(m_control, [control = m_control, command] { static_cast<void>(control.submit(command, SystemClock().now() + recordTimeout)); });
     if (result == control::TrialResult::Clean)
         m_tracker.clear(fingerprint);
 }
@@ -65,12 +66,15 @@
 {
     m_tracker.addSuspect(fingerprint);
     m_announce(fingerprint);
-    const TimePoint deadline = std::max(item.deadline, SystemClock().now() + recordTimeout);
-    const auto reply = trial == 0
-        ? submitFor<control::SuspectReply>(m_control, control::ReportSuspect { inLog(fingerprint), crash.endpoint, item.tenant, crash.incarnation }, deadline)
-        : submitFor<control::SuspectReply>(m_control, control::FinishTrial { inLog(fingerprint), trial, control::TrialResult::Crashed, crash.endpoint, crash.incarnation }, deadline);
-    if (!reply)
+    const control::ControlAction action = trial == 0
+        ? control::ControlAction(control::ReportSuspect { inLog(fingerprint), crash.endpoint, item.tenant, crash.incarnation })
+        : control::ControlAction(control::FinishTrial { inLog(fingerprint), trial, control::TrialResult::Crashed, crash.endpoint, crash.incarnation });
+    const auto reply = submitFor<control::SuspectReply>(m_control, action, std::min(item.deadline, SystemClock().now() + inlineTimeout));
+    if (!reply) {
+        // The caller gets its answer now; the crash is still recorded, because the caller may send the request again.
+        runLater(m_control, [control = m_control, action] { static_cast<void>(control.submit(action, SystemClock().now() + recordTimeout)); });
         return fail(reply.error().code(), Outcome::Unknown, "the endpoint died and the log could not record it: " + reply.error().message());
+    }
     if (reply->status == control::SuspectStatus::Blocked)
         return blocked(Outcome::Failed);
     return {};
--- a/src/programs/azurepaddled/instance.cpp
+++ b/src/programs/azurepaddled/instance.cpp
@@ -144,7 +144,7 @@
         return sender;
     }
 
-    pipeline::ControlPort makePort(control::ControlClient& client, control::Holder self)
+    pipeline::ControlPort makePort(control::ControlClient& client, control::Holder self, std::function<void(std::function<void()>)> defer)
     {
         return { [&client](control::ControlAction action, TimePoint deadline) -> pipeline::PipelineResult<control::ControlReply> {
                     auto reply = client.submit(std::move(action), deadline);
@@ -152,7 +152,7 @@
                         return tl::unexpected(pipeline::controlError(reply.error()));
                     return std::move(*reply);
                 },
-            std::move(self) };
+            std::move(self), std::move(defer) };
     }
 
 }
@@ -167,7 +167,11 @@
         , server(serverOptions(settings))
         , group(makeGroup(settings, client))
         , control(settings.instance().name, addressesOf(settings, &settings.peer().voters), client, group.get())
-        , port(makePort(control, self))
+        , port(makePort(control, self, [this](std::function<void()> task) {
+            // Without a free thread the task runs here: it must not be dropped.
+            if (!sampling.run(task))
+                task();
+        }))
         , directory(directoryOptions(settings), clock, random)
         , router(clock, Random(randomSeed()), DataCentreName(settings.instance().dataCentre))
         , admission(clock)
