Complete a weight rollout before the next version is wanted

Each announced version restarted the rollout, and prefetching four engines at the assumed store rate takes longer than the interval of versions, so no engine ever switched. Ruled out: the order lease (held), refused orders (all done), the store (it answered), suspects (none). Change: a rollout in progress is completed, for at most 30 s, before the newest version becomes the target. weight_size and store_rate are configuration keys. The names of orders and the items of a run are built in one place each. Conclusion: engines advance however fast versions are announced.

--- a/src/azurepaddle/config/configuration.hpp
+++ b/src/azurepaddle/config/configuration.hpp
@@ -49,6 +49,8 @@
     double longShare = 0.5;
     bool hedging = true;
     double hedgeBudget = 0.05; ///< Second copies for each request.
+    std::uint64_t weightBytes = 16ULL << 30U; ///< Of one version in the weight store.
+    std::uint64_t storeBytesPerSecond = 10ULL << 30U; ///< That prefetches of this service may read.
     std::string versionSource; ///< The run whose trainer announces the weight versions; empty for none.
 
     [[nodiscard]] bool isEngine() const noexcept { return kind == "engine"; }
--- a/src/azurepaddle/config/configuration_table.cpp
+++ b/src/azurepaddle/config/configuration_table.cpp
@@ -73,6 +73,8 @@
         { "long_share", &S::longShare, range(0.01, 1), false, "Part of an endpoint's slots that long work may use.", true },
         { "hedging", &S::hedging, {}, false, "Whether a second copy of a slow idempotent request may be sent." },
         { "hedge_budget", &S::hedgeBudget, range(0, 0.5), false, "Second copies for each request." },
+        { "weight_size", &S::weightBytes, { Form::Bytes, 1, 1e13, {} }, false, "Size of one version of the weights in the weight store." },
+        { "store_rate", &S::storeBytesPerSecond, { Form::Bytes, 1, 1e13, {} }, false, "Bytes per second that prefetches of this service may read from the weight store." },
         { "version_source", &S::versionSource, plainName, false, "Run whose trainer announces the weight versions of this service." },
     };
     return keys;
--- a/src/azurepaddle/http/operator_views.cpp
+++ b/src/azurepaddle/http/operator_views.cpp
@@ -79,21 +79,6 @@
         return sum;
     }
 
-    const char* orderName(weights::OrderKind kind) noexcept
-    {
-        switch (kind) {
-        case weights::OrderKind::Prefetch:
-            return "prefetch";
-        case weights::OrderKind::Switch:
-            return "switch";
-        case weights::OrderKind::LoadAdapter:
-            return "load-adapter";
-        case weights::OrderKind::UnloadAdapter:
-            return "unload-adapter";
-        }
-        return "unknown";
-    }
-
     std::string utcTime(WallTime time)
     {
         const std::time_t seconds = std::chrono::system_clock::to_time_t(time);
@@ -221,7 +206,7 @@
 {
     Json list = Json::array();
     for (const auto& order : parts.weights.orders()) {
-        list.push_back({ { "endpoint", order.action.endpoint.value() }, { "action", orderName(order.action.kind) }, { "version", order.action.version },
+        list.push_back({ { "endpoint", order.action.endpoint.value() }, { "action", weights::orderName(order.action.kind) }, { "version", order.action.version },
             { "state", order.state }, { "fencing_token", order.fencingToken }, { "time", utcTime(order.time) }, { "reason", order.reason } });
     }
     return { { "orders", list } };
--- a/src/azurepaddle/pipeline/run_worker.cpp
+++ b/src/azurepaddle/pipeline/run_worker.cpp
@@ -164,29 +164,39 @@
     }
 }
 
-std::optional<WorkItem> RunWorker::sampleItem(const rollout::Attempt& attempt) const
+/// A work item of the run for a service, or nothing if either is not configured any more.
+std::optional<WorkItem> RunWorker::itemFor(const std::string config::RunConfiguration::*serviceOf) const
 {
     const auto configuration = m_parts.configuration.current();
     const auto* run = configuration ? configuration->run(m_run) : nullptr;
-    const auto* service = run ? configuration->service(ServiceName(run->service)) : nullptr;
+    const auto* service = run ? configuration->service(ServiceName(run->*serviceOf)) : nullptr;
     if (!service)
         return std::nullopt;
     WorkItem item;
     item.id = RequestId(randomHex(requestIdBytes));
     item.tenant = TenantName(run->tenant);
     item.run = m_run;
-    item.service = ServiceName(run->service);
+    item.service = ServiceName(run->*serviceOf);
     item.configuration = configuration;
-    item.path = "/v1/completions";
-    item.generation.fields = Json { { "model", run->service }, { "prompt", attempt.prompt }, { "max_tokens", attempt.tokenLimit } }.dump(-1, ' ', false, Json::error_handler_t::replace);
-    item.generation.prompt = attempt.prompt;
-    item.generation.maxTokens = attempt.tokenLimit;
-    item.sampleIndex = attempt.sample.index;
-    item.minVersion = attempt.minimumVersion;
-    item.priority = attempt.isLast ? lastSamplesPriority : 0;
-    item.avoid = attempt.avoid;
+    item.isEngine = service->isEngine();
     item.arrived = m_parts.clock.now();
-    item.deadline = item.arrived + service->deadlineLong;
+    item.deadline = item.arrived + (item.isEngine ? service->deadlineLong : service->deadlineShort);
+    return item;
+}
+
+std::optional<WorkItem> RunWorker::sampleItem(const rollout::Attempt& attempt) const
+{
+    auto item = itemFor(&config::RunConfiguration::service);
+    if (!item)
+        return std::nullopt;
+    item->path = "/v1/completions";
+    item->generation.fields = Json { { "model", item->service.value() }, { "prompt", attempt.prompt }, { "max_tokens", attempt.tokenLimit } }.dump(-1, ' ', false, Json::error_handler_t::replace);
+    item->generation.prompt = attempt.prompt;
+    item->generation.maxTokens = attempt.tokenLimit;
+    item->sampleIndex = attempt.sample.index;
+    item->minVersion = attempt.minimumVersion;
+    item->priority = attempt.isLast ? lastSamplesPriority : 0;
+    item->avoid = attempt.avoid;
     return item;
 }
 
@@ -238,23 +248,12 @@
 
 std::optional<WorkItem> RunWorker::scoringItem(const rollout::ScoringTask& task) const
 {
-    const auto configuration = m_parts.configuration.current();
-    const auto* run = configuration ? configuration->run(m_run) : nullptr;
-    const auto* service = run ? configuration->service(ServiceName(run->scoringService)) : nullptr;
-    if (!service)
+    auto item = itemFor(&config::RunConfiguration::scoringService);
+    if (!item)
         return std::nullopt;
-    WorkItem item;
-    item.id = RequestId(randomHex(requestIdBytes));
-    item.tenant = TenantName(run->tenant);
-    item.run = m_run;
-    item.service = ServiceName(run->scoringService);
-    item.configuration = configuration;
-    item.path = "/score";
-    item.contentType = "application/json";
-    item.body = Json { { "run", m_run.value() }, { "group", task.sample.group.value() }, { "index", task.sample.index }, { "text", task.body->text } }.dump(-1, ' ', false, Json::error_handler_t::replace);
-    item.isEngine = false;
-    item.arrived = m_parts.clock.now();
-    item.deadline = item.arrived + service->deadlineShort;
+    item->path = "/score";
+    item->contentType = "application/json";
+    item->body = Json { { "run", m_run.value() }, { "group", task.sample.group.value() }, { "index", task.sample.index }, { "text", task.body->text } }.dump(-1, ' ', false, Json::error_handler_t::replace);
     return item;
 }
 
--- a/src/azurepaddle/pipeline/run_worker.hpp
+++ b/src/azurepaddle/pipeline/run_worker.hpp
@@ -79,6 +79,7 @@
     void runAttempt(const rollout::Attempt& attempt, const std::stop_token& stop);
     void noteSent(const rollout::Attempt& attempt, const Grant& grant);
     void runScoring(const rollout::ScoringTask& task);
+    [[nodiscard]] std::optional<WorkItem> itemFor(const std::string config::RunConfiguration::*serviceOf) const;
     [[nodiscard]] std::optional<WorkItem> sampleItem(const rollout::Attempt& attempt) const;
     [[nodiscard]] std::optional<WorkItem> scoringItem(const rollout::ScoringTask& task) const;
     [[nodiscard]] PipelineResult<rollout::PullReply> commitHandOff(std::unique_lock<std::mutex>& lock, const rollout::HandOffPlan& plan, TimePoint deadline);
--- a/src/azurepaddle/pipeline/weight_service.cpp
+++ b/src/azurepaddle/pipeline/weight_service.cpp
@@ -12,26 +12,12 @@
     constexpr std::size_t maxOrdersShown = 200;
     constexpr Duration stateInterval = std::chrono::milliseconds(500);
     constexpr Duration stateTimeout = std::chrono::milliseconds(800);
+    constexpr Duration longestRollout = std::chrono::seconds(30);
     constexpr Duration controlDeadline = std::chrono::seconds(2);
 
-    const char* nameOf(weights::OrderKind kind) noexcept
-    {
-        switch (kind) {
-        case weights::OrderKind::Prefetch:
-            return "prefetch";
-        case weights::OrderKind::Switch:
-            return "switch";
-        case weights::OrderKind::LoadAdapter:
-            return "load-adapter";
-        case weights::OrderKind::UnloadAdapter:
-            return "unload-adapter";
-        }
-        return "unknown";
-    }
-
     std::string orderBody(const weights::Order& order)
     {
-        Json body { { "fencing_token", order.fencingToken }, { "action", nameOf(order.action.kind) } };
+        Json body { { "fencing_token", order.fencingToken }, { "action", weights::orderName(order.action.kind) } };
         if (order.action.version != 0)
             body["version"] = order.action.version;
         if (!order.action.adapter.empty())
@@ -39,6 +25,14 @@
         return body.dump();
     }
 
+    weights::PlannerSettings planFor(const config::ServiceConfiguration& configured)
+    {
+        weights::PlannerSettings settings;
+        settings.weightBytes = static_cast<double>(configured.weightBytes);
+        settings.storeBytesPerSecond = static_cast<double>(configured.storeBytesPerSecond);
+        return settings;
+    }
+
     std::optional<weights::EndpointReport> readReport(const EndpointId& endpoint, const std::string& body, TimePoint asked)
     {
         const auto object = Json::parse(body, nullptr, false);
@@ -61,12 +55,12 @@
 
 }
 
-std::shared_ptr<WeightService::Managed> WeightService::managedFor(const ServiceName& service)
+std::shared_ptr<WeightService::Managed> WeightService::managedFor(const ServiceName& service, const config::ServiceConfiguration& configured)
 {
     const std::lock_guard lock(m_mutex);
     auto& managed = m_managed[service];
     if (!managed)
-        managed = std::make_shared<Managed>(m_parts.sender, service, m_parts.port.self);
+        managed = std::make_shared<Managed>(planFor(configured), m_parts.sender, service, m_parts.port.self);
     return managed;
 }
 
@@ -77,13 +71,14 @@
         return;
     for (const auto& [name, service] : configuration->services()) {
         if (service.isEngine() && !service.versionSource.empty())
-            workOn(name, RunName(service.versionSource));
+            workOn(name, service);
     }
 }
 
-void WeightService::workOn(const ServiceName& service, const RunName& source)
+void WeightService::workOn(const ServiceName& service, const config::ServiceConfiguration& configured)
 {
-    const auto managed = managedFor(service);
+    const auto managed = managedFor(service, configured);
+    const RunName source(configured.versionSource);
     const std::lock_guard lock(managed->mutex);
     const TimePoint now = m_parts.clock.now();
     if (const auto request = managed->sender.leaseRequest(now)) {
@@ -96,6 +91,7 @@
     if (!std::exchange(managed->isAsking, true) && !m_parts.background.run([this, managed, source] { readWanted(managed, source); }))
         managed->isAsking = false;
     readStates(managed, now);
+    adoptNewest(*managed, now);
     if (managed->wanted != 0)
         sendDue(managed, now);
 }
@@ -120,11 +116,24 @@
     if (!runs)
         return;
     const auto found = std::find_if(runs->runs.begin(), runs->runs.end(), [&](const auto& summary) { return summary.run == source; });
-    if (found == runs->runs.end() || found->version == 0 || found->version == managed->wanted)
+    if (found != runs->runs.end())
+        managed->newest = std::max(managed->newest, found->version);
+}
+
+/// A rollout in progress is completed before the next version is wanted: with versions announced faster than one can be
+/// fetched everywhere, a target that always moved would never be reached.
+void WeightService::adoptNewest(Managed& managed, TimePoint now) const
+{
+    if (managed.newest <= managed.wanted)
+        return;
+    const auto progress = managed.planner.progress();
+    const bool isDone = managed.wanted == 0 || progress.switched == progress.endpoints;
+    if (!isDone && now - managed.wantedSince < longestRollout)
         return;
-    managed->wanted = found->version;
-    managed->planner.want({ managed->wanted, {} }, m_parts.clock.now());
-    m_log.info("version {} is wanted, as announced for {}", managed->wanted, source);
+    managed.wanted = managed.newest;
+    managed.wantedSince = now;
+    managed.planner.want({ managed.wanted, {} }, now);
+    m_log.info("version {} is wanted", managed.wanted);
 }
 
 void WeightService::syncEndpoints(Managed& managed, const ServiceName& service) const
@@ -210,7 +219,7 @@
 void WeightService::note(const weights::Order& order, std::string state, std::string reason)
 {
     if (state == "failed")
-        m_log.warning("order {} {} to {} failed: {}", nameOf(order.action.kind), order.action.version, order.action.endpoint, reason);
+        m_log.warning("order {} {} to {} failed: {}", weights::orderName(order.action.kind), order.action.version, order.action.endpoint, reason);
     const std::lock_guard lock(m_mutex);
     m_orders.push_back({ order.action, std::move(state), order.fencingToken, m_parts.clock.wallNow(), std::move(reason) });
     if (m_orders.size() > maxOrdersShown)
--- a/src/azurepaddle/pipeline/weight_service.hpp
+++ b/src/azurepaddle/pipeline/weight_service.hpp
@@ -57,8 +57,8 @@
 private:
     /// One service whose weights are managed.
     struct Managed {
-        Managed(const weights::SenderSettings& settings, const ServiceName& service, const control::Holder& holder)
-            : planner(weights::PlannerSettings {})
+        Managed(const weights::PlannerSettings& plan, const weights::SenderSettings& settings, const ServiceName& service, const control::Holder& holder)
+            : planner(plan)
             , sender(settings, service, holder)
         {
         }
@@ -69,11 +69,14 @@
         std::map<EndpointId, std::string> addresses;
         std::map<EndpointId, TimePoint> lastRead;
         WeightVersion wanted = 0;
+        WeightVersion newest = 0; ///< As the trainer announced; wanted once the rollout in progress is done.
+        TimePoint wantedSince {};
         bool isAsking = false;
     };
 
-    [[nodiscard]] std::shared_ptr<Managed> managedFor(const ServiceName& service);
-    void workOn(const ServiceName& service, const RunName& source);
+    [[nodiscard]] std::shared_ptr<Managed> managedFor(const ServiceName& service, const config::ServiceConfiguration& configured);
+    void workOn(const ServiceName& service, const config::ServiceConfiguration& configured);
+    void adoptNewest(Managed& managed, TimePoint now) const;
     void renew(const std::shared_ptr<Managed>& managed, const control::AcquireOrderLease& request);
     void readWanted(const std::shared_ptr<Managed>& managed, const RunName& source);
     void syncEndpoints(Managed& managed, const ServiceName& service) const;
--- a/src/azurepaddle/weights/order.hpp
+++ b/src/azurepaddle/weights/order.hpp
@@ -15,6 +15,22 @@
     UnloadAdapter,
 };
 
+/// The name of an order as endpoints and operators see it.
+[[nodiscard]] constexpr const char* orderName(OrderKind kind) noexcept
+{
+    switch (kind) {
+    case OrderKind::Prefetch:
+        return "prefetch";
+    case OrderKind::Switch:
+        return "switch";
+    case OrderKind::LoadAdapter:
+        return "load-adapter";
+    case OrderKind::UnloadAdapter:
+        return "unload-adapter";
+    }
+    return "unknown";
+}
+
 /// What an endpoint should do.
 struct OrderAction {
     EndpointId endpoint;
--- a/test/processes/test_failures.py
+++ b/test/processes/test_failures.py
@@ -182,6 +182,17 @@
         self.check_training(trainer, 8)
         self.wait(lambda: len({tuple(engine.get("/state")["versions"]) for engine in self.engines}) == 1, "all engines serve one version", 60)
 
+    def test_versions_announcedFasterThanTheStoreAllows_stillReachTheEngines(self):
+        """Guards against a rollout that never switches, because each new version restarts it."""
+        slow_store = configuration(staleness=1000).replace("weight_size = 1 KiB", "weight_size = 100 MiB").replace("store_rate = 1 GiB", "store_rate = 100 MiB")
+        self.daemons = self.cluster(3).start(slow_store)
+        self.weights = self.store()
+        self.engines = [self.engine(f"e{n}", "model", self.daemons.addresses, "--store", self.weights.address) for n in range(3)]
+        self.wait(lambda: len(self.daemons[0].get("/v1/endpoints")["endpoints"]) == 3, "all endpoints are known")
+        trainer = self.train(steps=1000, version_every_ms=300, staleness=1000, duration_ms=60000)
+        self.wait(lambda: all(engine.get("/state")["versions"][-1] >= 2 for engine in self.engines), "every engine serves a later version")
+        trainer.kill()
+
     def test_endpoint_leaving_getsNoNewWork(self):
         """Guards against work that is sent to an endpoint after it left."""
         self.start(engines=3)
