--- a/src/programs/azurepaddled/instance.cpp
+++ b/src/programs/azurepaddled/instance.cpp
@@ -167,7 +167,7 @@
         , server(serverOptions(settings))
         , group(makeGroup(settings, client))
         , control(settings.instance().name, addressesOf(settings, &settings.peer().voters), client, group.get())
-        , port(makePort(control, self, [this](std::function<void()> task) {
+        , port(makePort(control, self, [this](const std::function<void()>& task) {
             // Without a free thread the task runs here: it must not be dropped.
             if (!sampling.run(task))
                 task();
