Name the bench's services by kind instead of by deployment

Cause: names of a deployment's services stood in source code. Change: the two deployments' services are called models and plain.

--- a/src/programs/azurepaddle-bench/scenario.cpp
+++ b/src/programs/azurepaddle-bench/scenario.cpp
@@ -68,8 +68,8 @@
 std::vector<DeploymentSpec> deployments()
 {
     return {
-        { "sk-west", 3, 7, 0.001, 0.001, { { "proof-models", 12, {} }, { "reorder-desk", 3, plainEngine() } } },
-        { "kwara", 4, 9, 0.0005, 0.003, { { "burnish-model", 11, {} }, { "job-card", 4, plainEngine() } } },
+        { "sk-west", 3, 7, 0.001, 0.001, { { "models", 12, {} }, { "plain", 3, plainEngine() } } },
+        { "kwara", 4, 9, 0.0005, 0.003, { { "models", 11, {} }, { "plain", 4, plainEngine() } } },
     };
 }
 
