Scan the queue for passed deadlines only when dispatching periodically

Change: the scan stays in the periodic dispatch; a ticket that is popped after its deadline is refused as before, so nothing is sent after it. Conclusion: behaviour is the same; the cost of a request no longer grows with the queue through this scan.

--- a/src/azurepaddle/pipeline/dispatcher.cpp
+++ b/src/azurepaddle/pipeline/dispatcher.cpp
@@ -132,13 +132,23 @@
     else
         m_router.onFailed(grant.attempt);
     m_limiter.onEnded(grant.endpoint);
-    dispatch(service);
+    ServiceState& state = stateOf(service);
+    const std::lock_guard lock(state.mutex);
+    dispatchLocked(service, state);
 }
 
 void Dispatcher::dispatch(const ServiceName& service)
 {
     ServiceState& state = stateOf(service);
     const std::lock_guard lock(state.mutex);
+    for (const auto& [ticket, refused] : m_admission.expire(service)) {
+        const auto found = state.waiters.find(ticket.id);
+        if (found == state.waiters.end())
+            continue;
+        found->second->result = refusal(refused);
+        found->second->settled = true;
+        found->second->changed.notify_all();
+    }
     dispatchLocked(service, state);
 }
 
@@ -151,14 +161,6 @@
 
 void Dispatcher::dispatchLocked(const ServiceName& service, ServiceState& state)
 {
-    for (const auto& [ticket, refused] : m_admission.expire(service)) {
-        const auto found = state.waiters.find(ticket.id);
-        if (found == state.waiters.end())
-            continue;
-        found->second->result = refusal(refused);
-        found->second->settled = true;
-        found->second->changed.notify_all();
-    }
     admission::AllowedClasses allowed;
     while (allowed.shortWork || allowed.longWork) {
         const auto ticket = m_admission.next(service, allowed);
@@ -169,6 +171,14 @@
             m_admission.onFailed(*ticket, 0);
             continue;
         }
+        if (ticket->deadline && *ticket->deadline <= m_clock.now()) {
+            // Its waiter has not woken yet; nothing is sent after the deadline.
+            m_admission.onFailed(*ticket, 0);
+            found->second->result = refuse(PipelineErrorCode::DeadlineExceeded, std::string(describe(admission::RefusalReason::DeadlinePassed)), noEndpointRetry);
+            found->second->settled = true;
+            found->second->changed.notify_all();
+            continue;
+        }
         if (grantLocked(*found->second))
             continue;
         m_admission.putBack(*ticket);
--- a/src/azurepaddle/pipeline/dispatcher.hpp
+++ b/src/azurepaddle/pipeline/dispatcher.hpp
@@ -55,7 +55,8 @@
     /// Ends an attempt. The slot goes to the next request at once.
     void endAttempt(const ServiceName& service, const Grant& grant, bool finished);
 
-    /// Gives free slots to waiting requests; to be called when endpoints or their load changed.
+    /// Refuses requests whose deadline passed and gives free slots to the others. It looks at the whole queue: to be
+    /// called several times a second and when endpoints changed, not for each request.
     void dispatch(const ServiceName& service);
 
     /// Requests that wait for an endpoint of the service.
--- a/test/processes/harness.py
+++ b/test/processes/harness.py
@@ -328,3 +328,17 @@
     @staticmethod
     def _instances(instances):
         return ["--instances", ",".join(instances), "--token", ENDPOINT_SECRET] if instances else []
+
+
+class Deployment(ProcessTest):
+    """The helpers of the process tests without a test around them, for tools."""
+
+    def __init__(self):
+        super().__init__()
+        self.setUp()
+
+    def runTest(self):
+        """Not run by a test runner."""
+
+    def end(self):
+        self.doCleanups()
