--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 .PHONY: bench build capacity check check-asan check-tsan demo soak format format-check lint test traces install-packages
 
 build:
-	cmake -S . -B $(BUILD) -G Ninja --log-level=WARNING
+	cmake -S . -B $(BUILD) -G Ninja --log-level=WARNING -DAZUREPADDLE_WARNINGS_AS_ERRORS=ON
 	cmake --build $(BUILD) -j $(JOBS)
 
 install-packages:
--- /dev/null
+++ b/src/azurepaddle/batch/placement.cpp
@@ -0,0 +1,115 @@
+#include "azurepaddle/batch/placement.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::batch {
+
+namespace {
+
+    // Items of one group share an endpoint unless another one has this many items fewer.
+    constexpr std::uint32_t affinitySlack = 2;
+    // An endpoint this much slower than the median loses its items, and one this fast may get them.
+    constexpr double slowBound = 1.8;
+    constexpr double fastBound = 1.3;
+    // An item stays at least this long where it is, so that noise does not move it around.
+    constexpr Duration minimumStay = std::chrono::milliseconds(400);
+    // Moves planned at once, so that the slowness of the target is measured before more follow.
+    constexpr std::size_t maxMoves = 6;
+
+    template <typename Item>
+    bool fits(const EndpointLoad& endpoint, const Item& item)
+    {
+        return endpoint.isUsable && endpoint.running < endpoint.slots && endpoint.version >= item.minVersion && (!item.onlyVersion || *item.onlyVersion == endpoint.version);
+    }
+
+    double costOf(const EndpointLoad& endpoint)
+    {
+        const double share = (static_cast<double>(endpoint.running) + 1) / static_cast<double>(std::max(1U, endpoint.slots));
+        constexpr double foreignPenalty = 1; // Endpoints kept for other models come after all of the model's own.
+        return share * endpoint.slowness + (endpoint.isHome ? 0 : foreignPenalty);
+    }
+
+    template <typename Item>
+    EndpointLoad* cheapest(std::vector<EndpointLoad>& endpoints, const Item& item, double maxSlowness)
+    {
+        EndpointLoad* best = nullptr;
+        for (EndpointLoad& endpoint : endpoints) {
+            if (fits(endpoint, item) && endpoint.slowness <= maxSlowness && (!best || costOf(endpoint) < costOf(*best)))
+                best = &endpoint;
+        }
+        return best;
+    }
+
+    EndpointLoad* findEndpoint(std::vector<EndpointLoad>& endpoints, const EndpointId& id)
+    {
+        const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const EndpointLoad& endpoint) { return endpoint.id == id; });
+        return found == endpoints.end() ? nullptr : &*found;
+    }
+
+    void sortLongestFirst(std::vector<RunningItem>& running)
+    {
+        std::stable_sort(running.begin(), running.end(), [](const RunningItem& a, const RunningItem& b) { return a.expectedTokens > b.expectedTokens; });
+    }
+
+    constexpr double anySlowness = 1e9;
+
+}
+
+std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastOfGroup)
+{
+    std::stable_sort(waiting.begin(), waiting.end(), [](const WaitingItem& a, const WaitingItem& b) {
+        return a.isCarried != b.isCarried ? a.isCarried : a.expectedTokens > b.expectedTokens;
+    });
+    std::map<GroupId, EndpointId> placedAt = lastOfGroup;
+    std::vector<Placement> placements;
+    for (const WaitingItem& item : waiting) {
+        EndpointLoad* best = cheapest(endpoints, item, anySlowness);
+        if (!best)
+            continue;
+        const auto known = placedAt.find(item.group);
+        EndpointLoad* shared = known == placedAt.end() ? nullptr : findEndpoint(endpoints, known->second);
+        if (shared && fits(*shared, item) && shared->isHome == best->isHome && shared->slowness < slowBound && shared->running <= best->running + affinitySlack)
+            best = shared;
+        ++best->running;
+        placedAt[item.group] = best->id;
+        placements.push_back({ item.index, best->id });
+    }
+    return placements;
+}
+
+std::vector<Placement> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints)
+{
+    sortLongestFirst(running);
+    std::vector<Placement> moves;
+    for (const RunningItem& item : running) {
+        const EndpointLoad* from = findEndpoint(endpoints, item.endpoint);
+        if (!from || from->slowness < slowBound || item.sinceStart < minimumStay || moves.size() >= maxMoves)
+            continue;
+        EndpointLoad* target = cheapest(endpoints, item, fastBound);
+        if (!target)
+            continue;
+        ++target->running;
+        moves.push_back({ item.index, target->id });
+    }
+    return moves;
+}
+
+std::vector<Placement> planEvacuation(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints)
+{
+    sortLongestFirst(running);
+    std::vector<Placement> moves;
+    for (const RunningItem& item : running) {
+        if (EndpointLoad* from = findEndpoint(endpoints, item.endpoint))
+            from->isUsable = false;
+    }
+    for (const RunningItem& item : running) {
+        EndpointLoad* target = cheapest(endpoints, item, slowBound);
+        if (!target)
+            return {};
+        ++target->running;
+        moves.push_back({ item.index, target->id });
+    }
+    return moves;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/batch/types.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "azurepaddle/codec/codec.hpp"
+#include "azurepaddle/core/ident.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace azurepaddle::batch {
+
+/// One batch job, named by its submitter.
+using JobId = Identifier<struct JobTag>;
+/// One item of a job, named by its submitter. The same item may come again in a later job.
+using ItemId = Identifier<struct ItemTag>;
+/// A model whose weights change by version.
+using ModelName = Identifier<struct ModelTag>;
+
+/// A header field that an item wants sent with its request.
+struct ItemField {
+    std::string name;
+    std::string value;
+
+    friend bool operator==(const ItemField&, const ItemField&) = default;
+    MSGPACK_DEFINE(name, value)
+};
+
+/// One generation request of a job.
+struct ItemSpec {
+    ItemId id;
+    std::string path;
+    std::vector<ItemField> fields;
+    std::string body;
+    GroupId group; ///< Items of one group share their prompt.
+    std::uint64_t promptTokens = 0;
+    std::uint64_t expectedTokens = 0; ///< Output tokens, by the submitter's estimate.
+
+    friend bool operator==(const ItemSpec&, const ItemSpec&) = default;
+    MSGPACK_DEFINE(id, path, fields, body, group, promptTokens, expectedTokens)
+};
+
+/// A batch job as submitted.
+struct JobSpec {
+    JobId id;
+    std::string host; ///< Selects the route together with each item's path.
+    ModelName model;
+    std::uint64_t step = 0;
+    WeightVersion minVersion = 0; ///< Oldest weights that may generate a token of it.
+    std::uint32_t groupCount = 0; ///< Complete groups that its submitter waits for.
+    std::uint32_t maxAttempts = 1;
+    std::uint64_t dueMs = 0; ///< After its submission, in milliseconds.
+    std::uint64_t retentionMs = 0; ///< After its submission; then items may be given up.
+    bool isSingleVersion = false; ///< All tokens of an item must come from one version.
+    std::vector<ItemSpec> items;
+
+    friend bool operator==(const JobSpec&, const JobSpec&) = default;
+    MSGPACK_DEFINE(id, host, model, step, minVersion, groupCount, maxAttempts, dueMs, retentionMs, isSingleVersion, items)
+};
+
+enum class ResultState : std::uint8_t {
+    Completed,
+    Dead, ///< Given up for good.
+};
+
+/// The outcome of one item.
+struct ItemResult {
+    ItemId id;
+    ResultState state = ResultState::Completed;
+    std::string output;
+    std::vector<WeightVersion> versions; ///< Those that generated a token of the output, in the order of first use.
+
+    friend bool operator==(const ItemResult&, const ItemResult&) = default;
+    MSGPACK_DEFINE(id, state, output, versions)
+};
+
+}
+
+MSGPACK_ADD_ENUM(azurepaddle::batch::ResultState)
--- /dev/null
+++ b/src/azurepaddle/cluster/group.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "azurepaddle/cluster/identity.hpp"
+#include "azurepaddle/cluster/membership_plan.hpp"
+#include "azurepaddle/consensus/raft_node.hpp"
+#include "azurepaddle/control/group_messages.hpp"
+#include "azurepaddle/core/log.hpp"
+#include "azurepaddle/storage/log_store.hpp"
+#include "azurepaddle/storage/posix_file_system.hpp"
+#include "azurepaddle/transport/peer_client.hpp"
+#include "azurepaddle/transport/peer_server.hpp"
+
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace azurepaddle::cluster {
+
+/// A deterministic state machine on the log.
+template <typename T>
+concept StateMachine = requires(T& machine, const T& constMachine, const std::string& bytes)
+{
+    {
+        machine.apply(bytes)
+        } -> std::same_as<std::string>; ///< Applies a command and returns its reply.
+    {
+        machine.restore(bytes)
+        } -> std::same_as<bool>;
+    {
+        constMachine.snapshot()
+        } -> std::same_as<std::string>;
+};
+
+/// Settings of a participant.
+struct GroupOptions {
+    std::string name; ///< Of this instance.
+    InstanceAddress address; ///< Where peers reach this instance.
+    std::string dataFolder;
+    std::vector<InstanceAddress> seeds; ///< Peer addresses of instances to ask first; they found a new group.
+    bool mayFound = false; ///< The whole system starts for the first time.
+    MembershipPolicy policy;
+    consensus::RaftSettings raft;
+    std::size_t snapshotBytes = 48U * 1024U * 1024U; ///< Commands between two snapshots.
+};
+
+enum class ProposalStatus : unsigned char {
+    Applied,
+    NotLeader, ///< Nothing was or will be applied.
+    Busy, ///< Nothing was or will be applied.
+    Unknown, ///< Leadership changed: it may still be applied.
+};
+
+struct ProposalResult {
+    ProposalStatus status = ProposalStatus::NotLeader;
+    std::string reply; ///< Of the state machine, if applied.
+
+    friend bool operator==(const ProposalResult&, const ProposalResult&) = default;
+};
+
+using ProposalCallback = std::function<void(ProposalResult)>;
+
+/// A participant of a replicated state machine whose members find each other through seeds. All of it runs on one event
+/// loop; commands proposed in one turn of the loop share one fsync. A failed write stops the process.
+template <typename Machine>
+class Group {
+public:
+    /// Opens the data folder. Stops the process with a message if it cannot be read.
+    Group(asio::io_context& io, GroupOptions options, Machine& machine, transport::PeerClient& client);
+    Group(const Group&) = delete;
+    Group& operator=(const Group&) = delete;
+
+    /// Registers the methods raft, introduce and join. Before the server starts.
+    void registerHandlers(transport::PeerServer& server);
+    /// Begins to take part.
+    void start();
+    /// Hands the leadership over, if this instance has it.
+    void giveUpLeadership();
+
+    /// Appends a command if this instance leads.
+    void propose(std::string command, ProposalCallback callback);
+    /// Whether the state machine holds all that was ever acknowledged: this instance leads, no other can have been
+    /// elected, and its log is applied.
+    [[nodiscard]] bool isCurrent() const;
+    [[nodiscard]] bool isLeader() const { return m_node->status().role == consensus::RaftRole::Leader; }
+    [[nodiscard]] consensus::RaftStatus status() const { return m_node->status(); }
+    [[nodiscard]] const InstanceId& identity() const noexcept { return m_identity; }
+    /// Peer address of the leader, as far as known.
+    [[nodiscard]] std::optional<InstanceAddress> leaderAddress() const;
+    /// Peer addresses of all participants.
+    [[nodiscard]] std::vector<InstanceAddress> members() const;
+    /// Names of instances that are to be emptied.
+    void setRetiring(std::set<std::string> names) { m_retiring = std::move(names); }
+    /// Called when this instance becomes the leader with its log applied, or ceases to lead.
+    void setOnLeadership(std::function<void(bool)> onLeadership) { m_onLeadership = std::move(onLeadership); }
+
+private:
+    using Store = storage::LogStore<storage::PosixFileSystem>;
+    using Node = consensus::RaftNode<Store, Random>;
+
+    struct Pending {
+        std::uint64_t term = 0;
+        ProposalCallback callback;
+    };
+
+    void tick();
+    void scheduleStep();
+    void step();
+    void apply(const consensus::LogEntry& entry);
+    void send(const std::vector<consensus::RaftMessage>& messages);
+    void failPendingOfOldTerms();
+    void takeSnapshotIfDue();
+    void noteLeadership();
+
+    // group_membership.hpp: founding, joining, replacing lost participants.
+    void maintain();
+    void planChange();
+    void lookForGroup();
+    void takeIntroduction(const InstanceAddress& from, const control::IntroduceReply& reply);
+    void foundIfAllFresh();
+    [[nodiscard]] std::vector<MemberView> memberViews() const;
+    void admit(const InstanceId& identity);
+    void proposeChange(const consensus::MembershipChange& change);
+
+    asio::io_context& m_io;
+    const GroupOptions m_options;
+    Machine& m_machine;
+    transport::PeerClient& m_client;
+    const Log m_log { "cluster" };
+    const SystemClock m_clock {};
+    storage::PosixFileSystem m_files;
+    Store m_store { m_files };
+    Random m_random;
+    InstanceId m_identity;
+    std::unique_ptr<Node> m_node;
+    asio::steady_timer m_tickTimer;
+    bool m_isStepScheduled = false;
+    bool m_wasLeading = false;
+    std::uint64_t m_appliedIndex = 0;
+    std::uint64_t m_appliedTerm = 0;
+    std::size_t m_bytesSinceSnapshot = 0;
+    std::multimap<std::uint64_t, Pending> m_proposals; ///< By log index.
+    std::map<InstanceAddress, control::IntroduceReply> m_introductions; ///< Of the current round.
+    std::set<std::string> m_retiring;
+    std::function<void(bool)> m_onLeadership;
+    TimePoint m_nextMaintenance {};
+    TimePoint m_lastLeader {}; ///< When a leader was last known.
+};
+
+}
+
+#include "azurepaddle/cluster/group_drive.hpp" // IWYU pragma: export
+#include "azurepaddle/cluster/group_membership.hpp" // IWYU pragma: export
--- /dev/null
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -0,0 +1,255 @@
+#pragma once
+
+#include "azurepaddle/cluster/group.hpp"
+#include "azurepaddle/core/digest.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace azurepaddle::cluster {
+
+namespace internal {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(10);
+    constexpr Duration raftMessageDeadline = std::chrono::seconds(2);
+    constexpr std::size_t folderBytes = 6;
+
+    /// Ends the process: what reached the disk is unknown, and guessing could break a promise.
+    [[noreturn]] inline void stopProcess(const std::string& message)
+    {
+        std::fprintf(stderr, "state on disk cannot be used, the process stops: %s\n", message.c_str());
+        std::fflush(stderr);
+        std::_Exit(EXIT_FAILURE);
+    }
+
+    template <typename T>
+    [[nodiscard]] T require(storage::StorageResult<T> result)
+    {
+        if (!result)
+            stopProcess(result.error().message());
+        return std::move(*result);
+    }
+
+}
+
+template <typename Machine>
+Group<Machine>::Group(asio::io_context& io, GroupOptions options, Machine& machine, transport::PeerClient& client)
+    : m_io(io)
+    , m_options(std::move(options))
+    , m_machine(machine)
+    , m_client(client)
+    , m_files(internal::require(storage::PosixFileSystem::openFolder(m_options.dataFolder)))
+    , m_random(std::random_device {}())
+    , m_tickTimer(io)
+{
+    static_assert(StateMachine<Machine>);
+    const InstanceId fresh = formatIdentity({ m_options.name, m_options.address, randomHex(internal::folderBytes) });
+    auto loaded = internal::require(m_store.load(fresh.value()));
+    m_identity = InstanceId(loaded.identity);
+    m_log.info("data folder of {}: {} records, snapshot at {}, term {}, torn tail of {} bytes", m_identity, loaded.records.size(), loaded.snapshot.index, loaded.vote.term, loaded.cutBytes);
+    m_node = std::make_unique<Node>(m_store, m_random, m_options.raft, std::move(loaded), m_clock.now());
+}
+
+template <typename Machine>
+void Group<Machine>::registerHandlers(transport::PeerServer& server)
+{
+    using transport::PeerRequest;
+    using transport::PeerResponder;
+    server.handleDeferred("raft", [this](PeerRequest request, const PeerResponder& respond) {
+        asio::post(m_io, [this, body = std::move(request.body)] {
+            const auto envelope = codec::decode<control::RaftEnvelope>(body);
+            if (!envelope)
+                return m_log.warning("unreadable message of a participant: {}", envelope.error().message());
+            for (const auto& message : envelope->messages)
+                m_node->receive(envelope->from, message, m_clock.now());
+            scheduleStep();
+        });
+        respond(std::string());
+    });
+    server.handleDeferred("introduce", [this](const PeerRequest&, PeerResponder respond) {
+        asio::post(m_io, [this, respond = std::move(respond)] {
+            const auto status = m_node->status();
+            respond(codec::encode(control::IntroduceReply { m_identity, status.lastIndex == 0, status.membership, status.leader }));
+        });
+    });
+    server.handleDeferred("join", [this](PeerRequest request, PeerResponder respond) {
+        asio::post(m_io, [this, body = std::move(request.body), respond = std::move(respond)] {
+            if (const auto join = codec::decode<control::JoinRequest>(body))
+                admit(join->identity);
+            respond(std::string());
+        });
+    });
+}
+
+template <typename Machine>
+void Group<Machine>::start()
+{
+    m_lastLeader = m_clock.now();
+    scheduleStep();
+    tick();
+}
+
+template <typename Machine>
+void Group<Machine>::tick()
+{
+    m_node->tick(m_clock.now());
+    step();
+    if (m_clock.now() >= m_nextMaintenance)
+        maintain();
+    m_tickTimer.expires_after(internal::tickInterval);
+    m_tickTimer.async_wait([this](std::error_code error) {
+        if (!error)
+            tick();
+    });
+}
+
+template <typename Machine>
+void Group<Machine>::scheduleStep()
+{
+    if (std::exchange(m_isStepScheduled, true))
+        return;
+    asio::post(m_io, [this] {
+        m_isStepScheduled = false;
+        step();
+    });
+}
+
+template <typename Machine>
+void Group<Machine>::step()
+{
+    for (;;) {
+        auto ready = m_node->takeReady();
+        if (!ready)
+            internal::stopProcess(ready.error().message);
+        if (ready->empty())
+            break;
+        if (ready->snapshot) {
+            if (!m_machine.restore(ready->snapshot->bytes))
+                internal::stopProcess("the snapshot cannot be read");
+            m_appliedIndex = ready->snapshot->index;
+            m_appliedTerm = ready->snapshot->term;
+        }
+        send(ready->messages);
+        for (const auto& entry : ready->committed)
+            apply(entry);
+    }
+    failPendingOfOldTerms();
+    noteLeadership();
+    takeSnapshotIfDue();
+}
+
+template <typename Machine>
+void Group<Machine>::apply(const consensus::LogEntry& entry)
+{
+    m_appliedIndex = entry.index;
+    m_appliedTerm = entry.term;
+    std::string reply;
+    if (static_cast<consensus::EntryKind>(entry.kind) == consensus::EntryKind::Command) {
+        reply = m_machine.apply(entry.data);
+        m_bytesSinceSnapshot += entry.data.size();
+    }
+    const auto [begin, end] = m_proposals.equal_range(entry.index);
+    std::vector<std::pair<ProposalCallback, bool>> settled;
+    for (auto pending = begin; pending != end; ++pending)
+        settled.emplace_back(std::move(pending->second.callback), pending->second.term == entry.term);
+    m_proposals.erase(begin, end);
+    for (const auto& [callback, isOwn] : settled)
+        callback(isOwn ? ProposalResult { ProposalStatus::Applied, reply } : ProposalResult { ProposalStatus::NotLeader, {} });
+}
+
+template <typename Machine>
+void Group<Machine>::propose(std::string command, ProposalCallback callback)
+{
+    const auto position = m_node->propose(std::move(command), m_clock.now());
+    if (!position) {
+        const bool isNotLeader = position.error().code == consensus::RaftErrorCode::NotLeader;
+        return callback({ isNotLeader ? ProposalStatus::NotLeader : ProposalStatus::Busy, {} });
+    }
+    m_proposals.emplace(position->index, Pending { position->term, std::move(callback) });
+    scheduleStep();
+}
+
+template <typename Machine>
+void Group<Machine>::failPendingOfOldTerms()
+{
+    if (m_proposals.empty())
+        return;
+    const auto status = m_node->status();
+    std::vector<ProposalCallback> lost;
+    std::erase_if(m_proposals, [&](auto& entry) {
+        if (status.role == consensus::RaftRole::Leader && entry.second.term == status.term)
+            return false;
+        lost.push_back(std::move(entry.second.callback));
+        return true;
+    });
+    for (const auto& callback : lost)
+        callback({ ProposalStatus::Unknown, {} });
+}
+
+template <typename Machine>
+void Group<Machine>::takeSnapshotIfDue()
+{
+    if (m_bytesSinceSnapshot < m_options.snapshotBytes)
+        return;
+    const auto taken = m_node->snapshotTaken(m_appliedIndex, m_machine.snapshot());
+    if (!taken)
+        internal::stopProcess(taken.error().message);
+    m_bytesSinceSnapshot = 0;
+}
+
+template <typename Machine>
+void Group<Machine>::noteLeadership()
+{
+    const auto status = m_node->status();
+    const bool isLeading = status.role == consensus::RaftRole::Leader && m_appliedTerm == status.term;
+    if (std::exchange(m_wasLeading, isLeading) == isLeading)
+        return;
+    m_log.info("{} leads in term {}: {}", m_identity, status.term, isLeading ? "begin" : "end");
+    if (m_onLeadership)
+        m_onLeadership(isLeading);
+}
+
+template <typename Machine>
+bool Group<Machine>::isCurrent() const
+{
+    const auto status = m_node->status();
+    return status.role == consensus::RaftRole::Leader && m_appliedTerm == status.term && m_clock.now() < status.leaseEnd;
+}
+
+template <typename Machine>
+void Group<Machine>::send(const std::vector<consensus::RaftMessage>& messages)
+{
+    std::map<InstanceId, control::RaftEnvelope> envelopes;
+    for (const auto& message : messages) {
+        auto& envelope = envelopes[message.to];
+        envelope.from = m_identity;
+        envelope.messages.push_back(message);
+    }
+    for (const auto& [to, envelope] : envelopes) {
+        if (const auto parts = parseIdentity(to))
+            m_client.send(parts->address, "raft", codec::encode(envelope), m_clock.now() + internal::raftMessageDeadline);
+    }
+}
+
+template <typename Machine>
+std::optional<InstanceAddress> Group<Machine>::leaderAddress() const
+{
+    const auto parts = parseIdentity(m_node->status().leader);
+    return parts ? std::optional(parts->address) : std::nullopt;
+}
+
+template <typename Machine>
+std::vector<InstanceAddress> Group<Machine>::members() const
+{
+    const auto membership = m_node->status().membership;
+    std::vector<InstanceAddress> addresses;
+    for (const auto* ids : { &membership.voters, &membership.learners }) {
+        for (const InstanceId& id : *ids) {
+            if (const auto parts = parseIdentity(id))
+                addresses.push_back(parts->address);
+        }
+    }
+    return addresses;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/cluster/group_membership.hpp
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "azurepaddle/cluster/group.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::cluster {
+
+namespace internal {
+
+    constexpr Duration maintenanceInterval = std::chrono::milliseconds(200);
+    constexpr Duration introduceDeadline = std::chrono::milliseconds(500);
+    // Without a leader for this long a participant asks whether it was removed meanwhile.
+    constexpr Duration leaderlessTime = std::chrono::milliseconds(1500);
+
+}
+
+template <typename Machine>
+void Group<Machine>::maintain()
+{
+    const TimePoint now = m_clock.now();
+    m_nextMaintenance = now + internal::maintenanceInterval;
+    const auto status = m_node->status();
+    if (status.role == consensus::RaftRole::Leader) {
+        m_lastLeader = now;
+        return planChange();
+    }
+    if (!status.leader.empty())
+        m_lastLeader = now;
+    if (!status.membership.contains(m_identity) || now - m_lastLeader > internal::leaderlessTime)
+        lookForGroup();
+}
+
+template <typename Machine>
+std::vector<MemberView> Group<Machine>::memberViews() const
+{
+    const auto status = m_node->status();
+    const TimePoint now = m_clock.now();
+    std::vector<MemberView> views;
+    const auto add = [&](const InstanceId& id, bool isVoter) {
+        const auto parts = parseIdentity(id);
+        const auto contact = m_node->contactOf(id);
+        const bool isSelf = id == m_identity;
+        views.push_back({ id, parts ? parts->address : InstanceAddress {}, isVoter, isSelf, parts && m_retiring.contains(parts->name),
+            m_node->lagOf(id), isSelf || !contact ? Duration::zero() : now - *contact });
+    };
+    for (const InstanceId& id : status.membership.voters)
+        add(id, true);
+    for (const InstanceId& id : status.membership.learners)
+        add(id, false);
+    return views;
+}
+
+template <typename Machine>
+void Group<Machine>::planChange()
+{
+    const auto views = memberViews();
+    if (const auto change = planMembership(views, m_options.policy))
+        return proposeChange(*change);
+    const auto own = std::find_if(views.begin(), views.end(), [](const MemberView& view) { return view.isSelf; });
+    if (own != views.end() && own->isRetiring)
+        giveUpLeadership();
+}
+
+template <typename Machine>
+void Group<Machine>::proposeChange(const consensus::MembershipChange& change)
+{
+    constexpr std::array<std::string_view, 3> names { "add learner", "promote", "remove" };
+    const std::string_view name = names.at(static_cast<std::size_t>(change.kind));
+    const auto position = m_node->proposeChange(change, m_clock.now());
+    if (position) {
+        m_log.info("membership change: {} {}", name, change.node);
+        scheduleStep();
+    } else if (position.error().code != consensus::RaftErrorCode::ChangePending) {
+        m_log.warning("membership change refused: {} {}: {}", name, change.node, position.error().message);
+    }
+}
+
+template <typename Machine>
+void Group<Machine>::giveUpLeadership()
+{
+    const auto status = m_node->status();
+    if (status.role != consensus::RaftRole::Leader)
+        return;
+    std::vector<MemberView> views = memberViews();
+    std::erase_if(views, [&](const MemberView& view) { return !view.isVoter || view.isSelf || view.isRetiring || view.silence > m_options.policy.deadAfter; });
+    const auto best = std::min_element(views.begin(), views.end(), [](const MemberView& a, const MemberView& b) { return a.lag.value_or(0) < b.lag.value_or(0); });
+    if (best == views.end())
+        return;
+    if (const auto moved = m_node->transferLeadership(best->id, m_clock.now()); !moved)
+        m_log.warning("the leadership was not handed over: {}", moved.error().message);
+    scheduleStep();
+}
+
+/// Asks seeds and known participants who they are.
+template <typename Machine>
+void Group<Machine>::lookForGroup()
+{
+    foundIfAllFresh();
+    m_introductions.clear();
+    std::set<InstanceAddress> asked(m_options.seeds.begin(), m_options.seeds.end());
+    for (const InstanceAddress& member : members())
+        asked.insert(member);
+    asked.erase(m_options.address);
+    const std::string request = codec::encode(control::IntroduceRequest { m_identity });
+    for (const InstanceAddress& address : asked) {
+        m_client.send(address, "introduce", request, m_clock.now() + internal::introduceDeadline, [this, address](const transport::CallResult& result) {
+            if (!result)
+                return;
+            asio::post(m_io, [this, address, body = *result] {
+                if (const auto reply = codec::decode<control::IntroduceReply>(body))
+                    takeIntroduction(address, *reply);
+            });
+        });
+    }
+}
+
+template <typename Machine>
+void Group<Machine>::takeIntroduction(const InstanceAddress& from, const control::IntroduceReply& reply)
+{
+    m_introductions[from] = reply;
+    if (reply.isFresh || reply.membership.contains(m_identity))
+        return;
+    const auto leader = parseIdentity(reply.leader);
+    if (leader)
+        m_client.send(leader->address, "join", codec::encode(control::JoinRequest { m_identity }), m_clock.now() + internal::introduceDeadline);
+}
+
+/// The seed with the lowest address founds the group, once all seeds have said that they are new. An instance that lost
+/// its disk is not told to found, so that a group is founded once.
+template <typename Machine>
+void Group<Machine>::foundIfAllFresh()
+{
+    const auto& seeds = m_options.seeds;
+    if (!m_options.mayFound || m_node->status().lastIndex > 0 || seeds.empty() || *std::min_element(seeds.begin(), seeds.end()) != m_options.address)
+        return;
+    consensus::Membership founders;
+    founders.voters.insert(m_identity);
+    for (const InstanceAddress& seed : seeds) {
+        if (seed == m_options.address)
+            continue;
+        const auto found = m_introductions.find(seed);
+        if (found == m_introductions.end() || !found->second.isFresh)
+            return;
+        founders.voters.insert(found->second.identity);
+    }
+    const auto founded = m_node->foundGroup(founders);
+    if (founded)
+        m_log.info("founded the group with {} voters", founders.voters.size());
+    else
+        m_log.error("cannot found the group: {}", founded.error().message);
+    scheduleStep();
+}
+
+template <typename Machine>
+void Group<Machine>::admit(const InstanceId& identity)
+{
+    const auto status = m_node->status();
+    const auto parts = parseIdentity(identity);
+    if (status.role != consensus::RaftRole::Leader || status.membership.contains(identity) || !parts || m_retiring.contains(parts->name))
+        return;
+    proposeChange({ consensus::ChangeKind::AddLearner, identity });
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/config/node_settings.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "azurepaddle/config/problem.hpp"
+#include "azurepaddle/core/address.hpp"
+#include "azurepaddle/core/clock.hpp"
+#include "azurepaddle/core/log.hpp"
+
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace azurepaddle::config {
+
+/// What a node is and where it keeps its files: `[node]`.
+struct NodeIdentitySettings {
+    std::string name;
+    std::string dataCentre;
+    std::string role = "entry";
+    std::string dataFolder;
+    std::string logLevel = "info";
+
+    friend bool operator==(const NodeIdentitySettings&, const NodeIdentitySettings&) = default;
+};
+
+/// Where a node listens, as `ip:port`: `[listen]`.
+struct NodeListenSettings {
+    std::string callers;
+    std::string ready;
+    std::string control;
+    std::string metrics;
+
+    friend bool operator==(const NodeListenSettings&, const NodeListenSettings&) = default;
+};
+
+/// Connections between nodes: `[peer]`.
+struct NodePeerSettings {
+    std::string address;
+    std::uint64_t port = 7400;
+    std::vector<std::string> seeds;
+    std::string secret;
+    bool isFirstStart = false;
+
+    friend bool operator==(const NodePeerSettings&, const NodePeerSettings&) = default;
+};
+
+/// Promised times and tolerated losses: `[bounds]`.
+struct NodeBoundSettings {
+    std::uint64_t toleratedLosses = 1;
+    Duration orderLease = std::chrono::seconds(3);
+    Duration resultLifetime = std::chrono::seconds(120);
+    Duration stopTimeout = std::chrono::seconds(8);
+    std::uint64_t maxConnections = 3000;
+    std::uint64_t maxJobBytes = 48U * 1024U * 1024U;
+
+    friend bool operator==(const NodeBoundSettings&, const NodeBoundSettings&) = default;
+};
+
+/// What one azurepaddle-node is told at its start.
+struct NodeSettings {
+    NodeIdentitySettings node;
+    NodeListenSettings listen;
+    NodePeerSettings peer;
+    NodeBoundSettings bounds;
+
+    [[nodiscard]] bool isStore() const noexcept { return node.role == "store"; }
+    [[nodiscard]] LogLevel logLevel() const noexcept;
+    [[nodiscard]] InstanceAddress peerAddress() const { return { peer.address, static_cast<std::uint16_t>(peer.port) }; }
+    /// Peer addresses of the seeds. All nodes of a deployment use the same peer port, so a seed's own port is not used.
+    [[nodiscard]] std::vector<InstanceAddress> seedPeers() const;
+
+    friend bool operator==(const NodeSettings&, const NodeSettings&) = default;
+};
+
+/// Reads settings from INI text. The error lists every problem found; the file name appears in problems only.
+[[nodiscard]] tl::expected<NodeSettings, Problems> parseNodeSettings(std::string_view text, std::string_view file);
+[[nodiscard]] tl::expected<NodeSettings, Problems> loadNodeSettings(const std::string& path);
+/// The documentation of all keys in Markdown.
+[[nodiscard]] std::string nodeSettingsDocumentation();
+
+}
--- a/src/azurepaddle/consensus/raft_node.hpp
+++ b/src/azurepaddle/consensus/raft_node.hpp
@@ -50,6 +50,9 @@
     [[nodiscard]] RaftStatus status() const;
     /// Entries of the last known leader that a learner does not hold yet; nothing unless this instance leads.
     [[nodiscard]] std::optional<std::uint64_t> lagOf(const InstanceId& node) const;
+    /// When the newest message that another participant acknowledged was sent, or when this leader began to send to it.
+    /// Nothing unless this instance leads.
+    [[nodiscard]] std::optional<TimePoint> contactOf(const InstanceId& node) const;
 
 private:
     struct PendingRead {
--- a/src/azurepaddle/consensus/raft_node_api.hpp
+++ b/src/azurepaddle/consensus/raft_node_api.hpp
@@ -267,4 +267,13 @@
     return m_log.lastIndex() - found->second.match;
 }
 
+template <RaftStore Store, RandomSource RandomEngine>
+std::optional<TimePoint> RaftNode<Store, RandomEngine>::contactOf(const InstanceId& node) const
+{
+    const auto found = m_progress.find(node);
+    if (m_role != RaftRole::Leader || found == m_progress.end())
+        return std::nullopt;
+    return std::max(found->second.ackedSentAt, found->second.since);
+}
+
 }
--- a/src/azurepaddle/control/group_messages.hpp
+++ b/src/azurepaddle/control/group_messages.hpp
@@ -42,7 +42,8 @@
     InstanceId identity;
     bool isFresh = false;
     consensus::Membership membership; ///< Newest known; empty if fresh.
-    MSGPACK_DEFINE(identity, isFresh, membership)
+    InstanceId leader; ///< Empty if unknown.
+    MSGPACK_DEFINE(identity, isFresh, membership, leader)
 };
 
 /// Asks the leader to take in a participant whose folder is new; the former participant of the same instance name lost
--- a/src/azurepaddle/control/group_repair.cpp
+++ b/src/azurepaddle/control/group_repair.cpp
@@ -72,7 +72,8 @@
 IntroduceReply ControlGroup::answerIntroduce()
 {
     const std::lock_guard lock(m_mutex);
-    return { m_identity, isFresh(), m_node->status().membership };
+    const auto status = m_node->status();
+    return { m_identity, isFresh(), status.membership, status.leader };
 }
 
 void ControlGroup::admitLearner(const InstanceId& identity)
--- a/src/azurepaddle/core/log.cpp
+++ b/src/azurepaddle/core/log.cpp
@@ -1,5 +1,6 @@
 #include "azurepaddle/core/log.hpp"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
@@ -41,6 +42,25 @@
     log4cxx::Logger::getRootLogger()->setLevel(toLevel(level));
 }
 
+void startStructuredLogging(LogLevel level)
+{
+    constexpr int maxQueuedLines = 4096;
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{yyyy-MM-ddTHH:mm:ss.SSS} %-5p %c %m%n"));
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.out"));
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(maxQueuedLines);
+    queue->setBlocking(false);
+    queue->addAppender(console);
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(queue);
+    log4cxx::Logger::getRootLogger()->setLevel(toLevel(level));
+}
+
+void stopLogging()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 Log::Log(std::string_view component)
     : m_implementation(std::make_shared<Implementation>(Implementation { log4cxx::Logger::getLogger(std::string(component)) }))
 {
--- a/src/azurepaddle/core/log.hpp
+++ b/src/azurepaddle/core/log.hpp
@@ -19,6 +19,13 @@
 /// Call it once from the main function.
 void startLogging(LogLevel level);
 
+/// Sets up logging of decisions to standard output. Lines wait in a bounded queue for a thread of their own; when it is
+/// full, lines are dropped and counted instead of delaying the caller. Call it once from the main function.
+void startStructuredLogging(LogLevel level);
+
+/// Writes what still waits. No line may be logged after it.
+void stopLogging();
+
 /// Writes log lines of one component. Copies share the component. Never pass secrets.
 class Log {
 public:
--- /dev/null
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "azurepaddle/batch/placement.hpp"
+#include "azurepaddle/execution/item_text.hpp"
+#include "azurepaddle/execution/protocol.hpp"
+#include "azurepaddle/execution/speed_meter.hpp"
+#include "azurepaddle/metrics/registry.hpp"
+#include "azurepaddle/registry/leader_service.hpp"
+
+#include <memory>
+#include <unordered_map>
+
+namespace azurepaddle::execution {
+
+/// Runs the items of all open jobs while its instance leads: sends them to endpoints, goes on elsewhere when an endpoint
+/// fails or slows down, and lists their results. What it knows beyond the agreed state is lost with the leadership; the
+/// next leader runs unlisted items again.
+template <typename Protocol>
+class JobRunner {
+public:
+    JobRunner(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, metrics::Registry& metrics);
+
+    /// Called with a job to which results were appended.
+    void setOnListed(std::function<void(const batch::JobId&)> onListed) { m_onListed = std::move(onListed); }
+    /// Replaces the routes by which items find their service.
+    void setRoutes(std::shared_ptr<const gateway::RouteTable> routes) { m_routes = std::move(routes); }
+    void onLeadership(bool isLeading);
+    /// Takes over new jobs, drops ended ones and starts what can start.
+    void update();
+    /// Looks for silent and slow endpoints.
+    void tick();
+
+    /// Items of a model that run at an endpoint.
+    [[nodiscard]] std::uint32_t running(const EndpointId& endpoint, const batch::ModelName& model) const;
+    /// Says that an endpoint loads weights of a model and pauses its items.
+    void setLoading(const EndpointId& endpoint, const batch::ModelName& model, bool isLoading);
+    /// Moves the items of a model away from an endpoint. False if they do not fit elsewhere.
+    [[nodiscard]] bool evacuate(const EndpointId& endpoint, const batch::ModelName& model);
+    /// Says for which model an endpoint is kept up to date.
+    void setHomes(std::map<EndpointId, batch::ModelName> homes) { m_homes = std::move(homes); }
+
+private:
+    enum class Stage : std::uint8_t {
+        Waiting,
+        Running,
+        Listing, ///< Its result is being agreed on.
+    };
+
+    /// One item of an open job.
+    struct Run {
+        batch::JobId job;
+        batch::ItemId item;
+        std::string host;
+        batch::ModelName model;
+        WeightVersion minVersion = 0;
+        bool isSingleVersion = false;
+        bool isCarried = false;
+        std::uint32_t maxAttempts = 1;
+        Duration retention {};
+        Stage stage = Stage::Waiting;
+        std::uint64_t number = 0; ///< Of the run, new for each.
+        EndpointId endpoint;
+        http1::ClientCallPointer call;
+        std::shared_ptr<http1::EventStreamParser> parser;
+        unsigned status = 0; ///< Of the response in progress.
+        gateway::AnswerClass answerClass = gateway::AnswerClass::Answer;
+        WeightVersion version = 0; ///< Of the events that arrive now.
+        TimePoint acceptedAt;
+        TimePoint startedAt;
+        TimePoint lastEventAt;
+        TimePoint notBefore;
+        unsigned eventsHere = 0; ///< Received from the present endpoint.
+        unsigned failures = 0; ///< Answers of 500.
+    };
+    using RunPointer = std::shared_ptr<Run>;
+
+    struct KnownText {
+        ItemText text;
+        TimePoint usedAt;
+    };
+
+    void takeJobs();
+    void addRun(const batch::Job& job, const batch::ItemSpec& item);
+    [[nodiscard]] bool adoptText(const Run& run);
+    void dropRun(const RunPointer& run, std::string_view reason);
+    void place();
+    [[nodiscard]] std::vector<batch::EndpointLoad> loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const;
+    [[nodiscard]] ServiceName serviceOf(const Run& run, const batch::ItemSpec& spec) const;
+    void start(const RunPointer& run, const EndpointId& endpoint);
+    [[nodiscard]] bool onHead(const RunPointer& run, const http1::Response& head);
+    void onBody(const RunPointer& run, const std::string& bytes);
+    void onEvent(const RunPointer& run, http1::StreamEvent event);
+    void onEnd(const RunPointer& run, const http1::CallEnd& end);
+    void onRefused(const RunPointer& run);
+    void onFailure(const RunPointer& run);
+    void onStreamEnd(const RunPointer& run);
+    void stop(const RunPointer& run);
+    void requeue(const RunPointer& run, std::string_view cause, Duration delay);
+    void move(const RunPointer& run, const EndpointId& target, std::string_view cause);
+    void finish(const RunPointer& run, batch::ResultState state);
+    void flushResults();
+    void giveUpOld(TimePoint now);
+    void findSilent(TimePoint now);
+    void moveFromSlow(TimePoint now);
+    [[nodiscard]] std::uint64_t remainingTokens(const Run& run) const;
+    [[nodiscard]] std::optional<WeightVersion> onlyVersion(const Run& run) const;
+    [[nodiscard]] const batch::ItemSpec* specOf(const Run& run) const { return m_machine.jobs().findItem(run.job, run.item); }
+    [[nodiscard]] ItemText& textOf(const Run& run) { return m_texts[run.item].text; }
+    void scheduleUpdate();
+    void avoid(const EndpointId& endpoint, Duration duration);
+
+    asio::io_context& m_io;
+    http1::ClientPool& m_pool;
+    registry::ServiceGroup& m_group;
+    const registry::StateMachine& m_machine;
+    registry::Liveness& m_liveness;
+    metrics::Registry& m_metrics;
+    const Log m_log { "items" };
+    const SystemClock m_clock {};
+    std::function<void(const batch::JobId&)> m_onListed;
+    std::shared_ptr<const gateway::RouteTable> m_routes = std::make_shared<const gateway::RouteTable>();
+    bool m_isLeading = false;
+    std::uint64_t m_nextNumber = 1;
+    std::map<batch::JobId, std::map<batch::ItemId, RunPointer>> m_runs;
+    std::map<batch::ItemId, KnownText> m_texts;
+    std::map<EndpointId, std::map<batch::ModelName, std::uint32_t>> m_running;
+    std::map<EndpointId, std::set<batch::ModelName>> m_loading;
+    std::map<EndpointId, TimePoint> m_avoidUntil;
+    std::map<EndpointId, batch::ModelName> m_homes;
+    std::map<GroupId, EndpointId> m_lastOfGroup;
+    std::map<batch::JobId, std::vector<batch::ItemResult>> m_results; ///< Finished, not yet proposed.
+    SpeedMeter m_speed;
+    bool m_isUpdateScheduled = false;
+    bool m_isFlushScheduled = false;
+};
+
+}
+
+#include "azurepaddle/execution/job_runner_decide.hpp" // IWYU pragma: export
+#include "azurepaddle/execution/job_runner_send.hpp" // IWYU pragma: export
--- /dev/null
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -0,0 +1,359 @@
+#pragma once
+
+#include "azurepaddle/execution/job_runner.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::execution {
+
+namespace internal {
+
+    // Tokens of one event, where an item does not say how many it expects.
+    constexpr std::uint64_t defaultExpectedTokens = 1000;
+    constexpr std::uint64_t tokensPerEvent = 56;
+    // Texts of items that no open job wants are kept this long: their group may come again.
+    constexpr Duration textLifetime = std::chrono::seconds(30);
+    // An endpoint without any event for this long is taken for dead; its items go on elsewhere.
+    constexpr Duration silenceLimit = std::chrono::milliseconds(700);
+    constexpr Duration silenceAvoidance = std::chrono::seconds(2);
+    // A draining endpoint serves on for a while, so its items move as from a very slow one.
+    constexpr double drainingSlowness = 100;
+
+}
+
+template <typename Protocol>
+JobRunner<Protocol>::JobRunner(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, metrics::Registry& metrics)
+    : m_io(io)
+    , m_pool(pool)
+    , m_group(group)
+    , m_machine(machine)
+    , m_liveness(liveness)
+    , m_metrics(metrics)
+{
+    static_assert(ItemProtocol<Protocol>);
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::onLeadership(bool isLeading)
+{
+    m_isLeading = isLeading;
+    for (const auto& [job, runs] : m_runs) {
+        for (const auto& [item, run] : runs)
+            stop(run);
+    }
+    m_runs.clear();
+    m_results.clear();
+    m_texts.clear();
+    m_loading.clear();
+    m_avoidUntil.clear();
+    m_homes.clear();
+    m_running.clear();
+    if (isLeading)
+        scheduleUpdate();
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::scheduleUpdate()
+{
+    if (std::exchange(m_isUpdateScheduled, true))
+        return;
+    asio::post(m_io, [this] {
+        m_isUpdateScheduled = false;
+        update();
+    });
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::update()
+{
+    if (!m_isLeading)
+        return;
+    takeJobs();
+    if (m_group.isCurrent())
+        place();
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::takeJobs()
+{
+    for (const batch::Job* job : m_machine.jobs().jobs()) {
+        const auto known = m_runs.find(job->spec.id);
+        if (job->isEnded || known != m_runs.end())
+            continue;
+        m_runs[job->spec.id];
+        for (const batch::ItemSpec& item : job->spec.items) {
+            if (!m_machine.jobs().isListed(job->spec.id, item.id))
+                addRun(*job, item);
+        }
+    }
+    std::vector<RunPointer> ended;
+    for (auto entry = m_runs.begin(); entry != m_runs.end();) {
+        const batch::Job* job = m_machine.jobs().find(entry->first);
+        if (job && !job->isEnded) {
+            ++entry;
+            continue;
+        }
+        for (const auto& [item, run] : entry->second)
+            ended.push_back(run);
+        m_results.erase(entry->first);
+        entry = m_runs.erase(entry);
+    }
+    for (const RunPointer& run : ended)
+        dropRun(run, "job-ended");
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::addRun(const batch::Job& job, const batch::ItemSpec& item)
+{
+    const batch::JobSpec& spec = job.spec;
+    const auto run = std::make_shared<Run>();
+    run->job = spec.id;
+    run->item = item.id;
+    run->host = spec.host;
+    run->model = spec.model;
+    run->minVersion = spec.minVersion;
+    run->isSingleVersion = spec.isSingleVersion;
+    run->maxAttempts = spec.maxAttempts;
+    run->retention = std::chrono::milliseconds(spec.retentionMs);
+    run->acceptedAt = m_clock.now();
+    for (const batch::Job* earlier : m_machine.jobs().jobs())
+        run->isCarried = run->isCarried || (earlier->order < job.order && m_machine.jobs().findItem(earlier->spec.id, item.id));
+    m_runs[run->job][run->item] = run;
+    if (adoptText(*run))
+        finish(run, batch::ResultState::Completed);
+}
+
+/// Keeps what an earlier job generated of the item, if this job may use it. True if that is the whole text.
+template <typename Protocol>
+bool JobRunner<Protocol>::adoptText(const Run& run)
+{
+    KnownText& known = m_texts[run.item];
+    known.usedAt = m_clock.now();
+    if (!known.text.fits(run.minVersion, run.isSingleVersion))
+        known.text.clear();
+    if (known.text.events() > 0)
+        m_log.info("item id={} job={} reuses events={} complete={}", run.item, run.job, known.text.events(), known.text.isComplete());
+    return known.text.isComplete();
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::dropRun(const RunPointer& run, std::string_view reason)
+{
+    if (run->stage == Stage::Running)
+        m_log.info("item id={} job={} endpoint={} outcome=stopped cause={} events={}", run->item, run->job, run->endpoint, reason, textOf(*run).events());
+    stop(run);
+}
+
+template <typename Protocol>
+ServiceName JobRunner<Protocol>::serviceOf(const Run& run, const batch::ItemSpec& spec) const
+{
+    const gateway::Route* route = m_routes->find(run.host, http1::pathOf(spec.path));
+    if (!route)
+        return {};
+    // All items of a job use the service that its identifier selects, so that a group shares its prompt.
+    constexpr double range = 4294967296.0;
+    const double point = static_cast<double>(std::hash<std::string> {}(run.job.value()) & 0xffffffffU) / range;
+    return gateway::chooseService(*route, point);
+}
+
+template <typename Protocol>
+std::vector<batch::EndpointLoad> JobRunner<Protocol>::loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const
+{
+    std::vector<batch::EndpointLoad> loads;
+    for (const auto& [id, record] : m_machine.directory().records()) {
+        if (record.service != service || record.state == registry::EndpointState::Gone)
+            continue;
+        batch::EndpointLoad load;
+        load.id = id;
+        load.slots = record.slots;
+        if (const auto found = m_running.find(id); found != m_running.end()) {
+            for (const auto& [other, count] : found->second)
+                load.running += count;
+        }
+        const auto* live = m_liveness.find(id);
+        load.version = record.versionOf(model);
+        if (live && live->startedMs == record.startedMs) {
+            const auto version = live->versions.find(model.value());
+            load.version = version == live->versions.end() ? load.version : version->second;
+        }
+        const auto loading = m_loading.find(id);
+        const auto avoided = m_avoidUntil.find(id);
+        const bool isDraining = record.state == registry::EndpointState::Draining;
+        load.isUsable = !isDraining && (loading == m_loading.end() || !loading->second.contains(model)) && (avoided == m_avoidUntil.end() || now >= avoided->second);
+        const auto home = m_homes.find(id);
+        load.isHome = home == m_homes.end() || home->second == model;
+        load.slowness = isDraining ? internal::drainingSlowness : m_speed.slowness(id, now);
+        loads.push_back(std::move(load));
+    }
+    return loads;
+}
+
+template <typename Protocol>
+std::uint64_t JobRunner<Protocol>::remainingTokens(const Run& run) const
+{
+    const batch::ItemSpec* spec = specOf(run);
+    const std::uint64_t expected = spec && spec->expectedTokens > 0 ? spec->expectedTokens : internal::defaultExpectedTokens;
+    const auto known = m_texts.find(run.item);
+    const std::uint64_t held = known == m_texts.end() ? 0 : known->second.text.events() * internal::tokensPerEvent;
+    // An item that exceeds its estimate is expected to go on for as long again.
+    return expected > held ? expected - held : std::max<std::uint64_t>(held / 2, 1);
+}
+
+template <typename Protocol>
+std::optional<WeightVersion> JobRunner<Protocol>::onlyVersion(const Run& run) const
+{
+    if (!run.isSingleVersion)
+        return std::nullopt;
+    const auto known = m_texts.find(run.item);
+    const auto versions = known == m_texts.end() ? std::vector<WeightVersion>() : known->second.text.versions();
+    return versions.empty() ? std::nullopt : std::optional(versions.back());
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::place()
+{
+    const TimePoint now = m_clock.now();
+    std::map<std::pair<batch::ModelName, ServiceName>, std::vector<RunPointer>> waiting;
+    for (const auto& [job, runs] : m_runs) {
+        for (const auto& [item, run] : runs) {
+            const batch::ItemSpec* spec = run->stage == Stage::Waiting && now >= run->notBefore ? specOf(*run) : nullptr;
+            if (spec)
+                waiting[{ run->model, serviceOf(*run, *spec) }].push_back(run);
+        }
+    }
+    for (const auto& [kind, runs] : waiting) {
+        std::vector<batch::WaitingItem> items;
+        for (std::size_t index = 0; index < runs.size(); ++index) {
+            const Run& run = *runs[index];
+            items.push_back({ index, specOf(run)->group, run.isCarried, remainingTokens(run), run.minVersion, onlyVersion(run) });
+        }
+        for (const batch::Placement& placement : batch::placeItems(std::move(items), loadsOf(kind.first, kind.second, now), m_lastOfGroup)) {
+            m_lastOfGroup[specOf(*runs[placement.index])->group] = placement.endpoint;
+            start(runs[placement.index], placement.endpoint);
+        }
+    }
+    constexpr std::size_t maxGroups = 4096;
+    if (m_lastOfGroup.size() > maxGroups)
+        m_lastOfGroup.clear();
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::tick()
+{
+    if (!m_isLeading)
+        return;
+    const TimePoint now = m_clock.now();
+    giveUpOld(now);
+    findSilent(now);
+    moveFromSlow(now);
+    std::erase_if(m_texts, [&](const auto& entry) {
+        const bool isWanted = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& job) { return job.second.contains(entry.first); });
+        return !isWanted && now - entry.second.usedAt > internal::textLifetime;
+    });
+    update();
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::giveUpOld(TimePoint now)
+{
+    std::vector<RunPointer> old;
+    for (const auto& [job, runs] : m_runs) {
+        for (const auto& [item, run] : runs) {
+            if (run->stage != Stage::Listing && run->retention > Duration::zero() && now - run->acceptedAt > run->retention)
+                old.push_back(run);
+        }
+    }
+    for (const RunPointer& run : old) {
+        stop(run);
+        finish(run, batch::ResultState::Dead);
+    }
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::findSilent(TimePoint now)
+{
+    const Duration limit = std::max<Duration>(internal::silenceLimit, m_speed.median(now) * 10);
+    std::vector<RunPointer> silent;
+    for (const auto& [job, runs] : m_runs) {
+        for (const auto& [item, run] : runs) {
+            const auto loading = m_loading.find(run->endpoint);
+            const bool isPaused = loading != m_loading.end() && loading->second.contains(run->model);
+            if (isPaused)
+                run->lastEventAt = now;
+            else if (run->stage == Stage::Running && now - run->lastEventAt > limit)
+                silent.push_back(run);
+        }
+    }
+    for (const RunPointer& run : silent) {
+        avoid(run->endpoint, internal::silenceAvoidance);
+        requeue(run, "silent", Duration::zero());
+    }
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::moveFromSlow(TimePoint now)
+{
+    std::map<std::pair<batch::ModelName, ServiceName>, std::vector<RunPointer>> running;
+    for (const auto& [job, runs] : m_runs) {
+        for (const auto& [item, run] : runs) {
+            const batch::ItemSpec* spec = run->stage == Stage::Running ? specOf(*run) : nullptr;
+            if (spec)
+                running[{ run->model, serviceOf(*run, *spec) }].push_back(run);
+        }
+    }
+    for (const auto& [kind, runs] : running) {
+        std::vector<batch::RunningItem> items;
+        for (std::size_t index = 0; index < runs.size(); ++index)
+            items.push_back({ index, runs[index]->endpoint, remainingTokens(*runs[index]), runs[index]->minVersion, onlyVersion(*runs[index]), now - runs[index]->startedAt });
+        for (const batch::Placement& placement : batch::planMoves(std::move(items), loadsOf(kind.first, kind.second, now)))
+            move(runs[placement.index], placement.endpoint, "slow");
+    }
+}
+
+template <typename Protocol>
+std::uint32_t JobRunner<Protocol>::running(const EndpointId& endpoint, const batch::ModelName& model) const
+{
+    const auto found = m_running.find(endpoint);
+    if (found == m_running.end())
+        return 0;
+    const auto count = found->second.find(model);
+    return count == found->second.end() ? 0 : count->second;
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::setLoading(const EndpointId& endpoint, const batch::ModelName& model, bool isLoading)
+{
+    if (isLoading)
+        m_loading[endpoint].insert(model);
+    else
+        m_loading[endpoint].erase(model);
+    if (!isLoading)
+        scheduleUpdate();
+}
+
+template <typename Protocol>
+bool JobRunner<Protocol>::evacuate(const EndpointId& endpoint, const batch::ModelName& model)
+{
+    const TimePoint now = m_clock.now();
+    std::vector<RunPointer> leaving;
+    std::vector<batch::RunningItem> items;
+    ServiceName service;
+    for (const auto& [job, runs] : m_runs) {
+        for (const auto& [item, run] : runs) {
+            const batch::ItemSpec* spec = run->stage == Stage::Running && run->endpoint == endpoint && run->model == model ? specOf(*run) : nullptr;
+            if (!spec)
+                continue;
+            service = serviceOf(*run, *spec);
+            items.push_back({ leaving.size(), endpoint, remainingTokens(*run), run->minVersion, onlyVersion(*run), now - run->startedAt });
+            leaving.push_back(run);
+        }
+    }
+    if (leaving.empty())
+        return true;
+    const auto moves = batch::planEvacuation(std::move(items), loadsOf(model, service, now));
+    for (const batch::Placement& placement : moves)
+        move(leaving[placement.index], placement.endpoint, "load");
+    return !moves.empty();
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -0,0 +1,267 @@
+#pragma once
+
+#include "azurepaddle/execution/job_runner.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::execution {
+
+namespace internal {
+
+    constexpr Duration itemConnectTimeout = std::chrono::milliseconds(400);
+    constexpr std::size_t maxEventBytes = 256U * 1024U;
+    // A full endpoint is left alone until some of its items may have ended.
+    constexpr Duration refusalAvoidance = std::chrono::milliseconds(60);
+    constexpr Duration failureAvoidance = std::chrono::milliseconds(500);
+    constexpr Duration retryDelay = std::chrono::milliseconds(30);
+    // Connections beyond the slots, for calls that end while others begin.
+    constexpr std::size_t spareConnections = 8;
+
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::start(const RunPointer& run, const EndpointId& endpoint)
+{
+    const registry::EndpointRecord* record = m_machine.directory().find(endpoint);
+    const batch::ItemSpec* spec = specOf(*run);
+    if (!record || !spec)
+        return;
+    const TimePoint now = m_clock.now();
+    KnownText& known = m_texts[run->item];
+    known.usedAt = now;
+    run->stage = Stage::Running;
+    run->number = m_nextNumber++;
+    run->endpoint = endpoint;
+    run->parser = std::make_shared<http1::EventStreamParser>(internal::maxEventBytes);
+    run->status = 0;
+    run->version = 0;
+    run->startedAt = now;
+    run->lastEventAt = now;
+    run->eventsHere = 0;
+    ++m_running[endpoint][run->model];
+    const auto ifCurrent = [weak = std::weak_ptr(run), number = run->number]() -> RunPointer {
+        const auto current = weak.lock();
+        return current && current->number == number && current->stage == Stage::Running ? current : nullptr;
+    };
+    http1::CallEvents events;
+    events.onHead = [this, ifCurrent](const http1::Response& head) {
+        const auto current = ifCurrent();
+        return !current || onHead(current, head);
+    };
+    events.onBody = [this, ifCurrent](const std::string& bytes) {
+        if (const auto current = ifCurrent())
+            onBody(current, bytes);
+    };
+    events.onEnd = [this, ifCurrent](const http1::CallEnd& end) {
+        if (const auto current = ifCurrent())
+            onEnd(current, end);
+    };
+    const http1::Request request = Protocol::itemRequest(*spec, run->host, endpoint, known.text.events());
+    http1::CallOptions options;
+    options.connectTimeout = internal::itemConnectTimeout;
+    options.maxConnections = record->slots + internal::spareConnections;
+    run->call = m_pool.send(record->address(), request, options, std::move(events));
+    m_log.info("item id={} job={} model={} min-version={} endpoint={} resumes-after={} outcome=sent", run->item, run->job, run->model, run->minVersion, endpoint, known.text.events());
+    m_metrics.counter("items_sent_total").add();
+}
+
+/// Ends what the item does at its endpoint, without an outcome.
+template <typename Protocol>
+void JobRunner<Protocol>::stop(const RunPointer& run)
+{
+    if (run->stage != Stage::Running)
+        return;
+    run->stage = Stage::Waiting;
+    run->number = 0;
+    if (const auto call = std::exchange(run->call, nullptr))
+        call->cancel();
+    std::uint32_t& count = m_running[run->endpoint][run->model];
+    count -= std::min(count, 1U);
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::avoid(const EndpointId& endpoint, Duration duration)
+{
+    TimePoint& until = m_avoidUntil[endpoint];
+    until = std::max(until, m_clock.now() + duration);
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::requeue(const RunPointer& run, std::string_view cause, Duration delay)
+{
+    m_log.info("item id={} job={} endpoint={} outcome=again cause=\"{}\" events={}", run->item, run->job, run->endpoint, cause, textOf(*run).events());
+    m_metrics.counter("items_repeated_total").add();
+    stop(run);
+    run->notBefore = m_clock.now() + delay;
+    if (delay == Duration::zero())
+        scheduleUpdate();
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::move(const RunPointer& run, const EndpointId& target, std::string_view cause)
+{
+    m_log.info("item id={} job={} endpoint={} target={} outcome=moved cause={} events={}", run->item, run->job, run->endpoint, target, cause, textOf(*run).events());
+    m_metrics.counter("items_moved_total").add();
+    stop(run);
+    start(run, target);
+}
+
+/// False if the response belongs to another request.
+template <typename Protocol>
+bool JobRunner<Protocol>::onHead(const RunPointer& run, const http1::Response& head)
+{
+    run->answerClass = Protocol::classify(head, run->item.value());
+    if (run->answerClass == gateway::AnswerClass::OtherRequest)
+        return false;
+    run->status = head.status;
+    if (run->answerClass != gateway::AnswerClass::Answer || head.status != 200)
+        return true;
+    const auto version = Protocol::versionOf(head);
+    run->version = version.value_or(0);
+    const auto only = onlyVersion(*run);
+    const bool isTooOld = run->version < run->minVersion;
+    if (isTooOld || (only && *only != run->version)) {
+        m_log.info("item id={} endpoint={} has version={} min-version={}", run->item, run->endpoint, run->version, run->minVersion);
+        if (isTooOld)
+            avoid(run->endpoint, internal::failureAvoidance);
+        requeue(run, "wrong version", internal::retryDelay);
+    }
+    return true;
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::onBody(const RunPointer& run, const std::string& bytes)
+{
+    if (run->status != 200 || run->answerClass != gateway::AnswerClass::Answer)
+        return;
+    const auto parser = run->parser;
+    const std::uint64_t number = run->number;
+    const bool isRead = parser->feed(bytes, [&](http1::StreamEvent event) {
+        if (run->number == number)
+            onEvent(run, std::move(event));
+    });
+    if (!isRead && run->number == number)
+        requeue(run, "event too large", internal::retryDelay);
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::onEvent(const RunPointer& run, http1::StreamEvent event)
+{
+    const TimePoint now = m_clock.now();
+    if (const auto version = Protocol::versionOf(event))
+        run->version = *version;
+    const auto number = Protocol::eventNumber(event);
+    ItemText& text = textOf(*run);
+    if (run->isSingleVersion && !text.versions().empty() && text.versions().back() != run->version) {
+        text.clear();
+        return requeue(run, "version changed", Duration::zero());
+    }
+    if (!number || !text.append(*number, std::move(event.data), run->version)) {
+        avoid(run->endpoint, internal::refusalAvoidance);
+        return requeue(run, "event out of order", internal::retryDelay);
+    }
+    const auto loading = m_loading.find(run->endpoint);
+    const bool isPaused = loading != m_loading.end() && !loading->second.empty();
+    if (run->eventsHere++ > 0 && !isPaused)
+        m_speed.note(run->endpoint, now - run->lastEventAt, now);
+    run->lastEventAt = now;
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::onEnd(const RunPointer& run, const http1::CallEnd& end)
+{
+    if (end.kind != http1::CallEndKind::Complete) {
+        const bool isPlain = end.kind == http1::CallEndKind::NoConnection;
+        if (!isPlain && run->eventsHere == 0)
+            avoid(run->endpoint, internal::failureAvoidance);
+        return requeue(run, end.message, isPlain ? internal::retryDelay : Duration::zero());
+    }
+    if (run->answerClass != gateway::AnswerClass::Answer)
+        return onRefused(run);
+    if (run->status != 200)
+        return onFailure(run);
+    onStreamEnd(run);
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::onRefused(const RunPointer& run)
+{
+    const bool isFull = run->answerClass == gateway::AnswerClass::NotRun;
+    avoid(run->endpoint, isFull ? internal::refusalAvoidance : internal::failureAvoidance);
+    requeue(run, isFull ? "refused" : "wrong endpoint", Duration::zero());
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::onFailure(const RunPointer& run)
+{
+    constexpr unsigned unprocessable = 422;
+    const unsigned status = run->status;
+    ++run->failures;
+    m_log.info("item id={} job={} endpoint={} outcome=failed status={} failures={}", run->item, run->job, run->endpoint, status, run->failures);
+    stop(run);
+    if (status == unprocessable || run->failures >= run->maxAttempts)
+        return finish(run, batch::ResultState::Dead);
+    requeue(run, "endpoint failure", internal::retryDelay);
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::onStreamEnd(const RunPointer& run)
+{
+    ItemText& text = textOf(*run);
+    if (run->parser->isWithinEvent() || text.events() == 0)
+        return requeue(run, "stream ended early", internal::retryDelay);
+    text.markComplete();
+    stop(run);
+    finish(run, batch::ResultState::Completed);
+    scheduleUpdate();
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::finish(const RunPointer& run, batch::ResultState state)
+{
+    run->stage = Stage::Listing;
+    const ItemText& text = textOf(*run);
+    const bool isCompleted = state == batch::ResultState::Completed;
+    m_log.info("item id={} job={} outcome={} events={} took-ms={}", run->item, run->job, isCompleted ? "completed" : "dead", text.events(), std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - run->acceptedAt).count());
+    m_metrics.counter(isCompleted ? "items_completed_total" : "items_dead_total").add();
+    m_results[run->job].push_back({ run->item, state, isCompleted ? text.output() : std::string(), isCompleted ? text.versions() : std::vector<WeightVersion>() });
+    if (std::exchange(m_isFlushScheduled, true))
+        return;
+    asio::post(m_io, [this] {
+        m_isFlushScheduled = false;
+        flushResults();
+    });
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::flushResults()
+{
+    for (auto& [job, results] : std::exchange(m_results, {})) {
+        registry::ListResults command { job, results };
+        m_group.propose(registry::encodeCommand(command), [this, job = job, results = results](const cluster::ProposalResult& result) {
+            const auto runs = m_runs.find(job);
+            if (result.status == cluster::ProposalStatus::Applied) {
+                for (const batch::ItemResult& listed : results) {
+                    if (runs != m_runs.end())
+                        runs->second.erase(listed.id);
+                }
+                if (m_onListed)
+                    m_onListed(job);
+                return;
+            }
+            if (result.status != cluster::ProposalStatus::Busy || runs == m_runs.end())
+                return; // Leadership ended; the next leader runs the items again.
+            auto& again = m_results[job];
+            again.insert(again.end(), results.begin(), results.end());
+            if (std::exchange(m_isFlushScheduled, true))
+                return;
+            const auto timer = std::make_shared<asio::steady_timer>(m_io, internal::retryDelay);
+            timer->async_wait([this, timer](std::error_code) {
+                m_isFlushScheduled = false;
+                flushResults();
+            });
+        });
+    }
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/execution/protocol.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "azurepaddle/batch/types.hpp"
+#include "azurepaddle/gateway/forwarder.hpp"
+#include "azurepaddle/http1/event_stream.hpp"
+#include "azurepaddle/http1/message.hpp"
+
+#include <concepts>
+#include <optional>
+
+namespace azurepaddle::execution {
+
+/// An order to an endpoint to load a version of a model's weights.
+struct LoadOrder {
+    EndpointId endpoint;
+    batch::ModelName model;
+    WeightVersion version = 0;
+    std::string holder; ///< Instance that has the right to order.
+    std::uint64_t fence = 0;
+    std::optional<std::uint64_t> expectedOrders; ///< Orders that the endpoint accepted so far; it refuses if it differs.
+
+    friend bool operator==(const LoadOrder&, const LoadOrder&) = default;
+};
+
+/// What an endpoint says of its weights.
+struct EndpointStatus {
+    std::map<std::string, WeightVersion> versions; ///< By model.
+    bool isBusy = false; ///< An order is being carried out.
+    std::uint64_t acceptedOrders = 0;
+
+    friend bool operator==(const EndpointStatus&, const EndpointStatus&) = default;
+};
+
+/// How items and orders are sent to endpoints.
+template <typename T>
+concept ItemProtocol = gateway::EndpointProtocol<T> && requires(const batch::ItemSpec& item, const std::string& text, const EndpointId& id, std::uint64_t number, const http1::Response& head, const http1::StreamEvent& event, const LoadOrder& order)
+{
+    {
+        T::itemRequest(item, text, id, number)
+        } -> std::same_as<http1::Request>; ///< Host, endpoint, and the number of events that are held.
+    {
+        T::versionOf(head)
+        } -> std::same_as<std::optional<WeightVersion>>;
+    {
+        T::versionOf(event)
+        } -> std::same_as<std::optional<WeightVersion>>;
+    {
+        T::eventNumber(event)
+        } -> std::same_as<std::optional<std::uint64_t>>;
+    {
+        T::loadRequest(order)
+        } -> std::same_as<http1::Request>;
+    {
+        T::statusRequest(id)
+        } -> std::same_as<http1::Request>;
+    {
+        T::parseStatus(text)
+        } -> std::same_as<std::optional<EndpointStatus>>;
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/execution/weight_loader.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "azurepaddle/batch/load_plan.hpp"
+#include "azurepaddle/execution/job_runner.hpp"
+
+namespace azurepaddle::execution {
+
+/// Bounds of orders.
+struct OrderOptions {
+    std::string instance; ///< This one, as the holder of the order right.
+    Duration lease = std::chrono::seconds(3); ///< Two holders never give orders within this time.
+};
+
+/// Brings endpoints to the named versions of their weights while its instance leads. Before its first order it takes the
+/// order right from an earlier holder by a record on the log and waits until that one's orders are out of the way.
+template <typename Protocol>
+class WeightLoader {
+public:
+    WeightLoader(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, JobRunner<Protocol>& runner, metrics::Registry& metrics, OrderOptions options);
+
+    void setRoutes(std::shared_ptr<const gateway::RouteTable> routes) { m_routes = std::move(routes); }
+    void onLeadership(bool isLeading);
+    /// Starts loads that are due. Called every few 10 ms.
+    void tick();
+
+private:
+    /// One load in progress.
+    struct Loading {
+        batch::Load load;
+        std::uint64_t number = 0;
+        TimePoint startedAt;
+        TimePoint orderedAt; ///< Of the accepted order; zero before.
+        TimePoint nextLook;
+        unsigned attempts = 0;
+        http1::ClientCallPointer call;
+        std::string body;
+        unsigned status = 0;
+    };
+    using LoadingPointer = std::shared_ptr<Loading>;
+
+    [[nodiscard]] bool holdsOrders();
+    void planLoads(TimePoint now);
+    [[nodiscard]] std::vector<batch::LoadTarget> targets(TimePoint now);
+    void updateHomes();
+    void begin(const batch::Load& load);
+    void look(const LoadingPointer& loading);
+    void onStatus(const LoadingPointer& loading, const EndpointStatus& status);
+    void order(const LoadingPointer& loading, std::uint64_t acceptedOrders);
+    void onOrdered(const LoadingPointer& loading, const http1::CallEnd& end);
+    void lookAgain(const LoadingPointer& loading, Duration delay);
+    void end(const LoadingPointer& loading, std::string_view outcome);
+    template <typename OnEnd>
+    void send(const LoadingPointer& loading, const http1::Request& request, OnEnd onEnd);
+    [[nodiscard]] WeightVersion versionOf(const registry::EndpointRecord& record, const batch::ModelName& model) const;
+
+    asio::io_context& m_io;
+    http1::ClientPool& m_pool;
+    registry::ServiceGroup& m_group;
+    const registry::StateMachine& m_machine;
+    registry::Liveness& m_liveness;
+    JobRunner<Protocol>& m_runner;
+    metrics::Registry& m_metrics;
+    const OrderOptions m_options;
+    const Log m_log { "weights" };
+    const SystemClock m_clock {};
+    std::shared_ptr<const gateway::RouteTable> m_routes = std::make_shared<const gateway::RouteTable>();
+    bool m_isLeading = false;
+    bool m_isClaiming = false;
+    TimePoint m_leadingSince;
+    std::uint64_t m_nextNumber = 1;
+    std::map<EndpointId, LoadingPointer> m_loading;
+    std::map<EndpointId, TimePoint> m_notBefore; ///< After a failed load.
+    std::map<ServiceName, batch::HomeAssignment> m_homes;
+    std::map<batch::ModelName, std::pair<WeightVersion, TimePoint>> m_namedAt;
+    TimePoint m_nextPlan {};
+};
+
+}
+
+#include "azurepaddle/execution/weight_loader_impl.hpp" // IWYU pragma: export
--- /dev/null
+++ b/src/azurepaddle/execution/weight_loader_impl.hpp
@@ -0,0 +1,279 @@
+#pragma once
+
+#include "azurepaddle/execution/weight_loader.hpp"
+
+namespace azurepaddle::execution {
+
+namespace internal {
+
+    constexpr Duration planInterval = std::chrono::milliseconds(50);
+    constexpr Duration orderTimeout = std::chrono::milliseconds(700);
+    // An order of an earlier holder may be on its way this long after the end of its lease.
+    constexpr Duration orderMargin = orderTimeout + std::chrono::milliseconds(300);
+    // A load takes about this long; looking earlier would only cost.
+    constexpr Duration firstLook = std::chrono::milliseconds(950);
+    constexpr Duration nextLook = std::chrono::milliseconds(250);
+    constexpr Duration loadTimeout = std::chrono::seconds(8);
+    constexpr Duration retryLoadAfter = std::chrono::milliseconds(800);
+    // Items are paused by a load only if the version has been due for this long.
+    constexpr Duration patienceWithItems = std::chrono::milliseconds(2500);
+
+}
+
+template <typename Protocol>
+WeightLoader<Protocol>::WeightLoader(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, JobRunner<Protocol>& runner, metrics::Registry& metrics, OrderOptions options)
+    : m_io(io)
+    , m_pool(pool)
+    , m_group(group)
+    , m_machine(machine)
+    , m_liveness(liveness)
+    , m_runner(runner)
+    , m_metrics(metrics)
+    , m_options(std::move(options))
+{
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::onLeadership(bool isLeading)
+{
+    m_isLeading = isLeading;
+    m_isClaiming = false;
+    m_leadingSince = m_clock.now();
+    for (const auto& [id, loading] : m_loading) {
+        loading->number = 0;
+        if (loading->call)
+            loading->call->cancel();
+    }
+    m_loading.clear();
+    m_notBefore.clear();
+    m_homes.clear();
+    m_namedAt.clear();
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::tick()
+{
+    const TimePoint now = m_clock.now();
+    if (!m_isLeading || !m_group.isCurrent() || now < m_nextPlan)
+        return;
+    m_nextPlan = now + internal::planInterval;
+    updateHomes();
+    for (const auto& [name, version] : m_machine.namedVersions()) {
+        auto& [known, since] = m_namedAt[batch::ModelName(name)];
+        if (known != version) {
+            known = version;
+            since = now;
+        }
+    }
+    if (!m_namedAt.empty() && holdsOrders())
+        planLoads(now);
+}
+
+/// Whether this instance may give orders. Claims the right, once an earlier holder's orders cannot come any more.
+template <typename Protocol>
+bool WeightLoader<Protocol>::holdsOrders()
+{
+    const registry::ClaimOrders& holder = m_machine.orderHolder();
+    const std::uint64_t term = m_group.status().term;
+    if (holder.instance == m_options.instance && holder.fence == term)
+        return true;
+    const bool isFree = holder.instance.empty() || holder.instance == m_options.instance;
+    if (m_isClaiming || (!isFree && m_clock.now() < m_leadingSince + m_options.lease + internal::orderMargin))
+        return false;
+    m_isClaiming = true;
+    m_log.info("claims the order right fence={} from=\"{}\"", term, holder.instance);
+    m_group.propose(registry::encodeCommand(registry::ClaimOrders { m_options.instance, term }), [this](const cluster::ProposalResult&) { m_isClaiming = false; });
+    return false;
+}
+
+template <typename Protocol>
+WeightVersion WeightLoader<Protocol>::versionOf(const registry::EndpointRecord& record, const batch::ModelName& model) const
+{
+    const auto* live = m_liveness.find(record.id);
+    if (live && live->startedMs == record.startedMs) {
+        const auto found = live->versions.find(model.value());
+        if (found != live->versions.end())
+            return found->second;
+    }
+    return record.versionOf(model);
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::updateHomes()
+{
+    std::map<EndpointId, batch::ModelName> all;
+    for (const auto& [name, service] : m_routes->services()) {
+        if (service.models.empty())
+            continue;
+        std::vector<batch::HomeAssignment::Candidate> candidates;
+        for (const auto& [id, record] : m_machine.directory().records()) {
+            if (record.service == name && record.state == registry::EndpointState::Ready)
+                candidates.push_back({ id, record.versions });
+        }
+        batch::HomeAssignment& homes = m_homes[name];
+        homes.update(candidates, service.models);
+        for (const auto& candidate : candidates)
+            all[candidate.id] = homes.homeOf(candidate.id);
+    }
+    m_runner.setHomes(std::move(all));
+}
+
+template <typename Protocol>
+std::vector<batch::LoadTarget> WeightLoader<Protocol>::targets(TimePoint now)
+{
+    std::vector<batch::LoadTarget> targets;
+    for (const auto& [id, record] : m_machine.directory().records()) {
+        const auto homes = m_homes.find(record.service);
+        if (homes == m_homes.end() || record.state != registry::EndpointState::Ready)
+            continue;
+        const batch::ModelName home = homes->second.homeOf(id);
+        const auto wait = m_notBefore.find(id);
+        targets.push_back({ id, home, versionOf(record, home), m_runner.running(id, home), m_loading.contains(id), wait == m_notBefore.end() || now >= wait->second });
+    }
+    return targets;
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::planLoads(TimePoint now)
+{
+    std::map<batch::ModelName, batch::WantedVersion> wanted;
+    for (const auto& [model, named] : m_namedAt)
+        wanted[model] = { named.first, now - named.second };
+    const auto all = targets(now);
+    for (const batch::Load& load : batch::planLoads(all, wanted)) {
+        const auto target = std::find_if(all.begin(), all.end(), [&](const batch::LoadTarget& candidate) { return candidate.id == load.endpoint; });
+        const bool mayPause = target->version + 1 < load.version || wanted[load.model].age > internal::patienceWithItems;
+        if (m_runner.evacuate(load.endpoint, load.model) || mayPause)
+            begin(load);
+    }
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::begin(const batch::Load& load)
+{
+    const auto loading = std::make_shared<Loading>();
+    loading->load = load;
+    loading->number = m_nextNumber++;
+    loading->startedAt = m_clock.now();
+    m_loading[load.endpoint] = loading;
+    m_runner.setLoading(load.endpoint, load.model, true);
+    m_metrics.counter("loads_started_total").add();
+    look(loading);
+}
+
+template <typename Protocol>
+template <typename OnEnd>
+void WeightLoader<Protocol>::send(const LoadingPointer& loading, const http1::Request& request, OnEnd onEnd)
+{
+    const registry::EndpointRecord* record = m_machine.directory().find(loading->load.endpoint);
+    if (!record || record->state == registry::EndpointState::Gone)
+        return end(loading, "endpoint left");
+    loading->body.clear();
+    loading->status = 0;
+    http1::CallEvents events;
+    events.onHead = [loading](const http1::Response& head) {
+        loading->status = head.status;
+        return true;
+    };
+    events.onBody = [loading](const std::string& bytes) { loading->body += bytes; };
+    events.onEnd = [this, loading, onEnd, number = loading->number](const http1::CallEnd& ended) {
+        if (loading->number == number && m_isLeading)
+            onEnd(ended);
+    };
+    http1::CallOptions options;
+    options.deadline = m_clock.now() + internal::orderTimeout;
+    options.maxConnections = record->slots + internal::spareConnections;
+    loading->call = m_pool.send(record->address(), request, options, std::move(events));
+}
+
+/// Asks the endpoint which orders it accepted and what it holds.
+template <typename Protocol>
+void WeightLoader<Protocol>::look(const LoadingPointer& loading)
+{
+    if (m_clock.now() - loading->startedAt > internal::loadTimeout)
+        return end(loading, "took too long");
+    send(loading, Protocol::statusRequest(loading->load.endpoint), [this, loading](const http1::CallEnd& ended) {
+        constexpr unsigned ok = 200;
+        const auto status = ended.kind == http1::CallEndKind::Complete && loading->status == ok ? Protocol::parseStatus(loading->body) : std::nullopt;
+        if (!status)
+            return end(loading, ended.message.empty() ? "no status" : ended.message);
+        onStatus(loading, *status);
+    });
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::onStatus(const LoadingPointer& loading, const EndpointStatus& status)
+{
+    const auto found = status.versions.find(loading->load.model.value());
+    const WeightVersion held = found == status.versions.end() ? 0 : found->second;
+    if (held >= loading->load.version && !status.isBusy) {
+        m_liveness.noteVersion(loading->load.endpoint, loading->load.model, held);
+        return end(loading, "loaded");
+    }
+    if (status.isBusy)
+        return lookAgain(loading, internal::nextLook);
+    // The status is some time old: an order that was just accepted may not show in it yet.
+    const bool mayBeStale = loading->orderedAt != TimePoint {} && m_clock.now() - loading->orderedAt < internal::firstLook * 2;
+    if (mayBeStale)
+        return lookAgain(loading, internal::nextLook);
+    order(loading, status.acceptedOrders);
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::order(const LoadingPointer& loading, std::uint64_t acceptedOrders)
+{
+    // Checked last: the lease may have ended while the endpoint was asked.
+    if (!m_group.isCurrent() || !holdsOrders())
+        return end(loading, "order right lost");
+    ++loading->attempts;
+    const LoadOrder order { loading->load.endpoint, loading->load.model, loading->load.version, m_options.instance, m_group.status().term, acceptedOrders };
+    m_log.info("order endpoint={} model={} version={} fence={} expected-orders={} attempt={}", order.endpoint, order.model, order.version, order.fence, acceptedOrders, loading->attempts);
+    m_metrics.counter("orders_sent_total").add();
+    send(loading, Protocol::loadRequest(order), [this, loading](const http1::CallEnd& ended) { onOrdered(loading, ended); });
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::onOrdered(const LoadingPointer& loading, const http1::CallEnd& ended)
+{
+    constexpr unsigned accepted = 202;
+    constexpr unsigned holds = 200;
+    constexpr unsigned conflict = 409;
+    m_log.info("order endpoint={} model={} version={} answered status={} cause=\"{}\"", loading->load.endpoint, loading->load.model, loading->load.version, loading->status, ended.message);
+    if (ended.kind != http1::CallEndKind::Complete)
+        return lookAgain(loading, internal::nextLook);
+    if (loading->status == accepted) {
+        loading->orderedAt = m_clock.now();
+        return lookAgain(loading, internal::firstLook);
+    }
+    if (loading->status == holds) {
+        m_liveness.noteVersion(loading->load.endpoint, loading->load.model, loading->load.version);
+        return end(loading, "held already");
+    }
+    if (loading->status == conflict)
+        return lookAgain(loading, internal::nextLook);
+    end(loading, "refused");
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::lookAgain(const LoadingPointer& loading, Duration delay)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_io, delay);
+    timer->async_wait([this, timer, loading, number = loading->number](std::error_code) {
+        if (loading->number == number && m_isLeading)
+            look(loading);
+    });
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::end(const LoadingPointer& loading, std::string_view outcome)
+{
+    const TimePoint now = m_clock.now();
+    m_log.info("load endpoint={} model={} version={} outcome=\"{}\" took-ms={}", loading->load.endpoint, loading->load.model, loading->load.version, outcome, std::chrono::duration_cast<std::chrono::milliseconds>(now - loading->startedAt).count());
+    loading->number = 0;
+    loading->call = nullptr;
+    m_loading.erase(loading->load.endpoint);
+    m_notBefore[loading->load.endpoint] = now + (outcome == "loaded" || outcome == "held already" ? Duration::zero() : internal::retryLoadAfter);
+    m_runner.setLoading(loading->load.endpoint, loading->load.model, false);
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/gateway/balancer.cpp
@@ -0,0 +1,119 @@
+#include "azurepaddle/gateway/balancer.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurepaddle::gateway {
+
+namespace {
+
+    constexpr double averageWeight = 0.2; // Of the newest answer.
+    constexpr double defaultMs = 25;
+    // A report fades: neighbours of the endpoint change its speed several times a second.
+    constexpr Duration reportLifetime = std::chrono::milliseconds(600);
+    constexpr Duration firstAvoidance = std::chrono::milliseconds(250);
+    constexpr unsigned maxAvoidanceDoublings = 4;
+    constexpr Duration refusalAvoidance = std::chrono::milliseconds(60);
+    // Cost of leaving the data centre, as a part of the cost of an idle endpoint.
+    constexpr double remotePenalty = 0.08;
+
+}
+
+void Balancer::setEndpoints(const std::vector<registry::EndpointRecord>& records)
+{
+    std::map<EndpointId, Entry> entries;
+    for (const registry::EndpointRecord& record : records) {
+        const auto known = m_entries.find(record.id);
+        Entry entry = known != m_entries.end() && known->second.record.startedMs == record.startedMs ? known->second : Entry {};
+        entry.record = record;
+        entries.emplace(record.id, std::move(entry));
+    }
+    m_entries = std::move(entries);
+}
+
+std::vector<Balancer::Entry*> Balancer::candidatesOf(const ServiceName& service, const std::set<EndpointId>& excluded, TimePoint now)
+{
+    std::vector<Entry*> good;
+    std::vector<Entry*> avoided;
+    for (auto& [id, entry] : m_entries) {
+        if (entry.record.service != service || entry.record.state != registry::EndpointState::Ready || excluded.contains(id))
+            continue;
+        (now < entry.avoidUntil ? avoided : good).push_back(&entry);
+    }
+    return good.empty() ? avoided : good;
+}
+
+double Balancer::costOf(const Entry& entry, TimePoint now) const
+{
+    const double slots = std::max<double>(1, entry.record.slots);
+    double occupied = entry.inProgress;
+    double slowness = 1;
+    if (entry.lastReport && now - entry.reportedAt < reportLifetime) {
+        const double freshness = 1 - std::chrono::duration<double>(now - entry.reportedAt) / std::chrono::duration<double>(reportLifetime);
+        const double reported = entry.lastReport->running + entry.lastReport->waiting;
+        occupied = std::max(occupied, freshness * reported);
+        slowness += freshness * (entry.lastReport->slowness - 1);
+    }
+    const double time = (entry.averageMs > 0 ? entry.averageMs : defaultMs) * slowness;
+    const double fullness = occupied / slots;
+    const double penalty = entry.record.dataCentre == m_own ? 0 : remotePenalty;
+    // Endpoints slow down when they are nearly full, and beyond their slots requests wait.
+    return time * (1 + penalty + fullness * fullness + std::max(0.0, fullness - 1) * slots);
+}
+
+void Balancer::begin(const EndpointId& id)
+{
+    if (const auto found = m_entries.find(id); found != m_entries.end())
+        ++found->second.inProgress;
+}
+
+void Balancer::end(const EndpointId& id, Experience experience, Duration took, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    Entry& entry = found->second;
+    entry.inProgress -= std::min(entry.inProgress, 1U);
+    if (experience == Experience::Answered) {
+        const double ms = std::chrono::duration<double, std::milli>(took).count();
+        entry.averageMs = entry.averageMs > 0 ? entry.averageMs * (1 - averageWeight) + ms * averageWeight : ms;
+        entry.failures = 0;
+        entry.avoidUntil = {};
+    } else if (experience == Experience::Refused) {
+        entry.avoidUntil = now + refusalAvoidance;
+    } else {
+        const Duration avoidance = firstAvoidance * (1U << std::min(entry.failures, maxAvoidanceDoublings));
+        ++entry.failures;
+        entry.avoidUntil = now + avoidance;
+    }
+}
+
+void Balancer::report(const EndpointId& id, const LoadReport& report, TimePoint now)
+{
+    if (const auto found = m_entries.find(id); found != m_entries.end()) {
+        found->second.lastReport = report;
+        found->second.reportedAt = now;
+    }
+}
+
+std::size_t Balancer::countOf(const ServiceName& service) const
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) {
+        return entry.second.record.service == service && entry.second.record.state == registry::EndpointState::Ready;
+    }));
+}
+
+Duration Balancer::usualTime(const ServiceName& service) const
+{
+    std::vector<double> averages;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.record.service == service && entry.averageMs > 0)
+            averages.push_back(entry.averageMs);
+    }
+    if (averages.empty())
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(defaultMs));
+    std::nth_element(averages.begin(), averages.begin() + static_cast<std::ptrdiff_t>(averages.size() / 2), averages.end());
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(averages[averages.size() / 2]));
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -0,0 +1,216 @@
+#pragma once
+
+#include "azurepaddle/gateway/forwarder.hpp"
+
+namespace azurepaddle::gateway {
+
+namespace internal {
+
+    // The answer to a request that is given up must reach its client before the client stops waiting.
+    constexpr Duration answerMargin = std::chrono::milliseconds(15);
+    constexpr Duration connectTimeout = std::chrono::milliseconds(300);
+
+    [[nodiscard]] inline std::int64_t milliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
+
+}
+
+template <typename Protocol>
+Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, Random& random, metrics::Registry& metrics)
+    : m_io(io)
+    , m_pool(pool)
+    , m_balancer(balancer)
+    , m_random(random)
+    , m_metrics(metrics)
+{
+    static_assert(EndpointProtocol<Protocol>);
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::forward(http1::ExchangePointer exchange, std::shared_ptr<const RouteTable> table, const Route& route)
+{
+    const auto forwarding = std::make_shared<Forwarding>();
+    forwarding->id = Protocol::requestId(exchange->request());
+    forwarding->receivedAt = exchange->receivedAt();
+    const Duration patience = Protocol::patience(exchange->request()).value_or(route.timeout);
+    forwarding->deadline = forwarding->receivedAt + std::min(patience, route.timeout);
+    forwarding->route = &route;
+    forwarding->service = table->findService(chooseService(route, m_random.uniform()));
+    forwarding->table = std::move(table);
+    forwarding->exchange = std::move(exchange);
+    forwarding->exchange->setOnClosed([this, weak = std::weak_ptr(forwarding)] {
+        if (const auto left = weak.lock())
+            clientLeft(left);
+    });
+    ++m_inProgress;
+    armDeadline(forwarding);
+    armHedge(forwarding);
+    tryNext(forwarding);
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::armDeadline(const Pointer& forwarding)
+{
+    forwarding->deadlineTimer = std::make_unique<asio::steady_timer>(m_io, std::max<Duration>(forwarding->deadline - internal::answerMargin - m_clock.now(), Duration::zero()));
+    forwarding->deadlineTimer->async_wait([this, weak = std::weak_ptr(forwarding)](std::error_code error) {
+        const auto late = weak.lock();
+        if (error || !late || late->isDone)
+            return;
+        const bool isSent = !late->sendings.empty();
+        finish(late, refusal({ late->runs + (isSent ? 1U : 0U), late->refusals }, true, "no answer in time"), "timeout", {});
+    });
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::armHedge(const Pointer& forwarding)
+{
+    const auto delay = hedgeDelay(*forwarding->route, m_balancer.usualTime(forwarding->service->name));
+    if (!delay)
+        return;
+    forwarding->hedgeTimer = std::make_unique<asio::steady_timer>(m_io, *delay);
+    forwarding->hedgeTimer->async_wait([this, weak = std::weak_ptr(forwarding)](std::error_code error) {
+        const auto slow = weak.lock();
+        if (error || !slow || slow->isDone || slow->sendings.empty())
+            return;
+        const RetryState state { slow->runs + static_cast<unsigned>(slow->sendings.size()), slow->refusals };
+        if (maySendAgain(*slow->route, state))
+            static_cast<void>(sendNext(slow));
+    });
+}
+
+/// Sends the request to one more endpoint. False if there is none.
+template <typename Protocol>
+bool Forwarder<Protocol>::sendNext(const Pointer& forwarding)
+{
+    const TimePoint now = m_clock.now();
+    const registry::EndpointRecord* endpoint = m_balancer.choose(forwarding->service->name, forwarding->excluded, now, m_random);
+    if (!endpoint || now >= forwarding->deadline)
+        return false;
+    forwarding->excluded.insert(endpoint->id);
+    const std::uint64_t number = forwarding->nextSending++;
+    Sending& sending = forwarding->sendings[number];
+    sending.endpoint = endpoint->id;
+    sending.startedAt = now;
+    m_balancer.begin(endpoint->id);
+    http1::CallEvents events;
+    events.onHead = [this, forwarding, number](const http1::Response& head) {
+        Sending& own = forwarding->sendings.at(number);
+        const AnswerClass answerClass = Protocol::classify(head, forwarding->id);
+        if (answerClass == AnswerClass::OtherRequest) {
+            m_log.warning("id={} endpoint={} outcome=foreign-answer", forwarding->id, own.endpoint);
+            return false;
+        }
+        own.answerClass = answerClass;
+        own.response = head;
+        if (const auto load = Protocol::loadOf(head))
+            m_balancer.report(own.endpoint, *load, m_clock.now());
+        return true;
+    };
+    events.onBody = [forwarding, number](const std::string& bytes) { forwarding->sendings.at(number).response.body += bytes; };
+    events.onEnd = [this, forwarding, number](const http1::CallEnd& end) { onEnd(forwarding, number, end); };
+    const http1::Request request = Protocol::forEndpoint(forwarding->exchange->request(), endpoint->id, forwarding->deadline - now);
+    sending.call = m_pool.send(endpoint->address(), request, { forwarding->deadline, internal::connectTimeout, forwarding->service->maxConnections }, std::move(events));
+    return true;
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::tryNext(const Pointer& forwarding)
+{
+    const RetryState state { forwarding->runs, forwarding->refusals };
+    if (maySendAgain(*forwarding->route, state) && sendNext(forwarding))
+        return;
+    if (forwarding->sendings.empty())
+        giveUp(forwarding, forwarding->runs == 0 ? "no endpoint takes the request" : "no endpoint answered");
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::onEnd(const Pointer& forwarding, std::uint64_t number, const http1::CallEnd& end)
+{
+    const auto found = forwarding->sendings.find(number);
+    if (found == forwarding->sendings.end() || forwarding->isDone)
+        return;
+    Sending sending = std::move(found->second);
+    forwarding->sendings.erase(found);
+    if (end.kind == http1::CallEndKind::Complete)
+        return onAnswer(forwarding, std::move(sending));
+    const TimePoint now = m_clock.now();
+    m_balancer.end(sending.endpoint, Experience::Failed, now - sending.startedAt, now);
+    m_log.info("id={} endpoint={} outcome=failed sent={} cause=\"{}\" after-ms={}", forwarding->id, sending.endpoint, end.isSent, end.message, internal::milliseconds(now - sending.startedAt));
+    if (end.isSent)
+        ++forwarding->runs;
+    tryNext(forwarding);
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::onAnswer(const Pointer& forwarding, Sending sending)
+{
+    constexpr unsigned firstServerError = 500;
+    const TimePoint now = m_clock.now();
+    if (sending.answerClass != AnswerClass::Answer) {
+        const bool isFull = sending.answerClass == AnswerClass::NotRun;
+        m_balancer.end(sending.endpoint, isFull ? Experience::Refused : Experience::Failed, now - sending.startedAt, now);
+        m_log.info("id={} endpoint={} outcome=not-run status={}", forwarding->id, sending.endpoint, sending.response.status);
+        ++forwarding->refusals;
+        return tryNext(forwarding);
+    }
+    m_balancer.end(sending.endpoint, Experience::Answered, now - sending.startedAt, now);
+    ++forwarding->runs;
+    const bool isFailure = sending.response.status >= firstServerError;
+    const RetryState state { forwarding->runs, forwarding->refusals };
+    if (isFailure && (maySendAgain(*forwarding->route, state) || !forwarding->sendings.empty())) {
+        forwarding->failure = std::move(sending.response);
+        return tryNext(forwarding);
+    }
+    finish(forwarding, std::move(sending.response), "answered", sending.endpoint);
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::giveUp(const Pointer& forwarding, std::string_view reason)
+{
+    if (forwarding->failure)
+        return finish(forwarding, std::move(*forwarding->failure), "endpoint-failure", {});
+    finish(forwarding, refusal({ forwarding->runs, forwarding->refusals }, false, reason), reason, {});
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::finish(const Pointer& forwarding, http1::Response response, std::string_view outcome, const EndpointId& endpoint)
+{
+    const Duration took = m_clock.now() - forwarding->receivedAt;
+    m_log.info("id={} route={} configuration={} service={} endpoint={} status={} outcome=\"{}\" runs={} refusals={} took-ms={}", forwarding->id, forwarding->route->name, forwarding->table->version(), forwarding->service->name, endpoint, response.status, outcome, forwarding->runs, forwarding->refusals, internal::milliseconds(took));
+    m_metrics.counter(response.status < 400 ? "gateway_answered_total" : "gateway_refused_total").add();
+    m_metrics.histogram("gateway_request_seconds").record(took);
+    stopSendings(forwarding);
+    response.fields.eraseHopByHop();
+    forwarding->exchange->respond(std::move(response));
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::clientLeft(const Pointer& forwarding)
+{
+    if (forwarding->isDone)
+        return;
+    m_log.info("id={} route={} outcome=client-left sendings={} took-ms={}", forwarding->id, forwarding->route->name, forwarding->sendings.size(), internal::milliseconds(m_clock.now() - forwarding->receivedAt));
+    m_metrics.counter("gateway_abandoned_total").add();
+    stopSendings(forwarding);
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::stopSendings(const Pointer& forwarding)
+{
+    forwarding->isDone = true;
+    --m_inProgress;
+    const TimePoint now = m_clock.now();
+    for (auto& [number, sending] : forwarding->sendings) {
+        sending.call->cancel();
+        m_balancer.end(sending.endpoint, Experience::Refused, now - sending.startedAt, now);
+    }
+    // The calls' callbacks refer to the forwarding; this breaks the cycle once they are gone.
+    asio::post(m_io, [forwarding] { forwarding->sendings.clear(); });
+    forwarding->deadlineTimer->cancel();
+    if (forwarding->hedgeTimer)
+        forwarding->hedgeTimer->cancel();
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/gateway/retry_policy.cpp
@@ -0,0 +1,47 @@
+#include "azurepaddle/gateway/retry_policy.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace azurepaddle::gateway {
+
+namespace {
+
+    // Refusals cost an endpoint little, but a request must not wander over a full service.
+    constexpr unsigned maxRefusals = 4;
+    constexpr int usualTimesBeforeHedge = 4;
+    constexpr Duration minHedgeDelay = std::chrono::milliseconds(50);
+    constexpr std::string_view retryAfterSeconds = "0.1";
+
+}
+
+bool maySendAgain(const Route& route, const RetryState& state) noexcept
+{
+    if (state.refusals >= maxRefusals)
+        return false;
+    if (state.runs == 0)
+        return true;
+    return route.kind == RouteKind::Idempotent && state.runs < route.maxAttempts;
+}
+
+std::optional<Duration> hedgeDelay(const Route& route, Duration usualTime) noexcept
+{
+    if (route.kind != RouteKind::Idempotent || route.maxAttempts < 2)
+        return std::nullopt;
+    const Duration latest = std::max<Duration>(route.target / 2, minHedgeDelay);
+    return std::clamp<Duration>(usualTime * usualTimesBeforeHedge, minHedgeDelay, latest);
+}
+
+http1::Response refusal(const RetryState& state, bool isTimeout, std::string_view reason)
+{
+    http1::Response response;
+    response.status = state.runs == 0 ? 503 : isTimeout ? 504
+                                                        : 502;
+    response.fields.add("Content-Type", "text/plain");
+    if (state.runs == 0)
+        response.fields.add("Retry-After", std::string(retryAfterSeconds));
+    response.body = std::string(reason) + "\n";
+    return response;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/gateway/route_table.cpp
@@ -0,0 +1,100 @@
+#include "azurepaddle/gateway/route_table.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+
+namespace azurepaddle::gateway {
+
+RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, std::vector<Service> services, http1::ServerLimits limits)
+    : m_version(version)
+    , m_routes(std::move(routes))
+    , m_limits(limits)
+{
+    for (Service& service : services) {
+        ServiceName name = service.name;
+        m_services.emplace(std::move(name), std::move(service));
+    }
+    for (std::size_t index = 0; index < m_routes.size(); ++index)
+        m_byHost[m_routes[index].host].push_back(index);
+    for (auto& [host, indices] : m_byHost) {
+        std::stable_sort(indices.begin(), indices.end(), [this](std::size_t a, std::size_t b) { return m_routes[a].pathPrefix.size() > m_routes[b].pathPrefix.size(); });
+    }
+}
+
+const Route* RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const auto found = m_byHost.find(host);
+    if (found == m_byHost.end())
+        return nullptr;
+    for (const std::size_t index : found->second) {
+        if (path.starts_with(m_routes[index].pathPrefix))
+            return &m_routes[index];
+    }
+    return nullptr;
+}
+
+const Service* RouteTable::findService(const ServiceName& name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+namespace {
+
+    std::optional<ConfigurationProblem> validateRoute(const Route& route, const RouteTable& table)
+    {
+        if (route.services.empty())
+            return ConfigurationProblem { fmt::format("route {} names no service", route.name) };
+        double weights = 0;
+        for (const WeightedService& part : route.services) {
+            if (!table.findService(part.service))
+                return ConfigurationProblem { fmt::format("route {} names the unknown service {}", route.name, part.service) };
+            if (part.weight < 0)
+                return ConfigurationProblem { fmt::format("route {} has a weight below 0", route.name) };
+            weights += part.weight;
+        }
+        if (weights <= 0)
+            return ConfigurationProblem { fmt::format("the weights of route {} add up to 0", route.name) };
+        if (route.timeout <= Duration::zero())
+            return ConfigurationProblem { fmt::format("route {} has no timeout", route.name) };
+        if (route.host.empty() || !route.pathPrefix.starts_with('/'))
+            return ConfigurationProblem { fmt::format("route {} has no host or path prefix", route.name) };
+        return std::nullopt;
+    }
+
+}
+
+std::optional<ConfigurationProblem> validate(const RouteTable& table)
+{
+    std::set<std::pair<std::string_view, std::string_view>> places;
+    for (const Route& route : table.routes()) {
+        if (auto problem = validateRoute(route, table))
+            return problem;
+        if (!places.emplace(route.host, route.pathPrefix).second)
+            return ConfigurationProblem { fmt::format("route {} has the host and prefix of another one", route.name) };
+    }
+    return std::nullopt;
+}
+
+const ServiceName& chooseService(const Route& route, double point)
+{
+    double total = 0;
+    for (const WeightedService& part : route.services)
+        total += part.weight;
+    double rest = point * total;
+    for (const WeightedService& part : route.services) {
+        if (part.weight > 0 && rest < part.weight)
+            return part.service;
+        rest -= part.weight;
+    }
+    const auto last = std::find_if(route.services.rbegin(), route.services.rend(), [](const WeightedService& part) { return part.weight > 0; });
+    return last == route.services.rend() ? route.services.front().service : last->service;
+}
+
+std::string_view hostOf(std::string_view field) noexcept
+{
+    return field.substr(0, field.rfind(':'));
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/http1/client.cpp
@@ -0,0 +1,344 @@
+#include "azurepaddle/http1/client.hpp"
+
+#include "azurepaddle/http1/client_connection.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <optional>
+#include <utility>
+
+namespace azurepaddle::http1 {
+
+namespace internal {
+
+    namespace {
+
+        // A connection whose bytes are not acknowledged for this long is dead, also without a reset.
+        constexpr unsigned userTimeoutMs = 3000;
+        // The server may close a connection this much before the time it states.
+        constexpr Duration keepAliveMargin = std::chrono::milliseconds(1000);
+
+        /// How long the server keeps an idle connection, if it says so.
+        std::optional<Duration> keepAliveTime(const Response& head)
+        {
+            const std::string_view value = head.fields.find("Keep-Alive");
+            constexpr std::string_view key = "timeout=";
+            const std::size_t at = value.find(key);
+            if (at == std::string_view::npos)
+                return std::nullopt;
+            unsigned seconds = 0;
+            const char* first = value.data() + at + key.size();
+            if (std::from_chars(first, value.data() + value.size(), seconds).ptr == first)
+                return std::nullopt;
+            return std::chrono::seconds(seconds);
+        }
+
+    }
+
+    ClientConnection::ClientConnection(std::shared_ptr<ClientShared> shared, InstanceAddress address)
+        : m_shared(std::move(shared))
+        , m_address(std::move(address))
+        , m_socket(m_shared->io)
+        , m_timer(m_shared->io)
+        , m_parser(m_shared->limits)
+    {
+        ++m_shared->addresses[m_address].open;
+        ++m_shared->opened;
+    }
+
+    void ClientConnection::begin(std::string request, const CallOptions& options, CallEvents events, std::uint64_t call)
+    {
+        m_request = std::move(request);
+        m_options = options;
+        m_events = std::make_shared<const CallEvents>(std::move(events));
+        m_call = call;
+        ++m_calls;
+        m_isSent = false;
+        m_isHeadTaken = false;
+        m_isDiscarding = false;
+        m_parser = ResponseParser(m_shared->limits);
+        if (m_isConnected) {
+            armTimer(m_options.deadline);
+            return writeRequest();
+        }
+        armTimer(std::min(m_options.deadline, m_shared->clock.now() + m_options.connectTimeout));
+        connect();
+    }
+
+    void ClientConnection::armTimer(TimePoint at)
+    {
+        if (at == TimePoint::max()) {
+            m_timer.cancel();
+            return;
+        }
+        m_timer.expires_after(std::max(at - m_shared->clock.now(), Duration::zero()));
+        m_timer.async_wait([self = shared_from_this(), call = m_call](std::error_code error) {
+            if (error || self->m_call != call || self->m_isClosed)
+                return;
+            if (!self->m_isConnected)
+                return self->finish(CallEndKind::ConnectFailed, "connecting took too long");
+            self->finish(CallEndKind::TimedOut, "the deadline passed");
+        });
+    }
+
+    void ClientConnection::connect()
+    {
+        std::error_code error;
+        const auto ip = asio::ip::make_address(m_address.ip, error);
+        if (error) {
+            asio::post(m_shared->io, [self = shared_from_this()] { self->finish(CallEndKind::ConnectFailed, "not an IP address"); });
+            return;
+        }
+        m_socket.async_connect({ ip, m_address.port }, [self = shared_from_this()](std::error_code connectError) {
+            if (self->m_isClosed)
+                return;
+            if (connectError)
+                return self->finish(CallEndKind::ConnectFailed, connectError.message());
+            self->m_isConnected = true;
+            std::error_code ignored;
+            self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(userTimeoutMs), ignored);
+            self->armTimer(self->m_options.deadline);
+            self->writeRequest();
+            self->read();
+        });
+    }
+
+    void ClientConnection::writeRequest()
+    {
+        m_isWriting = true;
+        m_isSent = true;
+        asio::async_write(m_socket, asio::buffer(m_request), [self = shared_from_this()](std::error_code error, std::size_t) {
+            self->m_isWriting = false;
+            // A failed write shows as a failed read too, which also hands out an early answer.
+            static_cast<void>(error);
+        });
+    }
+
+    void ClientConnection::read()
+    {
+        m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](std::error_code error, std::size_t size) { self->onRead(error, size); });
+    }
+
+    void ClientConnection::onRead(const std::error_code& error, std::size_t size)
+    {
+        if (m_isClosed)
+            return;
+        if (m_call == 0)
+            return close(); // The server closed an idle connection or sent bytes that belong to no request.
+        if (error == asio::error::eof && m_parser.hasStarted() && m_parser.feedEnd()) {
+            if (!m_isHeadTaken && !takeHead())
+                return;
+            const std::uint64_t call = m_call;
+            deliverBody();
+            if (m_call == call && !m_isDiscarding)
+                return finish(CallEndKind::Complete, {});
+        }
+        if (m_isClosed || m_call == 0)
+            return;
+        if (error)
+            return finish(CallEndKind::Failed, error.message());
+        take(std::string(m_buffer.data(), size));
+        if (!m_isClosed)
+            read();
+    }
+
+    void ClientConnection::take(std::string bytes)
+    {
+        const std::uint64_t call = m_call;
+        while (!bytes.empty() && m_call == call && !m_isClosed) {
+            const auto taken = m_parser.feed(bytes);
+            if (!taken)
+                return finish(CallEndKind::Failed, taken.error().message());
+            if (!m_isHeadTaken && m_parser.isHeaderDone() && !takeHead())
+                return;
+            if (m_call != call)
+                return;
+            deliverBody();
+            if (m_call != call || m_isClosed)
+                return;
+            std::string rest = bytes.substr(*taken);
+            if (!m_parser.isDone())
+                return;
+            const bool isForeign = std::exchange(m_isDiscarding, false);
+            if (!isForeign)
+                return onMessageDone(std::move(rest));
+            m_parser = ResponseParser(m_shared->limits);
+            m_isHeadTaken = false;
+            bytes = std::move(rest);
+        }
+    }
+
+    /// False if the call ended or was cancelled by its owner.
+    bool ClientConnection::takeHead()
+    {
+        m_isHeadTaken = true;
+        constexpr unsigned firstFinalStatus = 200;
+        const std::uint64_t call = m_call;
+        const bool isInformational = m_parser.head().status < firstFinalStatus;
+        const auto events = m_events;
+        m_isDiscarding = isInformational || (events->onHead && !events->onHead(m_parser.head()));
+        return m_call == call && !m_isClosed;
+    }
+
+    void ClientConnection::deliverBody()
+    {
+        std::string body = m_parser.takeBody();
+        const auto events = m_events;
+        if (!body.empty() && !m_isDiscarding && events->onBody)
+            events->onBody(std::move(body));
+    }
+
+    void ClientConnection::onMessageDone(std::string rest)
+    {
+        const bool isClean = rest.empty() && m_parser.keepsAlive() && !m_isWriting;
+        const Duration kept = keepAliveTime(m_parser.head()).value_or(m_options.maxIdle + keepAliveMargin) - keepAliveMargin;
+        const Duration idle = std::min(kept, m_options.maxIdle);
+        if (!isClean || idle <= Duration::zero())
+            return finish(CallEndKind::Complete, {});
+        m_usableUntil = m_shared->clock.now() + idle;
+        m_call = 0;
+        m_timer.cancel();
+        m_request.clear();
+        const auto events = std::exchange(m_events, nullptr);
+        m_shared->addresses[m_address].idle.push_back(shared_from_this());
+        if (events->onEnd)
+            events->onEnd({ CallEndKind::Complete, true, {} });
+    }
+
+    void ClientConnection::finish(CallEndKind kind, std::string message)
+    {
+        const auto events = std::exchange(m_events, nullptr);
+        const bool hadCall = std::exchange(m_call, 0) != 0;
+        const bool wasSent = m_isSent;
+        close();
+        if (hadCall && events->onEnd)
+            events->onEnd({ kind, wasSent, std::move(message) });
+    }
+
+    void ClientConnection::cancel(std::uint64_t call)
+    {
+        if (m_call != call || m_isClosed)
+            return;
+        m_events = nullptr;
+        m_call = 0;
+        close();
+    }
+
+    void ClientConnection::close()
+    {
+        if (std::exchange(m_isClosed, true))
+            return;
+        const auto self = shared_from_this();
+        m_timer.cancel();
+        std::error_code ignored;
+        m_socket.close(ignored);
+        const auto found = m_shared->addresses.find(m_address);
+        if (found == m_shared->addresses.end())
+            return;
+        std::erase(found->second.idle, self);
+        if (--found->second.open == 0)
+            m_shared->addresses.erase(found);
+    }
+
+}
+
+namespace {
+
+    class PooledCall final : public ClientCall {
+    public:
+        PooledCall(std::shared_ptr<internal::ClientConnection> connection, std::uint64_t call)
+            : m_connection(std::move(connection))
+            , m_call(call)
+        {
+        }
+        void cancel() override
+        {
+            if (const auto connection = std::exchange(m_connection, nullptr))
+                connection->cancel(m_call);
+        }
+        [[nodiscard]] bool isReused() const noexcept override { return m_connection && m_connection->isReused(); }
+
+    private:
+        std::shared_ptr<internal::ClientConnection> m_connection;
+        std::uint64_t m_call;
+    };
+
+    /// A call that was refused before it had a connection.
+    class RefusedCall final : public ClientCall {
+    public:
+        void cancel() override { isCancelled = true; }
+        [[nodiscard]] bool isReused() const noexcept override { return false; }
+        bool isCancelled = false;
+    };
+
+}
+
+ClientPool::ClientPool(asio::io_context& io, const MessageLimits& limits)
+    : m_shared(std::make_shared<internal::ClientShared>(internal::ClientShared { io, limits }))
+{
+}
+
+ClientPool::~ClientPool()
+{
+    std::vector<std::shared_ptr<internal::ClientConnection>> idle;
+    for (const auto& [address, connections] : m_shared->addresses)
+        idle.insert(idle.end(), connections.idle.begin(), connections.idle.end());
+    for (const auto& connection : idle)
+        connection->close();
+}
+
+ClientCallPointer ClientPool::send(const InstanceAddress& address, const Request& request, const CallOptions& options, CallEvents events)
+{
+    static std::uint64_t calls = 0;
+    const std::uint64_t call = ++calls;
+    const TimePoint now = m_shared->clock.now();
+    std::shared_ptr<internal::ClientConnection> connection;
+    while (!connection) {
+        const auto found = m_shared->addresses.find(address);
+        if (found == m_shared->addresses.end() || found->second.idle.empty())
+            break;
+        auto candidate = found->second.idle.back();
+        found->second.idle.pop_back();
+        if (candidate->isUsable(now))
+            connection = std::move(candidate);
+        else
+            candidate->close();
+    }
+    if (!connection && connections(address) >= options.maxConnections) {
+        auto refused = std::make_shared<RefusedCall>();
+        asio::post(m_shared->io, [refused, events = std::move(events)] {
+            if (!refused->isCancelled && events.onEnd)
+                events.onEnd({ CallEndKind::NoConnection, false, "all connections are in use" });
+        });
+        return refused;
+    }
+    if (!connection)
+        connection = std::make_shared<internal::ClientConnection>(m_shared, address);
+    connection->begin(serialize(request), options, std::move(events), call);
+    return std::make_shared<PooledCall>(std::move(connection), call);
+}
+
+void ClientPool::forget(const InstanceAddress& address)
+{
+    const auto found = m_shared->addresses.find(address);
+    if (found == m_shared->addresses.end())
+        return;
+    const auto idle = found->second.idle;
+    for (const auto& connection : idle)
+        connection->close();
+}
+
+std::size_t ClientPool::connections(const InstanceAddress& address) const
+{
+    const auto found = m_shared->addresses.find(address);
+    return found == m_shared->addresses.end() ? 0 : found->second.open;
+}
+
+std::uint64_t ClientPool::opened() const noexcept
+{
+    return m_shared->opened;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/http1/client.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "azurepaddle/core/address.hpp"
+#include "azurepaddle/core/clock.hpp"
+#include "azurepaddle/http1/parser.hpp"
+
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace azurepaddle::http1 {
+
+enum class CallEndKind : unsigned char {
+    Complete, ///< The whole response arrived.
+    ConnectFailed,
+    NoConnection, ///< All connections that the address allows are in use.
+    Failed, ///< The connection ended or its bytes were no response.
+    TimedOut,
+};
+
+/// How a call ended.
+struct CallEnd {
+    CallEndKind kind = CallEndKind::Complete;
+    bool isSent = false; ///< Bytes of the request may have reached the server.
+    std::string message; ///< For people.
+
+    friend bool operator==(const CallEnd&, const CallEnd&) = default;
+};
+
+/// What the sender of a request hears. None is called after onEnd or after the call was cancelled.
+struct CallEvents {
+    std::function<bool(const Response&)> onHead; ///< False: this response belongs to another request; wait for the next.
+    std::function<void(std::string)> onBody; ///< A part of the body.
+    std::function<void(CallEnd)> onEnd;
+};
+
+/// Bounds of one call.
+struct CallOptions {
+    TimePoint deadline = TimePoint::max();
+    Duration connectTimeout = std::chrono::milliseconds(500);
+    std::size_t maxConnections = 64; ///< To the address, over all calls.
+    Duration maxIdle = std::chrono::seconds(4); ///< A connection that was idle for longer is not used again.
+
+    friend bool operator==(const CallOptions&, const CallOptions&) = default;
+};
+
+namespace internal {
+    class ClientConnection;
+    struct ClientShared;
+}
+
+/// A request in progress.
+class ClientCall {
+public:
+    virtual ~ClientCall() = default;
+    /// Closes the connection, so that the server stops its work. No event follows.
+    virtual void cancel() = 0;
+    /// Whether the request went out on a connection that had carried another one.
+    [[nodiscard]] virtual bool isReused() const noexcept = 0;
+};
+
+using ClientCallPointer = std::shared_ptr<ClientCall>;
+
+/// Sends HTTP/1.1 requests over kept connections. Nothing is retried. Used on one thread.
+class ClientPool {
+public:
+    ClientPool(asio::io_context& io, const MessageLimits& limits);
+    ~ClientPool();
+    ClientPool(const ClientPool&) = delete;
+    ClientPool& operator=(const ClientPool&) = delete;
+
+    /// Sends a request. No event comes before this returns.
+    [[nodiscard]] ClientCallPointer send(const InstanceAddress& address, const Request& request, const CallOptions& options, CallEvents events);
+    /// Closes the idle connections to an address.
+    void forget(const InstanceAddress& address);
+    /// Connections to an address, idle ones included.
+    [[nodiscard]] std::size_t connections(const InstanceAddress& address) const;
+    /// Connections opened since the start.
+    [[nodiscard]] std::uint64_t opened() const noexcept;
+
+private:
+    std::shared_ptr<internal::ClientShared> m_shared;
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/http1/client_connection.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "azurepaddle/http1/client.hpp"
+
+#include <array>
+
+namespace azurepaddle::http1::internal {
+
+class ClientConnection;
+
+/// The connections to one address.
+struct AddressConnections {
+    std::vector<std::shared_ptr<ClientConnection>> idle; ///< The most recently used one last.
+    std::size_t open = 0;
+};
+
+/// What the connections of a pool share.
+struct ClientShared {
+    asio::io_context& io;
+    MessageLimits limits;
+    std::map<InstanceAddress, AddressConnections> addresses {};
+    std::uint64_t opened = 0;
+    SystemClock clock {};
+};
+
+/// One connection, which carries one call at a time.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+public:
+    ClientConnection(std::shared_ptr<ClientShared> shared, InstanceAddress address);
+
+    /// Sends a request, after connecting if this connection is new.
+    void begin(std::string request, const CallOptions& options, CallEvents events, std::uint64_t call);
+    /// Ends the call with this number, if it is in progress.
+    void cancel(std::uint64_t call);
+    void close();
+    [[nodiscard]] bool isUsable(TimePoint now) const noexcept { return !m_isClosed && now < m_usableUntil; }
+    [[nodiscard]] bool isReused() const noexcept { return m_calls > 1; }
+
+private:
+    void connect();
+    void writeRequest();
+    void read();
+    void onRead(const std::error_code& error, std::size_t size);
+    void take(std::string bytes);
+    [[nodiscard]] bool takeHead();
+    void deliverBody();
+    void onMessageDone(std::string rest);
+    void finish(CallEndKind kind, std::string message);
+    void armTimer(TimePoint at);
+
+    static constexpr std::size_t readBytes = 16U * 1024U;
+
+    std::shared_ptr<ClientShared> m_shared;
+    InstanceAddress m_address;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    ResponseParser m_parser;
+    std::array<char, readBytes> m_buffer {};
+    std::string m_request;
+    CallOptions m_options;
+    std::shared_ptr<const CallEvents> m_events; ///< Shared with the call of an event, which may end the call. Null if idle.
+    std::uint64_t m_call = 0; ///< Number of the call in progress; 0 if idle.
+    std::uint64_t m_calls = 0;
+    TimePoint m_usableUntil;
+    bool m_isConnected = false;
+    bool m_isWriting = false;
+    bool m_isSent = false;
+    bool m_isHeadTaken = false;
+    bool m_isDiscarding = false; ///< The response in progress belongs to another request.
+    bool m_isClosed = false;
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/http1/parser.cpp
@@ -0,0 +1,232 @@
+#include "azurepaddle/http1/parser.hpp"
+
+// Boost 1.74 uses std::exchange without including its header.
+#include <utility>
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace azurepaddle::http1 {
+
+namespace {
+
+    namespace beast = boost::beast;
+
+    std::string toText(beast::string_view text)
+    {
+        return { text.data(), text.size() };
+    }
+
+    /// Collects what the parser of Boost.Beast finds.
+    template <bool isRequest>
+    class Collector final : public beast::http::basic_parser<isRequest> {
+    public:
+        std::string method;
+        std::string target;
+        unsigned status = 0;
+        std::string reason;
+        Fields fields;
+        std::string body;
+
+    private:
+        using Code = beast::error_code;
+
+        void on_request_impl(beast::http::verb, beast::string_view methodText, beast::string_view targetText, int, Code&) override
+        {
+            method = toText(methodText);
+            target = toText(targetText);
+        }
+        void on_response_impl(int code, beast::string_view reasonText, int, Code&) override
+        {
+            status = static_cast<unsigned>(code);
+            reason = toText(reasonText);
+        }
+        void on_field_impl(beast::http::field, beast::string_view name, beast::string_view value, Code&) override
+        {
+            fields.add(toText(name), toText(value));
+        }
+        void on_header_impl(Code&) override { }
+        void on_body_init_impl(const boost::optional<std::uint64_t>&, Code&) override { }
+        std::size_t on_body_impl(beast::string_view bytes, Code&) override
+        {
+            body.append(bytes.data(), bytes.size());
+            return bytes.size();
+        }
+        void on_chunk_header_impl(std::uint64_t, beast::string_view, Code&) override { }
+        std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes, Code&) override
+        {
+            body.append(bytes.data(), bytes.size());
+            return bytes.size();
+        }
+        void on_finish_impl(Code&) override { }
+    };
+
+    ParseError translate(const beast::error_code& code)
+    {
+        using Error = beast::http::error;
+        if (code == Error::header_limit)
+            return { ParseErrorCode::HeaderTooLarge, "the header exceeds its limit" };
+        if (code == Error::body_limit)
+            return { ParseErrorCode::BodyTooLarge, "the body exceeds its limit" };
+        if (code == Error::partial_message || code == Error::end_of_stream)
+            return { ParseErrorCode::Truncated, "the connection ended within a message" };
+        return { ParseErrorCode::Malformed, code.message() };
+    }
+
+    /// Feeds a parser that wants its unread bytes again together with new ones.
+    template <bool isRequest>
+    class Feeder {
+    public:
+        explicit Feeder(const MessageLimits& limits)
+        {
+            parser.header_limit(limits.headerBytes);
+            parser.body_limit(limits.bodyBytes);
+            parser.eager(true);
+        }
+
+        tl::expected<std::size_t, ParseError> feed(std::string_view bytes)
+        {
+            hasStarted = hasStarted || !bytes.empty();
+            const std::size_t held = m_unread.size();
+            m_unread.append(bytes);
+            std::size_t used = 0;
+            while (!parser.is_done() && used < m_unread.size()) {
+                beast::error_code code;
+                const std::size_t taken = parser.put(boost::asio::const_buffer(m_unread.data() + used, m_unread.size() - used), code);
+                used += taken;
+                if (code == beast::http::error::need_more)
+                    break;
+                if (code)
+                    return tl::unexpected(translate(code));
+                if (taken == 0)
+                    break;
+            }
+            if (parser.is_done()) {
+                m_unread.clear();
+                return used > held ? used - held : 0;
+            }
+            m_unread.erase(0, used);
+            return bytes.size();
+        }
+
+        Collector<isRequest> parser;
+        bool hasStarted = false;
+
+    private:
+        std::string m_unread;
+    };
+
+}
+
+struct RequestParser::Implementation {
+    Feeder<true> feeder;
+    Request request;
+    bool isMoved = false;
+};
+
+RequestParser::RequestParser(const MessageLimits& limits)
+    : m_implementation(new Implementation { Feeder<true>(limits), {} })
+{
+}
+
+RequestParser::~RequestParser() = default;
+RequestParser::RequestParser(RequestParser&&) noexcept = default;
+RequestParser& RequestParser::operator=(RequestParser&&) noexcept = default;
+
+tl::expected<std::size_t, ParseError> RequestParser::feed(std::string_view bytes)
+{
+    return m_implementation->feeder.feed(bytes);
+}
+
+bool RequestParser::hasStarted() const noexcept
+{
+    return m_implementation->feeder.hasStarted;
+}
+
+bool RequestParser::isHeaderDone() const noexcept
+{
+    return m_implementation->feeder.parser.is_header_done();
+}
+
+bool RequestParser::isDone() const noexcept
+{
+    return m_implementation->feeder.parser.is_done();
+}
+
+Request& RequestParser::request() noexcept
+{
+    auto& [feeder, request, isMoved] = *m_implementation;
+    if (isMoved)
+        return request;
+    if (isDone()) {
+        isMoved = true;
+        request = { std::move(feeder.parser.method), std::move(feeder.parser.target), std::move(feeder.parser.fields), std::move(feeder.parser.body) };
+    } else {
+        request = { feeder.parser.method, feeder.parser.target, feeder.parser.fields, {} };
+    }
+    return request;
+}
+
+struct ResponseParser::Implementation {
+    Feeder<false> feeder;
+    Response head;
+};
+
+ResponseParser::ResponseParser(const MessageLimits& limits)
+    : m_implementation(new Implementation { Feeder<false>(limits), {} })
+{
+}
+
+ResponseParser::~ResponseParser() = default;
+ResponseParser::ResponseParser(ResponseParser&&) noexcept = default;
+ResponseParser& ResponseParser::operator=(ResponseParser&&) noexcept = default;
+
+tl::expected<std::size_t, ParseError> ResponseParser::feed(std::string_view bytes)
+{
+    auto& [feeder, head] = *m_implementation;
+    const bool wasHeaderDone = feeder.parser.is_header_done();
+    auto taken = feeder.feed(bytes);
+    if (!wasHeaderDone && feeder.parser.is_header_done())
+        head = { feeder.parser.status, feeder.parser.reason, feeder.parser.fields, {} };
+    return taken;
+}
+
+tl::expected<void, ParseError> ResponseParser::feedEnd()
+{
+    beast::error_code code;
+    m_implementation->feeder.parser.put_eof(code);
+    if (code || !isDone())
+        return tl::unexpected(code ? translate(code) : ParseError(ParseErrorCode::Truncated, "the connection ended within a message"));
+    return {};
+}
+
+bool ResponseParser::hasStarted() const noexcept
+{
+    return m_implementation->feeder.hasStarted;
+}
+
+bool ResponseParser::isHeaderDone() const noexcept
+{
+    return m_implementation->feeder.parser.is_header_done();
+}
+
+bool ResponseParser::isDone() const noexcept
+{
+    return m_implementation->feeder.parser.is_done();
+}
+
+bool ResponseParser::keepsAlive() const noexcept
+{
+    return m_implementation->feeder.parser.keep_alive();
+}
+
+const Response& ResponseParser::head() const noexcept
+{
+    return m_implementation->head;
+}
+
+std::string ResponseParser::takeBody()
+{
+    return std::exchange(m_implementation->feeder.parser.body, {});
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/http1/server_connection.cpp
@@ -0,0 +1,201 @@
+#include "azurepaddle/http1/server_connection.hpp"
+
+#include <utility>
+
+namespace azurepaddle::http1::internal {
+
+ServerConnection::ServerConnection(std::shared_ptr<Server::Shared> shared, asio::ip::tcp::socket socket)
+    : m_shared(std::move(shared))
+    , m_socket(std::move(socket))
+    , m_parser(m_shared->limits.message)
+    , m_lastActivity(m_shared->clock.now())
+    , m_messageStart(m_lastActivity)
+{
+}
+
+void ServerConnection::start()
+{
+    read();
+}
+
+void ServerConnection::read()
+{
+    if (m_isReading || m_isClosed || m_unparsed.size() > maxUnparsedBytes)
+        return;
+    m_isReading = true;
+    m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](std::error_code error, std::size_t size) {
+        self->m_isReading = false;
+        self->onRead(error, size);
+    });
+}
+
+void ServerConnection::onRead(const std::error_code& error, std::size_t size)
+{
+    if (m_isClosed)
+        return;
+    if (error)
+        return close();
+    m_lastActivity = m_shared->clock.now();
+    m_unparsed.append(m_buffer.data(), size);
+    if (!m_isBusy)
+        parse();
+    read();
+}
+
+void ServerConnection::parse()
+{
+    if (m_unparsed.empty() || m_closesAfterWrite)
+        return;
+    if (!m_parser.hasStarted())
+        m_messageStart = m_lastActivity;
+    const bool wasHeaderDone = m_parser.isHeaderDone();
+    const std::string bytes = std::exchange(m_unparsed, {});
+    const auto taken = m_parser.feed(bytes);
+    if (!taken)
+        return refuse(taken.error());
+    m_unparsed = bytes.substr(*taken);
+    if (m_parser.isDone())
+        return dispatch();
+    if (!wasHeaderDone && m_parser.isHeaderDone() && m_parser.request().fields.hasToken("Expect", "100-continue"))
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void ServerConnection::dispatch()
+{
+    Request request = std::move(m_parser.request());
+    m_parser = RequestParser(m_shared->limits.message);
+    m_isBusy = true;
+    m_closesAfterResponse = request.fields.hasToken("Connection", "close");
+    const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request), m_shared->clock.now());
+    m_exchange = exchange;
+    m_shared->handler(exchange);
+}
+
+void ServerConnection::refuse(const ParseError& error)
+{
+    Response response;
+    response.status = error.code() == ParseErrorCode::HeaderTooLarge ? 431 : error.code() == ParseErrorCode::BodyTooLarge ? 413
+                                                                                                                          : 400;
+    response.body = error.message() + "\n";
+    m_closesAfterResponse = true;
+    m_isBusy = true;
+    respond(std::move(response), false);
+}
+
+void ServerConnection::addConnectionFields(Response& response)
+{
+    m_closesAfterResponse = m_closesAfterResponse || m_shared->isDraining;
+    response.fields.erase("Connection");
+    response.fields.erase("Content-Length");
+    response.fields.erase("Transfer-Encoding");
+    if (m_closesAfterResponse)
+        response.fields.add("Connection", "close");
+}
+
+void ServerConnection::respond(Response response, bool isHead)
+{
+    addConnectionFields(response);
+    std::string text = serializeHead(response, Framing::Length);
+    if (!isHead)
+        text.append(response.body);
+    write(std::move(text));
+    finishResponse();
+}
+
+void ServerConnection::beginStream(Response head)
+{
+    addConnectionFields(head);
+    write(serializeHead(head, Framing::Chunked));
+}
+
+void ServerConnection::sendChunk(std::string_view bytes)
+{
+    if (!bytes.empty())
+        write(serializeChunk(bytes));
+}
+
+void ServerConnection::endStream()
+{
+    write(serializeChunk({}));
+    finishResponse();
+}
+
+void ServerConnection::finishResponse()
+{
+    m_isBusy = false;
+    m_lastActivity = m_shared->clock.now();
+    if (m_closesAfterResponse) {
+        m_closesAfterWrite = true;
+        return flush();
+    }
+    // Not from within the handler: it may still hold the exchange it has just answered.
+    asio::post(m_shared->io, [self = shared_from_this()] {
+        if (!self->m_isClosed && !self->m_isBusy)
+            self->parse();
+        self->read();
+    });
+}
+
+void ServerConnection::write(std::string bytes)
+{
+    if (m_isClosed)
+        return;
+    m_output.push_back(std::move(bytes));
+    flush();
+}
+
+void ServerConnection::flush()
+{
+    if (m_isWriting || m_isClosed)
+        return;
+    if (m_output.empty()) {
+        if (!m_closesAfterWrite)
+            return;
+        // The client closes after the last answer. Closing first with unread bytes would reset the answer on its way.
+        std::error_code ignored;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        return;
+    }
+    m_isWriting = true;
+    asio::async_write(m_socket, asio::buffer(m_output.front()), [self = shared_from_this()](std::error_code error, std::size_t) {
+        self->m_isWriting = false;
+        if (self->m_isClosed)
+            return;
+        if (error)
+            return self->close();
+        self->m_lastActivity = self->m_shared->clock.now();
+        self->m_output.pop_front();
+        self->flush();
+    });
+}
+
+void ServerConnection::checkTimeouts(TimePoint now)
+{
+    constexpr Duration lingerTimeout = std::chrono::seconds(1);
+    if (m_isClosed || m_isBusy)
+        return;
+    const bool isInHeader = m_parser.hasStarted() && !m_parser.isHeaderDone();
+    if (m_closesAfterWrite && now - m_lastActivity > lingerTimeout)
+        return close();
+    if (isInHeader && now - m_messageStart > m_shared->limits.headerTimeout) {
+        m_closesAfterResponse = true;
+        m_isBusy = true;
+        return respond({ 408, {}, {}, "the header did not arrive in time\n" }, false);
+    }
+    if (now - m_lastActivity > m_shared->limits.idleTimeout)
+        close();
+}
+
+void ServerConnection::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    std::error_code ignored;
+    m_socket.close(ignored);
+    if (const auto exchange = m_exchange.lock())
+        exchange->clientLeft();
+    m_shared->connections.erase(shared_from_this());
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/http1/server_connection.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "azurepaddle/http1/server.hpp"
+
+#include <array>
+
+namespace azurepaddle::http1 {
+
+/// What the connections of one server share.
+struct Server::Shared {
+    asio::io_context& io;
+    Handler handler;
+    ServerLimits limits;
+    bool isDraining = false;
+    bool isClosed = false;
+    std::unordered_set<std::shared_ptr<internal::ServerConnection>> connections;
+    SystemClock clock {};
+};
+
+namespace internal {
+
+    /// One connection of a client.
+    class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+    public:
+        ServerConnection(std::shared_ptr<Server::Shared> shared, asio::ip::tcp::socket socket);
+
+        void start();
+        /// Closes a connection that is idle or incomplete for too long.
+        void checkTimeouts(TimePoint now);
+        void close();
+        [[nodiscard]] bool isIdle() const noexcept { return !m_isBusy && !m_parser.hasStarted() && m_unparsed.empty(); }
+        [[nodiscard]] bool isBusy() const noexcept { return m_isBusy; }
+        [[nodiscard]] bool isClosed() const noexcept { return m_isClosed; }
+
+        void respond(Response response, bool isHead);
+        void beginStream(Response head);
+        void sendChunk(std::string_view bytes);
+        void endStream();
+
+    private:
+        void read();
+        void onRead(const std::error_code& error, std::size_t size);
+        void parse();
+        void dispatch();
+        void refuse(const ParseError& error);
+        void write(std::string bytes);
+        void flush();
+        void finishResponse();
+        void addConnectionFields(Response& response);
+
+        // A client that sends ahead of its answers is read no further than this.
+        static constexpr std::size_t maxUnparsedBytes = 256U * 1024U;
+        static constexpr std::size_t readBytes = 16U * 1024U;
+
+        std::shared_ptr<Server::Shared> m_shared;
+        asio::ip::tcp::socket m_socket;
+        RequestParser m_parser;
+        std::array<char, readBytes> m_buffer {};
+        std::string m_unparsed; ///< Bytes behind the request in progress.
+        std::weak_ptr<Exchange> m_exchange;
+        TimePoint m_lastActivity;
+        TimePoint m_messageStart;
+        std::deque<std::string> m_output;
+        bool m_isReading = false;
+        bool m_isWriting = false;
+        bool m_isBusy = false; ///< A request is being answered.
+        bool m_closesAfterResponse = false;
+        bool m_closesAfterWrite = false;
+        bool m_isClosed = false;
+    };
+
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/platform/batch_format.cpp
@@ -0,0 +1,109 @@
+#include "azurepaddle/platform/batch_format.hpp"
+
+#include "azurepaddle/http1/message.hpp"
+#include "azurepaddle/platform/json.hpp"
+
+#include <charconv>
+
+namespace azurepaddle::platform {
+
+namespace {
+
+    using internal::countOf;
+    using internal::Json;
+    using internal::listOf;
+    using internal::textOf;
+
+    constexpr std::string_view tokenUsageField = "X-Token-Usage"; // Prompt tokens and largest output, by a comma.
+    constexpr std::string_view lengthHintField = "X-Length-Hint"; // Estimated output tokens.
+
+    std::uint64_t leadingCount(std::string_view text)
+    {
+        std::uint64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    }
+
+    /// Takes the sizes from an item's own headers: the estimate of its output, or else the largest output it allows.
+    void readSizes(batch::ItemSpec& item)
+    {
+        for (const batch::ItemField& field : item.fields) {
+            if (http1::equalNames(field.name, tokenUsageField)) {
+                item.promptTokens = leadingCount(field.value);
+                const std::size_t comma = field.value.find(',');
+                if (comma != std::string::npos && item.expectedTokens == 0)
+                    item.expectedTokens = leadingCount(std::string_view(field.value).substr(comma + 1));
+            } else if (http1::equalNames(field.name, lengthHintField)) {
+                item.expectedTokens = leadingCount(field.value);
+            }
+        }
+    }
+
+    std::optional<batch::ItemSpec> decodeItem(const Json& json)
+    {
+        const auto id = textOf(json, "id");
+        const auto path = textOf(json, "path");
+        const auto encoded = textOf(json, "body");
+        const auto body = encoded ? internal::decodeBase64(*encoded) : std::nullopt;
+        const auto headers = json.find("headers");
+        if (!id || id->empty() || !path || !body || headers == json.end() || !headers->is_object())
+            return std::nullopt;
+        batch::ItemSpec item;
+        item.id = batch::ItemId(*id);
+        item.path = *path;
+        item.body = *body;
+        item.group = GroupId(textOf(json, "group").value_or(*id));
+        for (const auto& [name, value] : headers->items()) {
+            if (!value.is_string())
+                return std::nullopt;
+            item.fields.push_back({ name, value.get<std::string>() });
+        }
+        readSizes(item);
+        return item;
+    }
+
+    std::uint64_t toMs(Duration duration)
+    {
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    }
+
+}
+
+tl::expected<batch::JobSpec, std::string> decodeJob(const batch::JobId& id, const gateway::Route& route, std::string_view body)
+{
+    const auto json = internal::parseJson(body);
+    const Json* requests = json ? listOf(*json, "requests") : nullptr;
+    if (!requests || requests->empty())
+        return tl::unexpected(std::string("the batch job is not JSON or has no requests"));
+    batch::JobSpec spec;
+    spec.id = id;
+    spec.host = route.host;
+    spec.model = batch::ModelName(textOf(*json, "model").value_or(std::string()));
+    spec.step = countOf(*json, "step").value_or(0);
+    spec.minVersion = countOf(*json, "min-version").value_or(0);
+    spec.groupCount = static_cast<std::uint32_t>(countOf(*json, "group-count").value_or(0));
+    spec.maxAttempts = route.maxAttempts;
+    spec.dueMs = toMs(route.due);
+    spec.retentionMs = toMs(route.retention);
+    spec.isSingleVersion = route.isSingleVersion;
+    for (const Json& request : *requests) {
+        auto item = decodeItem(request);
+        if (!item)
+            return tl::unexpected(std::string("an item of the batch job cannot be read"));
+        spec.items.push_back(std::move(*item));
+    }
+    return spec;
+}
+
+std::string encodeResults(const registry::ReadResultsReply& reply, std::uint64_t after)
+{
+    Json results = Json::array();
+    for (const batch::ItemResult& result : reply.results) {
+        const bool isCompleted = result.state == batch::ResultState::Completed;
+        results.push_back({ { "id", result.id.value() }, { "state", isCompleted ? "completed" : "dead" }, { "output", result.output }, { "versions", result.versions } });
+    }
+    const Json json { { "total", reply.total }, { "next-token", after + reply.results.size() }, { "results", std::move(results) } };
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -0,0 +1,119 @@
+#include "azurepaddle/platform/caller_api.hpp"
+
+#include "azurepaddle/platform/batch_format.hpp"
+#include "azurepaddle/platform/replies.hpp"
+
+#include <charconv>
+
+namespace azurepaddle::platform {
+
+namespace {
+
+    constexpr std::string_view jobPath = "/-/lots/";
+    constexpr std::string_view itemPath = "/-/items/";
+    constexpr std::string_view waitField = "X-Wait-Ms";
+    // Calls of batch jobs that state no deadline are given up after this long.
+    constexpr Duration defaultPatience = std::chrono::milliseconds(2500);
+    // Their answer must arrive before the client stops waiting.
+    constexpr Duration answerMargin = std::chrono::milliseconds(100);
+
+    std::uint64_t parseCount(std::string_view text)
+    {
+        std::uint64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    }
+
+}
+
+CallerApi::CallerApi(Forwarder& forwarder, registry::LeaderClient& leader)
+    : m_forwarder(forwarder)
+    , m_leader(leader)
+{
+}
+
+void CallerApi::handle(http1::ExchangePointer exchange)
+{
+    const http1::Request& request = exchange->request();
+    const std::string_view path = http1::pathOf(request.target);
+    if (!m_routes)
+        return exchange->respond(unavailable("no configuration is known yet"));
+    if (path.starts_with(jobPath)) {
+        const batch::JobId job { std::string(path.substr(jobPath.size())) };
+        if (request.method == "GET")
+            return readResults(exchange, job);
+        if (request.method == "DELETE")
+            return endJob(exchange, job);
+        return exchange->respond(plain(405, "only GET and DELETE are known here"));
+    }
+    if (path.starts_with(itemPath) && request.method == "GET")
+        return readItem(exchange, batch::JobId { std::string(path.substr(itemPath.size())) });
+    const gateway::Route* route = m_routes->find(gateway::hostOf(request.fields.find("Host")), path);
+    if (!route) {
+        m_log.info("id={} target={} configuration={} status=404", EndpointProtocol::requestId(request), request.target, m_routes->version());
+        return exchange->respond(plain(404, "no route matches"));
+    }
+    if (route->kind == gateway::RouteKind::Batch)
+        return submit(exchange, *route);
+    m_forwarder.forward(std::move(exchange), m_routes, *route);
+}
+
+TimePoint CallerApi::deadlineOf(const http1::Exchange& exchange) const
+{
+    return exchange.receivedAt() + EndpointProtocol::patience(exchange.request()).value_or(defaultPatience) - answerMargin;
+}
+
+void CallerApi::submit(const http1::ExchangePointer& exchange, const gateway::Route& route)
+{
+    const batch::JobId id(EndpointProtocol::requestId(exchange->request()));
+    auto spec = decodeJob(id, route, exchange->request().body);
+    if (exchange->request().method != "POST" || id.empty() || !spec) {
+        const std::string reason = spec ? "a batch job is a POST with an identifier" : spec.error();
+        m_log.info("job id={} status=400 cause=\"{}\"", id, reason);
+        return exchange->respond(plain(400, reason));
+    }
+    const TimePoint deadline = std::min(deadlineOf(*exchange), exchange->receivedAt() + defaultPatience);
+    m_leader.send(registry::SubmitJobRequest { std::move(*spec) }, deadline, [this, exchange, id](registry::LeaderResult<registry::SubmitJobReply> reply) {
+        const http1::Response response = !reply ? noReply(reply.error()) : reply->isAccepted ? plain(202, "accepted")
+                                                                                             : unavailable("too many batch jobs are held");
+        m_log.info("job id={} status={} leader={}", id, response.status, m_leader.leader() ? formatAddress(*m_leader.leader()) : std::string());
+        exchange->respond(response);
+    });
+}
+
+void CallerApi::readResults(const http1::ExchangePointer& exchange, const batch::JobId& job)
+{
+    const std::uint64_t after = parseCount(http1::queryParameter(exchange->request().target, "after").value_or("0"));
+    const std::uint64_t wait = parseCount(exchange->request().fields.find(waitField));
+    const TimePoint deadline = m_clock.now() + std::chrono::milliseconds(wait) + std::chrono::milliseconds(1000);
+    m_leader.send(registry::ReadResultsRequest { job, after, wait }, deadline, [this, exchange, job, after](const registry::LeaderResult<registry::ReadResultsReply>& reply) {
+        if (!reply) {
+            m_log.info("job id={} after={} status=503", job, after);
+            return exchange->respond(unavailable("no leader answered"));
+        }
+        exchange->respond(reply->isKnown ? json(200, encodeResults(*reply, after)) : plain(404, "no such batch job"));
+    });
+}
+
+void CallerApi::readItem(const http1::ExchangePointer& exchange, const batch::JobId& job)
+{
+    const batch::ItemId item(http1::queryParameter(exchange->request().target, "id").value_or(std::string()));
+    const TimePoint deadline = m_clock.now() + std::chrono::milliseconds(1000);
+    m_leader.send(registry::ReadItemRequest { job, item }, deadline, [exchange](const registry::LeaderResult<registry::ReadItemReply>& reply) {
+        if (!reply)
+            return exchange->respond(unavailable("no leader answered"));
+        exchange->respond(reply->isKnown ? bytes(200, reply->body) : plain(404, "no such item"));
+    });
+}
+
+void CallerApi::endJob(const http1::ExchangePointer& exchange, const batch::JobId& job)
+{
+    const TimePoint deadline = m_clock.now() + std::chrono::milliseconds(1500);
+    m_leader.send(registry::EndJobRequest { job }, deadline, [exchange](const registry::LeaderResult<registry::EndJobReply>& reply) {
+        if (!reply)
+            return exchange->respond(noReply(reply.error()));
+        exchange->respond(reply->isKnown ? plain(200, "ended") : plain(404, "no such batch job"));
+    });
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/platform/caller_api.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "azurepaddle/gateway/forwarder.hpp"
+#include "azurepaddle/platform/endpoint_protocol.hpp"
+#include "azurepaddle/registry/leader_client.hpp"
+#include "azurepaddle/registry/requests.hpp"
+
+namespace azurepaddle::platform {
+
+/// The calls of the platform's clients at an entry instance: plain requests go to the forwarder, calls of batch jobs to
+/// the leader.
+class CallerApi {
+public:
+    using Forwarder = gateway::Forwarder<EndpointProtocol>;
+
+    CallerApi(Forwarder& forwarder, registry::LeaderClient& leader);
+
+    /// Replaces the configuration. Null until one is known.
+    void setRoutes(std::shared_ptr<const gateway::RouteTable> routes) { m_routes = std::move(routes); }
+    void handle(http1::ExchangePointer exchange);
+
+private:
+    void submit(const http1::ExchangePointer& exchange, const gateway::Route& route);
+    void readResults(const http1::ExchangePointer& exchange, const batch::JobId& job);
+    void readItem(const http1::ExchangePointer& exchange, const batch::JobId& job);
+    void endJob(const http1::ExchangePointer& exchange, const batch::JobId& job);
+    [[nodiscard]] TimePoint deadlineOf(const http1::Exchange& exchange) const;
+
+    Forwarder& m_forwarder;
+    registry::LeaderClient& m_leader;
+    std::shared_ptr<const gateway::RouteTable> m_routes;
+    const Log m_log { "calls" };
+    const SystemClock m_clock {};
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/platform/configuration.cpp
@@ -0,0 +1,150 @@
+#include "azurepaddle/platform/configuration.hpp"
+
+#include "azurepaddle/platform/json.hpp"
+
+#include <fmt/format.h>
+
+namespace azurepaddle::platform {
+
+namespace {
+
+    using internal::countOf;
+    using internal::flagOf;
+    using internal::Json;
+    using internal::listOf;
+    using internal::numberOf;
+    using internal::textOf;
+
+    template <typename T>
+    using Result = tl::expected<T, std::string>;
+
+    std::optional<gateway::RouteKind> decodeKind(std::string_view text)
+    {
+        if (text == "idempotent")
+            return gateway::RouteKind::Idempotent;
+        if (text == "non_idempotent")
+            return gateway::RouteKind::NonIdempotent;
+        if (text == "streaming")
+            return gateway::RouteKind::Streaming;
+        if (text == "rollout")
+            return gateway::RouteKind::Batch;
+        return std::nullopt;
+    }
+
+    Duration fromMs(double ms)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+    }
+
+    Result<std::vector<gateway::WeightedService>> decodeServices(const Json& route)
+    {
+        std::vector<gateway::WeightedService> services;
+        if (const auto service = textOf(route, "service"))
+            services.push_back({ ServiceName(*service), 1 });
+        if (const Json* split = listOf(route, "split")) {
+            for (const Json& part : *split) {
+                const auto service = textOf(part, "service");
+                const auto weight = numberOf(part, "weight");
+                if (!service || !weight)
+                    return tl::unexpected(std::string("a part of a split lacks service or weight"));
+                services.push_back({ ServiceName(*service), *weight });
+            }
+        }
+        return services;
+    }
+
+    Result<gateway::Route> decodeRoute(const Json& json)
+    {
+        gateway::Route route;
+        const auto host = textOf(json, "host");
+        const auto prefix = textOf(json, "path-prefix");
+        const auto kind = decodeKind(textOf(json, "route-type").value_or(std::string()));
+        const auto timeout = numberOf(json, "timeout-ms");
+        if (!host || !prefix || !kind || !timeout)
+            return tl::unexpected(std::string("a route lacks host, path-prefix, route-type or timeout-ms"));
+        auto services = decodeServices(json);
+        if (!services)
+            return tl::unexpected(services.error());
+        route.name = textOf(json, "name").value_or(*host + *prefix);
+        route.host = *host;
+        route.pathPrefix = *prefix;
+        route.kind = *kind;
+        route.services = std::move(*services);
+        route.timeout = fromMs(*timeout);
+        route.target = fromMs(numberOf(json, "target-latency-ms").value_or(*timeout));
+        route.due = fromMs(numberOf(json, "due-ms").value_or(*timeout));
+        constexpr double msPerSecond = 1000;
+        constexpr double defaultRetentionSeconds = 60;
+        route.retention = fromMs(numberOf(json, "retention-s").value_or(defaultRetentionSeconds) * msPerSecond);
+        route.priority = static_cast<std::uint32_t>(countOf(json, "priority").value_or(route.priority));
+        route.maxAttempts = static_cast<std::uint32_t>(countOf(json, "max-attempts").value_or(1));
+        route.isResumable = flagOf(json, "resumable").value_or(false);
+        route.isSingleVersion = flagOf(json, "single-version").value_or(false);
+        return route;
+    }
+
+    Result<gateway::Service> decodeService(const Json& json)
+    {
+        const auto name = textOf(json, "name");
+        if (!name)
+            return tl::unexpected(std::string("a service has no name"));
+        gateway::Service service;
+        service.name = ServiceName(*name);
+        service.healthPath = textOf(json, "health-path").value_or("/healthz");
+        service.maxConnections = countOf(json, "max-connections").value_or(service.maxConnections);
+        const auto engine = json.find("engine");
+        const Json* models = engine == json.end() ? nullptr : listOf(*engine, "models");
+        if (models) {
+            for (const Json& model : *models) {
+                if (const auto modelName = textOf(model, "name"))
+                    service.models.emplace_back(*modelName);
+            }
+        }
+        return service;
+    }
+
+    http1::ServerLimits decodeLimits(const Json& json)
+    {
+        http1::ServerLimits limits;
+        const auto found = json.find("limits");
+        if (found == json.end())
+            return limits;
+        limits.message.headerBytes = static_cast<std::uint32_t>(countOf(*found, "max-header-bytes").value_or(limits.message.headerBytes));
+        limits.message.bodyBytes = countOf(*found, "max-body-bytes").value_or(limits.message.bodyBytes);
+        if (const auto ms = numberOf(*found, "header-timeout-ms"))
+            limits.headerTimeout = fromMs(*ms);
+        if (const auto ms = numberOf(*found, "idle-timeout-ms"))
+            limits.idleTimeout = fromMs(*ms);
+        return limits;
+    }
+
+}
+
+tl::expected<gateway::RouteTable, std::string> decodeConfiguration(std::string_view text)
+{
+    const auto json = internal::parseJson(text);
+    if (!json)
+        return tl::unexpected(std::string("the configuration is not JSON"));
+    const auto version = countOf(*json, "version");
+    const Json* routes = listOf(*json, "routes");
+    const Json* services = listOf(*json, "services");
+    if (!version || *version == 0 || !routes || !services)
+        return tl::unexpected(std::string("the configuration lacks version, routes or services"));
+    std::vector<gateway::Route> decodedRoutes;
+    for (const Json& route : *routes) {
+        auto decoded = decodeRoute(route);
+        if (!decoded)
+            return tl::unexpected(decoded.error());
+        decodedRoutes.push_back(std::move(*decoded));
+    }
+    std::vector<gateway::Service> decodedServices;
+    for (const Json& service : *services) {
+        auto decoded = decodeService(service);
+        if (!decoded)
+            return tl::unexpected(decoded.error());
+        decodedServices.push_back(std::move(*decoded));
+    }
+    return gateway::RouteTable(*version, std::move(decodedRoutes), std::move(decodedServices), decodeLimits(*json));
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/platform/control_api.cpp
@@ -0,0 +1,123 @@
+#include "azurepaddle/platform/control_api.hpp"
+
+#include "azurepaddle/platform/configuration.hpp"
+#include "azurepaddle/platform/json.hpp"
+#include "azurepaddle/platform/registration.hpp"
+#include "azurepaddle/platform/replies.hpp"
+
+namespace azurepaddle::platform {
+
+namespace {
+
+    // A caller asks another instance after a second without an answer.
+    constexpr Duration callPatience = std::chrono::milliseconds(900);
+
+    /// The part of a path between a prefix and a suffix, if it has both.
+    std::optional<std::string_view> between(std::string_view path, std::string_view prefix, std::string_view suffix)
+    {
+        if (path.size() <= prefix.size() + suffix.size() || !path.starts_with(prefix) || !path.ends_with(suffix))
+            return std::nullopt;
+        return path.substr(prefix.size(), path.size() - prefix.size() - suffix.size());
+    }
+
+}
+
+void ControlApi::handle(const http1::ExchangePointer& exchange)
+{
+    const http1::Request& request = exchange->request();
+    const std::string_view path = http1::pathOf(request.target);
+    const bool isPost = request.method == "POST";
+    if (const auto id = between(path, "/-/replicas/", "/heartbeat"); id && isPost)
+        return beat(exchange, *id);
+    if (const auto id = between(path, "/-/replicas/", "/deregister"); id && isPost)
+        return leave(exchange, *id);
+    if (path == "/-/config/replace" && isPost)
+        return putConfiguration(exchange);
+    if (path == "/-/config/read" && request.method == "GET")
+        return readConfiguration(exchange);
+    if (path == "/-/version-put" && isPost)
+        return nameVersion(exchange);
+    if (const auto instance = between(path, "/-/retire/", "/begin"); instance && isPost)
+        return retire(exchange, *instance, true);
+    if (const auto instance = between(path, "/-/retire/", "/read"); instance && request.method == "GET")
+        return retire(exchange, *instance, false);
+    exchange->respond(plain(404, "no such call"));
+}
+
+void ControlApi::beat(const http1::ExchangePointer& exchange, std::string_view id)
+{
+    const auto beat = decodeBeat(id, exchange->request().body);
+    if (!beat) {
+        m_log.warning("heartbeat id={} unreadable bytes={}", id, exchange->request().body.size());
+        return exchange->respond(plain(400, "the heartbeat cannot be read"));
+    }
+    m_leader.send(registry::BeatRequest { *beat }, m_clock.now() + callPatience, [exchange](const registry::LeaderResult<registry::Done>& reply) {
+        exchange->respond(reply ? json(200, "{}") : unavailable("no leader took the heartbeat"));
+    });
+}
+
+void ControlApi::leave(const http1::ExchangePointer& exchange, std::string_view id)
+{
+    m_leader.send(registry::LeaveRequest { decodeLeave(id, exchange->request().body) }, m_clock.now() + callPatience, [exchange](const registry::LeaderResult<registry::Done>& reply) {
+        exchange->respond(reply ? plain(200, "gone") : unavailable("no leader took the message"));
+    });
+}
+
+void ControlApi::putConfiguration(const http1::ExchangePointer& exchange)
+{
+    const std::string& text = exchange->request().body;
+    const auto table = decodeConfiguration(text);
+    const auto problem = table ? gateway::validate(*table) : std::optional(gateway::ConfigurationProblem { table.error() });
+    if (problem) {
+        m_log.info("configuration bytes={} refused: {}", text.size(), problem->message);
+        return exchange->respond(plain(400, problem->message));
+    }
+    const registry::ConfigurationDocument document { table->version(), text };
+    m_leader.send(registry::PutConfigurationRequest { document }, m_clock.now() + callPatience, [exchange](const registry::LeaderResult<registry::PutConfigurationReply>& reply) {
+        if (!reply)
+            return exchange->respond(noReply(reply.error()));
+        const bool isConflict = reply->outcome == registry::ConfigurationOutcome::Conflict;
+        exchange->respond(isConflict ? plain(409, "other content is in force under this version") : plain(200, "accepted"));
+    });
+}
+
+void ControlApi::readConfiguration(const http1::ExchangePointer& exchange)
+{
+    m_leader.send(registry::ReadConfigurationRequest {}, m_clock.now() + callPatience, [exchange](const registry::LeaderResult<registry::ReadConfigurationReply>& reply) {
+        if (!reply || reply->document.version == 0)
+            return exchange->respond(unavailable("the newest configuration is not known here"));
+        exchange->respond(json(200, reply->document.text));
+    });
+}
+
+void ControlApi::nameVersion(const http1::ExchangePointer& exchange)
+{
+    const auto json = internal::parseJson(exchange->request().body);
+    const auto model = json ? internal::textOf(*json, "model") : std::nullopt;
+    const auto version = json ? internal::countOf(*json, "version") : std::nullopt;
+    if (!model || !version)
+        return exchange->respond(plain(400, "model or version is missing"));
+    m_leader.send(registry::NameVersionRequest { { batch::ModelName(*model), *version } }, m_clock.now() + callPatience, [exchange](const registry::LeaderResult<registry::Done>& reply) {
+        exchange->respond(reply ? plain(200, "recorded") : unavailable("no leader recorded the version"));
+    });
+}
+
+void ControlApi::retire(const http1::ExchangePointer& exchange, std::string_view instance, bool isBegin)
+{
+    m_leader.send(registry::RetireRequest { std::string(instance), isBegin }, m_clock.now() + callPatience, [exchange, isBegin](const registry::LeaderResult<registry::RetireReply>& reply) {
+        if (!reply)
+            return exchange->respond(unavailable("no leader took the request"));
+        switch (reply->state) {
+        case registry::RetireState::Unknown:
+            return exchange->respond(isBegin ? plain(404, "no such instance") : json(200, R"({"state":"active"})"));
+        case registry::RetireState::TooFew:
+            return exchange->respond(plain(409, "too few instances would be left"));
+        case registry::RetireState::Active:
+            return exchange->respond(json(200, R"({"state":"active"})"));
+        case registry::RetireState::Completed:
+            return exchange->respond(json(200, R"({"state":"completed"})"));
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/platform/endpoint_protocol.cpp
@@ -0,0 +1,140 @@
+#include "azurepaddle/platform/endpoint_protocol.hpp"
+
+#include "azurepaddle/platform/json.hpp"
+
+#include <array>
+#include <charconv>
+
+namespace azurepaddle::platform {
+
+namespace {
+
+    constexpr std::string_view requestIdField = "X-Attempt-Id";
+    constexpr std::string_view deadlineField = "X-Deadline-Ms";
+    constexpr std::string_view expectedEndpointField = "X-Expect-Replica";
+    constexpr std::string_view notRunField = "X-Not-Executed";
+    constexpr std::string_view loadField = "X-Replica-Load";
+    constexpr std::string_view versionField = "X-Weight-Versions";
+    constexpr std::string_view eventVersionField = "x-weight-versions";
+    constexpr std::string_view lastEventField = "Last-Event-Id";
+    constexpr unsigned misdirected = 421;
+
+    std::optional<std::uint64_t> parseCount(std::string_view text)
+    {
+        while (!text.empty() && text.front() == ' ')
+            text.remove_prefix(1);
+        std::uint64_t value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (error != std::errc() || end == text.data())
+            return std::nullopt;
+        return value;
+    }
+
+}
+
+std::string EndpointProtocol::requestId(const http1::Request& request)
+{
+    return std::string(request.fields.find(requestIdField));
+}
+
+std::optional<Duration> EndpointProtocol::patience(const http1::Request& request)
+{
+    const auto ms = parseCount(request.fields.find(deadlineField));
+    return ms ? std::optional<Duration>(std::chrono::milliseconds(*ms)) : std::nullopt;
+}
+
+http1::Request EndpointProtocol::forEndpoint(const http1::Request& request, const EndpointId& endpoint, Duration left)
+{
+    http1::Request forwarded = request;
+    forwarded.fields.eraseHopByHop();
+    forwarded.fields.set(std::string(deadlineField), std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
+    forwarded.fields.set(std::string(expectedEndpointField), endpoint.value());
+    return forwarded;
+}
+
+gateway::AnswerClass EndpointProtocol::classify(const http1::Response& head, std::string_view requestId)
+{
+    const std::string_view echoed = head.fields.find(requestIdField);
+    if (!echoed.empty() && echoed != requestId)
+        return gateway::AnswerClass::OtherRequest;
+    if (head.status == misdirected)
+        return gateway::AnswerClass::WrongEndpoint;
+    return head.fields.contains(notRunField) ? gateway::AnswerClass::NotRun : gateway::AnswerClass::Answer;
+}
+
+std::optional<gateway::LoadReport> EndpointProtocol::loadOf(const http1::Response& head)
+{
+    constexpr double usualPercent = 100;
+    std::string_view text = head.fields.find(loadField);
+    std::array<std::optional<std::uint64_t>, 4> values;
+    for (auto& value : values) {
+        const std::size_t comma = text.find(',');
+        value = parseCount(text.substr(0, comma));
+        text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+    }
+    const auto& [running, waiting, slots, percent] = values;
+    if (!running || !waiting || !slots)
+        return std::nullopt;
+    return gateway::LoadReport { static_cast<std::uint32_t>(*running), static_cast<std::uint32_t>(*waiting), static_cast<std::uint32_t>(*slots), percent ? static_cast<double>(*percent) / usualPercent : 1 };
+}
+
+http1::Request EndpointProtocol::itemRequest(const batch::ItemSpec& item, const std::string& host, const EndpointId& endpoint, std::uint64_t eventsHeld)
+{
+    http1::Request request { "POST", item.path, { { "Host", host }, { std::string(requestIdField), item.id.value() }, { std::string(expectedEndpointField), endpoint.value() } }, item.body };
+    for (const batch::ItemField& field : item.fields)
+        request.fields.add(field.name, field.value);
+    if (eventsHeld > 0)
+        request.fields.add(std::string(lastEventField), std::to_string(eventsHeld));
+    return request;
+}
+
+std::optional<WeightVersion> EndpointProtocol::versionOf(const http1::Response& head)
+{
+    return parseCount(head.fields.find(versionField));
+}
+
+std::optional<WeightVersion> EndpointProtocol::versionOf(const http1::StreamEvent& event)
+{
+    return parseCount(event.extra.find(eventVersionField));
+}
+
+std::optional<std::uint64_t> EndpointProtocol::eventNumber(const http1::StreamEvent& event)
+{
+    return parseCount(event.id);
+}
+
+http1::Request EndpointProtocol::loadRequest(const execution::LoadOrder& order)
+{
+    // Items that run go on under the new version: they are allowed to mix the versions of their bounds.
+    internal::Json body { { "operation", "version" }, { "model", order.model.value() }, { "version", order.version }, { "mode", "retain" }, { "holder", order.holder }, { "fence", order.fence } };
+    if (order.expectedOrders)
+        body["expect"] = *order.expectedOrders;
+    return { "POST", "/-/order", { { "Host", "endpoint" }, { "Content-Type", "application/json" }, { std::string(expectedEndpointField), order.endpoint.value() } }, body.dump() };
+}
+
+http1::Request EndpointProtocol::statusRequest(const EndpointId& endpoint)
+{
+    return { "GET", "/-/report", { { "Host", "endpoint" }, { std::string(expectedEndpointField), endpoint.value() } }, {} };
+}
+
+std::optional<execution::EndpointStatus> EndpointProtocol::parseStatus(const std::string& body)
+{
+    const auto json = internal::parseJson(body);
+    if (!json)
+        return std::nullopt;
+    const auto isBusy = internal::flagOf(*json, "busy");
+    const auto sequence = internal::countOf(*json, "sequence");
+    const internal::Json* models = internal::listOf(*json, "models");
+    if (!isBusy || !sequence || !models)
+        return std::nullopt;
+    execution::EndpointStatus status { {}, *isBusy, *sequence };
+    for (const internal::Json& model : *models) {
+        const auto name = internal::textOf(model, "name");
+        const auto version = internal::countOf(model, "version");
+        if (name && version)
+            status.versions[*name] = *version;
+    }
+    return status;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/platform/endpoint_protocol.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "azurepaddle/execution/protocol.hpp"
+
+namespace azurepaddle::platform {
+
+/// How the platform's endpoints are spoken to: header names, order bodies and event fields.
+struct EndpointProtocol {
+    [[nodiscard]] static std::string requestId(const http1::Request& request);
+    [[nodiscard]] static std::optional<Duration> patience(const http1::Request& request);
+    [[nodiscard]] static http1::Request forEndpoint(const http1::Request& request, const EndpointId& endpoint, Duration left);
+    [[nodiscard]] static gateway::AnswerClass classify(const http1::Response& head, std::string_view requestId);
+    [[nodiscard]] static std::optional<gateway::LoadReport> loadOf(const http1::Response& head);
+    [[nodiscard]] static http1::Request itemRequest(const batch::ItemSpec& item, const std::string& host, const EndpointId& endpoint, std::uint64_t eventsHeld);
+    [[nodiscard]] static std::optional<WeightVersion> versionOf(const http1::Response& head);
+    [[nodiscard]] static std::optional<WeightVersion> versionOf(const http1::StreamEvent& event);
+    [[nodiscard]] static std::optional<std::uint64_t> eventNumber(const http1::StreamEvent& event);
+    [[nodiscard]] static http1::Request loadRequest(const execution::LoadOrder& order);
+    [[nodiscard]] static http1::Request statusRequest(const EndpointId& endpoint);
+    [[nodiscard]] static std::optional<execution::EndpointStatus> parseStatus(const std::string& body);
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/platform/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace azurepaddle::platform {
+
+struct EndpointProtocol;
+class CallerApi;
+class ControlApi;
+
+}
--- /dev/null
+++ b/src/azurepaddle/platform/json.cpp
@@ -0,0 +1,75 @@
+#include "azurepaddle/platform/json.hpp"
+
+#include <openssl/evp.h>
+
+namespace azurepaddle::platform::internal {
+
+std::optional<Json> parseJson(std::string_view text)
+{
+    Json json = Json::parse(text, nullptr, false);
+    if (json.is_discarded())
+        return std::nullopt;
+    return json;
+}
+
+namespace {
+
+    const Json* memberOf(const Json& object, const char* name)
+    {
+        if (!object.is_object())
+            return nullptr;
+        const auto found = object.find(name);
+        return found == object.end() ? nullptr : &*found;
+    }
+
+}
+
+std::optional<std::string> textOf(const Json& object, const char* name)
+{
+    const Json* member = memberOf(object, name);
+    return member && member->is_string() ? std::optional(member->get<std::string>()) : std::nullopt;
+}
+
+std::optional<std::uint64_t> countOf(const Json& object, const char* name)
+{
+    const Json* member = memberOf(object, name);
+    return member && member->is_number_unsigned() ? std::optional(member->get<std::uint64_t>()) : std::nullopt;
+}
+
+std::optional<double> numberOf(const Json& object, const char* name)
+{
+    const Json* member = memberOf(object, name);
+    return member && member->is_number() ? std::optional(member->get<double>()) : std::nullopt;
+}
+
+std::optional<bool> flagOf(const Json& object, const char* name)
+{
+    const Json* member = memberOf(object, name);
+    return member && member->is_boolean() ? std::optional(member->get<bool>()) : std::nullopt;
+}
+
+const Json* listOf(const Json& object, const char* name)
+{
+    const Json* member = memberOf(object, name);
+    return member && member->is_array() ? member : nullptr;
+}
+
+std::optional<std::string> decodeBase64(std::string_view text)
+{
+    constexpr std::size_t quantum = 4;
+    constexpr std::size_t decodedQuantum = 3;
+    if (text.size() % quantum != 0)
+        return std::nullopt;
+    std::string decoded(text.size() / quantum * decodedQuantum, '\0');
+    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(decoded.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    if (size < 0)
+        return std::nullopt;
+    // OpenSSL counts the padding as zero bytes.
+    std::size_t padding = 0;
+    while (padding < 2 && padding < text.size() && text[text.size() - 1 - padding] == '=')
+        ++padding;
+    decoded.resize(static_cast<std::size_t>(size) - padding);
+    return decoded;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/registry/commands.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "azurepaddle/batch/job_store.hpp"
+#include "azurepaddle/registry/endpoint.hpp"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+
+namespace azurepaddle::registry {
+
+/// A configuration as its operator sent it.
+struct ConfigurationDocument {
+    std::uint64_t version = 0; ///< 0: none was accepted yet.
+    std::string text;
+
+    friend bool operator==(const ConfigurationDocument&, const ConfigurationDocument&) = default;
+    MSGPACK_DEFINE(version, text)
+};
+
+/// Puts a configuration in force if its version is higher than the one in force.
+struct PutConfiguration {
+    ConfigurationDocument document;
+    MSGPACK_DEFINE(document)
+};
+
+/// A trainer names a version of a model's weights.
+struct NameVersion {
+    batch::ModelName model;
+    WeightVersion version = 0;
+    MSGPACK_DEFINE(model, version)
+};
+
+struct SetEndpoint {
+    EndpointRecord record;
+    MSGPACK_DEFINE(record)
+};
+
+struct LeaveEndpoint {
+    EndpointLeave leave;
+    MSGPACK_DEFINE(leave)
+};
+
+struct ForgetEndpoint {
+    EndpointLeave leave;
+    MSGPACK_DEFINE(leave)
+};
+
+struct AcceptJob {
+    batch::JobSpec spec;
+    MSGPACK_DEFINE(spec)
+};
+
+struct ListResults {
+    batch::JobId job;
+    std::vector<batch::ItemResult> results;
+    MSGPACK_DEFINE(job, results)
+};
+
+struct EndJob {
+    batch::JobId job;
+    MSGPACK_DEFINE(job)
+};
+
+struct RemoveJob {
+    batch::JobId job;
+    MSGPACK_DEFINE(job)
+};
+
+/// An instance takes the right to send orders to endpoints from the one that had it.
+struct ClaimOrders {
+    std::string instance;
+    std::uint64_t fence = 0; ///< Higher than that of every earlier holder.
+    MSGPACK_DEFINE(instance, fence)
+};
+
+/// An operator wants an instance emptied.
+struct RetireInstance {
+    std::string instance;
+    MSGPACK_DEFINE(instance)
+};
+
+using Command = std::variant<PutConfiguration, NameVersion, SetEndpoint, LeaveEndpoint, ForgetEndpoint, AcceptJob, ListResults, EndJob, RemoveJob, ClaimOrders, RetireInstance>;
+
+[[nodiscard]] std::string encodeCommand(const Command& command);
+/// Nothing if the bytes are no command of this version.
+[[nodiscard]] std::optional<Command> decodeCommand(std::string_view bytes);
+
+enum class ConfigurationOutcome : std::uint8_t {
+    Accepted, ///< In force now.
+    Known, ///< The same content is in force, or a higher version.
+    Conflict, ///< Other content is in force under this version.
+};
+
+}
+
+MSGPACK_ADD_ENUM(azurepaddle::registry::ConfigurationOutcome)
--- /dev/null
+++ b/src/azurepaddle/registry/directory.cpp
@@ -0,0 +1,148 @@
+#include "azurepaddle/registry/directory.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::registry {
+
+namespace {
+
+    // Records of endpoints that left, beyond which the oldest are forgotten.
+    constexpr std::size_t maxGoneRecords = 512;
+
+    void trimGone(std::map<EndpointId, EndpointRecord>& records)
+    {
+        const auto isGone = [](const auto& entry) { return entry.second.state == EndpointState::Gone; };
+        const auto gone = static_cast<std::size_t>(std::count_if(records.begin(), records.end(), isGone));
+        if (gone <= maxGoneRecords)
+            return;
+        auto oldest = records.end();
+        for (auto entry = records.begin(); entry != records.end(); ++entry) {
+            if (isGone(*entry) && (oldest == records.end() || entry->second.startedMs < oldest->second.startedMs))
+                oldest = entry;
+        }
+        records.erase(oldest);
+    }
+
+}
+
+void Directory::set(const EndpointRecord& record)
+{
+    const EndpointRecord* known = find(record.id);
+    if (known && known->startedMs > record.startedMs)
+        return;
+    for (auto& [id, other] : m_records) {
+        if (id != record.id && other.state != EndpointState::Gone && other.address() == record.address() && other.startedMs <= record.startedMs)
+            other.state = EndpointState::Gone;
+    }
+    m_records[record.id] = record;
+    trimGone(m_records);
+    ++m_revision;
+}
+
+void Directory::leave(const EndpointLeave& leave)
+{
+    const auto found = m_records.find(leave.id);
+    if (found == m_records.end() || (leave.startedMs != 0 && leave.startedMs != found->second.startedMs))
+        return;
+    found->second.state = EndpointState::Gone;
+    trimGone(m_records);
+    ++m_revision;
+}
+
+void Directory::forget(const EndpointLeave& leave)
+{
+    const auto found = m_records.find(leave.id);
+    if (found == m_records.end() || leave.startedMs != found->second.startedMs)
+        return;
+    m_records.erase(found);
+    ++m_revision;
+}
+
+const EndpointRecord* Directory::find(const EndpointId& id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+std::optional<EndpointRecord> Directory::changeBy(const EndpointRecord& beat) const
+{
+    const bool isAddressTaken = std::any_of(m_records.begin(), m_records.end(), [&](const auto& entry) {
+        return entry.first != beat.id && entry.second.address() == beat.address() && entry.second.startedMs > beat.startedMs;
+    });
+    if (isAddressTaken)
+        return std::nullopt;
+    const EndpointRecord* known = find(beat.id);
+    if (!known || beat.startedMs > known->startedMs)
+        return beat;
+    if (beat.startedMs < known->startedMs || known->state == EndpointState::Gone)
+        return std::nullopt;
+    // Draining is final for an incarnation: a late heartbeat must not make it ready again.
+    EndpointRecord changed = beat;
+    changed.state = std::max(beat.state, known->state);
+    changed.versions = known->versions;
+    if (changed == *known)
+        return std::nullopt;
+    changed.versions = beat.versions;
+    return changed;
+}
+
+void Directory::restore(std::map<EndpointId, EndpointRecord> records, std::uint64_t revision)
+{
+    m_records = std::move(records);
+    m_revision = revision;
+}
+
+bool Liveness::note(const EndpointBeat& beat, TimePoint now)
+{
+    Entry& entry = m_entries[beat.record.id];
+    const bool isOld = beat.record.startedMs < entry.startedMs || (beat.record.startedMs == entry.startedMs && beat.sequence < entry.sequence);
+    if (isOld)
+        return false;
+    if (entry.startedMs != beat.record.startedMs)
+        entry.versions.clear();
+    entry.startedMs = beat.record.startedMs;
+    entry.sequence = beat.sequence;
+    entry.lastBeat = now;
+    // The versions of an incarnation only rise, and a heartbeat may be older than an order that was carried out.
+    for (const auto& [model, version] : beat.record.versions) {
+        WeightVersion& known = entry.versions[model];
+        known = std::max(known, version);
+    }
+    return true;
+}
+
+void Liveness::noteVersion(const EndpointId& id, const batch::ModelName& model, WeightVersion version)
+{
+    m_entries[id].versions[model.value()] = version;
+}
+
+void Liveness::expect(const Directory& directory, TimePoint now)
+{
+    for (const auto& [id, record] : directory.records()) {
+        Entry& entry = m_entries[id];
+        if (entry.lastBeat == TimePoint {}) {
+            entry.lastBeat = now;
+            entry.startedMs = record.startedMs;
+            entry.versions = record.versions;
+        }
+    }
+}
+
+const Liveness::Entry* Liveness::find(const EndpointId& id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+std::vector<EndpointLeave> Liveness::silent(const Directory& directory, TimePoint now, Duration limit) const
+{
+    std::vector<EndpointLeave> silent;
+    for (const auto& [id, record] : directory.records()) {
+        const Entry* entry = find(id);
+        if (record.state != EndpointState::Gone && entry && now - entry->lastBeat > limit)
+            silent.push_back({ id, record.startedMs });
+    }
+    return silent;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/registry/directory.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "azurepaddle/core/clock.hpp"
+#include "azurepaddle/registry/endpoint.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace azurepaddle::registry {
+
+/// The agreed records of all endpoints. Deterministic.
+class Directory {
+public:
+    /// Stores a record unless a later incarnation is known. Records of other endpoints at the same address end, because
+    /// an address belongs to the endpoint that started last.
+    void set(const EndpointRecord& record);
+    /// Marks an incarnation as gone.
+    void leave(const EndpointLeave& leave);
+    /// Forgets an incarnation, for example after it was silent for long.
+    void forget(const EndpointLeave& leave);
+
+    /// Null if unknown. Valid until the next change.
+    [[nodiscard]] const EndpointRecord* find(const EndpointId& id) const;
+    [[nodiscard]] const std::map<EndpointId, EndpointRecord>& records() const noexcept { return m_records; }
+    /// Rises with each change.
+    [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
+
+    /// What a heartbeat changes in the agreed records: nothing, or the record to agree on. Late heartbeats of
+    /// incarnations that ended change nothing.
+    [[nodiscard]] std::optional<EndpointRecord> changeBy(const EndpointRecord& beat) const;
+
+    void restore(std::map<EndpointId, EndpointRecord> records, std::uint64_t revision);
+
+private:
+    std::map<EndpointId, EndpointRecord> m_records;
+    std::uint64_t m_revision = 0;
+};
+
+/// What one instance has heard of the endpoints itself. Not agreed.
+class Liveness {
+public:
+    struct Entry {
+        std::uint64_t startedMs = 0;
+        std::uint64_t sequence = 0;
+        TimePoint lastBeat {};
+        std::map<std::string, WeightVersion> versions;
+    };
+
+    /// False if the heartbeat is older than one that was heard.
+    [[nodiscard]] bool note(const EndpointBeat& beat, TimePoint now);
+    /// Notes a version that was learnt otherwise, for example by an order.
+    void noteVersion(const EndpointId& id, const batch::ModelName& model, WeightVersion version);
+    /// Starts the time of silence of endpoints that were not heard yet.
+    void expect(const Directory& directory, TimePoint now);
+    [[nodiscard]] const Entry* find(const EndpointId& id) const;
+    /// Endpoints of the directory that were silent for longer than this.
+    [[nodiscard]] std::vector<EndpointLeave> silent(const Directory& directory, TimePoint now, Duration limit) const;
+    void clear() { m_entries.clear(); }
+
+private:
+    std::map<EndpointId, Entry> m_entries;
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/registry/endpoint.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "azurepaddle/batch/types.hpp"
+#include "azurepaddle/codec/codec.hpp"
+#include "azurepaddle/core/address.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace azurepaddle::registry {
+
+enum class EndpointState : std::uint8_t {
+    Ready,
+    Draining, ///< Serves what it has and gets no new work.
+    Gone, ///< Left for good. Kept for a while, so that late heartbeats of it are recognised.
+};
+
+/// What is agreed about one endpoint. An endpoint that starts again under its id has a later start time.
+struct EndpointRecord {
+    EndpointId id;
+    std::uint64_t startedMs = 0; ///< Start of this incarnation, in Unix milliseconds by its own clock.
+    ServiceName service;
+    std::string ip;
+    std::uint16_t port = 0;
+    DataCentreName dataCentre;
+    std::uint32_t slots = 1;
+    EndpointState state = EndpointState::Ready;
+    std::map<std::string, WeightVersion> versions; ///< By model, as of the last agreed change.
+
+    [[nodiscard]] InstanceAddress address() const { return { ip, port }; }
+    [[nodiscard]] WeightVersion versionOf(const batch::ModelName& model) const
+    {
+        const auto found = versions.find(model.value());
+        return found == versions.end() ? 0 : found->second;
+    }
+
+    friend bool operator==(const EndpointRecord&, const EndpointRecord&) = default;
+    MSGPACK_DEFINE(id, startedMs, service, ip, port, dataCentre, slots, state, versions)
+};
+
+/// One heartbeat of an endpoint.
+struct EndpointBeat {
+    EndpointRecord record;
+    std::uint64_t sequence = 0; ///< Rises with each heartbeat of an incarnation.
+
+    friend bool operator==(const EndpointBeat&, const EndpointBeat&) = default;
+    MSGPACK_DEFINE(record, sequence)
+};
+
+/// An endpoint says that it leaves.
+struct EndpointLeave {
+    EndpointId id;
+    std::uint64_t startedMs = 0; ///< 0 if it did not say.
+
+    friend bool operator==(const EndpointLeave&, const EndpointLeave&) = default;
+    MSGPACK_DEFINE(id, startedMs)
+};
+
+}
+
+MSGPACK_ADD_ENUM(azurepaddle::registry::EndpointState)
--- /dev/null
+++ b/src/azurepaddle/registry/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace azurepaddle::registry {
+
+struct EndpointRecord;
+struct EndpointBeat;
+class Directory;
+class StateMachine;
+class Leader;
+
+}
