--- /dev/null
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -0,0 +1,331 @@
+#include "azurepaddle/registry/leader_service.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::registry {
+
+namespace {
+
+    // Outputs of one reply; a caller reads on where it ends.
+    constexpr std::size_t maxReplyBytes = 900U * 1024U;
+    constexpr Duration sweepInterval = std::chrono::milliseconds(500);
+    // A reply must leave before the instance that asked stops to wait for it.
+    constexpr std::uint64_t maxWaitMs = 1000;
+
+}
+
+LeaderService::LeaderService(asio::io_context& io, ServiceGroup& group, const StateMachine& machine, Liveness& liveness, LeaderOptions options)
+    : m_io(io)
+    , m_group(group)
+    , m_machine(machine)
+    , m_liveness(liveness)
+    , m_options(options)
+{
+}
+
+template <typename Request>
+void LeaderService::registerHandler(transport::PeerServer& server)
+{
+    server.handleDeferred(std::string(Request::method), [this](transport::PeerRequest peerRequest, transport::PeerResponder respond) {
+        asio::post(m_io, [this, body = std::move(peerRequest.body), respond = std::move(respond)] {
+            auto request = codec::decode<Request>(body);
+            if (!request)
+                return respond(tl::unexpected(request.error().message()));
+            const auto leader = m_group.leaderAddress();
+            const Answer<typename Request::Reply> answer(respond, leader ? formatAddress(*leader) : std::string());
+            if (!m_group.isCurrent())
+                return answer.notLeader();
+            handle(std::move(*request), answer);
+        });
+    });
+}
+
+void LeaderService::registerHandlers(transport::PeerServer& server)
+{
+    registerHandler<PollRequest>(server);
+    registerHandler<BeatRequest>(server);
+    registerHandler<LeaveRequest>(server);
+    registerHandler<PutConfigurationRequest>(server);
+    registerHandler<ReadConfigurationRequest>(server);
+    registerHandler<NameVersionRequest>(server);
+    registerHandler<RetireRequest>(server);
+    registerHandler<SubmitJobRequest>(server);
+    registerHandler<ReadResultsRequest>(server);
+    registerHandler<ReadItemRequest>(server);
+    registerHandler<EndJobRequest>(server);
+}
+
+template <typename Reply>
+void LeaderService::propose(const Command& command, const Answer<Reply>& answer, std::function<void(const std::string&)> onApplied)
+{
+    m_group.propose(encodeCommand(command), [answer, onApplied = std::move(onApplied)](const cluster::ProposalResult& result) {
+        if (result.status == cluster::ProposalStatus::Applied)
+            onApplied(result.reply);
+        else
+            answer.failed(result.status);
+    });
+}
+
+void LeaderService::changed()
+{
+    if (m_onChange)
+        m_onChange();
+}
+
+void LeaderService::handle(const PollRequest& request, const Answer<PollReply>& answer)
+{
+    PollReply reply;
+    const auto& configuration = m_machine.configuration();
+    reply.configurationVersion = configuration.version;
+    if (configuration.version != request.configurationVersion)
+        reply.configuration = configuration.text;
+    reply.directoryTerm = m_group.status().term;
+    reply.directoryRevision = m_machine.directory().revision();
+    reply.hasEndpoints = reply.directoryTerm != request.directoryTerm || reply.directoryRevision != request.directoryRevision;
+    if (reply.hasEndpoints) {
+        for (const auto& [id, record] : m_machine.directory().records()) {
+            if (record.state != EndpointState::Gone)
+                reply.endpoints.push_back(record);
+        }
+    }
+    for (const InstanceAddress& member : m_group.members())
+        reply.members.push_back(formatAddress(member));
+    answer.ok(reply);
+}
+
+void LeaderService::handle(const BeatRequest& request, const Answer<Done>& answer)
+{
+    if (!m_liveness.note(request.beat, m_clock.now()))
+        return answer.ok({});
+    const auto change = m_machine.directory().changeBy(request.beat.record);
+    if (!change)
+        return answer.ok({});
+    m_log.info("endpoint id={} started={} service={} address={} state={} version-count={}", change->id, change->startedMs, change->service, formatAddress(change->address()), static_cast<int>(change->state), change->versions.size());
+    propose(SetEndpoint { *change }, answer, [this, answer](const std::string&) {
+        answer.ok({});
+        changed();
+    });
+}
+
+void LeaderService::handle(const LeaveRequest& request, const Answer<Done>& answer)
+{
+    const EndpointRecord* known = m_machine.directory().find(request.leave.id);
+    if (!known || known->state == EndpointState::Gone)
+        return answer.ok({});
+    m_log.info("endpoint id={} started={} leaves", request.leave.id, request.leave.startedMs);
+    propose(LeaveEndpoint { request.leave }, answer, [this, answer](const std::string&) {
+        answer.ok({});
+        changed();
+    });
+}
+
+void LeaderService::handle(PutConfigurationRequest request, const Answer<PutConfigurationReply>& answer)
+{
+    const std::uint64_t version = request.document.version;
+    propose(PutConfiguration { std::move(request.document) }, answer, [this, answer, version](const std::string& bytes) {
+        const auto outcome = codec::decode<ConfigurationOutcome>(bytes);
+        m_log.info("configuration version={} in-force={} outcome={}", version, m_machine.configuration().version, outcome ? static_cast<int>(*outcome) : -1);
+        answer.ok({ outcome.value_or(ConfigurationOutcome::Conflict) });
+        changed();
+    });
+}
+
+void LeaderService::handle(const ReadConfigurationRequest&, const Answer<ReadConfigurationReply>& answer)
+{
+    answer.ok({ m_machine.configuration() });
+}
+
+void LeaderService::handle(const NameVersionRequest& request, const Answer<Done>& answer)
+{
+    const auto known = m_machine.namedVersion(request.named.model);
+    if (known && *known >= request.named.version)
+        return answer.ok({});
+    m_log.info("weights model={} version={} named, before={}", request.named.model, request.named.version, known.value_or(0));
+    propose(request.named, answer, [this, answer](const std::string&) {
+        answer.ok({});
+        changed();
+    });
+}
+
+std::set<std::string> LeaderService::memberNames() const
+{
+    const auto membership = m_group.status().membership;
+    std::set<std::string> names;
+    for (const auto* ids : { &membership.voters, &membership.learners }) {
+        for (const InstanceId& id : *ids) {
+            if (const auto parts = cluster::parseIdentity(id))
+                names.insert(parts->name);
+        }
+    }
+    return names;
+}
+
+RetireState LeaderService::retireState(const std::string& instance) const
+{
+    const bool isMember = memberNames().contains(instance);
+    if (!m_machine.retiring().contains(instance))
+        return RetireState::Unknown;
+    return isMember ? RetireState::Active : RetireState::Completed;
+}
+
+void LeaderService::handle(const RetireRequest& request, const Answer<RetireReply>& answer)
+{
+    const RetireState state = retireState(request.instance);
+    if (!request.isBegin || state != RetireState::Unknown)
+        return answer.ok({ state });
+    std::set<std::string> left = memberNames();
+    if (left.erase(request.instance) == 0)
+        return answer.ok({ RetireState::Unknown });
+    for (const std::string& retiring : m_machine.retiring())
+        left.erase(retiring);
+    if (left.size() < m_options.voters) {
+        m_log.info("retire instance={} refused: {} instances would be left", request.instance, left.size());
+        return answer.ok({ RetireState::TooFew });
+    }
+    propose(RetireInstance { request.instance }, answer, [this, answer, instance = request.instance](const std::string&) {
+        m_log.info("retire instance={} begins", instance);
+        m_group.setRetiring(m_machine.retiring());
+        answer.ok({ RetireState::Active });
+    });
+}
+
+void LeaderService::handle(SubmitJobRequest request, const Answer<SubmitJobReply>& answer)
+{
+    const batch::JobId id = request.spec.id;
+    if (m_machine.jobs().find(id))
+        return answer.ok({ true });
+    if (m_machine.jobs().bytes() > m_options.maxJobBytes) {
+        m_log.warning("job id={} refused: {} bytes of jobs are held", id, m_machine.jobs().bytes());
+        return answer.ok({ false });
+    }
+    m_log.info("job id={} model={} step={} items={} min-version={} groups={}", id, request.spec.model, request.spec.step, request.spec.items.size(), request.spec.minVersion, request.spec.groupCount);
+    propose(AcceptJob { std::move(request.spec) }, answer, [this, answer](const std::string&) {
+        answer.ok({ true });
+        changed();
+    });
+}
+
+ReadResultsReply LeaderService::readResults(const batch::JobId& id, std::uint64_t after) const
+{
+    const batch::Job* job = m_machine.jobs().find(id);
+    if (!job)
+        return {};
+    ReadResultsReply reply { true, job->spec.items.size(), {} };
+    std::size_t bytes = 0;
+    for (std::size_t at = after; at < job->results.size() && (bytes == 0 || bytes + job->results[at].output.size() < maxReplyBytes); ++at) {
+        bytes += job->results[at].output.size() + 1;
+        reply.results.push_back(job->results[at]);
+    }
+    return reply;
+}
+
+void LeaderService::handle(ReadResultsRequest request, const Answer<ReadResultsReply>& answer)
+{
+    const ReadResultsReply reply = readResults(request.job, request.after);
+    const batch::Job* job = m_machine.jobs().find(request.job);
+    const bool isComplete = job && (job->isEnded || job->results.size() == job->spec.items.size());
+    if (!reply.isKnown || !reply.results.empty() || request.waitMs == 0 || isComplete)
+        return answer.ok(reply);
+    const auto wait = std::chrono::milliseconds(std::min(request.waitMs, maxWaitMs));
+    m_readers.push_back({ std::move(request), answer, m_clock.now() + wait });
+}
+
+void LeaderService::handle(const ReadItemRequest& request, const Answer<ReadItemReply>& answer)
+{
+    const batch::ItemSpec* item = m_machine.jobs().findItem(request.job, request.item);
+    answer.ok(item ? ReadItemReply { true, item->body } : ReadItemReply {});
+}
+
+void LeaderService::handle(const EndJobRequest& request, const Answer<EndJobReply>& answer)
+{
+    const batch::Job* job = m_machine.jobs().find(request.job);
+    if (!job || job->isEnded)
+        return answer.ok({ job != nullptr });
+    m_log.info("job id={} ends with {} of {} results", request.job, job->results.size(), job->spec.items.size());
+    propose(EndJob { request.job }, answer, [this, answer, id = request.job](const std::string&) {
+        answer.ok({ true });
+        changed();
+        wakeReaders(id);
+    });
+}
+
+void LeaderService::wakeReaders(const batch::JobId& job)
+{
+    std::vector<Reader> ready;
+    std::erase_if(m_readers, [&](Reader& reader) {
+        if (reader.request.job != job)
+            return false;
+        ready.push_back(reader);
+        return true;
+    });
+    for (const Reader& reader : ready)
+        reader.answer.ok(readResults(job, reader.request.after));
+}
+
+void LeaderService::tick()
+{
+    const TimePoint now = m_clock.now();
+    std::vector<Reader> late;
+    std::erase_if(m_readers, [&](Reader& reader) {
+        if (now < reader.deadline)
+            return false;
+        late.push_back(reader);
+        return true;
+    });
+    for (const Reader& reader : late) {
+        if (m_group.isCurrent())
+            reader.answer.ok(readResults(reader.request.job, reader.request.after));
+        else
+            reader.answer.notLeader();
+    }
+    if (now < m_nextSweep)
+        return;
+    m_nextSweep = now + sweepInterval;
+    m_group.setRetiring(m_machine.retiring());
+    if (!m_group.isCurrent())
+        return;
+    forgetSilentEndpoints(now);
+    removeOldJobs(now);
+}
+
+void LeaderService::onLeadership(bool isLeading)
+{
+    const auto readers = std::exchange(m_readers, {});
+    for (const Reader& reader : readers)
+        reader.answer.notLeader();
+    m_jobSeen.clear();
+    m_forgetting.clear();
+    m_liveness.clear();
+    if (isLeading)
+        m_liveness.expect(m_machine.directory(), m_clock.now());
+}
+
+void LeaderService::forgetSilentEndpoints(TimePoint now)
+{
+    m_liveness.expect(m_machine.directory(), now);
+    for (const EndpointLeave& silent : m_liveness.silent(m_machine.directory(), now, m_options.endpointSilence)) {
+        if (!m_forgetting.insert(silent.id).second)
+            continue;
+        m_log.info("endpoint id={} started={} forgotten: silent for over {} ms", silent.id, silent.startedMs, std::chrono::duration_cast<std::chrono::milliseconds>(m_options.endpointSilence).count());
+        m_group.propose(encodeCommand(ForgetEndpoint { silent }), [this, id = silent.id](const cluster::ProposalResult&) {
+            m_forgetting.erase(id);
+            changed();
+        });
+    }
+}
+
+void LeaderService::removeOldJobs(TimePoint now)
+{
+    for (const batch::Job* job : m_machine.jobs().jobs()) {
+        const batch::JobId id = job->spec.id;
+        const auto [seen, isNew] = m_jobSeen.emplace(id, now);
+        const Duration lifetime = m_options.jobLifetime + (job->isEnded ? Duration::zero() : Duration(std::chrono::milliseconds(job->spec.retentionMs)));
+        if (isNew || now - seen->second < lifetime)
+            continue;
+        m_jobSeen.erase(seen);
+        m_group.propose(encodeCommand(RemoveJob { id }), [](const cluster::ProposalResult&) {});
+        return;
+    }
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "azurepaddle/cluster/group.hpp"
+#include "azurepaddle/registry/requests.hpp"
+#include "azurepaddle/registry/state_machine.hpp"
+
+#include <deque>
+
+namespace azurepaddle::registry {
+
+using ServiceGroup = cluster::Group<StateMachine>;
+
+/// Bounds of the leader's service.
+struct LeaderOptions {
+    std::size_t voters = 3; ///< Participants that must be left when an instance is emptied.
+    std::size_t maxJobBytes = 48U * 1024U * 1024U; ///< Bodies and outputs held; beyond it jobs are refused.
+    Duration jobLifetime = std::chrono::seconds(120); ///< Results can be read for this long after the submission.
+    Duration endpointSilence = std::chrono::seconds(8); ///< After it, an endpoint is forgotten.
+};
+
+/// Sends the reply of one request.
+template <typename Reply>
+class Answer {
+public:
+    Answer(transport::PeerResponder respond, std::string leader)
+        : m_respond(std::move(respond))
+        , m_leader(std::move(leader))
+    {
+    }
+
+    void ok(const Reply& reply) const { send({ control::GroupStatus::Ok, codec::encode(reply), {} }); }
+    /// Nothing was done; another instance leads.
+    void notLeader() const { send({ control::GroupStatus::NotLeader, {}, m_leader }); }
+    /// The outcome of a proposal that was not applied.
+    void failed(cluster::ProposalStatus status) const
+    {
+        if (status == cluster::ProposalStatus::NotLeader)
+            return notLeader();
+        send({ status == cluster::ProposalStatus::Busy ? control::GroupStatus::Busy : control::GroupStatus::Lost, {}, {} });
+    }
+
+private:
+    void send(const control::GroupReply& reply) const { m_respond(codec::encode(reply)); }
+
+    transport::PeerResponder m_respond;
+    std::string m_leader; ///< Peer address of the leader, as far as known.
+};
+
+/// Answers what other instances ask of the leader. Reads are answered only while no other leader can exist, and writes
+/// once they are agreed.
+class LeaderService {
+public:
+    LeaderService(asio::io_context& io, ServiceGroup& group, const StateMachine& machine, Liveness& liveness, LeaderOptions options);
+
+    /// Registers a method for each request. Before the server starts.
+    void registerHandlers(transport::PeerServer& server);
+    /// Called when jobs, named versions or endpoints changed.
+    void setOnChange(std::function<void()> onChange) { m_onChange = std::move(onChange); }
+    /// Answers those that wait for results of a job.
+    void wakeReaders(const batch::JobId& job);
+    /// Ends waits whose time is up, forgets silent endpoints and old jobs. Called every few 10 ms.
+    void tick();
+    /// Starts anew as a leader, or stops being one.
+    void onLeadership(bool isLeading);
+
+private:
+    struct Reader {
+        ReadResultsRequest request;
+        Answer<ReadResultsReply> answer;
+        TimePoint deadline;
+    };
+
+    void handle(const PollRequest& request, const Answer<PollReply>& answer);
+    void handle(const BeatRequest& request, const Answer<Done>& answer);
+    void handle(const LeaveRequest& request, const Answer<Done>& answer);
+    void handle(PutConfigurationRequest request, const Answer<PutConfigurationReply>& answer);
+    void handle(const ReadConfigurationRequest& request, const Answer<ReadConfigurationReply>& answer);
+    void handle(const NameVersionRequest& request, const Answer<Done>& answer);
+    void handle(const RetireRequest& request, const Answer<RetireReply>& answer);
+    void handle(SubmitJobRequest request, const Answer<SubmitJobReply>& answer);
+    void handle(ReadResultsRequest request, const Answer<ReadResultsReply>& answer);
+    void handle(const ReadItemRequest& request, const Answer<ReadItemReply>& answer);
+    void handle(const EndJobRequest& request, const Answer<EndJobReply>& answer);
+
+    template <typename Request>
+    void registerHandler(transport::PeerServer& server);
+    template <typename Reply>
+    void propose(const Command& command, const Answer<Reply>& answer, std::function<void(const std::string&)> onApplied);
+    [[nodiscard]] ReadResultsReply readResults(const batch::JobId& job, std::uint64_t after) const;
+    [[nodiscard]] RetireState retireState(const std::string& instance) const;
+    [[nodiscard]] std::set<std::string> memberNames() const;
+    void removeOldJobs(TimePoint now);
+    void forgetSilentEndpoints(TimePoint now);
+    void changed();
+
+    asio::io_context& m_io;
+    ServiceGroup& m_group;
+    const StateMachine& m_machine;
+    Liveness& m_liveness;
+    const LeaderOptions m_options;
+    const Log m_log { "leader" };
+    const SystemClock m_clock {};
+    std::function<void()> m_onChange;
+    std::vector<Reader> m_readers;
+    std::map<batch::JobId, TimePoint> m_jobSeen;
+    std::set<EndpointId> m_forgetting; ///< Proposed, not yet applied.
+    TimePoint m_nextSweep {};
+};
+
+}
--- /dev/null
+++ b/src/azurepaddle/registry/requests.hpp
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "azurepaddle/registry/commands.hpp"
+
+#include <string_view>
+
+namespace azurepaddle::registry {
+
+/// What instances ask of the leader. Each request names its method and the type of its reply.
+
+struct PollReply {
+    std::uint64_t configurationVersion = 0;
+    std::string configuration; ///< Empty if the asker has this version.
+    std::uint64_t directoryTerm = 0;
+    std::uint64_t directoryRevision = 0;
+    bool hasEndpoints = false; ///< False if the asker has this revision.
+    std::vector<EndpointRecord> endpoints; ///< Without those that left.
+    std::vector<std::string> members; ///< Peer addresses of the participants.
+    MSGPACK_DEFINE(configurationVersion, configuration, directoryTerm, directoryRevision, hasEndpoints, endpoints, members)
+};
+
+/// Asks for what changed since the asker's last poll.
+struct PollRequest {
+    static constexpr std::string_view method = "poll";
+    using Reply = PollReply;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t directoryTerm = 0; ///< A revision counts within the term of one leader.
+    std::uint64_t directoryRevision = 0;
+    MSGPACK_DEFINE(configurationVersion, directoryTerm, directoryRevision)
+};
+
+struct Done {
+    bool isDone = true;
+    MSGPACK_DEFINE(isDone)
+};
+
+struct BeatRequest {
+    static constexpr std::string_view method = "beat";
+    using Reply = Done;
+    EndpointBeat beat;
+    MSGPACK_DEFINE(beat)
+};
+
+struct LeaveRequest {
+    static constexpr std::string_view method = "leave";
+    using Reply = Done;
+    EndpointLeave leave;
+    MSGPACK_DEFINE(leave)
+};
+
+struct PutConfigurationReply {
+    ConfigurationOutcome outcome = ConfigurationOutcome::Known;
+    MSGPACK_DEFINE(outcome)
+};
+
+struct PutConfigurationRequest {
+    static constexpr std::string_view method = "put-configuration";
+    using Reply = PutConfigurationReply;
+    ConfigurationDocument document;
+    MSGPACK_DEFINE(document)
+};
+
+struct ReadConfigurationReply {
+    ConfigurationDocument document;
+    MSGPACK_DEFINE(document)
+};
+
+struct ReadConfigurationRequest {
+    static constexpr std::string_view method = "read-configuration";
+    using Reply = ReadConfigurationReply;
+    bool isRequired = true;
+    MSGPACK_DEFINE(isRequired)
+};
+
+struct NameVersionRequest {
+    static constexpr std::string_view method = "name-version";
+    using Reply = Done;
+    NameVersion named;
+    MSGPACK_DEFINE(named)
+};
+
+enum class RetireState : std::uint8_t {
+    Unknown, ///< No such instance.
+    TooFew, ///< Too few would be left.
+    Active,
+    Completed,
+};
+
+struct RetireReply {
+    RetireState state = RetireState::Unknown;
+    MSGPACK_DEFINE(state)
+};
+
+/// Begins to empty an instance, or asks how far it is.
+struct RetireRequest {
+    static constexpr std::string_view method = "retire";
+    using Reply = RetireReply;
+    std::string instance;
+    bool isBegin = false;
+    MSGPACK_DEFINE(instance, isBegin)
+};
+
+struct SubmitJobReply {
+    bool isAccepted = false; ///< False: no item of it runs, unless it was accepted before.
+    MSGPACK_DEFINE(isAccepted)
+};
+
+struct SubmitJobRequest {
+    static constexpr std::string_view method = "submit-job";
+    using Reply = SubmitJobReply;
+    batch::JobSpec spec;
+    MSGPACK_DEFINE(spec)
+};
+
+struct ReadResultsReply {
+    bool isKnown = false;
+    std::uint64_t total = 0; ///< Items of the job.
+    std::vector<batch::ItemResult> results;
+    MSGPACK_DEFINE(isKnown, total, results)
+};
+
+/// Reads results from a position on, waiting for one if there is none yet.
+struct ReadResultsRequest {
+    static constexpr std::string_view method = "read-results";
+    using Reply = ReadResultsReply;
+    batch::JobId job;
+    std::uint64_t after = 0;
+    std::uint64_t waitMs = 0;
+    MSGPACK_DEFINE(job, after, waitMs)
+};
+
+struct ReadItemReply {
+    bool isKnown = false;
+    std::string body;
+    MSGPACK_DEFINE(isKnown, body)
+};
+
+struct ReadItemRequest {
+    static constexpr std::string_view method = "read-item";
+    using Reply = ReadItemReply;
+    batch::JobId job;
+    batch::ItemId item;
+    MSGPACK_DEFINE(job, item)
+};
+
+struct EndJobReply {
+    bool isKnown = false;
+    MSGPACK_DEFINE(isKnown)
+};
+
+struct EndJobRequest {
+    static constexpr std::string_view method = "end-job";
+    using Reply = EndJobReply;
+    batch::JobId job;
+    MSGPACK_DEFINE(job)
+};
+
+}
+
+MSGPACK_ADD_ENUM(azurepaddle::registry::RetireState)
--- /dev/null
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -0,0 +1,139 @@
+#include "azurepaddle/registry/state_machine.hpp"
+
+#include "azurepaddle/core/invariant.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::registry {
+
+namespace {
+
+    struct StateSnapshot {
+        ConfigurationDocument configuration;
+        std::map<std::string, WeightVersion> versions;
+        std::vector<EndpointRecord> endpoints;
+        std::uint64_t directoryRevision = 0;
+        std::vector<batch::Job> jobs;
+        ClaimOrders orderHolder;
+        std::set<std::string> retiring;
+        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orderHolder, retiring)
+    };
+
+    // A snapshot holds all jobs, which may exceed the limit of messages between instances.
+    constexpr codec::Limits snapshotLimits { 512U * 1024U * 1024U, 16U * 1024U * 1024U, 32 };
+
+}
+
+std::string StateMachine::apply(const std::string& bytes)
+{
+    auto command = decodeCommand(bytes);
+    AZUREPADDLE_INVARIANT(command.has_value(), "a command on the log cannot be read");
+    return std::visit([this](auto& alternative) { return run(std::move(alternative)); }, *command);
+}
+
+std::string StateMachine::run(PutConfiguration command)
+{
+    ConfigurationOutcome outcome = ConfigurationOutcome::Known;
+    if (command.document.version > m_configuration.version) {
+        m_configuration = std::move(command.document);
+        outcome = ConfigurationOutcome::Accepted;
+    } else if (command.document.version == m_configuration.version && command.document.text != m_configuration.text) {
+        outcome = ConfigurationOutcome::Conflict;
+    }
+    return codec::encode(outcome);
+}
+
+std::string StateMachine::run(const NameVersion& command)
+{
+    WeightVersion& version = m_versions[command.model.value()];
+    version = std::max(version, command.version);
+    return {};
+}
+
+std::string StateMachine::run(const SetEndpoint& command)
+{
+    m_directory.set(command.record);
+    return {};
+}
+
+std::string StateMachine::run(const LeaveEndpoint& command)
+{
+    m_directory.leave(command.leave);
+    return {};
+}
+
+std::string StateMachine::run(const ForgetEndpoint& command)
+{
+    m_directory.forget(command.leave);
+    return {};
+}
+
+std::string StateMachine::run(AcceptJob command)
+{
+    m_jobs.accept(std::move(command.spec));
+    return {};
+}
+
+std::string StateMachine::run(ListResults command)
+{
+    m_jobs.list(command.job, std::move(command.results));
+    return {};
+}
+
+std::string StateMachine::run(const EndJob& command)
+{
+    m_jobs.end(command.job);
+    return {};
+}
+
+std::string StateMachine::run(const RemoveJob& command)
+{
+    m_jobs.remove(command.job);
+    return {};
+}
+
+std::string StateMachine::run(ClaimOrders command)
+{
+    if (command.fence > m_orderHolder.fence)
+        m_orderHolder = std::move(command);
+    return {};
+}
+
+std::string StateMachine::run(const RetireInstance& command)
+{
+    m_retiring.insert(command.instance);
+    return {};
+}
+
+std::optional<WeightVersion> StateMachine::namedVersion(const batch::ModelName& model) const
+{
+    const auto found = m_versions.find(model.value());
+    return found == m_versions.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::string StateMachine::snapshot() const
+{
+    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orderHolder, m_retiring };
+    for (const auto& [id, record] : m_directory.records())
+        state.endpoints.push_back(record);
+    return codec::encode(state);
+}
+
+bool StateMachine::restore(const std::string& bytes)
+{
+    auto state = codec::decode<StateSnapshot>(bytes, snapshotLimits);
+    if (!state)
+        return false;
+    m_configuration = std::move(state->configuration);
+    m_versions = std::move(state->versions);
+    std::map<EndpointId, EndpointRecord> records;
+    for (EndpointRecord& record : state->endpoints)
+        records.emplace(record.id, std::move(record));
+    m_directory.restore(std::move(records), state->directoryRevision);
+    m_jobs.restore(std::move(state->jobs));
+    m_orderHolder = std::move(state->orderHolder);
+    m_retiring = std::move(state->retiring);
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "azurepaddle/registry/commands.hpp"
+#include "azurepaddle/registry/directory.hpp"
+
+namespace azurepaddle::registry {
+
+/// All that the instances agree on: the configuration, versions of weights, endpoints, batch jobs, the holder of the
+/// order right, and instances to be emptied. Deterministic.
+class StateMachine {
+public:
+    /// Applies an encoded command. The reply is an encoded ConfigurationOutcome for PutConfiguration, and empty otherwise.
+    [[nodiscard]] std::string apply(const std::string& bytes);
+    [[nodiscard]] std::string snapshot() const;
+    [[nodiscard]] bool restore(const std::string& bytes);
+
+    [[nodiscard]] const ConfigurationDocument& configuration() const noexcept { return m_configuration; }
+    /// The newest named version of a model; nothing if none was named.
+    [[nodiscard]] std::optional<WeightVersion> namedVersion(const batch::ModelName& model) const;
+    [[nodiscard]] const std::map<std::string, WeightVersion>& namedVersions() const noexcept { return m_versions; }
+    [[nodiscard]] const Directory& directory() const noexcept { return m_directory; }
+    [[nodiscard]] const batch::JobStore& jobs() const noexcept { return m_jobs; }
+    [[nodiscard]] const ClaimOrders& orderHolder() const noexcept { return m_orderHolder; }
+    [[nodiscard]] const std::set<std::string>& retiring() const noexcept { return m_retiring; }
+
+private:
+    std::string run(PutConfiguration command);
+    std::string run(const NameVersion& command);
+    std::string run(const SetEndpoint& command);
+    std::string run(const LeaveEndpoint& command);
+    std::string run(const ForgetEndpoint& command);
+    std::string run(AcceptJob command);
+    std::string run(ListResults command);
+    std::string run(const EndJob& command);
+    std::string run(const RemoveJob& command);
+    std::string run(ClaimOrders command);
+    std::string run(const RetireInstance& command);
+
+    ConfigurationDocument m_configuration;
+    std::map<std::string, WeightVersion> m_versions; ///< By model.
+    Directory m_directory;
+    batch::JobStore m_jobs;
+    ClaimOrders m_orderHolder;
+    std::set<std::string> m_retiring;
+};
+
+}
--- a/src/azurepaddle/transport/peer_server.cpp
+++ b/src/azurepaddle/transport/peer_server.cpp
@@ -148,7 +148,13 @@
 void PeerServer::handle(const std::string& method, PeerHandler handler, HandlerOptions options)
 {
     AZUREPADDLE_INVARIANT(!m_implementation->started, "handlers must be registered before the server starts");
-    m_implementation->shared.methods[method] = { std::move(handler), options, nullptr };
+    m_implementation->shared.methods[method] = { std::move(handler), nullptr, options, nullptr };
+}
+
+void PeerServer::handleDeferred(const std::string& method, DeferredHandler handler)
+{
+    AZUREPADDLE_INVARIANT(!m_implementation->started, "handlers must be registered before the server starts");
+    m_implementation->shared.methods[method] = { nullptr, std::move(handler), {}, nullptr };
 }
 
 tl::expected<void, TransportError> PeerServer::start()
@@ -165,8 +171,10 @@
     }
     if (auto listening = self.listen(); !listening)
         return listening;
-    for (auto& [name, entry] : self.shared.methods)
-        entry.lane = std::make_unique<internal::WorkerLane>(entry.options.threads, entry.options.maxQueued);
+    for (auto& [name, entry] : self.shared.methods) {
+        if (entry.handler)
+            entry.lane = std::make_unique<internal::WorkerLane>(entry.options.threads, entry.options.maxQueued);
+    }
     self.started = true;
     self.accept();
     self.sweep();
@@ -188,8 +196,10 @@
     const TimePoint giveUp = self.clock.now() + self.shared.options.stopTimeout;
     while ((self.shared.inProgress > 0 || self.shared.connections > 0) && self.clock.now() < giveUp)
         std::this_thread::sleep_for(stopPollInterval);
-    for (auto& [name, entry] : self.shared.methods)
-        entry.lane->stop();
+    for (auto& [name, entry] : self.shared.methods) {
+        if (entry.lane)
+            entry.lane->stop();
+    }
     asio::post(self.shared.io, [&self] { self.closeAll(); });
     self.thread.join();
 }
--- a/src/azurepaddle/transport/peer_server.hpp
+++ b/src/azurepaddle/transport/peer_server.hpp
@@ -19,6 +19,11 @@
 /// The body of the response, or a message that reaches the caller as PeerErrorCode::Failed.
 using PeerReply = tl::expected<std::string, std::string>;
 using PeerHandler = std::function<PeerReply(const PeerRequest&)>;
+/// Sends the response of one request, from any thread, while the server exists. Further calls do nothing. A request
+/// whose responders are all dropped uncalled is answered as Failed.
+using PeerResponder = std::function<void(PeerReply)>;
+/// Runs on the server's I/O thread: it must not block.
+using DeferredHandler = std::function<void(PeerRequest, PeerResponder)>;
 
 /// Threads and queue of one method. Each method has its own threads, so that a method which blocks (a submit that waits
 /// for the log) cannot stall the one it depends on (raft). One thread keeps the order of arrival.
@@ -39,6 +44,9 @@
     /// Registers the handler of a method. Only before start.
     void handle(const std::string& method, PeerHandler handler, HandlerOptions options = {});
 
+    /// Registers a method whose handler answers later. Only before start.
+    void handleDeferred(const std::string& method, DeferredHandler handler);
+
     /// Binds the address and starts the threads. Setup if the address is in use, the certificates do not load, or
     /// neither a secret nor TLS is set.
     [[nodiscard]] tl::expected<void, TransportError> start();
--- a/src/azurepaddle/transport/server_connection.cpp
+++ b/src/azurepaddle/transport/server_connection.cpp
@@ -191,6 +191,8 @@
 void ServerConnection::dispatch(std::int32_t stream, const Stream& state, std::string body)
 {
     PeerRequest request { state.method, std::move(body), m_remote, state.deadline };
+    if (state.entry->deferred)
+        return dispatchDeferred(stream, *state.entry, std::move(request));
     auto job = [weak = weak_from_this(), shared = &m_shared, entry = state.entry, stream, request = std::move(request)] {
         const bool expired = SystemClock().now() >= request.deadline;
         PeerReply reply = expired ? PeerReply() : runHandler(entry->handler, request);
@@ -212,6 +214,41 @@
     refuse(stream, PeerErrorCode::Overloaded, "the queue of the method is full");
 }
 
+void ServerConnection::dispatchDeferred(std::int32_t stream, const MethodEntry& entry, PeerRequest request)
+{
+    /// Answers the stream once, at the latest when the last responder is gone.
+    struct Pending {
+        Pending(ServerShared& owner, std::weak_ptr<ServerConnection> of, std::int32_t number)
+            : shared(owner)
+            , connection(std::move(of))
+            , stream(number)
+        {
+            ++shared.inProgress;
+        }
+        Pending(const Pending&) = delete;
+        Pending& operator=(const Pending&) = delete;
+        ~Pending() { answer(tl::unexpected(std::string("the handler gave no answer"))); }
+
+        void answer(PeerReply reply)
+        {
+            if (isAnswered.exchange(true))
+                return;
+            asio::post(shared.io, [&shared = shared, weak = connection, number = stream, reply = std::move(reply)] {
+                --shared.inProgress;
+                if (const auto self = weak.lock())
+                    self->respond(number, reply);
+            });
+        }
+
+        ServerShared& shared;
+        std::weak_ptr<ServerConnection> connection;
+        std::int32_t stream;
+        std::atomic<bool> isAnswered = false;
+    };
+    const auto pending = std::make_shared<Pending>(m_shared, weak_from_this(), stream);
+    entry.deferred(std::move(request), [pending](PeerReply reply) { pending->answer(std::move(reply)); });
+}
+
 void ServerConnection::respond(std::int32_t stream, const PeerReply& reply)
 {
     if (!reply)
--- a/src/azurepaddle/transport/server_connection.hpp
+++ b/src/azurepaddle/transport/server_connection.hpp
@@ -14,7 +14,8 @@
 
 /// A registered method: its handler and the threads that run it.
 struct MethodEntry {
-    PeerHandler handler;
+    PeerHandler handler; ///< Empty if the method answers later.
+    DeferredHandler deferred;
     HandlerOptions options;
     std::unique_ptr<WorkerLane> lane;
 };
@@ -70,6 +71,7 @@
     void onMessage(std::int32_t stream, Http2Message message);
     void onStreamClosed(std::int32_t stream);
     void dispatch(std::int32_t stream, const Stream& state, std::string body);
+    void dispatchDeferred(std::int32_t stream, const MethodEntry& entry, PeerRequest request);
     void respond(std::int32_t stream, const PeerReply& reply);
     void refuse(std::int32_t stream, PeerErrorCode code, const std::string& message);
     void submit(std::int32_t stream, std::string_view status, std::string_view error, std::string body);
--- /dev/null
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -0,0 +1,179 @@
+#include "store_node.hpp"
+
+#include "metrics_page.hpp"
+#include "transport_options.hpp"
+
+#include "azurepaddle/platform/configuration.hpp"
+
+namespace azurepaddle::node {
+
+namespace {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(25);
+    constexpr Duration drainPoll = std::chrono::milliseconds(20);
+    // The next leader is elected and known to others within this time.
+    constexpr Duration handOverTime = std::chrono::milliseconds(800);
+
+    cluster::GroupOptions groupOptions(const config::NodeSettings& settings)
+    {
+        cluster::GroupOptions options;
+        options.name = settings.node.name;
+        options.address = settings.peerAddress();
+        options.dataFolder = settings.node.dataFolder;
+        options.seeds = settings.seedPeers();
+        options.mayFound = settings.peer.isFirstStart;
+        options.policy.voters = 2 * settings.bounds.toleratedLosses + 1;
+        return options;
+    }
+
+    registry::LeaderOptions leaderOptions(const config::NodeSettings& settings)
+    {
+        registry::LeaderOptions options;
+        options.voters = 2 * settings.bounds.toleratedLosses + 1;
+        options.jobLifetime = settings.bounds.resultLifetime;
+        options.maxJobBytes = settings.bounds.maxJobBytes;
+        return options;
+    }
+
+    http1::MessageLimits endpointMessageLimits()
+    {
+        return { 32U * 1024U, 64U * 1024U * 1024U };
+    }
+
+}
+
+StoreNode::StoreNode(asio::io_context& io, config::NodeSettings settings)
+    : m_io(io)
+    , m_settings(std::move(settings))
+    , m_peerClient(peerClientOptions(m_settings))
+    , m_peerServer(peerServerOptions(m_settings))
+    , m_group(io, groupOptions(m_settings), m_machine, m_peerClient)
+    , m_service(io, m_group, m_machine, m_liveness, leaderOptions(m_settings))
+    , m_leader(io, m_peerClient)
+    , m_pool(io, endpointMessageLimits())
+    , m_runner(io, m_pool, m_group, m_machine, m_liveness, m_metrics)
+    , m_loader(io, m_pool, m_group, m_machine, m_liveness, m_runner, m_metrics, { m_settings.node.name, m_settings.bounds.orderLease })
+    , m_control(m_leader)
+    , m_controlServer(io, [this](const http1::ExchangePointer& exchange) { m_control.handle(exchange); })
+    , m_metricsServer(io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); })
+    , m_tickTimer(io)
+    , m_drainTimer(io)
+{
+    m_service.setOnChange([this] { onChange(); });
+    m_runner.setOnListed([this](const batch::JobId& job) { m_service.wakeReaders(job); });
+    m_group.setOnLeadership([this](bool isLeading) { onLeadership(isLeading); });
+    m_group.registerHandlers(m_peerServer);
+    m_service.registerHandlers(m_peerServer);
+    auto members = m_settings.seedPeers();
+    members.push_back(m_settings.peerAddress());
+    m_leader.setMembers(std::move(members));
+}
+
+bool StoreNode::start()
+{
+    const auto listen = [this](http1::Server& server, const std::string& text) {
+        const auto address = parseAddress(text);
+        const auto listening = address ? server.listen(*address) : tl::expected<void, std::string>();
+        if (!listening)
+            m_log.error("{}", listening.error());
+        return listening.has_value();
+    };
+    const auto client = m_peerClient.start();
+    const auto server = m_peerServer.start();
+    if (!client || !server) {
+        m_log.error("{}", client ? server.error().message() : client.error().message());
+        return false;
+    }
+    if (!listen(m_controlServer, m_settings.listen.control) || !listen(m_metricsServer, m_settings.listen.metrics))
+        return false;
+    m_log.info("start name={} identity={} control={}", m_settings.node.name, m_group.identity(), m_settings.listen.control);
+    m_group.start();
+    tick();
+    return true;
+}
+
+void StoreNode::tick()
+{
+    if (const auto leader = m_group.leaderAddress())
+        m_leader.setLeader(leader);
+    auto members = m_group.members();
+    if (!members.empty())
+        m_leader.setMembers(std::move(members));
+    updateRoutes();
+    m_service.tick();
+    m_runner.tick();
+    m_loader.tick();
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](std::error_code error) {
+        if (!error)
+            tick();
+    });
+}
+
+void StoreNode::onChange()
+{
+    updateRoutes();
+    m_runner.update();
+    m_loader.tick();
+}
+
+void StoreNode::updateRoutes()
+{
+    const registry::ConfigurationDocument& document = m_machine.configuration();
+    if (document.version == m_routesVersion)
+        return;
+    auto table = platform::decodeConfiguration(document.text);
+    m_routesVersion = document.version;
+    if (!table) {
+        m_log.error("configuration version={} cannot be read: {}", document.version, table.error());
+        return;
+    }
+    const auto routes = std::make_shared<const gateway::RouteTable>(std::move(*table));
+    m_runner.setRoutes(routes);
+    m_loader.setRoutes(routes);
+}
+
+void StoreNode::onLeadership(bool isLeading)
+{
+    m_service.onLeadership(isLeading);
+    m_runner.onLeadership(isLeading);
+    m_loader.onLeadership(isLeading);
+}
+
+void StoreNode::drain(std::function<void()> onDrained)
+{
+    if (m_onDrained)
+        return;
+    m_onDrained = std::move(onDrained);
+    m_log.info("drain leads={}", m_group.isLeader());
+    m_controlServer.beginDrain();
+    m_group.giveUpLeadership();
+    watchDrain(m_clock.now());
+}
+
+void StoreNode::watchDrain(TimePoint since)
+{
+    const bool isOver = m_clock.now() - since >= handOverTime;
+    if (isOver && (m_controlServer.requestsInProgress() == 0 || m_clock.now() - since >= handOverTime * 2)) {
+        m_log.info("stop leads={}", m_group.isLeader());
+        return m_onDrained();
+    }
+    m_drainTimer.expires_after(drainPoll);
+    m_drainTimer.async_wait([this, since](std::error_code error) {
+        if (!error)
+            watchDrain(since);
+    });
+}
+
+void StoreNode::reload(const config::NodeSettings& settings)
+{
+    m_log.info("settings reloaded seeds={}", settings.peer.seeds.size());
+}
+
+void StoreNode::stop()
+{
+    m_peerServer.stop();
+    m_peerClient.stop();
+}
+
+}
--- /dev/null
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "azurepaddle/config/node_settings.hpp"
+#include "azurepaddle/execution/weight_loader.hpp"
+#include "azurepaddle/platform/control_api.hpp"
+#include "azurepaddle/platform/endpoint_protocol.hpp"
+
+namespace azurepaddle::node {
+
+/// A node that takes part in the log. The one that leads runs batch jobs, orders weight loads and answers all others.
+class StoreNode {
+public:
+    StoreNode(asio::io_context& io, config::NodeSettings settings);
+
+    /// False with a logged reason if an address is in use.
+    [[nodiscard]] bool start();
+    /// Hands the leadership over and calls back.
+    void drain(std::function<void()> onDrained);
+    void reload(const config::NodeSettings& settings);
+    void stop();
+
+private:
+    using Runner = execution::JobRunner<platform::EndpointProtocol>;
+    using Loader = execution::WeightLoader<platform::EndpointProtocol>;
+
+    void tick();
+    void onChange();
+    void onLeadership(bool isLeading);
+    void updateRoutes();
+    void watchDrain(TimePoint since);
+
+    asio::io_context& m_io;
+    const config::NodeSettings m_settings;
+    const Log m_log { "store" };
+    const SystemClock m_clock {};
+    metrics::Registry m_metrics;
+    transport::PeerClient m_peerClient;
+    transport::PeerServer m_peerServer;
+    registry::StateMachine m_machine;
+    registry::Liveness m_liveness;
+    registry::ServiceGroup m_group;
+    registry::LeaderService m_service;
+    registry::LeaderClient m_leader;
+    http1::ClientPool m_pool;
+    Runner m_runner;
+    Loader m_loader;
+    platform::ControlApi m_control;
+    http1::Server m_controlServer;
+    http1::Server m_metricsServer;
+    asio::steady_timer m_tickTimer;
+    asio::steady_timer m_drainTimer;
+    std::uint64_t m_routesVersion = 0;
+    std::function<void()> m_onDrained;
+};
+
+}
--- /dev/null
+++ b/src/programs/azurepaddle-node/transport_options.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "azurepaddle/config/node_settings.hpp"
+#include "azurepaddle/transport/peer_client.hpp"
+#include "azurepaddle/transport/peer_server.hpp"
+
+namespace azurepaddle::node {
+
+/// Options of connections between nodes. A silent connection is replaced within a second, so that the loss of a node or
+/// link is noticed before the bounds of the deployment pass.
+[[nodiscard]] inline transport::ClientOptions peerClientOptions(const config::NodeSettings& settings)
+{
+    transport::ClientOptions options;
+    options.secret = settings.peer.secret;
+    options.connectTimeout = std::chrono::milliseconds(500);
+    options.pingInterval = std::chrono::milliseconds(400);
+    options.pingDeadline = std::chrono::milliseconds(500);
+    options.maxBackoff = std::chrono::milliseconds(400);
+    return options;
+}
+
+[[nodiscard]] inline transport::ServerOptions peerServerOptions(const config::NodeSettings& settings)
+{
+    transport::ServerOptions options;
+    options.listen = settings.peerAddress();
+    options.secret = settings.peer.secret;
+    options.stopTimeout = std::chrono::milliseconds(300);
+    return options;
+}
+
+}
