--- a/src/azurepaddle/batch/job_store.cpp
+++ b/src/azurepaddle/batch/job_store.cpp
@@ -25,8 +25,8 @@
     Entry entry;
     for (std::size_t index = 0; index < job.spec.items.size(); ++index)
         entry.itemIndex.emplace(job.spec.items[index].id.value(), index);
-    for (const ItemResult& result : job.results)
-        entry.listed.insert(result.id.value());
+    for (std::size_t position = 0; position < job.results.size(); ++position)
+        entry.listed.emplace(job.results[position].id.value(), position);
     JobId id = job.spec.id;
     entry.job = std::move(job);
     m_jobs.emplace(std::move(id), std::move(entry));
@@ -51,8 +51,10 @@
     Entry& entry = found->second;
     std::size_t appended = 0;
     for (ItemResult& result : results) {
-        if (!entry.itemIndex.contains(result.id.value()) || !entry.listed.insert(result.id.value()).second)
+        const auto item = entry.itemIndex.find(result.id.value());
+        if (item == entry.itemIndex.end() || !entry.listed.emplace(result.id.value(), entry.job.results.size()).second)
             continue;
+        dropBody(entry.job.spec.items[item->second]);
         m_bytes += result.output.size();
         entry.job.results.push_back(std::move(result));
         ++appended;
@@ -66,9 +68,18 @@
     if (found == m_jobs.end())
         return false;
     found->second.job.isEnded = true;
+    for (ItemSpec& item : found->second.job.spec.items)
+        dropBody(item);
     return true;
 }
 
+void JobStore::dropBody(ItemSpec& item)
+{
+    m_bytes -= item.body.size();
+    item.body = {};
+    item.fields = {};
+}
+
 void JobStore::remove(const JobId& id)
 {
     const auto found = m_jobs.find(id);
@@ -99,6 +110,23 @@
     return found != m_jobs.end() && found->second.listed.contains(item.value());
 }
 
+const ItemResult* JobStore::findCompleted(const ItemId& item) const
+{
+    const ItemResult* latest = nullptr;
+    std::uint64_t order = 0;
+    for (const auto& [id, entry] : m_jobs) {
+        const auto found = entry.listed.find(item.value());
+        if (found == entry.listed.end() || (latest && entry.job.order < order))
+            continue;
+        const ItemResult& result = entry.job.results[found->second];
+        if (result.state != ResultState::Completed)
+            continue;
+        latest = &result;
+        order = entry.job.order;
+    }
+    return latest;
+}
+
 std::vector<const Job*> JobStore::jobs() const
 {
     std::vector<const Job*> jobs;
--- a/src/azurepaddle/batch/job_store.hpp
+++ b/src/azurepaddle/batch/job_store.hpp
@@ -5,7 +5,6 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace azurepaddle::batch {
 
@@ -27,10 +26,10 @@
 class JobStore {
 public:
     AcceptOutcome accept(JobSpec spec);
-    /// Appends the results of items that have none yet. Returns how many were appended. Nothing is appended to an
-    /// unknown job.
+    /// Appends the results of items that have none yet, and drops the bodies of these items. Returns how many were
+    /// appended. Nothing is appended to an unknown job.
     std::size_t list(const JobId& id, std::vector<ItemResult> results);
-    /// Ends a job: its remaining items need no results. False if the job is unknown.
+    /// Ends a job: its remaining items need no results, and all bodies are dropped. False if the job is unknown.
     bool end(const JobId& id);
     /// Forgets a job.
     void remove(const JobId& id);
@@ -40,6 +39,8 @@
     /// Null if the job or item is unknown.
     [[nodiscard]] const ItemSpec* findItem(const JobId& job, const ItemId& item) const;
     [[nodiscard]] bool isListed(const JobId& job, const ItemId& item) const;
+    /// The completed result of the item in the latest job that lists one, or null. Valid until the next change.
+    [[nodiscard]] const ItemResult* findCompleted(const ItemId& item) const;
     /// All jobs in the order of their acceptance.
     [[nodiscard]] std::vector<const Job*> jobs() const;
     [[nodiscard]] std::size_t size() const noexcept { return m_jobs.size(); }
@@ -53,10 +54,11 @@
     struct Entry {
         Job job;
         std::unordered_map<std::string, std::size_t> itemIndex;
-        std::unordered_set<std::string> listed;
+        std::unordered_map<std::string, std::size_t> listed; ///< Position of the result by item.
     };
 
     void insert(Job job);
+    void dropBody(ItemSpec& item);
 
     std::map<JobId, Entry> m_jobs;
     std::uint64_t m_nextOrder = 0;
--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -32,6 +32,17 @@
         } -> std::same_as<std::string>;
 };
 
+/// Settings of consensus for commands of some KiB on small machines: little is sent ahead to a participant that catches
+/// up, and little is kept behind a snapshot, so that memory stays bounded by the state.
+[[nodiscard]] inline consensus::RaftSettings groupRaftSettings()
+{
+    consensus::RaftSettings settings;
+    settings.appendBytes = 256U * 1024U;
+    settings.inFlightEntries = 256;
+    settings.trailingEntries = 512;
+    return settings;
+}
+
 /// Settings of a participant.
 struct GroupOptions {
     std::string name; ///< Of this instance.
@@ -40,7 +51,7 @@
     std::vector<InstanceAddress> seeds; ///< Peer addresses of instances to ask first; they found a new group.
     bool mayFound = false; ///< The whole system starts for the first time.
     MembershipPolicy policy;
-    consensus::RaftSettings raft;
+    consensus::RaftSettings raft = groupRaftSettings();
     std::size_t snapshotBytes = 48U * 1024U * 1024U; ///< Commands between two snapshots.
 };
 
--- a/src/azurepaddle/execution/item_text.cpp
+++ b/src/azurepaddle/execution/item_text.cpp
@@ -6,18 +6,12 @@
 
 bool ItemText::append(std::uint64_t number, std::string data, WeightVersion version)
 {
-    if (m_isComplete || number != m_events.size() + 1)
+    if (number != m_events.size() + 1)
         return false;
     m_events.push_back({ std::move(data), version });
     return true;
 }
 
-void ItemText::clear()
-{
-    m_events.clear();
-    m_isComplete = false;
-}
-
 std::string ItemText::output() const
 {
     std::string output;
@@ -39,10 +33,9 @@
     return versions;
 }
 
-bool ItemText::fits(WeightVersion minVersion, bool isSingleVersion) const
+bool fitsVersions(const std::vector<WeightVersion>& versions, WeightVersion minVersion, bool isSingleVersion)
 {
-    const auto used = versions();
-    return std::all_of(used.begin(), used.end(), [minVersion](WeightVersion version) { return version >= minVersion; }) && (!isSingleVersion || used.size() <= 1);
+    return std::all_of(versions.begin(), versions.end(), [minVersion](WeightVersion version) { return version >= minVersion; }) && (!isSingleVersion || versions.size() <= 1);
 }
 
 }
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -81,7 +81,7 @@
 
     void takeJobs();
     void addRun(const batch::Job& job, const batch::ItemSpec& item);
-    [[nodiscard]] bool adoptText(const Run& run);
+    void adoptText(const RunPointer& run);
     void dropRun(const RunPointer& run, std::string_view reason);
     void place();
     [[nodiscard]] std::vector<batch::EndpointLoad> loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const;
@@ -97,7 +97,7 @@
     void stop(const RunPointer& run);
     void requeue(const RunPointer& run, std::string_view cause, Duration delay);
     void move(const RunPointer& run, const EndpointId& target, std::string_view cause);
-    void finish(const RunPointer& run, batch::ResultState state);
+    void finish(const RunPointer& run, batch::ItemResult result);
     void flushResults();
     void giveUpOld(TimePoint now);
     void findSilent(TimePoint now);
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -119,21 +119,25 @@
     for (const batch::Job* earlier : m_machine.jobs().jobs())
         run->isCarried = run->isCarried || (earlier->order < job.order && m_machine.jobs().findItem(earlier->spec.id, item.id));
     m_runs[run->job][run->item] = run;
-    if (adoptText(*run))
-        finish(run, batch::ResultState::Completed);
+    if (run->isCarried)
+        adoptText(run);
 }
 
-/// Keeps what an earlier job generated of the item, if this job may use it. True if that is the whole text.
+/// Uses what an earlier job generated of the item, if this job may.
 template <typename Protocol>
-bool JobRunner<Protocol>::adoptText(const Run& run)
+void JobRunner<Protocol>::adoptText(const RunPointer& run)
 {
-    KnownText& known = m_texts[run.item];
+    const batch::ItemResult* result = m_machine.jobs().findCompleted(run->item);
+    if (result && fitsVersions(result->versions, run->minVersion, run->isSingleVersion)) {
+        m_log.info("item id={} job={} outcome=reused", run->item, run->job);
+        return finish(run, *result);
+    }
+    KnownText& known = m_texts[run->item];
     known.usedAt = m_clock.now();
-    if (!known.text.fits(run.minVersion, run.isSingleVersion))
+    if (!fitsVersions(known.text.versions(), run->minVersion, run->isSingleVersion))
         known.text.clear();
     if (known.text.events() > 0)
-        m_log.info("item id={} job={} reuses events={} complete={}", run.item, run.job, known.text.events(), known.text.isComplete());
-    return known.text.isComplete();
+        m_log.info("item id={} job={} continues after events={}", run->item, run->job, known.text.events());
 }
 
 template <typename Protocol>
@@ -265,7 +269,7 @@
     }
     for (const RunPointer& run : old) {
         stop(run);
-        finish(run, batch::ResultState::Dead);
+        finish(run, { run->item, batch::ResultState::Dead, {}, {} });
     }
 }
 
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -200,7 +200,7 @@
     m_log.info("item id={} job={} endpoint={} outcome=failed status={} failures={}", run->item, run->job, run->endpoint, status, run->failures);
     stop(run);
     if (status == unprocessable || run->failures >= run->maxAttempts)
-        return finish(run, batch::ResultState::Dead);
+        return finish(run, { run->item, batch::ResultState::Dead, {}, {} });
     requeue(run, "endpoint failure", internal::retryDelay);
 }
 
@@ -210,21 +210,20 @@
     ItemText& text = textOf(*run);
     if (run->parser->isWithinEvent() || text.events() == 0)
         return requeue(run, "stream ended early", internal::retryDelay);
-    text.markComplete();
     stop(run);
-    finish(run, batch::ResultState::Completed);
+    finish(run, { run->item, batch::ResultState::Completed, text.output(), text.versions() });
     scheduleUpdate();
 }
 
 template <typename Protocol>
-void JobRunner<Protocol>::finish(const RunPointer& run, batch::ResultState state)
+void JobRunner<Protocol>::finish(const RunPointer& run, batch::ItemResult result)
 {
     run->stage = Stage::Listing;
-    const ItemText& text = textOf(*run);
-    const bool isCompleted = state == batch::ResultState::Completed;
-    m_log.info("item id={} job={} outcome={} events={} took-ms={}", run->item, run->job, isCompleted ? "completed" : "dead", text.events(), std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - run->acceptedAt).count());
+    const bool isCompleted = result.state == batch::ResultState::Completed;
+    m_log.info("item id={} job={} outcome={} bytes={} took-ms={}", run->item, run->job, isCompleted ? "completed" : "dead", result.output.size(), std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - run->acceptedAt).count());
     m_metrics.counter(isCompleted ? "items_completed_total" : "items_dead_total").add();
-    m_results[run->job].push_back({ run->item, state, isCompleted ? text.output() : std::string(), isCompleted ? text.versions() : std::vector<WeightVersion>() });
+    m_texts.erase(run->item);
+    m_results[run->job].push_back(std::move(result));
     if (std::exchange(m_isFlushScheduled, true))
         return;
     asio::post(m_io, [this] {
@@ -237,8 +236,8 @@
 void JobRunner<Protocol>::flushResults()
 {
     for (auto& [job, results] : std::exchange(m_results, {})) {
-        registry::ListResults command { job, results };
-        m_group.propose(registry::encodeCommand(command), [this, job = job, results = results](const cluster::ProposalResult& result) {
+        std::string command = registry::encodeCommand(registry::ListResults { job, results });
+        m_group.propose(std::move(command), [this, job = job, results = std::move(results)](const cluster::ProposalResult& result) {
             const auto runs = m_runs.find(job);
             if (result.status == cluster::ProposalStatus::Applied) {
                 for (const batch::ItemResult& listed : results) {
