Test the modules behind the platform's path and hand freed memory back

Ruled out: a growing leak (job bytes and log explain the rest). Conclusion: the leader still exceeds 130 MB while it brings wiped machines up to date.

--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -44,8 +44,10 @@
     , m_forwarder(io, m_pool, m_balancer, m_random, m_metrics)
     , m_callers(m_forwarder, m_leader)
     , m_callerServer(io, [this](http1::ExchangePointer exchange) { m_callers.handle(std::move(exchange)); })
-    , m_readyServer(io, [this](const http1::ExchangePointer& exchange) { answerReady(exchange); }, smallServer())
-    , m_metricsServer(io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); }, smallServer())
+    , m_readyServer(
+          io, [this](const http1::ExchangePointer& exchange) { answerReady(exchange); }, smallServer())
+    , m_metricsServer(
+          io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); }, smallServer())
     , m_pollTimer(io)
     , m_drainTimer(io)
 {
--- a/src/programs/azurepaddle-node/main.cpp
+++ b/src/programs/azurepaddle-node/main.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 
 namespace {
 
@@ -14,6 +15,18 @@
 constexpr int exitBadSettings = 2;
 constexpr int exitCannotStart = 3;
 
+/// Makes the C library hand freed memory back at once: messages and log files of many KiB come and go, and a process that
+/// exceeds the memory of its machine is killed.
+void keepMemorySmall()
+{
+    constexpr int mappedFrom = 64 * 1024;
+    constexpr int trimAbove = 256 * 1024;
+    constexpr int arenas = 1;
+    mallopt(M_MMAP_THRESHOLD, mappedFrom);
+    mallopt(M_TRIM_THRESHOLD, trimAbove);
+    mallopt(M_ARENA_MAX, arenas);
+}
+
 /// Runs a node until it has drained after SIGTERM. SIGHUP reads the settings again.
 template <typename Node>
 int run(const config::NodeSettings& settings, const std::string& path)
@@ -83,6 +96,7 @@
         std::cout << "the settings are valid\n";
         return exitOk;
     }
+    keepMemorySmall();
     std::signal(SIGPIPE, SIG_IGN);
     startStructuredLogging(settings->logLevel());
     try {
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -5,6 +5,10 @@
 
 #include "azurepaddle/platform/configuration.hpp"
 
+#include <fstream>
+#include <malloc.h>
+#include <unistd.h>
+
 namespace azurepaddle::node {
 
 namespace {
@@ -14,6 +18,18 @@
     // The next leader is elected and known to others within this time.
     constexpr Duration handOverTime = std::chrono::milliseconds(800);
 
+    constexpr Duration memoryNoteInterval = std::chrono::seconds(1);
+
+    /// Memory that the process occupies, in bytes; 0 if the system does not say.
+    std::size_t residentBytes()
+    {
+        std::ifstream file("/proc/self/statm");
+        std::size_t total = 0;
+        std::size_t resident = 0;
+        file >> total >> resident;
+        return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    }
+
     cluster::GroupOptions groupOptions(const config::NodeSettings& settings)
     {
         cluster::GroupOptions options;
@@ -100,6 +116,7 @@
     if (!members.empty())
         m_leader.setMembers(std::move(members));
     updateRoutes();
+    noteMemory();
     m_service.tick();
     m_runner.tick();
     m_loader.tick();
@@ -110,6 +127,20 @@
     });
 }
 
+void StoreNode::noteMemory()
+{
+    const TimePoint now = m_clock.now();
+    if (now < m_nextMemoryNote)
+        return;
+    m_nextMemoryNote = now + memoryNoteInterval;
+    malloc_trim(0);
+    const auto status = m_group.status();
+    const std::size_t resident = residentBytes();
+    m_metrics.gauge("resident_bytes").set(static_cast<double>(resident));
+    m_metrics.gauge("job_bytes").set(static_cast<double>(m_machine.jobs().bytes()));
+    m_log.info("memory resident={} job-bytes={} jobs={} log-first={} log-last={} commit={} leads={}", resident, m_machine.jobs().bytes(), m_machine.jobs().size(), status.snapshotIndex, status.lastIndex, status.commitIndex, m_group.isLeader());
+}
+
 void StoreNode::onChange()
 {
     updateRoutes();
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -27,6 +27,7 @@
     void onChange();
     void onLeadership(bool isLeading);
     void updateRoutes();
+    void noteMemory();
     void watchDrain(TimePoint since);
 
     asio::io_context& m_io;
@@ -50,6 +51,7 @@
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_drainTimer;
     std::uint64_t m_routesVersion = 0;
+    TimePoint m_nextMemoryNote {};
     std::function<void()> m_onDrained;
 };
 
--- /dev/null
+++ b/test/azurepaddle/cluster/group.cpp
@@ -0,0 +1,219 @@
+#include "azurepaddle/cluster/group.hpp"
+
+#include <criterion/criterion.h>
+#include <filesystem>
+
+using namespace azurepaddle;
+using namespace azurepaddle::cluster;
+
+namespace {
+
+/// Keeps the commands it applied.
+struct ListMachine {
+    std::vector<std::string> commands;
+
+    std::string apply(const std::string& command)
+    {
+        commands.push_back(command);
+        return "applied " + command;
+    }
+    [[nodiscard]] std::string snapshot() const { return codec::encode(commands); }
+    bool restore(const std::string& bytes)
+    {
+        auto restored = codec::decode<std::vector<std::string>>(bytes);
+        commands = restored ? *restored : commands;
+        return restored.has_value();
+    }
+};
+
+/// One participant with its transport, on the loop of the test.
+struct Participant {
+    Participant(asio::io_context& io, GroupOptions options, const transport::ServerOptions& serverOptions, const transport::ClientOptions& clientOptions)
+        : client(clientOptions)
+        , server(serverOptions)
+        , group(io, std::move(options), machine, client)
+    {
+        group.registerHandlers(server);
+        cr_assert(client.start().has_value());
+        cr_assert(server.start().has_value());
+        group.start();
+    }
+    ~Participant()
+    {
+        server.stop();
+        client.stop();
+    }
+
+    ListMachine machine;
+    transport::PeerClient client;
+    transport::PeerServer server;
+    Group<ListMachine> group;
+};
+
+std::uint16_t freePort()
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+struct GroupFixture {
+    std::filesystem::path folder = std::filesystem::temp_directory_path() / ("azurepaddle-group-" + randomHex(6));
+    std::vector<InstanceAddress> addresses { { "127.0.0.1", freePort() }, { "127.0.0.1", freePort() }, { "127.0.0.1", freePort() } };
+    std::vector<std::unique_ptr<asio::io_context>> loops; ///< One for each life of a participant; dropped ones never run again.
+    std::vector<asio::io_context*> current { nullptr, nullptr, nullptr };
+    std::vector<std::unique_ptr<Participant>> participants;
+
+    GroupFixture()
+    {
+        std::filesystem::create_directories(folder);
+        participants.resize(addresses.size());
+        for (std::size_t i = 0; i < addresses.size(); ++i)
+            startOne(i, true);
+    }
+    ~GroupFixture()
+    {
+        participants.clear();
+        std::filesystem::remove_all(folder);
+    }
+
+    [[nodiscard]] std::string folderOf(std::size_t i) const { return (folder / std::to_string(i)).string(); }
+
+    void startOne(std::size_t i, bool mayFound)
+    {
+        loops.push_back(std::make_unique<asio::io_context>(1));
+        current[i] = loops.back().get();
+        GroupOptions options;
+        options.name = "node" + std::to_string(i);
+        options.address = addresses[i];
+        options.dataFolder = folderOf(i);
+        options.seeds = addresses;
+        options.mayFound = mayFound;
+        transport::ServerOptions serverOptions;
+        serverOptions.listen = addresses[i];
+        serverOptions.secret = "the shared secret";
+        transport::ClientOptions clientOptions;
+        clientOptions.secret = "the shared secret";
+        clientOptions.maxBackoff = std::chrono::milliseconds(100);
+        participants[i] = std::make_unique<Participant>(*current[i], std::move(options), serverOptions, clientOptions);
+    }
+
+    void stopOne(std::size_t i)
+    {
+        participants[i].reset();
+        current[i] = nullptr;
+    }
+
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const SystemClock clock;
+        const TimePoint end = clock.now() + std::chrono::seconds(60);
+        while (!condition() && clock.now() < end) {
+            for (asio::io_context* loop : current) {
+                if (loop)
+                    loop->run_for(std::chrono::milliseconds(1));
+            }
+        }
+        return condition();
+    }
+
+    std::optional<std::size_t> leader()
+    {
+        for (std::size_t i = 0; i < participants.size(); ++i) {
+            if (participants[i] && participants[i]->group.isCurrent())
+                return i;
+        }
+        return std::nullopt;
+    }
+
+    bool apply(const std::string& command)
+    {
+        std::optional<ProposalResult> result;
+        const auto isApplied = [&] { return result && result->status == ProposalStatus::Applied; };
+        return runUntil([&] {
+            const auto at = leader();
+            if (at && (!result || !isApplied())) {
+                result.reset();
+                participants[*at]->group.propose(command, [&](ProposalResult outcome) { result = std::move(outcome); });
+                static_cast<void>(runUntil([&] { return result.has_value(); }));
+            }
+            return isApplied();
+        });
+    }
+
+    bool allHold(const std::string& command)
+    {
+        return runUntil([&] {
+            return std::all_of(participants.begin(), participants.end(), [&](const auto& participant) {
+                return !participant || std::find(participant->machine.commands.begin(), participant->machine.commands.end(), command) != participant->machine.commands.end();
+            });
+        });
+    }
+};
+
+}
+
+// Guards against seeds that never find each other, or found two groups.
+Test(Group, emptyFolders_started_foundOneGroup)
+{
+    GroupFixture fixture;
+    cr_assert(fixture.apply("a"));
+    cr_assert(fixture.allHold("a"));
+    cr_assert(fixture.participants[0]->group.status().membership.voters.size() == 3);
+}
+
+// Guards against acknowledged commands that are lost with a leader.
+Test(Group, leaderStopped_othersGoOn_keepWhatWasApplied)
+{
+    GroupFixture fixture;
+    cr_assert(fixture.apply("a"));
+    const std::size_t first = *fixture.leader();
+    fixture.stopOne(first);
+    cr_assert(fixture.apply("b"));
+    fixture.startOne(first, false);
+    cr_assert(fixture.allHold("a"));
+    cr_assert(fixture.allHold("b"));
+}
+
+// Guards against acknowledged commands that are lost when all instances stop at once.
+Test(Group, allStopped_startedAgain_holdEverything)
+{
+    GroupFixture fixture;
+    cr_assert(fixture.apply("a"));
+    for (std::size_t i = 0; i < 3; ++i)
+        fixture.stopOne(i);
+    for (std::size_t i = 0; i < 3; ++i)
+        fixture.startOne(i, false);
+    cr_assert(fixture.apply("b"));
+    cr_assert(fixture.allHold("a"));
+}
+
+// Guards against an instance that comes back with an empty disk and votes as the one it was, or founds a second group.
+Test(Group, diskLost_instanceRestarted_joinsAsNewMember)
+{
+    GroupFixture fixture;
+    cr_assert(fixture.apply("a"));
+    const std::size_t lost = (*fixture.leader() + 1) % 3;
+    const InstanceId before = fixture.participants[lost]->group.identity();
+    fixture.stopOne(lost);
+    std::filesystem::remove_all(fixture.folderOf(lost));
+    fixture.startOne(lost, false);
+    const InstanceId after = fixture.participants[lost]->group.identity();
+    cr_assert(before != after);
+    cr_assert(fixture.runUntil([&] {
+        const auto at = fixture.leader();
+        const auto voters = at ? fixture.participants[*at]->group.status().membership.voters : std::set<InstanceId>();
+        return voters.contains(after) && !voters.contains(before) && voters.size() == 3;
+    }));
+    cr_assert(fixture.allHold("a"));
+}
+
+// Guards against a planned stop that leaves the group without a leader until an election.
+Test(Group, leadershipGivenUp_otherVoter_leads)
+{
+    GroupFixture fixture;
+    cr_assert(fixture.apply("a"));
+    const std::size_t first = *fixture.leader();
+    fixture.participants[first]->group.giveUpLeadership();
+    cr_assert(fixture.runUntil([&] { return fixture.leader().has_value() && *fixture.leader() != first; }));
+}
--- /dev/null
+++ b/test/azurepaddle/execution/parts.cpp
@@ -0,0 +1,78 @@
+#include "azurepaddle/execution/item_text.hpp"
+#include "azurepaddle/execution/speed_meter.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace azurepaddle;
+using namespace azurepaddle::execution;
+
+namespace {
+
+constexpr TimePoint start { std::chrono::seconds(100) };
+
+void observe(SpeedMeter& meter, const std::string& id, int ms)
+{
+    for (int i = 0; i < 50; ++i)
+        meter.note(EndpointId(id), std::chrono::milliseconds(ms), start);
+}
+
+}
+
+// Guards against a text with a missing or doubled event.
+Test(ItemText, eventOutOfOrder_isRefused)
+{
+    ItemText text;
+    cr_assert(text.append(1, "one", 3));
+    cr_assert(!text.append(1, "one", 3));
+    cr_assert(!text.append(3, "three", 3));
+    cr_assert(text.append(2, "two", 4));
+    cr_assert(text.output() == "one\ntwo");
+}
+
+// Guards against labels that hide a version, or repeat one.
+Test(ItemText, versionsChange_allAreNamedOnce)
+{
+    ItemText text;
+    cr_assert(text.append(1, "a", 3));
+    cr_assert(text.append(2, "b", 4));
+    cr_assert(text.append(3, "c", 4));
+    cr_assert(text.versions() == std::vector<WeightVersion>({ 3, 4 }));
+}
+
+// Guards against the text of an earlier job that is too old for a later one.
+Test(ItemText, oldVersions_laterJob_doNotFit)
+{
+    cr_assert(fitsVersions({ 3, 4 }, 3, false));
+    cr_assert(!fitsVersions({ 3, 4 }, 4, false));
+    cr_assert(!fitsVersions({ 3, 4 }, 3, true));
+    cr_assert(fitsVersions({}, 9, true));
+}
+
+// Guards against a slowed endpoint that is not told from the others.
+Test(SpeedMeter, oneEndpointSlowed_isFoundByTheMedian)
+{
+    SpeedMeter meter;
+    observe(meter, "a", 40);
+    observe(meter, "b", 40);
+    observe(meter, "c", 140);
+    cr_assert(meter.slowness(EndpointId("c"), start) > 3);
+    cr_assert(meter.slowness(EndpointId("a"), start) < 1.1);
+}
+
+// Guards against a slowdown of all endpoints that makes items move around.
+Test(SpeedMeter, allEndpointsSlowed_noneStandsOut)
+{
+    SpeedMeter meter;
+    observe(meter, "a", 140);
+    observe(meter, "b", 140);
+    cr_assert(meter.slowness(EndpointId("a"), start) < 1.1);
+}
+
+// Guards against an endpoint that is avoided for good because nobody asks it any more.
+Test(SpeedMeter, oldObservations_areForgotten)
+{
+    SpeedMeter meter;
+    observe(meter, "a", 140);
+    observe(meter, "b", 40);
+    cr_assert(meter.slowness(EndpointId("a"), start + std::chrono::seconds(5)) == 1);
+}
--- /dev/null
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -0,0 +1,158 @@
+#include "azurepaddle/gateway/forwarder.hpp"
+
+#include "../http1/fixture.hpp"
+
+using namespace azurepaddle::gateway;
+using namespace fixture;
+
+namespace {
+
+/// Marks requests and responses with plain test fields.
+struct TestProtocol {
+    static std::string requestId(const Request& request) { return std::string(request.fields.find("X-Id")); }
+    static std::optional<Duration> patience(const Request&) { return std::nullopt; }
+    static Request forEndpoint(const Request& request, const EndpointId& id, Duration)
+    {
+        Request forwarded = request;
+        forwarded.fields.set("X-Endpoint", id.value());
+        return forwarded;
+    }
+    static AnswerClass classify(const Response& response, std::string_view id)
+    {
+        if (response.fields.contains("X-Id") && response.fields.find("X-Id") != id)
+            return AnswerClass::OtherRequest;
+        return response.fields.contains("X-Not-Run") ? AnswerClass::NotRun : AnswerClass::Answer;
+    }
+    static std::optional<LoadReport> loadOf(const Response&) { return std::nullopt; }
+};
+
+std::string answer(unsigned status, const std::string& body, const std::string& fields = {})
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// An entry with some endpoints that follow scripts, and a caller.
+struct ForwarderFixture {
+    asio::io_context io;
+    ClientPool pool { io, {} };
+    ClientPool caller { io, {} };
+    Balancer balancer { DataCentreName("a") };
+    Random random { 3 };
+    metrics::Registry metrics;
+    Forwarder<TestProtocol> forwarder { io, pool, balancer, random, metrics };
+    std::shared_ptr<const RouteTable> table;
+    Server server { io, [this](ExchangePointer exchange) { forwarder.forward(std::move(exchange), table, table->routes().front()); } };
+    std::vector<std::unique_ptr<RawPeer>> endpoints;
+    std::vector<registry::EndpointRecord> records;
+
+    explicit ForwarderFixture(RouteKind kind)
+    {
+        Route route;
+        route.name = "r";
+        route.host = "h";
+        route.pathPrefix = "/";
+        route.kind = kind;
+        route.services = { { ServiceName("s"), 1 } };
+        route.timeout = std::chrono::milliseconds(600);
+        route.target = std::chrono::milliseconds(400);
+        route.maxAttempts = 2;
+        Service service;
+        service.name = ServiceName("s");
+        table = std::make_shared<const RouteTable>(1, std::vector<Route> { route }, std::vector<Service> { service }, ServerLimits {});
+        cr_assert(server.listen({ "127.0.0.1", 0 }).has_value());
+    }
+
+    void addEndpoint(RawPeer::Script script)
+    {
+        endpoints.push_back(std::make_unique<RawPeer>(io, std::move(script)));
+        const auto address = endpoints.back()->address();
+        // A distant endpoint is asked second.
+        const std::string dataCentre = endpoints.size() == 1 ? "a" : "far";
+        records.push_back({ EndpointId("e" + std::to_string(endpoints.size())), 1, ServiceName("s"), address.ip, address.port, DataCentreName(dataCentre), 4, registry::EndpointState::Ready, {} });
+        balancer.setEndpoints(records);
+    }
+
+    Received request()
+    {
+        Received outcome;
+        const auto call = caller.send(server.address(), { "POST", "/x", { { "Host", "h" }, { "X-Id", "7" } }, "body" }, {}, outcome.events());
+        cr_assert(runUntil(io, [&] { return outcome.end.has_value(); }));
+        return outcome;
+    }
+};
+
+const RawPeer::Script silent = [](const std::string&) { return std::string(); };
+const RawPeer::Script good = [](const std::string&) { return answer(200, "good", "X-Id: 7\r\nX-Stamp: s\r\n"); };
+
+}
+
+// Guards against answers whose status, fields or body change on their way.
+Test(Forwarder, endpointAnswers_callerGetsItUnchanged)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    fixture.addEndpoint(good);
+    const Received outcome = fixture.request();
+    cr_assert(outcome.response.status == 200);
+    cr_assert(outcome.response.body == "good");
+    cr_assert(outcome.response.fields.find("X-Stamp") == "s");
+}
+
+// Guards against a caller that is refused although another endpoint has room.
+Test(Forwarder, endpointRefuses_nextOneIsAsked_alsoForNonIdempotent)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    fixture.addEndpoint([](const std::string&) { return answer(503, "full", "X-Not-Run: 1\r\n"); });
+    fixture.addEndpoint(good);
+    cr_assert(fixture.request().response.body == "good");
+}
+
+// Guards against a caller that waits for a silent endpoint although its request may be repeated.
+Test(Forwarder, silentEndpoint_idempotentRequest_isAnsweredByAnother)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint(silent);
+    fixture.addEndpoint(good);
+    cr_assert(fixture.request().response.body == "good");
+    cr_assert(runUntil(fixture.io, [&] { return fixture.endpoints[0]->closed() == 1; }), "the silent endpoint still works on the request");
+}
+
+// Guards against a second run of a request that must not repeat, and against "not run" where that is not known.
+Test(Forwarder, connectionBreaks_nonIdempotentRequest_isNotRepeated)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    fixture.addEndpoint([&](const std::string&) { return std::string("nonsense\r\n\r\n"); });
+    fixture.addEndpoint(good);
+    cr_assert(fixture.request().response.status == 502);
+    cr_assert(fixture.endpoints[1]->accepted() == 0);
+}
+
+// Guards against a request that is held beyond the time its operator allows.
+Test(Forwarder, silentEndpoint_timeoutPasses_isAnsweredThen)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    fixture.addEndpoint(silent);
+    const SystemClock clock;
+    const TimePoint before = clock.now();
+    cr_assert(fixture.request().response.status == 504);
+    cr_assert(clock.now() - before >= std::chrono::milliseconds(500));
+    cr_assert(fixture.forwarder.inProgress() == 0);
+}
+
+// Guards against a request that waits although no endpoint can take it.
+Test(Forwarder, noEndpoint_requestIsRefusedAtOnce_asNotRun)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    const Received outcome = fixture.request();
+    cr_assert(outcome.response.status == 503);
+    cr_assert(outcome.response.fields.contains("Retry-After"));
+}
+
+// Guards against an endpoint's own failure that is replaced by one of ours.
+Test(Forwarder, allEndpointsFail_callerGetsTheirFailure)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint([](const std::string&) { return answer(500, "broken", "X-Stamp: s\r\n"); });
+    const Received outcome = fixture.request();
+    cr_assert(outcome.response.status == 500);
+    cr_assert(outcome.response.fields.find("X-Stamp") == "s");
+}
--- /dev/null
+++ b/test/azurepaddle/http1/client.cpp
@@ -0,0 +1,153 @@
+#include "fixture.hpp"
+
+using namespace fixture;
+
+namespace {
+
+const Request get { "GET", "/", { { "Host", "h" } }, {} };
+
+struct ClientFixture {
+    asio::io_context io;
+    ClientPool pool { io, {} };
+
+    bool finish(Received& outcome)
+    {
+        return runUntil(io, [&] { return outcome.end.has_value(); });
+    }
+};
+
+std::string answer(const std::string& body, const std::string& fields = {})
+{
+    return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}
+
+// Guards against a new connection for each request, which costs the endpoint a slot.
+Test(ClientPool, secondRequest_sent_reusesConnection)
+{
+    ClientFixture fixture;
+    RawPeer peer(fixture.io, [](const std::string&) { return answer("hi"); });
+    for (int i = 0; i < 2; ++i) {
+        Received outcome;
+        const auto call = fixture.pool.send(peer.address(), get, {}, outcome.events());
+        cr_assert(fixture.finish(outcome));
+        cr_assert(outcome.end->kind == CallEndKind::Complete);
+        cr_assert(outcome.response.body == "hi");
+    }
+    cr_assert(peer.accepted() == 1);
+}
+
+// Guards against the answer of an earlier request that is taken for that of the next one.
+Test(ClientPool, lateAnswerOfOther_received_isSkipped)
+{
+    ClientFixture fixture;
+    RawPeer peer(fixture.io, [](const std::string&) { return answer("old", "X-Id: 1\r\n") + answer("new", "X-Id: 2\r\n"); });
+    Received outcome;
+    const auto call = fixture.pool.send(peer.address(), get, {}, outcome.events("2"));
+    cr_assert(fixture.finish(outcome));
+    cr_assert(outcome.response.body == "new");
+}
+
+// Guards against a connection with extra bytes that is used again.
+Test(ClientPool, extraBytes_behindAnswer_closeConnection)
+{
+    ClientFixture fixture;
+    RawPeer peer(fixture.io, [](const std::string&) { return answer("hi") + "garbage"; });
+    for (int i = 0; i < 2; ++i) {
+        Received outcome;
+        const auto call = fixture.pool.send(peer.address(), get, {}, outcome.events());
+        cr_assert(fixture.finish(outcome));
+        cr_assert(outcome.response.body == "hi");
+    }
+    cr_assert(peer.accepted() == 2);
+}
+
+// Guards against a request on a connection that its server is about to close.
+Test(ClientPool, keepAliveOfOneSecond_nextRequest_opensConnection)
+{
+    ClientFixture fixture;
+    RawPeer peer(fixture.io, [](const std::string&) { return answer("hi", "Keep-Alive: timeout=1\r\n"); });
+    for (int i = 0; i < 2; ++i) {
+        Received outcome;
+        const auto call = fixture.pool.send(peer.address(), get, {}, outcome.events());
+        cr_assert(fixture.finish(outcome));
+    }
+    cr_assert(peer.accepted() == 2);
+}
+
+// Guards against a promise that a request did not run although its bytes had left.
+Test(ClientPool, connectionEnds_beforeAnswer_saysThatItWasSent)
+{
+    ClientFixture fixture;
+    RawPeer peer(fixture.io, [&](const std::string&) -> std::string { return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"; });
+    Received outcome;
+    const auto call = fixture.pool.send(peer.address(), get, {}, outcome.events());
+    cr_assert(runUntil(fixture.io, [&] { return !outcome.response.body.empty(); }));
+    peer.closeAll();
+    cr_assert(fixture.finish(outcome));
+    cr_assert(outcome.end->kind == CallEndKind::Failed);
+    cr_assert(outcome.end->isSent);
+}
+
+// Guards against a refused connection that counts as a sent request.
+Test(ClientPool, nobodyListens_connecting_saysThatItWasNotSent)
+{
+    ClientFixture fixture;
+    asio::ip::tcp::acceptor unused(fixture.io, { asio::ip::make_address("127.0.0.1"), 0 });
+    const InstanceAddress address { "127.0.0.1", unused.local_endpoint().port() };
+    unused.close();
+    Received outcome;
+    const auto call = fixture.pool.send(address, get, {}, outcome.events());
+    cr_assert(fixture.finish(outcome));
+    cr_assert(outcome.end->kind == CallEndKind::ConnectFailed);
+    cr_assert(!outcome.end->isSent);
+}
+
+// Guards against a silent endpoint that holds a request beyond its deadline.
+Test(ClientPool, silentServer_deadlinePasses_endsCall)
+{
+    ClientFixture fixture;
+    RawPeer peer(fixture.io, [](const std::string&) { return std::string(); });
+    Received outcome;
+    CallOptions options;
+    options.deadline = SystemClock().now() + std::chrono::milliseconds(50);
+    const auto call = fixture.pool.send(peer.address(), get, options, outcome.events());
+    cr_assert(fixture.finish(outcome));
+    cr_assert(outcome.end->kind == CallEndKind::TimedOut);
+}
+
+// Guards against an endpoint that goes on with a cancelled request, and against events after a cancellation.
+Test(ClientPool, callCancelled_inEvent_closesConnectionWithoutFurtherEvents)
+{
+    ClientFixture fixture;
+    RawPeer peer(fixture.io, [](const std::string&) { return answer("hi"); });
+    ClientCallPointer call;
+    int events = 0;
+    call = fixture.pool.send(peer.address(), get, {}, { [&](const Response&) {
+                                                           ++events;
+                                                           call->cancel();
+                                                           return true;
+                                                       },
+                                                          [&](const std::string&) { ++events; }, [&](const CallEnd&) { ++events; } });
+    cr_assert(runUntil(fixture.io, [&] { return peer.closed() == 1; }));
+    cr_assert(events == 1);
+    cr_assert(fixture.pool.connections(peer.address()) == 0);
+}
+
+// Guards against more connections than an endpoint accepts, which it would reset.
+Test(ClientPool, connectionsInUse_furtherRequest_isRefusedUnsent)
+{
+    ClientFixture fixture;
+    RawPeer peer(fixture.io, [](const std::string&) { return std::string(); });
+    CallOptions options;
+    options.maxConnections = 1;
+    Received first;
+    Received second;
+    const auto one = fixture.pool.send(peer.address(), get, options, first.events());
+    const auto two = fixture.pool.send(peer.address(), get, options, second.events());
+    cr_assert(fixture.finish(second));
+    cr_assert(second.end->kind == CallEndKind::NoConnection);
+    cr_assert(!second.end->isSent);
+    one->cancel();
+}
--- /dev/null
+++ b/test/azurepaddle/http1/server.cpp
@@ -0,0 +1,131 @@
+#include "fixture.hpp"
+
+using namespace fixture;
+
+namespace {
+
+/// A server that keeps its exchanges, and a raw client.
+struct ServerFixture {
+    asio::io_context io;
+    std::vector<ExchangePointer> exchanges;
+    Server server { io, [this](ExchangePointer exchange) { exchanges.push_back(std::move(exchange)); } };
+    asio::ip::tcp::socket client { io };
+    std::string received;
+    std::array<char, 4096> buffer {};
+    bool isClosed = false;
+
+    ServerFixture()
+    {
+        cr_assert(server.listen({ "127.0.0.1", 0 }).has_value());
+        client.connect({ asio::ip::make_address("127.0.0.1"), server.address().port });
+        read();
+    }
+
+    void read()
+    {
+        client.async_read_some(asio::buffer(buffer), [this](std::error_code error, std::size_t size) {
+            isClosed = static_cast<bool>(error);
+            received.append(buffer.data(), size);
+            if (!error)
+                read();
+        });
+    }
+
+    void send(const std::string& bytes) { asio::write(client, asio::buffer(bytes)); }
+
+    bool waitForExchanges(std::size_t count)
+    {
+        return runUntil(io, [&] { return exchanges.size() >= count; });
+    }
+};
+
+}
+
+// Guards against answers that reach a client in another order than its requests.
+Test(Server, pipelinedRequests_answered_oneAfterTheOther)
+{
+    ServerFixture fixture;
+    fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(fixture.waitForExchanges(1));
+    cr_assert(fixture.exchanges.size() == 1);
+    fixture.exchanges[0]->respond({ 200, {}, {}, "first" });
+    cr_assert(fixture.waitForExchanges(2));
+    fixture.exchanges[1]->respond({ 200, {}, {}, "second" });
+    cr_assert(runUntil(fixture.io, [&] { return fixture.received.find("second") != std::string::npos; }));
+    cr_assert(fixture.received.find("first") < fixture.received.find("second"));
+}
+
+// Guards against endpoints that go on working for a client that has left.
+Test(Server, clientLeaves_requestInProgress_isReported)
+{
+    ServerFixture fixture;
+    fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(fixture.waitForExchanges(1));
+    bool hasLeft = false;
+    fixture.exchanges[0]->setOnClosed([&] { hasLeft = true; });
+    fixture.client.close();
+    cr_assert(runUntil(fixture.io, [&] { return hasLeft; }));
+    cr_assert(!fixture.exchanges[0]->isOpen());
+}
+
+// Guards against a request that nobody answers and whose client waits for good.
+Test(Server, exchangeDropped_unanswered_closesConnection)
+{
+    ServerFixture fixture;
+    fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(fixture.waitForExchanges(1));
+    fixture.exchanges.clear();
+    cr_assert(runUntil(fixture.io, [&] { return fixture.isClosed; }));
+    cr_assert(fixture.received.empty());
+}
+
+// Guards against a malformed request that is forwarded, or whose connection is used again.
+Test(Server, malformedRequest_received_isRefusedAndClosed)
+{
+    ServerFixture fixture;
+    fixture.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab");
+    cr_assert(runUntil(fixture.io, [&] { return fixture.isClosed; }));
+    cr_assert(fixture.received.starts_with("HTTP/1.1 400 "));
+    cr_assert(fixture.received.find("Connection: close") != std::string::npos);
+    cr_assert(fixture.exchanges.empty());
+}
+
+// Guards against clients that hold a connection with a header that never ends.
+Test(Server, headerUnfinished_timeoutPasses_isAnsweredAndClosed)
+{
+    ServerFixture fixture;
+    ServerLimits limits;
+    limits.headerTimeout = std::chrono::milliseconds(50);
+    fixture.server.setLimits(limits);
+    fixture.send("GET / HTTP/1.1\r\nHost:");
+    cr_assert(runUntil(fixture.io, [&] { return fixture.isClosed; }));
+    cr_assert(fixture.received.starts_with("HTTP/1.1 408 "));
+}
+
+// Guards against a planned stop that cuts off the answer of a request in progress.
+Test(Server, drainBegins_requestInProgress_isAnsweredWithClose)
+{
+    ServerFixture fixture;
+    fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(fixture.waitForExchanges(1));
+    fixture.server.beginDrain();
+    fixture.server.closeIdle();
+    fixture.exchanges[0]->respond({ 200, {}, {}, "whole" });
+    cr_assert(runUntil(fixture.io, [&] { return fixture.isClosed; }));
+    cr_assert(fixture.received.find("whole") != std::string::npos);
+    cr_assert(fixture.received.find("Connection: close") != std::string::npos);
+}
+
+// Guards against a stream that ends early and looks complete.
+Test(Server, streamAborted_afterChunks_hasNoEnd)
+{
+    ServerFixture fixture;
+    fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(fixture.waitForExchanges(1));
+    fixture.exchanges[0]->beginStream({});
+    fixture.exchanges[0]->sendChunk("part");
+    cr_assert(runUntil(fixture.io, [&] { return fixture.received.find("part") != std::string::npos; }));
+    fixture.exchanges[0]->abort();
+    cr_assert(runUntil(fixture.io, [&] { return fixture.isClosed; }));
+    cr_assert(fixture.received.find("0\r\n\r\n") == std::string::npos);
+}
--- /dev/null
+++ b/test/azurepaddle/platform/formats.cpp
@@ -0,0 +1,155 @@
+#include "azurepaddle/platform/batch_format.hpp"
+#include "azurepaddle/platform/configuration.hpp"
+#include "azurepaddle/platform/endpoint_protocol.hpp"
+#include "azurepaddle/platform/registration.hpp"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+using namespace azurepaddle;
+using namespace azurepaddle::platform;
+using nlohmann::json;
+
+namespace {
+
+json configuration()
+{
+    return json::parse(R"({"version":7,"routes":[
+        {"name":"r1","host":"h","path-prefix":"/a/","route-type":"rollout","timeout-ms":10000,"target-latency-ms":400,"priority":1,"service":"s","max-attempts":3,"retention-s":40.0,"due-ms":7500,"single-version":true,"resumable":true},
+        {"name":"r2","host":"h","path-prefix":"/b/","route-type":"idempotent","timeout-ms":1500,"target-latency-ms":150,"priority":2,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],"max-attempts":2}],
+        "services":[{"name":"s","health-path":"/healthz","max-connections":150,"engine":{"models":[{"name":"m"}]}},{"name":"t","max-connections":100}],
+        "limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout-ms":3000,"idle-timeout-ms":15000}})");
+}
+
+json beat()
+{
+    return json::parse(R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":12,"state":"ready","cold-remaining-ms":0,"models":[{"name":"m","version":4,"adapters":[]}],"sequence":4,"born":1700000000000})");
+}
+
+}
+
+// Guards against fields of a configuration that are lost or mixed up.
+Test(Configuration, whole_decoded_hasItsRoutesAndServices)
+{
+    const auto table = decodeConfiguration(configuration().dump());
+    cr_assert(table.has_value());
+    cr_assert(table->version() == 7);
+    const gateway::Route& batchRoute = *table->find("h", "/a/x");
+    cr_assert(batchRoute.kind == gateway::RouteKind::Batch);
+    cr_assert(batchRoute.due == std::chrono::milliseconds(7500));
+    cr_assert(batchRoute.retention == std::chrono::seconds(40));
+    cr_assert(batchRoute.isSingleVersion);
+    const gateway::Route& plainRoute = *table->find("h", "/b/x");
+    cr_assert(plainRoute.services.size() == 2);
+    cr_assert(plainRoute.maxAttempts == 2);
+    cr_assert(table->findService(ServiceName("s"))->models.front() == batch::ModelName("m"));
+    cr_assert(table->limits().message.bodyBytes == 1000);
+    cr_assert(!gateway::validate(*table));
+}
+
+// Guards against a configuration that is cut or lacks a field and comes in force in part.
+Test(Configuration, cutOrIncomplete_decoded_isRefused)
+{
+    const std::string text = configuration().dump();
+    cr_assert(!decodeConfiguration(text.substr(0, text.size() / 2)));
+    for (const char* field : { "version", "routes", "services" }) {
+        json incomplete = configuration();
+        incomplete.erase(field);
+        cr_assert(!decodeConfiguration(incomplete.dump()));
+    }
+    json timeless = configuration();
+    timeless["routes"][0]["timeout-ms"] = 0;
+    const auto table = decodeConfiguration(timeless.dump());
+    cr_assert(table && gateway::validate(*table));
+}
+
+// Guards against an endpoint whose start time is taken from the version of its software.
+Test(Registration, heartbeat_decoded_namesItsEndpoint)
+{
+    const auto decoded = decodeBeat("i-1", beat().dump());
+    cr_assert(decoded.has_value());
+    cr_assert(decoded->record.startedMs == 1700000000000U);
+    cr_assert(decoded->record.address() == InstanceAddress({ "10.128.0.9", 8080 }));
+    cr_assert(decoded->record.versionOf(batch::ModelName("m")) == 4);
+    cr_assert(decoded->sequence == 4);
+}
+
+// Guards against heartbeats of another writer that name an endpoint to use.
+Test(Registration, malformedHeartbeat_decoded_isRefused)
+{
+    cr_assert(!decodeBeat("i-1", "\xff\xfe"));
+    cr_assert(!decodeBeat("i-1", "[]"));
+    for (const char* field : { "service", "address", "zone", "slots", "state", "sequence" }) {
+        json missing = beat();
+        missing.erase(field);
+        cr_assert(!decodeBeat("i-1", missing.dump()));
+        json wrong = beat();
+        wrong[field] = json::array();
+        cr_assert(!decodeBeat("i-1", wrong.dump()));
+    }
+    json unknown = beat();
+    unknown["state"] = "sleeping";
+    cr_assert(!decodeBeat("i-1", unknown.dump()));
+}
+
+// Guards against items whose bytes or sizes change on their way.
+Test(BatchFormat, job_decoded_hasItsItems)
+{
+    const auto table = decodeConfiguration(configuration().dump());
+    const auto spec = decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), R"({"step":7,"model":"m","min-version":6,"group-count":12,"requests":[{"id":"i","path":"/a/3","headers":{"X-Token-Usage":"540,400","X-Length-Hint":"90"},"body":"q83vEjRWeJA=","group":"g"}]})");
+    cr_assert(spec.has_value());
+    cr_assert(spec->minVersion == 6);
+    cr_assert(spec->isSingleVersion);
+    cr_assert(spec->retentionMs == 40'000);
+    const batch::ItemSpec& item = spec->items.front();
+    cr_assert(item.body == std::string("\xab\xcd\xef\x12\x34\x56\x78\x90", 8));
+    cr_assert(item.promptTokens == 540);
+    cr_assert(item.expectedTokens == 90);
+    cr_assert(!decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), R"({"requests":[{"id":"i","path":"/a/3","headers":{},"body":"?"}]})"));
+    cr_assert(!decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), R"({"requests":[]})"));
+}
+
+// Guards against results that a trainer cannot place: position, state or versions.
+Test(BatchFormat, results_encoded_countOnFromPosition)
+{
+    const json encoded = json::parse(encodeResults({ true, 40, { { batch::ItemId("i"), batch::ResultState::Completed, "one\ntwo", { 6, 7 } }, { batch::ItemId("k"), batch::ResultState::Dead, "", {} } } }, 12));
+    cr_assert(encoded["total"] == 40);
+    cr_assert(encoded["next-token"] == 14);
+    cr_assert(encoded["results"][0] == json({ { "id", "i" }, { "state", "completed" }, { "output", "one\ntwo" }, { "versions", { 6, 7 } } }));
+    cr_assert(encoded["results"][1]["state"] == "dead");
+}
+
+// Guards against a request that another endpoint at the same address would run, or that runs beyond its caller's time.
+Test(EndpointProtocol, request_forwarded_namesEndpointAndTimeLeft)
+{
+    const http1::Request request { "POST", "/b/x", { { "Host", "h" }, { "X-Attempt-Id", "9c" }, { "X-Deadline-Ms", "1500" }, { "Connection", "keep-alive" } }, "b" };
+    const http1::Request forwarded = EndpointProtocol::forEndpoint(request, EndpointId("i-1"), std::chrono::milliseconds(900));
+    cr_assert(forwarded.fields == http1::Fields({ { "Host", "h" }, { "X-Attempt-Id", "9c" }, { "X-Deadline-Ms", "900" }, { "X-Expect-Replica", "i-1" } }));
+    cr_assert(EndpointProtocol::patience(request) == std::chrono::milliseconds(1500));
+}
+
+// Guards against a refusal that is taken for an answer, and against answers of other requests.
+Test(EndpointProtocol, responses_classified_byTheirMarks)
+{
+    using gateway::AnswerClass;
+    cr_assert(EndpointProtocol::classify({ 200, {}, { { "X-Attempt-Id", "a" } }, {} }, "a") == AnswerClass::Answer);
+    cr_assert(EndpointProtocol::classify({ 200, {}, { { "X-Attempt-Id", "b" } }, {} }, "a") == AnswerClass::OtherRequest);
+    cr_assert(EndpointProtocol::classify({ 503, {}, { { "X-Not-Executed", "1" } }, {} }, "a") == AnswerClass::NotRun);
+    cr_assert(EndpointProtocol::classify({ 503, {}, {}, {} }, "a") == AnswerClass::Answer);
+    cr_assert(EndpointProtocol::classify({ 421, {}, {}, {} }, "a") == AnswerClass::WrongEndpoint);
+    cr_assert(EndpointProtocol::loadOf({ 200, {}, { { "X-Replica-Load", "3,1,8,250" } }, {} }) == gateway::LoadReport({ 3, 1, 8, 2.5 }));
+    cr_assert(EndpointProtocol::loadOf({ 200, {}, { { "X-Replica-Load", "3,0,8" } }, {} }) == gateway::LoadReport({ 3, 0, 8, 1 }));
+    cr_assert(!EndpointProtocol::loadOf({ 200, {}, { { "X-Replica-Load", "?" } }, {} }));
+}
+
+// Guards against an order that an endpoint carries out late, after a newer one.
+Test(EndpointProtocol, order_encoded_namesHolderFenceAndExpectedOrders)
+{
+    const auto request = EndpointProtocol::loadRequest({ EndpointId("i-1"), batch::ModelName("m"), 4, "node", 9, 2 });
+    const json body = json::parse(request.body);
+    cr_assert(body["operation"] == "version" && body["version"] == 4 && body["holder"] == "node" && body["fence"] == 9 && body["expect"] == 2);
+    cr_assert(request.fields.find("X-Expect-Replica") == "i-1");
+    const auto status = EndpointProtocol::parseStatus(R"({"models":[{"name":"m","version":4}],"busy":true,"sequence":3})");
+    cr_assert(status && status->isBusy && status->acceptedOrders == 3 && status->versions.at("m") == 4);
+    cr_assert(!EndpointProtocol::parseStatus("{}"));
+}
--- /dev/null
+++ b/test/azurepaddle/registry/state.cpp
@@ -0,0 +1,170 @@
+#include "azurepaddle/registry/state_machine.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace azurepaddle;
+using namespace azurepaddle::registry;
+
+namespace {
+
+EndpointRecord record(const std::string& id, std::uint64_t started = 1, const std::string& ip = "10.0.0.1")
+{
+    return { EndpointId(id), started, ServiceName("s"), ip, 80, DataCentreName("a"), 4, EndpointState::Ready, { { "m", 1 } } };
+}
+
+EndpointRecord draining(EndpointRecord endpoint)
+{
+    endpoint.state = EndpointState::Draining;
+    return endpoint;
+}
+
+ConfigurationOutcome put(StateMachine& machine, std::uint64_t version, const std::string& text)
+{
+    return *codec::decode<ConfigurationOutcome>(machine.apply(encodeCommand(PutConfiguration { { version, text } })));
+}
+
+constexpr TimePoint start { std::chrono::seconds(100) };
+
+}
+
+// Guards against a configuration that falls back to an older version, or is replaced by other content.
+Test(StateMachine, configurations_highestVersionHolds)
+{
+    StateMachine machine;
+    cr_assert(put(machine, 5, "five") == ConfigurationOutcome::Accepted);
+    cr_assert(put(machine, 3, "three") == ConfigurationOutcome::Known);
+    cr_assert(put(machine, 5, "five") == ConfigurationOutcome::Known);
+    cr_assert(put(machine, 5, "other") == ConfigurationOutcome::Conflict);
+    cr_assert(machine.configuration() == ConfigurationDocument({ 5, "five" }));
+    cr_assert(put(machine, 8, "eight") == ConfigurationOutcome::Accepted);
+}
+
+// Guards against a version of weights that falls because an old message came late.
+Test(StateMachine, namedVersions_onlyRise)
+{
+    StateMachine machine;
+    static_cast<void>(machine.apply(encodeCommand(NameVersion { batch::ModelName("m"), 3 })));
+    static_cast<void>(machine.apply(encodeCommand(NameVersion { batch::ModelName("m"), 2 })));
+    cr_assert(machine.namedVersion(batch::ModelName("m")) == 3U);
+    cr_assert(!machine.namedVersion(batch::ModelName("other")));
+}
+
+// Guards against two holders of the order right, of which the earlier one claims last.
+Test(StateMachine, orderRight_lowerFence_isNotTaken)
+{
+    StateMachine machine;
+    static_cast<void>(machine.apply(encodeCommand(ClaimOrders { "b", 4 })));
+    static_cast<void>(machine.apply(encodeCommand(ClaimOrders { "a", 3 })));
+    cr_assert(machine.orderHolder().instance == "b");
+}
+
+// Guards against state that a new participant does not get.
+Test(StateMachine, snapshot_restored_holdsEverything)
+{
+    StateMachine machine;
+    put(machine, 2, "two");
+    batch::JobSpec job;
+    job.id = batch::JobId("j");
+    job.items.resize(1);
+    job.items[0].id = batch::ItemId("i");
+    static_cast<void>(machine.apply(encodeCommand(AcceptJob { job })));
+    static_cast<void>(machine.apply(encodeCommand(ListResults { job.id, { { batch::ItemId("i"), batch::ResultState::Completed, "text", { 1, 2 } } } })));
+    static_cast<void>(machine.apply(encodeCommand(SetEndpoint { record("e") })));
+    static_cast<void>(machine.apply(encodeCommand(NameVersion { batch::ModelName("m"), 3 })));
+    static_cast<void>(machine.apply(encodeCommand(ClaimOrders { "a", 7 })));
+    static_cast<void>(machine.apply(encodeCommand(RetireInstance { "store-1" })));
+    StateMachine restored;
+    cr_assert(restored.restore(machine.snapshot()));
+    cr_assert(restored.configuration() == machine.configuration());
+    cr_assert(restored.jobs().find(job.id)->results[0].output == "text");
+    cr_assert(restored.directory().records() == machine.directory().records());
+    cr_assert(restored.directory().revision() == machine.directory().revision());
+    cr_assert(restored.namedVersions() == machine.namedVersions());
+    cr_assert(restored.orderHolder().fence == 7);
+    cr_assert(restored.retiring() == machine.retiring());
+}
+
+// Guards against bytes from another version that are taken for a command.
+Test(Commands, unknownBytes_decoded_areRefused)
+{
+    cr_assert(!decodeCommand("nonsense"));
+    const auto command = decodeCommand(encodeCommand(EndJob { batch::JobId("j") }));
+    cr_assert(command && std::get<EndJob>(*command).job == batch::JobId("j"));
+}
+
+// Guards against an endpoint that leaves and becomes ready again by a heartbeat that was on its way.
+Test(Directory, drainingEndpoint_lateHeartbeat_staysDraining)
+{
+    Directory directory;
+    directory.set(draining(record("e")));
+    cr_assert(!directory.changeBy(record("e")));
+    directory.leave({ EndpointId("e"), 1 });
+    cr_assert(!directory.changeBy(record("e")));
+    cr_assert(!directory.changeBy(draining(record("e"))));
+}
+
+// Guards against a heartbeat of a crashed endpoint whose address another one has.
+Test(Directory, addressTakenByLaterStart_lateHeartbeat_changesNothing)
+{
+    Directory directory;
+    directory.set(record("old", 1));
+    directory.set(record("new", 2));
+    cr_assert(directory.find(EndpointId("old"))->state == EndpointState::Gone);
+    cr_assert(!directory.changeBy(record("old", 1)));
+    cr_assert(directory.find(EndpointId("new"))->state == EndpointState::Ready);
+}
+
+// Guards against an endpoint that starts again under its id and is held for the one that left.
+Test(Directory, endpointStartsAgain_underItsId_isReady)
+{
+    Directory directory;
+    directory.set(record("e", 1));
+    directory.leave({ EndpointId("e"), 1 });
+    const auto change = directory.changeBy(record("e", 2));
+    cr_assert(change.has_value());
+    directory.set(*change);
+    cr_assert(directory.find(EndpointId("e"))->state == EndpointState::Ready);
+    directory.leave({ EndpointId("e"), 1 });
+    cr_assert(directory.find(EndpointId("e"))->state == EndpointState::Ready);
+}
+
+// Guards against agreement on each heartbeat: only changes go through the log.
+Test(Directory, sameHeartbeat_otherVersions_changesNothing)
+{
+    Directory directory;
+    directory.set(record("e"));
+    EndpointRecord beat = record("e");
+    beat.versions["m"] = 2;
+    cr_assert(!directory.changeBy(beat));
+}
+
+// Guards against a heartbeat that overtakes a newer one.
+Test(Liveness, olderHeartbeat_noted_isRefused)
+{
+    Liveness liveness;
+    cr_assert(liveness.note({ record("e"), 5 }, start));
+    cr_assert(!liveness.note({ record("e"), 4 }, start));
+    cr_assert(liveness.note({ record("e", 2), 1 }, start));
+    cr_assert(!liveness.note({ record("e", 1), 9 }, start));
+}
+
+// Guards against a load that is ordered again because a heartbeat was older than its end.
+Test(Liveness, versionLearntByOrder_olderHeartbeat_keepsIt)
+{
+    Liveness liveness;
+    cr_assert(liveness.note({ record("e"), 1 }, start));
+    liveness.noteVersion(EndpointId("e"), batch::ModelName("m"), 3);
+    cr_assert(liveness.note({ record("e"), 2 }, start));
+    cr_assert(liveness.find(EndpointId("e"))->versions.at("m") == 3);
+}
+
+// Guards against crashed endpoints that are kept for good, and against all of them being dropped by a new leader.
+Test(Liveness, silentEndpoint_isNamed_afterItsTime)
+{
+    Directory directory;
+    directory.set(record("e"));
+    Liveness liveness;
+    liveness.expect(directory, start);
+    cr_assert(liveness.silent(directory, start + std::chrono::seconds(1), std::chrono::seconds(2)).empty());
+    cr_assert(liveness.silent(directory, start + std::chrono::seconds(3), std::chrono::seconds(2)).size() == 1);
+}
--- a/test/azurepaddle/transport/calls.cpp
+++ b/test/azurepaddle/transport/calls.cpp
@@ -239,3 +239,31 @@
     cr_assert(waitUntil([&] { return pair.server.traffic().methods.at("echo") == expected; }));
     cr_assert(pair.client.traffic().wireBytesOut > 1000);
 }
+
+// Guards against a handler that answers later and whose caller is never told, or told twice.
+Test(PeerServer, deferredHandler_answersLater_orFailsWhenDropped)
+{
+    fixture::Pair pair;
+    std::vector<PeerResponder> held;
+    std::mutex mutex;
+    pair.server.handleDeferred("later", [&](const PeerRequest& request, PeerResponder respond) {
+        if (request.body == "drop")
+            return;
+        const std::lock_guard lock(mutex);
+        held.push_back(std::move(respond));
+    });
+    cr_assert(pair.start());
+    std::thread answering([&] {
+        cr_assert(fixture::waitUntil([&] {
+            const std::lock_guard lock(mutex);
+            return !held.empty();
+        }));
+        held.front()(std::string("done"));
+        held.front()(std::string("again"));
+    });
+    cr_assert(pair.call("later", "wait") == "done");
+    answering.join();
+    held.clear();
+    const auto dropped = pair.call("later", "drop");
+    cr_assert(!dropped && dropped.error().peerError()->code == PeerErrorCode::Failed);
+}
