Keep outputs of batch jobs in scratch files instead of memory

Cause: each text stood in the log and in the job store of every store machine. Ruled out: compressing (the texts are not compressible enough to matter without a measurement); fewer participants (six already). Change: storage::ScratchStore keeps outputs in unsynced files that are made again from the log; at most 64 entries are sent ahead; read buffers of client connections are 4 KiB.

--- a/src/azurepaddle/batch/job_store.cpp
+++ b/src/azurepaddle/batch/job_store.cpp
@@ -11,55 +11,51 @@
         std::size_t bytes = 0;
         for (const ItemSpec& item : job.spec.items)
             bytes += item.body.size();
-        for (const ItemResult& result : job.results)
-            bytes += result.output.size();
+        for (const StoredResult& result : job.results)
+            bytes += result.output.size;
         return bytes;
     }
 
 }
 
-void JobStore::insert(Job job)
+JobStore::Entry& JobStore::insert(JobSpec spec, bool isEnded, std::uint64_t order)
 {
-    m_bytes += bytesOf(job);
-    m_nextOrder = std::max(m_nextOrder, job.order + 1);
-    Entry entry;
-    for (std::size_t index = 0; index < job.spec.items.size(); ++index)
-        entry.itemIndex.emplace(job.spec.items[index].id.value(), index);
-    for (std::size_t position = 0; position < job.results.size(); ++position)
-        entry.listed.emplace(job.results[position].id.value(), position);
-    JobId id = job.spec.id;
-    entry.job = std::move(job);
-    m_jobs.emplace(std::move(id), std::move(entry));
+    m_nextOrder = std::max(m_nextOrder, order + 1);
+    Entry& entry = m_jobs[spec.id];
+    for (std::size_t index = 0; index < spec.items.size(); ++index)
+        entry.itemIndex.emplace(spec.items[index].id.value(), index);
+    entry.job.spec = std::move(spec);
+    entry.job.isEnded = isEnded;
+    entry.job.order = order;
+    m_bytes += bytesOf(entry.job);
+    return entry;
 }
 
 AcceptOutcome JobStore::accept(JobSpec spec)
 {
     if (m_jobs.contains(spec.id))
         return AcceptOutcome::Known;
-    Job job;
-    job.spec = std::move(spec);
-    job.order = m_nextOrder;
-    insert(std::move(job));
+    insert(std::move(spec), false, m_nextOrder);
     return AcceptOutcome::Accepted;
 }
 
-std::size_t JobStore::list(const JobId& id, std::vector<ItemResult> results)
+bool JobStore::append(Entry& entry, const ItemResult& result)
+{
+    const auto item = entry.itemIndex.find(result.id.value());
+    if (item == entry.itemIndex.end() || !entry.listed.emplace(result.id.value(), entry.job.results.size()).second)
+        return false;
+    dropBody(entry.job.spec.items[item->second]);
+    m_bytes += result.output.size();
+    entry.job.results.push_back({ result.id, result.state, m_outputs.append(result.output), result.versions });
+    return true;
+}
+
+std::size_t JobStore::list(const JobId& id, const std::vector<ItemResult>& results)
 {
     const auto found = m_jobs.find(id);
     if (found == m_jobs.end())
         return 0;
-    Entry& entry = found->second;
-    std::size_t appended = 0;
-    for (ItemResult& result : results) {
-        const auto item = entry.itemIndex.find(result.id.value());
-        if (item == entry.itemIndex.end() || !entry.listed.emplace(result.id.value(), entry.job.results.size()).second)
-            continue;
-        dropBody(entry.job.spec.items[item->second]);
-        m_bytes += result.output.size();
-        entry.job.results.push_back(std::move(result));
-        ++appended;
-    }
-    return appended;
+    return static_cast<std::size_t>(std::count_if(results.begin(), results.end(), [&](const ItemResult& result) { return append(found->second, result); }));
 }
 
 bool JobStore::end(const JobId& id)
@@ -86,6 +82,8 @@
     if (found == m_jobs.end())
         return;
     m_bytes -= bytesOf(found->second.job);
+    for (const StoredResult& result : found->second.job.results)
+        m_outputs.release(result.output);
     m_jobs.erase(found);
 }
 
@@ -110,21 +108,26 @@
     return found != m_jobs.end() && found->second.listed.contains(item.value());
 }
 
-const ItemResult* JobStore::findCompleted(const ItemId& item) const
+ItemResult JobStore::load(const StoredResult& result) const
 {
-    const ItemResult* latest = nullptr;
+    return { result.id, result.state, m_outputs.read(result.output), result.versions };
+}
+
+std::optional<ItemResult> JobStore::findCompleted(const ItemId& item) const
+{
+    const StoredResult* latest = nullptr;
     std::uint64_t order = 0;
     for (const auto& [id, entry] : m_jobs) {
         const auto found = entry.listed.find(item.value());
         if (found == entry.listed.end() || (latest && entry.job.order < order))
             continue;
-        const ItemResult& result = entry.job.results[found->second];
+        const StoredResult& result = entry.job.results[found->second];
         if (result.state != ResultState::Completed)
             continue;
         latest = &result;
         order = entry.job.order;
     }
-    return latest;
+    return latest ? std::optional(load(*latest)) : std::nullopt;
 }
 
 std::vector<const Job*> JobStore::jobs() const
@@ -136,21 +139,28 @@
     return jobs;
 }
 
-std::vector<Job> JobStore::snapshot() const
+std::vector<JobSnapshot> JobStore::snapshot() const
 {
-    std::vector<Job> jobs;
-    for (const auto& [id, entry] : m_jobs)
-        jobs.push_back(entry.job);
+    std::vector<JobSnapshot> jobs;
+    for (const auto& [id, entry] : m_jobs) {
+        JobSnapshot& job = jobs.emplace_back(JobSnapshot { entry.job.spec, {}, entry.job.isEnded, entry.job.order });
+        for (const StoredResult& result : entry.job.results)
+            job.results.push_back(load(result));
+    }
     return jobs;
 }
 
-void JobStore::restore(std::vector<Job> jobs)
+void JobStore::restore(std::vector<JobSnapshot> jobs)
 {
     m_jobs.clear();
+    m_outputs.clear();
     m_nextOrder = 0;
     m_bytes = 0;
-    for (Job& job : jobs)
-        insert(std::move(job));
+    for (JobSnapshot& job : jobs) {
+        Entry& entry = insert(std::move(job.spec), job.isEnded, job.order);
+        for (const ItemResult& result : job.results)
+            append(entry, result);
+    }
 }
 
 }
--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -38,7 +38,7 @@
 {
     consensus::RaftSettings settings;
     settings.appendBytes = 256U * 1024U;
-    settings.inFlightEntries = 256;
+    settings.inFlightEntries = 64;
     settings.trailingEntries = 512;
     return settings;
 }
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -127,7 +127,7 @@
 template <typename Protocol>
 void JobRunner<Protocol>::adoptText(const RunPointer& run)
 {
-    const batch::ItemResult* result = m_machine.jobs().findCompleted(run->item);
+    const auto result = m_machine.jobs().findCompleted(run->item);
     if (result && fitsVersions(result->versions, run->minVersion, run->isSingleVersion)) {
         m_log.info("item id={} job={} outcome=reused", run->item, run->job);
         return finish(run, *result);
--- a/src/azurepaddle/http1/client_connection.hpp
+++ b/src/azurepaddle/http1/client_connection.hpp
@@ -48,7 +48,7 @@
     void finish(CallEndKind kind, std::string message);
     void armTimer(TimePoint at);
 
-    static constexpr std::size_t readBytes = 16U * 1024U;
+    static constexpr std::size_t readBytes = 4U * 1024U;
 
     std::shared_ptr<ClientShared> m_shared;
     InstanceAddress m_address;
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -212,9 +212,9 @@
         return {};
     ReadResultsReply reply { true, job->spec.items.size(), {} };
     std::size_t bytes = 0;
-    for (std::size_t at = after; at < job->results.size() && (bytes == 0 || bytes + job->results[at].output.size() < maxReplyBytes); ++at) {
-        bytes += job->results[at].output.size() + 1;
-        reply.results.push_back(job->results[at]);
+    for (std::size_t at = after; at < job->results.size() && (bytes == 0 || bytes + job->results[at].output.size < maxReplyBytes); ++at) {
+        bytes += job->results[at].output.size + 1;
+        reply.results.push_back(m_machine.jobs().load(job->results[at]));
     }
     return reply;
 }
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -13,7 +13,7 @@
         std::map<std::string, WeightVersion> versions;
         std::vector<EndpointRecord> endpoints;
         std::uint64_t directoryRevision = 0;
-        std::vector<batch::Job> jobs;
+        std::vector<batch::JobSnapshot> jobs;
         ClaimOrders orderHolder;
         std::set<std::string> retiring;
         MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orderHolder, retiring)
@@ -74,9 +74,9 @@
     return {};
 }
 
-std::string StateMachine::run(ListResults command)
+std::string StateMachine::run(const ListResults& command)
 {
-    m_jobs.list(command.job, std::move(command.results));
+    m_jobs.list(command.job, command.results);
     return {};
 }
 
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -9,6 +9,12 @@
 /// order right, and instances to be emptied. Deterministic.
 class StateMachine {
 public:
+    /// Outputs of batch jobs are kept in files of the folder, or in memory if it is empty.
+    explicit StateMachine(std::string scratchFolder = {})
+        : m_jobs(std::move(scratchFolder))
+    {
+    }
+
     /// Applies an encoded command. The reply is an encoded ConfigurationOutcome for PutConfiguration, and empty otherwise.
     [[nodiscard]] std::string apply(const std::string& bytes);
     [[nodiscard]] std::string snapshot() const;
@@ -30,7 +36,7 @@
     std::string run(const LeaveEndpoint& command);
     std::string run(const ForgetEndpoint& command);
     std::string run(AcceptJob command);
-    std::string run(ListResults command);
+    std::string run(const ListResults& command);
     std::string run(const EndJob& command);
     std::string run(const RemoveJob& command);
     std::string run(ClaimOrders command);
--- /dev/null
+++ b/src/azurepaddle/storage/scratch_store.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace azurepaddle::storage {
+
+/// Where a text is kept.
+struct ScratchRef {
+    std::uint32_t segment = 0;
+    std::uint64_t offset = 0;
+    std::uint64_t size = 0; ///< In bytes.
+
+    friend bool operator==(const ScratchRef&, const ScratchRef&) = default;
+};
+
+/// Keeps texts outside of memory, in files that are never synced and are emptied at the next start: whoever uses it can
+/// make the texts again, for example from a log. Where a file cannot be written, texts stay in memory. Not thread-safe.
+class ScratchStore {
+public:
+    /// An empty folder name keeps everything in memory.
+    explicit ScratchStore(std::string folder);
+    ScratchStore(const ScratchStore&) = delete;
+    ScratchStore& operator=(const ScratchStore&) = delete;
+    ~ScratchStore();
+
+    [[nodiscard]] ScratchRef append(std::string_view text);
+    /// The text, or nothing of it if the file cannot be read any more.
+    [[nodiscard]] std::string read(const ScratchRef& ref) const;
+    /// Gives up a text. A file without texts is removed.
+    void release(const ScratchRef& ref);
+    void clear();
+
+private:
+    struct Segment {
+        int file = -1; ///< -1: the texts are in memory.
+        std::string texts; ///< If they are in memory.
+        std::uint64_t size = 0;
+        std::uint64_t live = 0; ///< Bytes of texts that were not given up.
+    };
+
+    [[nodiscard]] std::string pathOf(std::uint32_t number) const;
+    void removeLeftOvers() const;
+    void openSegment(bool isInMemory);
+    void closeSegment(std::uint32_t number, Segment& segment) const;
+
+    std::string m_folder;
+    std::map<std::uint32_t, Segment> m_segments;
+    std::uint32_t m_newest = 0;
+};
+
+}
--- a/test/azurepaddle/batch/job_store.cpp
+++ b/test/azurepaddle/batch/job_store.cpp
@@ -50,7 +50,7 @@
     cr_assert(store.list(JobId("j"), { result("b", "second"), result("a", "text") }) == 1);
     const Job& stored = *store.find(JobId("j"));
     cr_assert(stored.results.size() == 2);
-    cr_assert(stored.results[0].output == "first");
+    cr_assert(store.load(stored.results[0]).output == "first");
 }
 
 // Guards against results of items that the job does not have.
--- a/test/azurepaddle/registry/state.cpp
+++ b/test/azurepaddle/registry/state.cpp
@@ -76,7 +76,7 @@
     StateMachine restored;
     cr_assert(restored.restore(machine.snapshot()));
     cr_assert(restored.configuration() == machine.configuration());
-    cr_assert(restored.jobs().find(job.id)->results[0].output == "text");
+    cr_assert(restored.jobs().load(restored.jobs().find(job.id)->results[0]).output == "text");
     cr_assert(restored.directory().records() == machine.directory().records());
     cr_assert(restored.directory().revision() == machine.directory().revision());
     cr_assert(restored.namedVersions() == machine.namedVersions());
