--- a/src/azurepaddle/batch/job_store.hpp
+++ b/src/azurepaddle/batch/job_store.hpp
@@ -44,7 +44,7 @@
 public:
     /// Outputs are kept in files of the folder, or in memory if it is empty.
     explicit JobStore(std::string scratchFolder = {})
-        : m_outputs(std::move(scratchFolder))
+        : m_outputs(std::move(scratchFolder), "outputs")
     {
     }
 
--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -52,7 +52,7 @@
     bool mayFound = false; ///< The whole system starts for the first time.
     MembershipPolicy policy;
     consensus::RaftSettings raft = groupRaftSettings();
-    std::size_t snapshotBytes = 48U * 1024U * 1024U; ///< Commands between two snapshots.
+    std::size_t snapshotBytes = 80U * 1024U * 1024U; ///< Commands between two snapshots.
 };
 
 enum class ProposalStatus : unsigned char {
--- a/src/azurepaddle/config/node_settings.hpp
+++ b/src/azurepaddle/config/node_settings.hpp
@@ -51,7 +51,7 @@
     Duration resultLifetime = std::chrono::seconds(120);
     Duration stopTimeout = std::chrono::seconds(8);
     std::uint64_t maxConnections = 3000;
-    std::uint64_t maxJobBytes = 48U * 1024U * 1024U;
+    std::uint64_t maxJobBytes = 96U * 1024U * 1024U;
 
     friend bool operator==(const NodeBoundSettings&, const NodeBoundSettings&) = default;
 };
--- a/src/azurepaddle/consensus/entry_log.cpp
+++ b/src/azurepaddle/consensus/entry_log.cpp
@@ -4,9 +4,19 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace azurepaddle::consensus {
 
+namespace {
+
+    // The newest entries are sent to participants that keep up, so they stay in memory.
+    constexpr std::uint64_t entriesInMemory = 128;
+    // Smaller data costs more to find again than to keep.
+    constexpr std::size_t minSpilledBytes = 512;
+
+}
+
 EntryLog::EntryLog(std::uint64_t baseIndex, std::uint64_t baseTerm, Membership membership)
     : m_baseIndex(baseIndex)
     , m_baseTerm(baseTerm)
@@ -33,11 +43,14 @@
     std::vector<LogEntry> entries;
     std::size_t bytes = 0;
     for (std::uint64_t index = first; index <= std::min(last, lastIndex()); ++index) {
-        const LogEntry& entry = at(index);
-        bytes += entry.data.size();
+        bytes += dataSize(index);
         if (bytes > maxBytes && !entries.empty())
             break;
-        entries.push_back(entry);
+        entries.push_back(at(index));
+        if (const auto spilled = m_spilled.find(index); spilled != m_spilled.end()) {
+            entries.back().data = m_spillStore->read(spilled->second);
+            AZUREPADDLE_INVARIANT(entries.back().data.size() == spilled->second.size, fmt::format("the data of entry {} cannot be read back", index));
+        }
     }
     return entries;
 }
@@ -61,15 +74,45 @@
     }
     m_uncommittedBytes += entry.data.size();
     m_entries.push_back(std::move(entry));
+    spillOld();
+}
+
+std::size_t EntryLog::dataSize(std::uint64_t index) const
+{
+    const auto spilled = m_spilled.find(index);
+    return spilled == m_spilled.end() ? at(index).data.size() : spilled->second.size;
+}
+
+void EntryLog::spillOld()
+{
+    if (!m_spillStore || lastIndex() <= entriesInMemory)
+        return;
+    m_spilledTo = std::max(m_spilledTo, m_baseIndex);
+    while (m_spilledTo < lastIndex() - entriesInMemory) {
+        LogEntry& entry = m_entries[++m_spilledTo - m_baseIndex - 1];
+        if (entry.data.size() >= minSpilledBytes)
+            m_spilled[entry.index] = m_spillStore->append(std::exchange(entry.data, {}));
+    }
+}
+
+void EntryLog::forgetSpilled(std::uint64_t index)
+{
+    const auto spilled = m_spilled.find(index);
+    if (spilled == m_spilled.end())
+        return;
+    m_spillStore->release(spilled->second);
+    m_spilled.erase(spilled);
 }
 
 void EntryLog::truncateFrom(std::uint64_t index)
 {
     AZUREPADDLE_INVARIANT(index > m_commitIndex, fmt::format("entry {} is committed up to {} and must not change", index, m_commitIndex));
     while (lastIndex() >= index) {
-        m_uncommittedBytes -= m_entries.back().data.size();
+        m_uncommittedBytes -= dataSize(lastIndex());
+        forgetSpilled(lastIndex());
         m_entries.pop_back();
     }
+    m_spilledTo = std::min(m_spilledTo, lastIndex());
     while (m_memberships.size() > 1 && m_memberships.back().first >= index)
         m_memberships.pop_back();
 }
@@ -79,7 +122,7 @@
     AZUREPADDLE_INVARIANT(index >= m_commitIndex, fmt::format("commit index falls from {} to {}", m_commitIndex, index));
     AZUREPADDLE_INVARIANT(index <= lastIndex(), fmt::format("commit index {} beyond the last entry {}", index, lastIndex()));
     while (m_commitIndex < index)
-        m_uncommittedBytes -= at(++m_commitIndex).data.size();
+        m_uncommittedBytes -= dataSize(++m_commitIndex);
 }
 
 void EntryLog::compactTo(std::uint64_t index)
@@ -88,6 +131,8 @@
     if (index <= m_baseIndex)
         return;
     m_baseTerm = *termAt(index);
+    for (std::uint64_t dropped = m_baseIndex + 1; dropped <= index; ++dropped)
+        forgetSpilled(dropped);
     m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(index - m_baseIndex));
     m_baseIndex = index;
     while (m_memberships.size() > 1 && m_memberships[1].first <= index)
--- a/src/azurepaddle/consensus/raft_node.hpp
+++ b/src/azurepaddle/consensus/raft_node.hpp
@@ -75,6 +75,7 @@
     };
 
     // raft_node_api.hpp: calls of the driver, persistence.
+    void spillOldEntries();
     void advanceTime(TimePoint now);
     void persistVote();
     void collectCommitted(Ready& ready);
--- a/src/azurepaddle/consensus/raft_node_api.hpp
+++ b/src/azurepaddle/consensus/raft_node_api.hpp
@@ -50,6 +50,7 @@
         m_readySnapshot = ApplicationSnapshot { state.snapshot.index, state.snapshot.term, std::string(unpacked->bytes) };
         m_snapshot = std::make_shared<const storage::Snapshot>(std::move(state.snapshot));
     }
+    spillOldEntries();
     for (storage::LogRecord& record : state.records) {
         if (record.index > m_log.baseIndex())
             m_log.append(std::move(record));
@@ -60,6 +61,13 @@
     resetElectionDeadline();
 }
 
+template <RaftStore Store, RandomSource RandomEngine>
+void RaftNode<Store, RandomEngine>::spillOldEntries()
+{
+    if (!m_settings.scratchFolder.empty())
+        m_log.spillInto(std::make_shared<storage::ScratchStore>(m_settings.scratchFolder, "entries"));
+}
+
 template <RaftStore Store, RandomSource RandomEngine>
 RaftResult<void> RaftNode<Store, RandomEngine>::foundGroup(const Membership& membership)
 {
--- a/src/azurepaddle/consensus/raft_node_snapshot.hpp
+++ b/src/azurepaddle/consensus/raft_node_snapshot.hpp
@@ -101,6 +101,7 @@
     if (m_failure)
         return;
     m_log = EntryLog(whole.index, whole.term, std::move(unpacked->membership));
+    spillOldEntries();
     m_appliedIndex = whole.index;
     m_durableIndex = whole.index;
     m_readySnapshot = ApplicationSnapshot { whole.index, whole.term, std::string(unpacked->bytes) };
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -13,7 +13,7 @@
 /// Bounds of the leader's service.
 struct LeaderOptions {
     std::size_t voters = 3; ///< Participants that must be left when an instance is emptied.
-    std::size_t maxJobBytes = 48U * 1024U * 1024U; ///< Bodies and outputs held; beyond it jobs are refused.
+    std::size_t maxJobBytes = 96U * 1024U * 1024U; ///< Bodies and outputs held; beyond it jobs are refused.
     Duration jobLifetime = std::chrono::seconds(120); ///< Results can be read for this long after the submission.
     Duration endpointSilence = std::chrono::seconds(8); ///< After it, an endpoint is forgotten.
 };
--- a/src/azurepaddle/storage/log_reader.cpp
+++ b/src/azurepaddle/storage/log_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 #include <optional>
 
 namespace azurepaddle::storage {
@@ -113,12 +114,12 @@
     return segment;
 }
 
-StorageResult<void> appendSegment(std::vector<LogRecord>& log, std::uint64_t logBase, const Segment& segment)
+StorageResult<void> appendSegment(std::vector<LogRecord>& log, std::uint64_t logBase, Segment&& segment)
 {
     if (segment.firstIndex <= logBase)
         return makeError(StorageErrorCode::Corrupt, fmt::format("entry {} precedes the start of the log", segment.firstIndex));
     log.resize(std::min<std::size_t>(log.size(), segment.firstIndex - 1 - logBase));
-    log.insert(log.end(), segment.records.begin(), segment.records.end());
+    log.insert(log.end(), std::make_move_iterator(segment.records.begin()), std::make_move_iterator(segment.records.end()));
     return {};
 }
 
--- a/src/azurepaddle/storage/log_reader.hpp
+++ b/src/azurepaddle/storage/log_reader.hpp
@@ -24,6 +24,6 @@
 [[nodiscard]] StorageResult<Segment> readSegment(std::string_view bytes, bool isNewest);
 
 /// Appends the records of a segment to a log that ends at its base, replacing the entries it overwrites.
-[[nodiscard]] StorageResult<void> appendSegment(std::vector<LogRecord>& log, std::uint64_t logBase, const Segment& segment);
+[[nodiscard]] StorageResult<void> appendSegment(std::vector<LogRecord>& log, std::uint64_t logBase, Segment&& segment);
 
 }
--- a/src/azurepaddle/storage/log_store_load.hpp
+++ b/src/azurepaddle/storage/log_store_load.hpp
@@ -198,7 +198,7 @@
     } else if (state.baseIndex + state.records.size() != segment->baseIndex) {
         return makeError(StorageErrorCode::Corrupt, fmt::format("{} does not continue the file before it", internal::logFileName(sequence)));
     }
-    if (auto appended = appendSegment(state.records, state.baseIndex, *segment); !appended)
+    if (auto appended = appendSegment(state.records, state.baseIndex, std::move(*segment)); !appended)
         return appended;
     const std::uint64_t lastIndex = state.baseIndex + state.records.size();
     m_logFiles.push_back({ sequence, std::max(lastIndex, segment->baseIndex) });
--- a/src/azurepaddle/storage/log_store_write.hpp
+++ b/src/azurepaddle/storage/log_store_write.hpp
@@ -16,6 +16,8 @@
     constexpr std::string_view temporarySuffix = ".tmp";
     /// A log file of at least this size is finished at the next snapshot, so that it can be deleted later.
     constexpr std::uint64_t minFinishedFileBytes = 64U * 1024U;
+    /// A log file of this size is finished.
+    constexpr std::uint64_t maxFileBytes = 8U * 1024U * 1024U;
 
     [[nodiscard]] inline std::string logFileName(std::uint64_t sequence)
     {
@@ -124,6 +126,9 @@
         return synced;
     m_fileSize += bytes.size();
     ++m_batches;
+    // Files are read whole at a start, so none grows without bound.
+    if (m_fileSize >= internal::maxFileBytes && m_lastTerm)
+        return closeOnError(startFile(m_lastIndex, *m_lastTerm, Continuation::Keep));
     return {};
 }
 
--- a/src/azurepaddle/storage/scratch_store.cpp
+++ b/src/azurepaddle/storage/scratch_store.cpp
@@ -10,7 +10,6 @@
 namespace {
 
     constexpr std::uint64_t segmentBytes = 8U * 1024U * 1024U;
-    constexpr std::string_view namePrefix = "scratch-";
 
     bool writeAll(int file, std::string_view bytes, std::uint64_t offset)
     {
@@ -26,8 +25,9 @@
 
 }
 
-ScratchStore::ScratchStore(std::string folder)
+ScratchStore::ScratchStore(std::string folder, std::string name)
     : m_folder(std::move(folder))
+    , m_name(std::move(name))
 {
     removeLeftOvers();
 }
@@ -39,7 +39,7 @@
 
 std::string ScratchStore::pathOf(std::uint32_t number) const
 {
-    return fmt::format("{}/{}{}", m_folder, namePrefix, number);
+    return fmt::format("{}/{}-{}", m_folder, m_name, number);
 }
 
 void ScratchStore::removeLeftOvers() const
@@ -49,7 +49,7 @@
     std::error_code error;
     for (const auto& entry : std::filesystem::directory_iterator(m_folder, error)) {
         std::error_code ignored;
-        if (entry.path().filename().string().starts_with(namePrefix))
+        if (entry.path().filename().string().starts_with(m_name + "-"))
             std::filesystem::remove(entry.path(), ignored);
     }
 }
--- a/src/azurepaddle/storage/scratch_store.hpp
+++ b/src/azurepaddle/storage/scratch_store.hpp
@@ -20,8 +20,8 @@
 /// make the texts again, for example from a log. Where a file cannot be written, texts stay in memory. Not thread-safe.
 class ScratchStore {
 public:
-    /// An empty folder name keeps everything in memory.
-    explicit ScratchStore(std::string folder);
+    /// An empty folder name keeps everything in memory. Stores of one folder need different names, of letters.
+    explicit ScratchStore(std::string folder, std::string name = "scratch");
     ScratchStore(const ScratchStore&) = delete;
     ScratchStore& operator=(const ScratchStore&) = delete;
     ~ScratchStore();
@@ -47,6 +47,7 @@
     void closeSegment(std::uint32_t number, Segment& segment) const;
 
     std::string m_folder;
+    std::string m_name;
     std::map<std::uint32_t, Segment> m_segments;
     std::uint32_t m_newest = 0;
 };
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -36,6 +36,7 @@
         options.name = settings.node.name;
         options.address = settings.peerAddress();
         options.dataFolder = settings.node.dataFolder;
+        options.raft.scratchFolder = settings.node.dataFolder;
         options.seeds = settings.seedPeers();
         options.mayFound = settings.peer.isFirstStart;
         options.policy.voters = 2 * settings.bounds.toleratedLosses + 1;
--- a/test/azurepaddle/storage/log_store.cpp
+++ b/test/azurepaddle/storage/log_store.cpp
@@ -279,3 +279,25 @@
     }
     cr_assert(files.list().value().size() <= 5);
 }
+
+// Guards against a log that is read into memory as one large file, and against entries lost between its files.
+Test(LogStore, manyLargeRecords_loadedAgain_areWholeFromSeveralFiles)
+{
+    MemoryFileSystem files(1);
+    const std::string data(512U * 1024U, 'd');
+    {
+        LogStore<MemoryFileSystem> store(files);
+        cr_assert(store.load("me").has_value());
+        for (std::uint64_t index = 1; index <= 40; ++index) {
+            const LogRecord record { index, 1, 1, data };
+            cr_assert(store.append({ &record, 1 }).has_value());
+            cr_assert(store.sync().has_value());
+        }
+    }
+    cr_assert(files.list()->size() >= 4);
+    LogStore<MemoryFileSystem> store(files);
+    const auto loaded = store.load("other");
+    cr_assert(loaded.has_value());
+    cr_assert(loaded->records.size() == 40);
+    cr_assert(loaded->records.back().data == data);
+}
--- a/test/azurepaddle/storage/scratch_store.cpp
+++ b/test/azurepaddle/storage/scratch_store.cpp
@@ -1,5 +1,5 @@
-#include "azurepaddle/core/digest.hpp"
 #include "azurepaddle/storage/scratch_store.hpp"
+#include "azurepaddle/core/digest.hpp"
 
 #include <criterion/criterion.h>
 #include <filesystem>
