Load each version on half of a model's endpoints and without polling

Ruled out: more loads at once (they slow each other down), queueing in the runner (start p50 40 ms where weights fit). Change: half of the endpoints hold the newest version, the others the one before and load the next; an accepted order is taken for done after 930 ms, and orders an endpoint accepted are counted instead of asked for.

--- a/src/azurepaddle/batch/load_plan.cpp
+++ b/src/azurepaddle/batch/load_plan.cpp
@@ -1,10 +1,30 @@
 #include "azurepaddle/batch/load_plan.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace azurepaddle::batch {
 
+namespace {
+
+    /// How many more endpoints of a model have to load its newest version, besides those that do so now.
+    std::size_t missingOf(const std::vector<LoadTarget>& targets, const ModelName& model, WeightVersion newest)
+    {
+        std::size_t endpoints = 0;
+        std::size_t held = 0;
+        for (const LoadTarget& target : targets) {
+            if (target.home != model)
+                continue;
+            ++endpoints;
+            held += target.version >= newest || target.isLoading ? 1 : 0;
+        }
+        const auto needed = static_cast<std::size_t>(std::ceil(static_cast<double>(endpoints) * newestShare));
+        return needed > held ? needed - held : 0;
+    }
+
+}
+
 std::vector<Load> planLoads(std::vector<LoadTarget> targets, const std::map<ModelName, WantedVersion>& wanted)
 {
     const auto wantedOf = [&](const LoadTarget& target) {
@@ -12,7 +32,10 @@
         return found == wanted.end() ? WeightVersion { 0 } : found->second.version;
     };
     const auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(targets.size()) * loadingShare));
-    const auto loading = static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [](const LoadTarget& target) { return target.isLoading; }));
+    auto loading = static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [](const LoadTarget& target) { return target.isLoading; }));
+    std::map<ModelName, std::size_t> missing; // Endpoints that have to load the newest version of a model.
+    for (const auto& [model, version] : wanted)
+        missing[model] = missingOf(targets, model, version.version);
     std::erase_if(targets, [&](const LoadTarget& target) { return target.isLoading || !target.isUsable || target.version >= wantedOf(target); });
     std::stable_sort(targets.begin(), targets.end(), [&](const LoadTarget& a, const LoadTarget& b) {
         const WeightVersion behindA = wantedOf(a) - a.version;
@@ -21,8 +44,12 @@
     });
     std::vector<Load> loads;
     for (const LoadTarget& target : targets) {
-        if (loading + loads.size() >= limit)
-            break;
+        const bool isUseless = target.version + 1 < wantedOf(target) && target.running == 0;
+        std::size_t& left = missing[target.home];
+        if (loading >= limit || (left == 0 && !isUseless))
+            continue;
+        left -= std::min<std::size_t>(left, 1);
+        ++loading;
         loads.push_back({ target.id, target.home, wantedOf(target) });
     }
     return loads;
--- a/src/azurepaddle/batch/load_plan.hpp
+++ b/src/azurepaddle/batch/load_plan.hpp
@@ -41,7 +41,13 @@
 /// Loads at once, as a part of all endpoints. More of them slow each other down.
 constexpr double loadingShare = 0.2;
 
-/// Chooses which endpoints load now: those that are the most versions behind, then those with the least running.
+/// Part of a model's endpoints that is brought to each newest version. The others hold the version before, which the
+/// newest step allows too, and load the next one: so each version costs half of the loads, and items always find
+/// endpoints that are not about to load.
+constexpr double newestShare = 0.5;
+
+/// Chooses which endpoints load now, until enough of a model's endpoints hold its newest version: those that are the most
+/// versions behind, then those with the least running. Idle endpoints that fell behind by two versions load in any case.
 [[nodiscard]] std::vector<Load> planLoads(std::vector<LoadTarget> targets, const std::map<ModelName, WantedVersion>& wanted);
 
 /// Keeps each endpoint of a service assigned to one model, in equal parts, so that a new version is loaded by as few
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -122,8 +122,10 @@
     const bool isTooOld = run->version < run->minVersion;
     if (isTooOld || (only && *only != run->version)) {
         m_log.info("item id={} endpoint={} has version={} min-version={}", run->item, run->endpoint, run->version, run->minVersion);
-        if (isTooOld)
-            avoid(run->endpoint, internal::failureAvoidance);
+        if (isTooOld) {
+            m_liveness.noteVersion(run->endpoint, run->model, run->version);
+            avoid(run->endpoint, internal::refusalAvoidance);
+        }
         requeue(run, "wrong version", internal::retryDelay);
     }
     return true;
--- a/src/azurepaddle/execution/weight_loader.hpp
+++ b/src/azurepaddle/execution/weight_loader.hpp
@@ -47,6 +47,9 @@
     void onStatus(const LoadingPointer& loading, const EndpointStatus& status);
     void order(const LoadingPointer& loading, std::uint64_t acceptedOrders);
     void onOrdered(const LoadingPointer& loading, const http1::CallEnd& end);
+    void expectLoaded(const LoadingPointer& loading);
+    [[nodiscard]] std::optional<std::uint64_t> knownOrders(const EndpointId& id) const;
+    void noteOrders(const EndpointId& id, std::uint64_t count);
     void lookAgain(const LoadingPointer& loading, Duration delay);
     void end(const LoadingPointer& loading, std::string_view outcome);
     template <typename OnEnd>
@@ -69,6 +72,13 @@
     TimePoint m_leadingSince;
     std::uint64_t m_nextNumber = 1;
     std::map<EndpointId, LoadingPointer> m_loading;
+    /// Orders that an incarnation of an endpoint accepted, as far as known.
+    struct AcceptedOrders {
+        std::uint64_t startedMs = 0;
+        std::uint64_t count = 0;
+    };
+
+    std::map<EndpointId, AcceptedOrders> m_accepted;
     std::map<EndpointId, TimePoint> m_notBefore; ///< After a failed load.
     std::map<ServiceName, batch::HomeAssignment> m_homes;
     std::map<batch::ModelName, std::pair<WeightVersion, TimePoint>> m_namedAt;
--- a/src/azurepaddle/execution/weight_loader_impl.hpp
+++ b/src/azurepaddle/execution/weight_loader_impl.hpp
@@ -10,8 +10,10 @@
     constexpr Duration orderTimeout = std::chrono::milliseconds(700);
     // An order of an earlier holder may be on its way this long after the end of its lease.
     constexpr Duration orderMargin = orderTimeout + std::chrono::milliseconds(300);
-    // A load takes about this long; looking earlier would only cost.
-    constexpr Duration firstLook = std::chrono::milliseconds(950);
+    // A load takes this long. The next response shows the version that is really held.
+    constexpr Duration loadTime = std::chrono::milliseconds(930);
+    // The status that an endpoint gives is up to this old.
+    constexpr Duration statusAge = std::chrono::milliseconds(600);
     constexpr Duration nextLook = std::chrono::milliseconds(250);
     constexpr Duration loadTimeout = std::chrono::seconds(8);
     constexpr Duration retryLoadAfter = std::chrono::milliseconds(800);
@@ -45,6 +47,7 @@
             loading->call->cancel();
     }
     m_loading.clear();
+    m_accepted.clear();
     m_notBefore.clear();
     m_homes.clear();
     m_namedAt.clear();
@@ -158,7 +161,27 @@
     m_loading[load.endpoint] = loading;
     m_runner.setLoading(load.endpoint, load.model, true);
     m_metrics.counter("loads_started_total").add();
-    look(loading);
+    if (const auto known = knownOrders(load.endpoint))
+        order(loading, *known);
+    else
+        look(loading);
+}
+
+template <typename Protocol>
+std::optional<std::uint64_t> WeightLoader<Protocol>::knownOrders(const EndpointId& id) const
+{
+    const auto known = m_accepted.find(id);
+    const registry::EndpointRecord* record = m_machine.directory().find(id);
+    if (known == m_accepted.end() || !record || record->startedMs != known->second.startedMs)
+        return std::nullopt;
+    return known->second.count;
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::noteOrders(const EndpointId& id, std::uint64_t count)
+{
+    if (const registry::EndpointRecord* record = m_machine.directory().find(id))
+        m_accepted[id] = { record->startedMs, count };
 }
 
 template <typename Protocol>
@@ -204,6 +227,7 @@
 template <typename Protocol>
 void WeightLoader<Protocol>::onStatus(const LoadingPointer& loading, const EndpointStatus& status)
 {
+    noteOrders(loading->load.endpoint, status.acceptedOrders);
     const auto found = status.versions.find(loading->load.model.value());
     const WeightVersion held = found == status.versions.end() ? 0 : found->second;
     if (held >= loading->load.version && !status.isBusy) {
@@ -213,7 +237,7 @@
     if (status.isBusy)
         return lookAgain(loading, internal::nextLook);
     // The status is some time old: an order that was just accepted may not show in it yet.
-    const bool mayBeStale = loading->orderedAt != TimePoint {} && m_clock.now() - loading->orderedAt < internal::firstLook * 2;
+    const bool mayBeStale = loading->orderedAt != TimePoint {} && m_clock.now() - loading->orderedAt < internal::statusAge;
     if (mayBeStale)
         return lookAgain(loading, internal::nextLook);
     order(loading, status.acceptedOrders);
@@ -239,11 +263,15 @@
     constexpr unsigned holds = 200;
     constexpr unsigned conflict = 409;
     m_log.info("order endpoint={} model={} version={} answered status={} cause=\"{}\"", loading->load.endpoint, loading->load.model, loading->load.version, loading->status, ended.message);
+    const auto known = knownOrders(loading->load.endpoint);
+    m_accepted.erase(loading->load.endpoint);
     if (ended.kind != http1::CallEndKind::Complete)
         return lookAgain(loading, internal::nextLook);
     if (loading->status == accepted) {
         loading->orderedAt = m_clock.now();
-        return lookAgain(loading, internal::firstLook);
+        if (known)
+            noteOrders(loading->load.endpoint, *known + 1);
+        return expectLoaded(loading);
     }
     if (loading->status == holds) {
         m_liveness.noteVersion(loading->load.endpoint, loading->load.model, loading->load.version);
@@ -254,6 +282,20 @@
     end(loading, "refused");
 }
 
+/// Takes an accepted order for carried out after the usual time. If it was not, the runner learns so from the version of
+/// the next response, and the endpoint is planned again.
+template <typename Protocol>
+void WeightLoader<Protocol>::expectLoaded(const LoadingPointer& loading)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_io, internal::loadTime);
+    timer->async_wait([this, timer, loading, number = loading->number](std::error_code) {
+        if (loading->number != number || !m_isLeading)
+            return;
+        m_liveness.noteVersion(loading->load.endpoint, loading->load.model, loading->load.version);
+        end(loading, "loaded");
+    });
+}
+
 template <typename Protocol>
 void WeightLoader<Protocol>::lookAgain(const LoadingPointer& loading, Duration delay)
 {
--- a/test/azurepaddle/batch/load_plan.cpp
+++ b/test/azurepaddle/batch/load_plan.cpp
@@ -57,6 +57,19 @@
     cr_assert(loads[0].endpoint == EndpointId("a"));
 }
 
+// Guards against a fleet that loads each version everywhere: at two versions in a row no endpoint would be left for items.
+Test(LoadPlan, halfHoldsNewest_planned_othersKeepTheVersionBefore)
+{
+    std::vector<LoadTarget> targets;
+    for (int i = 0; i < 10; ++i)
+        targets.push_back(target("e" + std::to_string(i), red, i < 5 ? 3 : 2));
+    cr_assert(planLoads(targets, wanted(3)).empty());
+    const auto next = planLoads(targets, wanted(4));
+    cr_assert(next.size() == 2);
+    for (const Load& load : next)
+        cr_assert(load.endpoint >= EndpointId("e5"), "an endpoint that the next step can use was taken");
+}
+
 // Guards against loads of versions that an endpoint holds or that nobody named.
 Test(LoadPlan, endpointsUpToDate_planned_loadsNothing)
 {
@@ -64,6 +77,14 @@
     cr_assert(planLoads({ target("a", red, 1) }, {}).empty());
 }
 
+// Guards against an endpoint that no step can use because enough others hold the newest version.
+Test(LoadPlan, idleEndpointTwoVersionsBehind_planned_loadsInAnyCase)
+{
+    const auto loads = planLoads({ target("a", red, 3), target("b", red, 3), target("c", red, 1) }, wanted(3));
+    cr_assert(loads.size() == 1);
+    cr_assert(loads[0].endpoint == EndpointId("c"));
+}
+
 // Guards against a model without endpoints beside one that has all of them.
 Test(HomeAssignment, twoModels_assigned_shareEndpointsEqually)
 {
