--- a/src/azurepaddle/batch/load_plan.cpp
+++ b/src/azurepaddle/batch/load_plan.cpp
@@ -31,7 +31,7 @@
         const auto found = wanted.find(target.home);
         return found == wanted.end() ? WeightVersion { 0 } : found->second.version;
     };
-    const auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(targets.size()) * loadingShare));
+    const auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(static_cast<double>(targets.size()) * loadingShare)));
     auto loading = static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [](const LoadTarget& target) { return target.isLoading; }));
     std::map<ModelName, std::size_t> missing; // Endpoints that have to load the newest version of a model.
     for (const auto& [model, version] : wanted)
@@ -44,9 +44,10 @@
     });
     std::vector<Load> loads;
     for (const LoadTarget& target : targets) {
-        const bool isUseless = target.version + 1 < wantedOf(target) && target.running == 0;
+        const bool isUseless = target.version + 1 < wantedOf(target);
+        const bool isIdle = target.running == 0 && (isUseless || !wanted.at(target.home).areItemsWaiting);
         std::size_t& left = missing[target.home];
-        if (loading >= limit || (left == 0 && !isUseless))
+        if (loading >= limit || (left == 0 && !isIdle))
             continue;
         left -= std::min<std::size_t>(left, 1);
         ++loading;
--- a/src/azurepaddle/batch/load_plan.hpp
+++ b/src/azurepaddle/batch/load_plan.hpp
@@ -25,6 +25,7 @@
 struct WantedVersion {
     WeightVersion version = 0; ///< The newest named one.
     Duration age {}; ///< Since it was named.
+    bool areItemsWaiting = false; ///< Items of the model wait for a slot.
 
     friend bool operator==(const WantedVersion&, const WantedVersion&) = default;
 };
@@ -47,7 +48,8 @@
 constexpr double newestShare = 0.5;
 
 /// Chooses which endpoints load now, until enough of a model's endpoints hold its newest version: those that are the most
-/// versions behind, then those with the least running. Idle endpoints that fell behind by two versions load in any case.
+/// versions behind, then those with the least running. Beyond that, idle endpoints load while no item waits, so that the
+/// next step finds more of them.
 [[nodiscard]] std::vector<Load> planLoads(std::vector<LoadTarget> targets, const std::map<ModelName, WantedVersion>& wanted);
 
 /// Keeps each endpoint of a service assigned to one model, in equal parts, so that a new version is loaded by as few
--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -30,6 +30,9 @@
     {
         constMachine.snapshot()
         } -> std::same_as<std::string>;
+    {
+        constMachine.snapshotSize()
+        } -> std::same_as<std::size_t>; ///< About as many bytes as a snapshot has.
 };
 
 /// Settings of consensus for commands of some KiB on small machines: little is sent ahead to a participant that catches
@@ -53,6 +56,7 @@
     MembershipPolicy policy;
     consensus::RaftSettings raft = groupRaftSettings();
     std::size_t snapshotBytes = 80U * 1024U * 1024U; ///< Commands between two snapshots.
+    std::size_t maxSnapshotBytes = 512U * 1024U * 1024U; ///< A larger state is not written at once: it would not fit into memory. The snapshot waits until the state shrinks.
 };
 
 enum class ProposalStatus : unsigned char {
@@ -100,6 +104,8 @@
     [[nodiscard]] std::optional<InstanceAddress> leaderAddress() const;
     /// Peer addresses of all participants.
     [[nodiscard]] std::vector<InstanceAddress> members() const;
+    /// Whether a snapshot is overdue because the state is too large for it. Nothing large should be proposed then.
+    [[nodiscard]] bool isSnapshotOverdue() const noexcept { return m_bytesSinceSnapshot >= m_options.snapshotBytes; }
     /// Names of instances that are to be emptied.
     void setRetiring(std::set<std::string> names) { m_retiring = std::move(names); }
     /// Called when this instance becomes the leader with its log applied, or ceases to lead.
@@ -114,11 +120,20 @@
         ProposalCallback callback;
     };
 
+    /// Messages to one participant. One request at a time is on its way: requests that overtake each other would look
+    /// like lost entries to the participant, and the leader would go back to sending one message a heartbeat.
+    struct Outgoing {
+        std::vector<consensus::RaftMessage> waiting;
+        std::size_t waitingBytes = 0; ///< Of their entries and parts of snapshots.
+        bool isBusy = false;
+    };
+
     void tick();
     void scheduleStep();
     void step();
     void apply(const consensus::LogEntry& entry);
-    void send(const std::vector<consensus::RaftMessage>& messages);
+    void send(std::vector<consensus::RaftMessage> messages);
+    void sendWaiting(const InstanceId& to);
     void failPendingOfOldTerms();
     void takeSnapshotIfDue();
     void noteLeadership();
@@ -151,6 +166,7 @@
     std::uint64_t m_appliedTerm = 0;
     std::size_t m_bytesSinceSnapshot = 0;
     std::multimap<std::uint64_t, Pending> m_proposals; ///< By log index.
+    std::map<InstanceId, Outgoing> m_outgoing;
     std::map<InstanceAddress, control::IntroduceReply> m_introductions; ///< Of the current round.
     std::set<std::string> m_retiring;
     std::function<void(bool)> m_onLeadership;
--- a/src/azurepaddle/cluster/group_drive.hpp
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -11,7 +11,17 @@
 namespace internal {
 
     constexpr Duration tickInterval = std::chrono::milliseconds(10);
-    constexpr Duration raftMessageDeadline = std::chrono::seconds(2);
+    constexpr Duration raftMessageDeadline = std::chrono::seconds(1);
+    constexpr std::size_t maxWaitingMessages = 256;
+    constexpr std::size_t maxWaitingBytes = 1024U * 1024U;
+
+    [[nodiscard]] inline std::size_t bytesOf(const consensus::RaftMessage& message)
+    {
+        std::size_t bytes = message.data.size();
+        for (const consensus::LogEntry& entry : message.entries)
+            bytes += entry.data.size();
+        return bytes;
+    }
     constexpr std::size_t folderBytes = 6;
 
     /// Ends the process: what reached the disk is unknown, and guessing could break a promise.
@@ -129,7 +139,7 @@
             m_appliedIndex = ready->snapshot->index;
             m_appliedTerm = ready->snapshot->term;
         }
-        send(ready->messages);
+        send(std::move(ready->messages));
         for (const auto& entry : ready->committed)
             apply(entry);
     }
@@ -189,7 +199,7 @@
 template <typename Machine>
 void Group<Machine>::takeSnapshotIfDue()
 {
-    if (m_bytesSinceSnapshot < m_options.snapshotBytes)
+    if (m_bytesSinceSnapshot < m_options.snapshotBytes || m_machine.snapshotSize() > m_options.maxSnapshotBytes)
         return;
     const auto taken = m_node->snapshotTaken(m_appliedIndex, m_machine.snapshot());
     if (!taken)
@@ -217,18 +227,44 @@
 }
 
 template <typename Machine>
-void Group<Machine>::send(const std::vector<consensus::RaftMessage>& messages)
+void Group<Machine>::send(std::vector<consensus::RaftMessage> messages)
 {
-    std::map<InstanceId, control::RaftEnvelope> envelopes;
-    for (const auto& message : messages) {
-        auto& envelope = envelopes[message.to];
-        envelope.from = m_identity;
-        envelope.messages.push_back(message);
-    }
-    for (const auto& [to, envelope] : envelopes) {
-        if (const auto parts = parseIdentity(to))
-            m_client.send(parts->address, "raft", codec::encode(envelope), m_clock.now() + internal::raftMessageDeadline);
+    std::set<InstanceId> receivers;
+    for (consensus::RaftMessage& message : messages) {
+        Outgoing& outgoing = m_outgoing[message.to];
+        // Consensus sends again what is dropped here.
+        if (outgoing.waiting.size() >= internal::maxWaitingMessages || outgoing.waitingBytes >= internal::maxWaitingBytes)
+            continue;
+        receivers.insert(message.to);
+        outgoing.waitingBytes += internal::bytesOf(message);
+        outgoing.waiting.push_back(std::move(message));
     }
+    for (const InstanceId& to : receivers)
+        sendWaiting(to);
+}
+
+template <typename Machine>
+void Group<Machine>::sendWaiting(const InstanceId& to)
+{
+    Outgoing& outgoing = m_outgoing[to];
+    if (outgoing.isBusy || outgoing.waiting.empty())
+        return;
+    const auto parts = parseIdentity(to);
+    const control::RaftEnvelope envelope { m_identity, std::exchange(outgoing.waiting, {}) };
+    if (!parts)
+        return;
+    outgoing.waitingBytes = 0;
+    outgoing.isBusy = true;
+    m_client.send(parts->address, "raft", codec::encode(envelope), m_clock.now() + internal::raftMessageDeadline, [this, to](const transport::CallResult& result) {
+        asio::post(m_io, [this, to, isSent = result.has_value()] {
+            Outgoing& done = m_outgoing[to];
+            done.isBusy = false;
+            if (isSent)
+                return sendWaiting(to);
+            done.waiting.clear(); // It is down: what waits is old by the time it returns.
+            done.waitingBytes = 0;
+        });
+    });
 }
 
 template <typename Machine>
--- a/src/azurepaddle/config/node_settings.cpp
+++ b/src/azurepaddle/config/node_settings.cpp
@@ -70,6 +70,7 @@
             { "stop_timeout", &S::stopTimeout, range(0.5, hour), false, "Time from SIGTERM until the process is killed." },
             { "max_connections", &S::maxConnections, range(8, 65536), false, "Open connections of callers beyond which new ones are closed." },
             { "max_job_bytes", &S::maxJobBytes, { Form::Bytes, mebi, 1024 * mebi, {} }, false, "Bodies and outputs of batch jobs held in memory; beyond it new jobs are refused." },
+            { "memory", &S::memory, { Form::Bytes, 64 * mebi, 1024 * 1024 * mebi, {} }, false, "Memory that the process may use. A state larger than a sixth of it is not written as a snapshot: batch jobs are refused until it shrinks." },
         };
         return keys;
     }
--- a/src/azurepaddle/execution/item_text.cpp
+++ b/src/azurepaddle/execution/item_text.cpp
@@ -15,7 +15,7 @@
 std::string ItemText::output() const
 {
     std::string output;
-    for (const Event& event : m_events) {
+    for (const batch::TextEvent& event : m_events) {
         if (&event != &m_events.front())
             output.push_back('\n');
         output += event.data;
@@ -26,7 +26,7 @@
 std::vector<WeightVersion> ItemText::versions() const
 {
     std::vector<WeightVersion> versions;
-    for (const Event& event : m_events) {
+    for (const batch::TextEvent& event : m_events) {
         if (std::find(versions.begin(), versions.end(), event.version) == versions.end())
             versions.push_back(event.version);
     }
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -32,6 +32,8 @@
 
     /// Items of a model that run at an endpoint.
     [[nodiscard]] std::uint32_t running(const EndpointId& endpoint, const batch::ModelName& model) const;
+    /// Whether items of a model wait for a slot.
+    [[nodiscard]] bool areItemsWaiting(const batch::ModelName& model) const;
     /// Says that an endpoint loads weights of a model and pauses its items.
     void setLoading(const EndpointId& endpoint, const batch::ModelName& model, bool isLoading);
     /// Moves the items of a model away from an endpoint. False if they do not fit elsewhere.
@@ -77,6 +79,7 @@
     struct KnownText {
         ItemText text;
         TimePoint usedAt;
+        std::uint64_t kept = 0; ///< Events that are agreed on.
     };
 
     void takeJobs();
@@ -99,6 +102,7 @@
     void move(const RunPointer& run, const EndpointId& target, std::string_view cause);
     void finish(const RunPointer& run, batch::ItemResult result);
     void flushResults();
+    void keepTexts(TimePoint now);
     void giveUpOld(TimePoint now);
     void findSilent(TimePoint now);
     void moveFromSlow(TimePoint now);
@@ -130,6 +134,7 @@
     std::map<GroupId, EndpointId> m_lastOfGroup;
     std::map<batch::JobId, std::vector<batch::ItemResult>> m_results; ///< Finished, not yet proposed.
     SpeedMeter m_speed;
+    TimePoint m_nextKeep {};
     bool m_isUpdateScheduled = false;
     bool m_isFlushScheduled = false;
 };
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -13,6 +13,10 @@
     constexpr std::uint64_t tokensPerEvent = 56;
     // Texts of items that no open job wants are kept this long: their group may come again.
     constexpr Duration textLifetime = std::chrono::seconds(30);
+    // Texts of this many events are recorded, this often, with at least so many new events.
+    constexpr std::uint64_t minKeptEvents = 32;
+    constexpr std::uint64_t minNewEvents = 24;
+    constexpr Duration keepInterval = std::chrono::milliseconds(500);
     // An endpoint without any event for this long is taken for dead; its items go on elsewhere.
     constexpr Duration silenceLimit = std::chrono::milliseconds(700);
     constexpr Duration silenceAvoidance = std::chrono::seconds(2);
@@ -119,21 +123,24 @@
     for (const batch::Job* earlier : m_machine.jobs().jobs())
         run->isCarried = run->isCarried || (earlier->order < job.order && m_machine.jobs().findItem(earlier->spec.id, item.id));
     m_runs[run->job][run->item] = run;
-    if (run->isCarried)
-        adoptText(run);
+    adoptText(run);
 }
 
 /// Uses what an earlier job generated of the item, if this job may.
 template <typename Protocol>
 void JobRunner<Protocol>::adoptText(const RunPointer& run)
 {
-    const auto result = m_machine.jobs().findCompleted(run->item);
+    const auto result = run->isCarried ? m_machine.jobs().findCompleted(run->item) : std::nullopt;
     if (result && fitsVersions(result->versions, run->minVersion, run->isSingleVersion)) {
         m_log.info("item id={} job={} outcome=reused", run->item, run->job);
         return finish(run, *result);
     }
     KnownText& known = m_texts[run->item];
     known.usedAt = m_clock.now();
+    if (known.text.events() == 0) {
+        known.text = ItemText(m_machine.texts().find(run->item));
+        known.kept = known.text.events();
+    }
     if (!fitsVersions(known.text.versions(), run->minVersion, run->isSingleVersion))
         known.text.clear();
     if (known.text.events() > 0)
@@ -247,6 +254,7 @@
     if (!m_isLeading)
         return;
     const TimePoint now = m_clock.now();
+    keepTexts(now);
     giveUpOld(now);
     findSilent(now);
     moveFromSlow(now);
@@ -257,6 +265,34 @@
     update();
 }
 
+/// Records what long items generated, so that the next leader goes on with them. Short ones are soon made again.
+template <typename Protocol>
+void JobRunner<Protocol>::keepTexts(TimePoint now)
+{
+    if (now < m_nextKeep || !m_group.isCurrent())
+        return;
+    m_nextKeep = now + internal::keepInterval;
+    registry::KeepTexts command;
+    for (const auto& [job, runs] : m_runs) {
+        for (const auto& [item, run] : runs) {
+            const auto known = m_texts.find(item);
+            if (run->stage == Stage::Listing || known == m_texts.end() || known->second.text.events() < internal::minKeptEvents)
+                continue;
+            KnownText& text = known->second;
+            if (text.kept > text.text.events())
+                text.kept = 0; // The item was begun again.
+            if (text.text.events() < text.kept + internal::minNewEvents)
+                continue;
+            command.parts.push_back({ item, text.kept + 1, text.text.after(text.kept) });
+            text.kept = text.text.events();
+        }
+    }
+    if (command.parts.empty())
+        return;
+    m_log.debug("texts kept items={}", command.parts.size());
+    m_group.propose(registry::encodeCommand(command), [](const cluster::ProposalResult&) {});
+}
+
 template <typename Protocol>
 void JobRunner<Protocol>::giveUpOld(TimePoint now)
 {
@@ -324,6 +360,14 @@
     return count == found->second.end() ? 0 : count->second;
 }
 
+template <typename Protocol>
+bool JobRunner<Protocol>::areItemsWaiting(const batch::ModelName& model) const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& job) {
+        return std::any_of(job.second.begin(), job.second.end(), [&](const auto& entry) { return entry.second->model == model && entry.second->stage == Stage::Waiting; });
+    });
+}
+
 template <typename Protocol>
 void JobRunner<Protocol>::setLoading(const EndpointId& endpoint, const batch::ModelName& model, bool isLoading)
 {
--- a/src/azurepaddle/execution/weight_loader_impl.hpp
+++ b/src/azurepaddle/execution/weight_loader_impl.hpp
@@ -7,9 +7,9 @@
 namespace internal {
 
     constexpr Duration planInterval = std::chrono::milliseconds(50);
-    constexpr Duration orderTimeout = std::chrono::milliseconds(700);
+    constexpr Duration orderTimeout = std::chrono::milliseconds(400);
     // An order of an earlier holder may be on its way this long after the end of its lease.
-    constexpr Duration orderMargin = orderTimeout + std::chrono::milliseconds(300);
+    constexpr Duration orderMargin = orderTimeout + std::chrono::milliseconds(100);
     // A load takes this long. The next response shows the version that is really held.
     constexpr Duration loadTime = std::chrono::milliseconds(930);
     // The status that an endpoint gives is up to this old.
@@ -141,7 +141,7 @@
 {
     std::map<batch::ModelName, batch::WantedVersion> wanted;
     for (const auto& [model, named] : m_namedAt)
-        wanted[model] = { named.first, now - named.second };
+        wanted[model] = { named.first, now - named.second, m_runner.areItemsWaiting(model) };
     const auto all = targets(now);
     for (const batch::Load& load : batch::planLoads(all, wanted)) {
         const auto target = std::find_if(all.begin(), all.end(), [&](const batch::LoadTarget& candidate) { return candidate.id == load.endpoint; });
--- a/src/azurepaddle/registry/commands.hpp
+++ b/src/azurepaddle/registry/commands.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/batch/job_store.hpp"
+#include "azurepaddle/batch/text_store.hpp"
 #include "azurepaddle/registry/endpoint.hpp"
 
 #include <optional>
@@ -81,7 +82,13 @@
     MSGPACK_DEFINE(instance)
 };
 
-using Command = std::variant<PutConfiguration, NameVersion, SetEndpoint, LeaveEndpoint, ForgetEndpoint, AcceptJob, ListResults, EndJob, RemoveJob, ClaimOrders, RetireInstance>;
+/// What running items generated so far.
+struct KeepTexts {
+    std::vector<batch::TextPart> parts;
+    MSGPACK_DEFINE(parts)
+};
+
+using Command = std::variant<PutConfiguration, NameVersion, SetEndpoint, LeaveEndpoint, ForgetEndpoint, AcceptJob, ListResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, KeepTexts>;
 
 [[nodiscard]] std::string encodeCommand(const Command& command);
 /// Nothing if the bytes are no command of this version.
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -194,8 +194,8 @@
     const batch::JobId id = request.spec.id;
     if (m_machine.jobs().find(id))
         return answer.ok({ true });
-    if (m_machine.jobs().bytes() > m_options.maxJobBytes) {
-        m_log.warning("job id={} refused: {} bytes of jobs are held", id, m_machine.jobs().bytes());
+    if (m_machine.jobs().bytes() > m_options.maxJobBytes || m_group.isSnapshotOverdue()) {
+        m_log.warning("job id={} refused: {} bytes of jobs are held, snapshot-overdue={}", id, m_machine.jobs().bytes(), m_group.isSnapshotOverdue());
         return answer.ok({ false });
     }
     m_log.info("job id={} model={} step={} items={} min-version={} groups={}", id, request.spec.model, request.spec.step, request.spec.items.size(), request.spec.minVersion, request.spec.groupCount);
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -16,7 +16,8 @@
         std::vector<batch::JobSnapshot> jobs;
         ClaimOrders orderHolder;
         std::set<std::string> retiring;
-        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orderHolder, retiring)
+        std::vector<batch::TextPart> texts;
+        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orderHolder, retiring, texts)
     };
 
     // A snapshot holds all jobs, which may exceed the limit of messages between instances.
@@ -77,6 +78,8 @@
 std::string StateMachine::run(const ListResults& command)
 {
     m_jobs.list(command.job, command.results);
+    for (const batch::ItemResult& result : command.results)
+        m_texts.forget(result.id);
     return {};
 }
 
@@ -88,6 +91,10 @@
 
 std::string StateMachine::run(const RemoveJob& command)
 {
+    if (const batch::Job* job = m_jobs.find(command.job)) {
+        for (const batch::ItemSpec& item : job->spec.items)
+            m_texts.forget(item.id);
+    }
     m_jobs.remove(command.job);
     return {};
 }
@@ -105,6 +112,13 @@
     return {};
 }
 
+std::string StateMachine::run(const KeepTexts& command)
+{
+    for (const batch::TextPart& part : command.parts)
+        m_texts.add(part);
+    return {};
+}
+
 std::optional<WeightVersion> StateMachine::namedVersion(const batch::ModelName& model) const
 {
     const auto found = m_versions.find(model.value());
@@ -113,7 +127,7 @@
 
 std::string StateMachine::snapshot() const
 {
-    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orderHolder, m_retiring };
+    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orderHolder, m_retiring, m_texts.snapshot() };
     for (const auto& [id, record] : m_directory.records())
         state.endpoints.push_back(record);
     return codec::encode(state);
@@ -133,6 +147,7 @@
     m_jobs.restore(std::move(state->jobs));
     m_orderHolder = std::move(state->orderHolder);
     m_retiring = std::move(state->retiring);
+    m_texts.restore(state->texts);
     return true;
 }
 
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -18,6 +18,7 @@
     /// Applies an encoded command. The reply is an encoded ConfigurationOutcome for PutConfiguration, and empty otherwise.
     [[nodiscard]] std::string apply(const std::string& bytes);
     [[nodiscard]] std::string snapshot() const;
+    [[nodiscard]] std::size_t snapshotSize() const noexcept { return m_jobs.bytes(); }
     [[nodiscard]] bool restore(const std::string& bytes);
 
     [[nodiscard]] const ConfigurationDocument& configuration() const noexcept { return m_configuration; }
@@ -26,6 +27,7 @@
     [[nodiscard]] const std::map<std::string, WeightVersion>& namedVersions() const noexcept { return m_versions; }
     [[nodiscard]] const Directory& directory() const noexcept { return m_directory; }
     [[nodiscard]] const batch::JobStore& jobs() const noexcept { return m_jobs; }
+    [[nodiscard]] const batch::TextStore& texts() const noexcept { return m_texts; }
     [[nodiscard]] const ClaimOrders& orderHolder() const noexcept { return m_orderHolder; }
     [[nodiscard]] const std::set<std::string>& retiring() const noexcept { return m_retiring; }
 
@@ -41,11 +43,13 @@
     std::string run(const RemoveJob& command);
     std::string run(ClaimOrders command);
     std::string run(const RetireInstance& command);
+    std::string run(const KeepTexts& command);
 
     ConfigurationDocument m_configuration;
-    std::map<std::string, WeightVersion> m_versions; ///< By model.
+    std::map<std::string, WeightVersion> m_versions; ///< Named ones, by model.
     Directory m_directory;
     batch::JobStore m_jobs;
+    batch::TextStore m_texts;
     ClaimOrders m_orderHolder;
     std::set<std::string> m_retiring;
 };
--- a/src/azurepaddle/storage/scratch_store.cpp
+++ b/src/azurepaddle/storage/scratch_store.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr std::uint64_t segmentBytes = 8U * 1024U * 1024U;
+    constexpr std::size_t writeBytes = 256U * 1024U;
 
     bool writeAll(int file, std::string_view bytes, std::uint64_t offset)
     {
@@ -54,27 +55,38 @@
     }
 }
 
-void ScratchStore::openSegment(bool isInMemory)
+void ScratchStore::openSegment()
 {
     Segment segment;
     ++m_newest;
-    if (!isInMemory && !m_folder.empty())
+    if (!m_folder.empty())
         segment.file = ::open(pathOf(m_newest).c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     m_segments.emplace(m_newest, std::move(segment));
 }
 
+/// Writes what is not written yet. Keeps it if the disk takes nothing.
+void ScratchStore::write(Segment& segment)
+{
+    if (segment.file < 0 || !writeAll(segment.file, segment.unwritten, segment.written))
+        return;
+    segment.written += segment.unwritten.size();
+    segment.unwritten = {};
+}
+
 ScratchRef ScratchStore::append(std::string_view text)
 {
-    if (m_segments.empty() || m_segments.at(m_newest).size >= segmentBytes)
-        openSegment(false);
-    if (Segment& segment = m_segments.at(m_newest); segment.file >= 0 && !writeAll(segment.file, text, segment.size))
-        openSegment(true);
+    if (m_segments.empty() || m_segments.at(m_newest).size >= segmentBytes) {
+        if (!m_segments.empty())
+            write(m_segments.at(m_newest));
+        openSegment();
+    }
     Segment& segment = m_segments.at(m_newest);
-    if (segment.file < 0)
-        segment.texts.append(text);
     const ScratchRef ref { m_newest, segment.size, text.size() };
+    segment.unwritten.append(text);
     segment.size += text.size();
     segment.live += text.size();
+    if (segment.unwritten.size() >= writeBytes)
+        write(segment);
     return ref;
 }
 
@@ -83,12 +95,13 @@
     const auto found = m_segments.find(ref.segment);
     if (found == m_segments.end())
         return {};
-    if (found->second.file < 0)
-        return found->second.texts.substr(ref.offset, ref.size);
+    const Segment& segment = found->second;
+    if (ref.offset >= segment.written)
+        return segment.unwritten.substr(ref.offset - segment.written, ref.size);
     std::string text(ref.size, '\0');
     std::size_t filled = 0;
     while (filled < text.size()) {
-        const ssize_t got = ::pread(found->second.file, text.data() + filled, text.size() - filled, static_cast<off_t>(ref.offset + filled));
+        const ssize_t got = ::pread(segment.file, text.data() + filled, text.size() - filled, static_cast<off_t>(ref.offset + filled));
         if (got <= 0)
             return {};
         filled += static_cast<std::size_t>(got);
--- a/src/azurepaddle/storage/scratch_store.hpp
+++ b/src/azurepaddle/storage/scratch_store.hpp
@@ -17,7 +17,8 @@
 };
 
 /// Keeps texts outside of memory, in files that are never synced and are emptied at the next start: whoever uses it can
-/// make the texts again, for example from a log. Where a file cannot be written, texts stay in memory. Not thread-safe.
+/// make the texts again, for example from a log. Texts are written many at a time, because each write waits for the disk;
+/// where a file cannot be written, they stay in memory. Not thread-safe.
 class ScratchStore {
 public:
     /// An empty folder name keeps everything in memory. Stores of one folder need different names, of letters.
@@ -36,14 +37,16 @@
 private:
     struct Segment {
         int file = -1; ///< -1: the texts are in memory.
-        std::string texts; ///< If they are in memory.
+        std::string unwritten; ///< The last part of the texts.
+        std::uint64_t written = 0; ///< Bytes in the file.
         std::uint64_t size = 0;
         std::uint64_t live = 0; ///< Bytes of texts that were not given up.
     };
 
     [[nodiscard]] std::string pathOf(std::uint32_t number) const;
     void removeLeftOvers() const;
-    void openSegment(bool isInMemory);
+    void openSegment();
+    static void write(Segment& segment);
     void closeSegment(std::uint32_t number, Segment& segment) const;
 
     std::string m_folder;
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -30,6 +30,9 @@
         return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
     }
 
+    // A snapshot is held several times while it is encoded and written.
+    constexpr std::uint64_t snapshotMemoryShare = 6;
+
     cluster::GroupOptions groupOptions(const config::NodeSettings& settings)
     {
         cluster::GroupOptions options;
@@ -37,6 +40,7 @@
         options.address = settings.peerAddress();
         options.dataFolder = settings.node.dataFolder;
         options.raft.scratchFolder = settings.node.dataFolder;
+        options.maxSnapshotBytes = settings.bounds.memory / snapshotMemoryShare;
         options.seeds = settings.seedPeers();
         options.mayFound = settings.peer.isFirstStart;
         options.policy.voters = 2 * settings.bounds.toleratedLosses + 1;
--- /dev/null
+++ b/test/azurepaddle/batch/text_store.cpp
@@ -0,0 +1,49 @@
+#include "azurepaddle/batch/text_store.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace azurepaddle;
+using namespace azurepaddle::batch;
+
+namespace {
+
+const ItemId item("i");
+
+TextPart part(std::uint64_t first, std::vector<TextEvent> events)
+{
+    return { item, first, std::move(events) };
+}
+
+}
+
+// Guards against a text with a missing or doubled event after a change of the leader.
+Test(TextStore, partsInOrder_added_others_areIgnored)
+{
+    TextStore store;
+    store.add(part(1, { { "one", 3 } }));
+    store.add(part(3, { { "three", 3 } }));
+    store.add(part(2, { { "two", 4 } }));
+    cr_assert(store.find(item) == std::vector<TextEvent>({ { "one", 3 }, { "two", 4 } }));
+}
+
+// Guards against the old text of an item that was begun again.
+Test(TextStore, itemBegunAgain_replacesItsText)
+{
+    TextStore store;
+    store.add(part(1, { { "one", 3 }, { "two", 3 } }));
+    store.add(part(1, { { "uno", 4 } }));
+    cr_assert(store.find(item) == std::vector<TextEvent>({ { "uno", 4 } }));
+    store.forget(item);
+    cr_assert(store.find(item).empty());
+    cr_assert(store.size() == 0);
+}
+
+// Guards against a new participant that lacks the texts of running items.
+Test(TextStore, snapshot_restored_isEqual)
+{
+    TextStore store;
+    store.add(part(1, { { "one", 3 }, { "two", 4 } }));
+    TextStore restored;
+    restored.restore(store.snapshot());
+    cr_assert(restored.find(item) == store.find(item));
+}
--- a/test/azurepaddle/cluster/group.cpp
+++ b/test/azurepaddle/cluster/group.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <filesystem>
+#include <mutex>
 
 using namespace azurepaddle;
 using namespace azurepaddle::cluster;
@@ -18,6 +19,7 @@
         return "applied " + command;
     }
     [[nodiscard]] std::string snapshot() const { return codec::encode(commands); }
+    [[nodiscard]] std::size_t snapshotSize() const { return commands.size(); }
     bool restore(const std::string& bytes)
     {
         auto restored = codec::decode<std::vector<std::string>>(bytes);
@@ -217,3 +219,92 @@
     fixture.participants[first]->group.giveUpLeadership();
     cr_assert(fixture.runUntil([&] { return fixture.leader().has_value() && *fixture.leader() != first; }));
 }
+
+namespace {
+
+/// A participant that says it is new and holds its replies to messages of consensus until it is told to send them.
+struct HeldPeer {
+    HeldPeer()
+        : server([this] {
+            transport::ServerOptions options;
+            options.listen = { "127.0.0.1", 0 };
+            options.secret = "the shared secret";
+            return options;
+        }())
+    {
+        server.handleDeferred("introduce", [this](const transport::PeerRequest&, const transport::PeerResponder& respond) {
+            respond(codec::encode(control::IntroduceReply { formatIdentity({ "held", server.address(), "ab" }), true, {}, {} }));
+        });
+        server.handleDeferred("raft", [this](const transport::PeerRequest&, transport::PeerResponder respond) {
+            const std::lock_guard lock(mutex);
+            ++received;
+            held.push_back(std::move(respond));
+        });
+        cr_assert(server.start().has_value());
+    }
+    ~HeldPeer()
+    {
+        release();
+        server.stop();
+    }
+
+    void release()
+    {
+        const std::lock_guard lock(mutex);
+        for (const auto& respond : held)
+            respond(std::string());
+        held.clear();
+    }
+    std::size_t count()
+    {
+        const std::lock_guard lock(mutex);
+        return received;
+    }
+
+    std::mutex mutex;
+    std::size_t received = 0;
+    std::vector<transport::PeerResponder> held;
+    transport::PeerServer server;
+};
+
+}
+
+// Guards against messages to one participant that overtake each other: to it, entries behind a large message look lost,
+// and the leader goes back to one message a heartbeat (commits stalled for seconds under large commands).
+Test(Group, messageOnItsWay_furtherOnes_waitForIt)
+{
+    const std::filesystem::path folder = std::filesystem::temp_directory_path() / ("azurepaddle-group-" + randomHex(6));
+    HeldPeer peer;
+    asio::io_context io(1);
+    // The founder is the seed with the lowest address.
+    InstanceAddress own { "127.0.0.1", freePort() };
+    while (own > peer.server.address())
+        own.port = freePort();
+    GroupOptions options;
+    options.name = "founder";
+    options.address = own;
+    options.dataFolder = folder.string();
+    options.seeds = { own, peer.server.address() };
+    options.mayFound = true;
+    transport::ServerOptions serverOptions;
+    serverOptions.listen = own;
+    serverOptions.secret = "the shared secret";
+    transport::ClientOptions clientOptions;
+    clientOptions.secret = "the shared secret";
+    {
+        Participant founder(io, options, serverOptions, clientOptions);
+        const auto runFor = [&](std::chrono::milliseconds time) { io.run_for(time); };
+        const SystemClock clock;
+        const TimePoint end = clock.now() + std::chrono::seconds(30);
+        while (peer.count() == 0 && clock.now() < end)
+            runFor(std::chrono::milliseconds(10));
+        cr_assert(peer.count() == 1);
+        runFor(std::chrono::milliseconds(700)); // Several more requests for votes are due in this time.
+        cr_assert(peer.count() == 1);
+        peer.release();
+        while (peer.count() == 1 && clock.now() < end)
+            runFor(std::chrono::milliseconds(10));
+        cr_assert(peer.count() == 2);
+    }
+    std::filesystem::remove_all(folder);
+}
