--- a/src/azurepaddle/batch/load_plan.cpp
+++ b/src/azurepaddle/batch/load_plan.cpp
@@ -106,11 +106,12 @@
 {
     for (std::size_t moves = 0; moves < m_homes.size(); ++moves) {
         const auto byCount = [&](const ModelName& a, const ModelName& b) { return countOf(a) < countOf(b); };
-        const auto [fewest, most] = std::minmax_element(models.begin(), models.end(), byCount);
-        if (countOf(*most) < countOf(*fewest) + 2)
+        const ModelName& fewest = *std::min_element(models.begin(), models.end(), byCount);
+        const ModelName& most = *std::max_element(models.begin(), models.end(), byCount);
+        if (countOf(most) < countOf(fewest) + 2)
             return;
-        const auto moved = std::find_if(m_homes.begin(), m_homes.end(), [&](const auto& entry) { return entry.second == *most; });
-        moved->second = *fewest;
+        const auto moved = std::find_if(m_homes.begin(), m_homes.end(), [&](const auto& entry) { return entry.second == most; });
+        moved->second = fewest;
     }
 }
 
--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -50,7 +50,7 @@
     Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, Random& random, metrics::Registry& metrics);
 
     /// Takes over the request. The table stays alive until it is answered.
-    void forward(http1::ExchangePointer exchange, std::shared_ptr<const RouteTable> table, const Route& route);
+    void forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route);
     [[nodiscard]] std::size_t inProgress() const noexcept { return m_inProgress; }
 
 private:
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -29,7 +29,7 @@
 }
 
 template <typename Protocol>
-void Forwarder<Protocol>::forward(http1::ExchangePointer exchange, std::shared_ptr<const RouteTable> table, const Route& route)
+void Forwarder<Protocol>::forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route)
 {
     const auto forwarding = std::make_shared<Forwarding>();
     forwarding->id = Protocol::requestId(exchange->request());
@@ -38,8 +38,8 @@
     forwarding->deadline = forwarding->receivedAt + std::min(patience, route.timeout);
     forwarding->route = &route;
     forwarding->service = table->findService(chooseService(route, m_random.uniform()));
-    forwarding->table = std::move(table);
-    forwarding->exchange = std::move(exchange);
+    forwarding->table = table;
+    forwarding->exchange = exchange;
     forwarding->exchange->setOnClosed([this, weak = std::weak_ptr(forwarding)] {
         if (const auto left = weak.lock())
             clientLeft(left);
--- a/src/azurepaddle/http1/client.cpp
+++ b/src/azurepaddle/http1/client.cpp
@@ -163,7 +163,7 @@
                 return;
             const bool isForeign = std::exchange(m_isDiscarding, false);
             if (!isForeign)
-                return onMessageDone(std::move(rest));
+                return onMessageDone(rest);
             m_parser = ResponseParser(m_shared->limits);
             m_isHeadTaken = false;
             bytes = std::move(rest);
@@ -190,7 +190,7 @@
             events->onBody(std::move(body));
     }
 
-    void ClientConnection::onMessageDone(std::string rest)
+    void ClientConnection::onMessageDone(const std::string& rest)
     {
         const bool isClean = rest.empty() && m_parser.keepsAlive() && !m_isWriting;
         const Duration kept = keepAliveTime(m_parser.head()).value_or(m_options.maxIdle + keepAliveMargin) - keepAliveMargin;
--- a/src/azurepaddle/http1/client_connection.hpp
+++ b/src/azurepaddle/http1/client_connection.hpp
@@ -44,7 +44,7 @@
     void take(std::string bytes);
     [[nodiscard]] bool takeHead();
     void deliverBody();
-    void onMessageDone(std::string rest);
+    void onMessageDone(const std::string& rest);
     void finish(CallEndKind kind, std::string message);
     void armTimer(TimePoint at);
 
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -32,7 +32,7 @@
 {
 }
 
-void CallerApi::handle(http1::ExchangePointer exchange)
+void CallerApi::handle(const http1::ExchangePointer& exchange)
 {
     const http1::Request& request = exchange->request();
     const std::string_view path = http1::pathOf(request.target);
@@ -55,7 +55,7 @@
     }
     if (route->kind == gateway::RouteKind::Batch)
         return submit(exchange, *route);
-    m_forwarder.forward(std::move(exchange), m_routes, *route);
+    m_forwarder.forward(exchange, m_routes, *route);
 }
 
 TimePoint CallerApi::deadlineOf(const http1::Exchange& exchange) const
--- a/src/azurepaddle/platform/caller_api.hpp
+++ b/src/azurepaddle/platform/caller_api.hpp
@@ -17,7 +17,7 @@
 
     /// Replaces the configuration. Null until one is known.
     void setRoutes(std::shared_ptr<const gateway::RouteTable> routes) { m_routes = std::move(routes); }
-    void handle(http1::ExchangePointer exchange);
+    void handle(const http1::ExchangePointer& exchange);
 
 private:
     void submit(const http1::ExchangePointer& exchange, const gateway::Route& route);
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -34,8 +34,7 @@
 }
 
 EntryNode::EntryNode(asio::io_context& io, config::NodeSettings settings)
-    : m_io(io)
-    , m_settings(std::move(settings))
+    : m_settings(std::move(settings))
     , m_random(std::random_device {}())
     , m_peerClient(peerClientOptions(m_settings))
     , m_leader(io, m_peerClient)
@@ -43,7 +42,7 @@
     , m_balancer(DataCentreName(m_settings.node.dataCentre))
     , m_forwarder(io, m_pool, m_balancer, m_random, m_metrics)
     , m_callers(m_forwarder, m_leader)
-    , m_callerServer(io, [this](http1::ExchangePointer exchange) { m_callers.handle(std::move(exchange)); })
+    , m_callerServer(io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); })
     , m_readyServer(
           io, [this](const http1::ExchangePointer& exchange) { answerReady(exchange); }, smallServer())
     , m_metricsServer(
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -29,7 +29,6 @@
     [[nodiscard]] bool isReady() const;
     void watchDrain();
 
-    asio::io_context& m_io;
     const config::NodeSettings m_settings;
     const Log m_log { "entry" };
     const SystemClock m_clock {};
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -64,8 +64,7 @@
 }
 
 StoreNode::StoreNode(asio::io_context& io, config::NodeSettings settings)
-    : m_io(io)
-    , m_settings(std::move(settings))
+    : m_settings(std::move(settings))
     , m_peerClient(peerClientOptions(m_settings))
     , m_peerServer(peerServerOptions(m_settings))
     , m_machine(m_settings.node.dataFolder)
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -30,7 +30,6 @@
     void noteMemory();
     void watchDrain(TimePoint since);
 
-    asio::io_context& m_io;
     const config::NodeSettings m_settings;
     const Log m_log { "store" };
     const SystemClock m_clock {};
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -41,7 +41,7 @@
     metrics::Registry metrics;
     Forwarder<TestProtocol> forwarder { io, pool, balancer, random, metrics };
     std::shared_ptr<const RouteTable> table;
-    Server server { io, [this](ExchangePointer exchange) { forwarder.forward(std::move(exchange), table, table->routes().front()); } };
+    Server server { io, [this](const ExchangePointer& exchange) { forwarder.forward(exchange, table, table->routes().front()); } };
     std::vector<std::unique_ptr<RawPeer>> endpoints;
     std::vector<registry::EndpointRecord> records;
 
