Begin the record of a text again with the text

How many events of a running item are recorded was kept beside its text and reset in two places of three: when an item's earlier text did not fit a new job's versions, the text was cleared and the count stayed. A text that outgrew the old count between two looks was then recorded behind the events of the first run, and the next leader would have gone on with the events of two runs. Ruled out: a wrong result without a change of the leader (results come from the runner's own text). Change: ItemText keeps the count itself and clears it with its events; the runner asks it for what is not recorded yet. Conclusion: the count cannot differ from its text any more.

--- a/src/azurepaddle/execution/item_text.cpp
+++ b/src/azurepaddle/execution/item_text.cpp
@@ -12,6 +12,15 @@
     return true;
 }
 
+std::optional<batch::TextPart> ItemText::takeUnrecorded(const batch::ItemId& item, std::uint64_t least, std::uint64_t leastNew)
+{
+    if (m_events.size() < least || m_events.size() < m_recorded + leastNew)
+        return std::nullopt;
+    batch::TextPart part { item, m_recorded + 1, { m_events.begin() + static_cast<std::ptrdiff_t>(m_recorded), m_events.end() } };
+    m_recorded = m_events.size();
+    return part;
+}
+
 std::string ItemText::output() const
 {
     std::string output;
--- a/src/azurepaddle/execution/item_text.hpp
+++ b/src/azurepaddle/execution/item_text.hpp
@@ -12,19 +12,26 @@
 class ItemText {
 public:
     ItemText() = default;
-    /// Takes over events that were kept.
+    /// Takes over events that are recorded.
     explicit ItemText(std::vector<batch::TextEvent> events) noexcept
         : m_events(std::move(events))
+        , m_recorded(m_events.size())
     {
     }
 
     /// Adds the event with this number, counted from 1. False if it is not the next one.
     [[nodiscard]] bool append(std::uint64_t number, std::string data, WeightVersion version);
-    void clear() { m_events.clear(); }
+    /// Begins the text again: what was recorded of it is void.
+    void clear()
+    {
+        m_events.clear();
+        m_recorded = 0;
+    }
 
     [[nodiscard]] std::uint64_t events() const noexcept { return m_events.size(); }
-    /// The events behind a number of them.
-    [[nodiscard]] std::vector<batch::TextEvent> after(std::uint64_t number) const { return { m_events.begin() + static_cast<std::ptrdiff_t>(number), m_events.end() }; }
+    /// The events that are not recorded yet, which count as recorded from now on. Nothing while the text has fewer events
+    /// than `least`, or fewer new ones than `leastNew`.
+    [[nodiscard]] std::optional<batch::TextPart> takeUnrecorded(const batch::ItemId& item, std::uint64_t least, std::uint64_t leastNew);
     /// The data of all events, separated by line feeds.
     [[nodiscard]] std::string output() const;
     /// The versions that made an event, in the order of first use.
@@ -32,6 +39,7 @@
 
 private:
     std::vector<batch::TextEvent> m_events;
+    std::uint64_t m_recorded = 0; ///< Events that were taken for the record.
 };
 
 /// Whether a job with these bounds may use a text that these versions made.
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -79,7 +79,6 @@
     struct KnownText {
         ItemText text;
         TimePoint usedAt;
-        std::uint64_t kept = 0; ///< Events that are agreed on.
     };
 
     void takeJobs();
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -137,10 +137,8 @@
     }
     KnownText& known = m_texts[run->item];
     known.usedAt = m_clock.now();
-    if (known.text.events() == 0) {
+    if (known.text.events() == 0)
         known.text = ItemText(m_machine.texts().find(run->item));
-        known.kept = known.text.events();
-    }
     if (!fitsVersions(known.text.versions(), run->minVersion, run->isSingleVersion))
         known.text.clear();
     if (known.text.events() > 0)
@@ -276,15 +274,10 @@
     for (const auto& [job, runs] : m_runs) {
         for (const auto& [item, run] : runs) {
             const auto known = m_texts.find(item);
-            if (run->stage == Stage::Listing || known == m_texts.end() || known->second.text.events() < internal::minKeptEvents)
-                continue;
-            KnownText& text = known->second;
-            if (text.kept > text.text.events())
-                text.kept = 0; // The item was begun again.
-            if (text.text.events() < text.kept + internal::minNewEvents)
+            if (run->stage == Stage::Listing || known == m_texts.end())
                 continue;
-            command.parts.push_back({ item, text.kept + 1, text.text.after(text.kept) });
-            text.kept = text.text.events();
+            if (auto part = known->second.text.takeUnrecorded(item, internal::minKeptEvents, internal::minNewEvents))
+                command.parts.push_back(std::move(*part));
         }
     }
     if (command.parts.empty())
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -156,7 +156,6 @@
     ItemText& text = textOf(*run);
     if (run->isSingleVersion && !text.versions().empty() && text.versions().back() != run->version) {
         text.clear();
-        m_texts[run->item].kept = 0;
         return requeue(run, "version changed", Duration::zero());
     }
     if (!number || !text.append(*number, std::move(event.data), run->version)) {
--- a/test/azurepaddle/execution/parts.cpp
+++ b/test/azurepaddle/execution/parts.cpp
@@ -48,6 +48,32 @@
     cr_assert(fitsVersions({}, 9, true));
 }
 
+// Guards against a record that joins the events of two runs: a text that was begun again outgrew what was recorded of the
+// first run, and its later events were added behind the old ones.
+Test(ItemText, textBegunAgain_recorded_startsAtItsFirstEvent)
+{
+    const batch::ItemId item("i");
+    ItemText text;
+    for (std::uint64_t number = 1; number <= 4; ++number)
+        cr_assert(text.append(number, "old", 1));
+    cr_assert(text.takeUnrecorded(item, 4, 2) == batch::TextPart({ item, 1, { { "old", 1 }, { "old", 1 }, { "old", 1 }, { "old", 1 } } }));
+    cr_assert(!text.takeUnrecorded(item, 4, 2));
+    text.clear();
+    for (std::uint64_t number = 1; number <= 6; ++number)
+        cr_assert(text.append(number, "new", 2));
+    const auto part = text.takeUnrecorded(item, 4, 2);
+    cr_assert(part && part->firstEvent == 1 && part->events.size() == 6);
+}
+
+// Guards against a new leader that records again what it took over.
+Test(ItemText, recordedEventsTakenOver_onlyNewOnesAreRecorded)
+{
+    const batch::ItemId item("i");
+    ItemText text({ { "one", 1 }, { "two", 1 } });
+    cr_assert(text.append(3, "three", 1));
+    cr_assert(text.takeUnrecorded(item, 1, 1) == batch::TextPart({ item, 3, { { "three", 1 } } }));
+}
+
 // Guards against a slowed endpoint that is not told from the others.
 Test(SpeedMeter, oneEndpointSlowed_isFoundByTheMedian)
 {
