Name once what the nodes decide twice and drop what nobody calls

Cause: the last read found the version that an endpoint holds decided in the runner and in the loader, the description of a running item, the listening lambda and the message limits written twice, six members without a caller, and the list of jobs sorted anew for each item of a new job. Ruled out: sharing the command line of azurepaddled and azurepaddle-node (needs a module of its own), merging cluster::Group with control::ControlGroup (different founding). Change: Liveness::versionOf, JobRunner::describe, http_options.hpp; one list of jobs for each look; unused members and includes removed. Behaviour is the same.

--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -82,7 +82,7 @@
     };
 
     void takeJobs();
-    void addRun(const batch::Job& job, const batch::ItemSpec& item);
+    void addRun(const batch::Job& job, const batch::ItemSpec& item, const std::vector<const batch::Job*>& jobs);
     void adoptText(const RunPointer& run);
     void dropRun(const RunPointer& run, std::string_view reason);
     void place();
@@ -105,6 +105,7 @@
     void giveUpOld(TimePoint now);
     void findSilent(TimePoint now);
     void moveFromSlow(TimePoint now);
+    [[nodiscard]] batch::RunningItem describe(const Run& run, std::size_t index, TimePoint now) const;
     [[nodiscard]] std::uint64_t remainingTokens(const Run& run) const;
     [[nodiscard]] std::optional<WeightVersion> onlyVersion(const Run& run) const;
     [[nodiscard]] const batch::ItemSpec* specOf(const Run& run) const { return m_machine.jobs().findItem(run.job, run.item); }
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -80,14 +80,15 @@
 template <typename Protocol>
 void JobRunner<Protocol>::takeJobs()
 {
-    for (const batch::Job* job : m_machine.jobs().jobs()) {
+    const std::vector<const batch::Job*> jobs = m_machine.jobs().jobs();
+    for (const batch::Job* job : jobs) {
         const auto known = m_runs.find(job->spec.id);
         if (job->isEnded || known != m_runs.end())
             continue;
         m_runs[job->spec.id];
         for (const batch::ItemSpec& item : job->spec.items) {
             if (!m_machine.jobs().isListed(job->spec.id, item.id))
-                addRun(*job, item);
+                addRun(*job, item, jobs);
         }
     }
     std::vector<RunPointer> ended;
@@ -107,7 +108,7 @@
 }
 
 template <typename Protocol>
-void JobRunner<Protocol>::addRun(const batch::Job& job, const batch::ItemSpec& item)
+void JobRunner<Protocol>::addRun(const batch::Job& job, const batch::ItemSpec& item, const std::vector<const batch::Job*>& jobs)
 {
     const batch::JobSpec& spec = job.spec;
     const auto run = std::make_shared<Run>();
@@ -120,7 +121,7 @@
     run->maxAttempts = spec.maxAttempts;
     run->retention = std::chrono::milliseconds(spec.retentionMs);
     run->acceptedAt = m_clock.now();
-    for (const batch::Job* earlier : m_machine.jobs().jobs())
+    for (const batch::Job* earlier : jobs)
         run->isCarried = run->isCarried || (earlier->order < job.order && m_machine.jobs().findItem(earlier->spec.id, item.id));
     m_runs[run->job][run->item] = run;
     adoptText(run);
@@ -179,12 +180,7 @@
             for (const auto& [other, count] : found->second)
                 load.running += count;
         }
-        const auto* live = m_liveness.find(id);
-        load.version = record.versionOf(model);
-        if (live && live->startedMs == record.startedMs) {
-            const auto version = live->versions.find(model.value());
-            load.version = version == live->versions.end() ? load.version : version->second;
-        }
+        load.version = m_liveness.versionOf(record, model);
         const auto loading = m_loading.find(id);
         const auto avoided = m_avoidUntil.find(id);
         const bool isDraining = record.state == registry::EndpointState::Draining;
@@ -323,6 +319,12 @@
     }
 }
 
+template <typename Protocol>
+batch::RunningItem JobRunner<Protocol>::describe(const Run& run, std::size_t index, TimePoint now) const
+{
+    return { index, run.endpoint, remainingTokens(run), run.minVersion, onlyVersion(run), now - run.startedAt };
+}
+
 template <typename Protocol>
 void JobRunner<Protocol>::moveFromSlow(TimePoint now)
 {
@@ -337,7 +339,7 @@
     for (const auto& [kind, runs] : running) {
         std::vector<batch::RunningItem> items;
         for (std::size_t index = 0; index < runs.size(); ++index)
-            items.push_back({ index, runs[index]->endpoint, remainingTokens(*runs[index]), runs[index]->minVersion, onlyVersion(*runs[index]), now - runs[index]->startedAt });
+            items.push_back(describe(*runs[index], index, now));
         for (const batch::Placement& placement : batch::planMoves(std::move(items), loadsOf(kind.first, kind.second, now)))
             move(runs[placement.index], placement.endpoint, "slow");
     }
@@ -385,7 +387,7 @@
             if (!spec)
                 continue;
             service = serviceOf(*run, *spec);
-            items.push_back({ leaving.size(), endpoint, remainingTokens(*run), run->minVersion, onlyVersion(*run), now - run->startedAt });
+            items.push_back(describe(*run, leaving.size(), now));
             leaving.push_back(run);
         }
     }
--- a/src/azurepaddle/execution/speed_meter.hpp
+++ b/src/azurepaddle/execution/speed_meter.hpp
@@ -13,7 +13,6 @@
 public:
     /// Notes the time between two events of an item at an endpoint.
     void note(const EndpointId& id, Duration betweenEvents, TimePoint now);
-    void forget(const EndpointId& id) { m_entries.erase(id); }
 
     /// Time per event against the median; 1 for endpoints without recent observations.
     [[nodiscard]] double slowness(const EndpointId& id, TimePoint now) const;
--- a/src/azurepaddle/execution/weight_loader.hpp
+++ b/src/azurepaddle/execution/weight_loader.hpp
@@ -30,7 +30,6 @@
         std::uint64_t number = 0;
         TimePoint startedAt;
         TimePoint orderedAt; ///< Of the accepted order; zero before.
-        TimePoint nextLook;
         unsigned attempts = 0;
         http1::ClientCallPointer call;
         std::string body;
@@ -54,7 +53,6 @@
     void end(const LoadingPointer& loading, std::string_view outcome);
     template <typename OnEnd>
     void send(const LoadingPointer& loading, const http1::Request& request, OnEnd onEnd);
-    [[nodiscard]] WeightVersion versionOf(const registry::EndpointRecord& record, const batch::ModelName& model) const;
 
     asio::io_context& m_io;
     http1::ClientPool& m_pool;
--- a/src/azurepaddle/execution/weight_loader_impl.hpp
+++ b/src/azurepaddle/execution/weight_loader_impl.hpp
@@ -89,18 +89,6 @@
     return false;
 }
 
-template <typename Protocol>
-WeightVersion WeightLoader<Protocol>::versionOf(const registry::EndpointRecord& record, const batch::ModelName& model) const
-{
-    const auto* live = m_liveness.find(record.id);
-    if (live && live->startedMs == record.startedMs) {
-        const auto found = live->versions.find(model.value());
-        if (found != live->versions.end())
-            return found->second;
-    }
-    return record.versionOf(model);
-}
-
 template <typename Protocol>
 void WeightLoader<Protocol>::updateHomes()
 {
@@ -131,7 +119,7 @@
             continue;
         const batch::ModelName home = homes->second.homeOf(id);
         const auto wait = m_notBefore.find(id);
-        targets.push_back({ id, home, versionOf(record, home), m_runner.running(id, home), m_loading.contains(id), wait == m_notBefore.end() || now >= wait->second });
+        targets.push_back({ id, home, m_liveness.versionOf(record, home), m_runner.running(id, home), m_loading.contains(id), wait == m_notBefore.end() || now >= wait->second });
     }
     return targets;
 }
--- a/src/azurepaddle/http1/client.cpp
+++ b/src/azurepaddle/http1/client.cpp
@@ -44,7 +44,6 @@
         , m_parser(m_shared->limits)
     {
         ++m_shared->addresses[m_address].open;
-        ++m_shared->opened;
     }
 
     void ClientConnection::begin(std::string request, const CallOptions& options, CallEvents events, std::uint64_t call)
@@ -53,7 +52,6 @@
         m_options = options;
         m_events = std::make_shared<const CallEvents>(std::move(events));
         m_call = call;
-        ++m_calls;
         m_isSent = false;
         m_isHeadTaken = false;
         m_isDiscarding = false;
@@ -258,7 +256,6 @@
             if (const auto connection = std::exchange(m_connection, nullptr))
                 connection->cancel(m_call);
         }
-        [[nodiscard]] bool isReused() const noexcept override { return m_connection && m_connection->isReused(); }
 
     private:
         std::shared_ptr<internal::ClientConnection> m_connection;
@@ -269,7 +266,6 @@
     class RefusedCall final : public ClientCall {
     public:
         void cancel() override { isCancelled = true; }
-        [[nodiscard]] bool isReused() const noexcept override { return false; }
         bool isCancelled = false;
     };
 
@@ -320,25 +316,10 @@
     return std::make_shared<PooledCall>(std::move(connection), call);
 }
 
-void ClientPool::forget(const InstanceAddress& address)
-{
-    const auto found = m_shared->addresses.find(address);
-    if (found == m_shared->addresses.end())
-        return;
-    const auto idle = found->second.idle;
-    for (const auto& connection : idle)
-        connection->close();
-}
-
 std::size_t ClientPool::connections(const InstanceAddress& address) const
 {
     const auto found = m_shared->addresses.find(address);
     return found == m_shared->addresses.end() ? 0 : found->second.open;
 }
 
-std::uint64_t ClientPool::opened() const noexcept
-{
-    return m_shared->opened;
-}
-
 }
--- a/src/azurepaddle/http1/client.hpp
+++ b/src/azurepaddle/http1/client.hpp
@@ -58,8 +58,6 @@
     virtual ~ClientCall() = default;
     /// Closes the connection, so that the server stops its work. No event follows.
     virtual void cancel() = 0;
-    /// Whether the request went out on a connection that had carried another one.
-    [[nodiscard]] virtual bool isReused() const noexcept = 0;
 };
 
 using ClientCallPointer = std::shared_ptr<ClientCall>;
@@ -74,12 +72,8 @@
 
     /// Sends a request. No event comes before this returns.
     [[nodiscard]] ClientCallPointer send(const InstanceAddress& address, const Request& request, const CallOptions& options, CallEvents events);
-    /// Closes the idle connections to an address.
-    void forget(const InstanceAddress& address);
     /// Connections to an address, idle ones included.
     [[nodiscard]] std::size_t connections(const InstanceAddress& address) const;
-    /// Connections opened since the start.
-    [[nodiscard]] std::uint64_t opened() const noexcept;
 
 private:
     std::shared_ptr<internal::ClientShared> m_shared;
--- a/src/azurepaddle/http1/client_connection.hpp
+++ b/src/azurepaddle/http1/client_connection.hpp
@@ -19,7 +19,6 @@
     asio::io_context& io;
     MessageLimits limits;
     std::map<InstanceAddress, AddressConnections> addresses {};
-    std::uint64_t opened = 0;
     SystemClock clock {};
 };
 
@@ -34,7 +33,6 @@
     void cancel(std::uint64_t call);
     void close();
     [[nodiscard]] bool isUsable(TimePoint now) const noexcept { return !m_isClosed && now < m_usableUntil; }
-    [[nodiscard]] bool isReused() const noexcept { return m_calls > 1; }
 
 private:
     void connect();
@@ -60,7 +58,6 @@
     CallOptions m_options;
     std::shared_ptr<const CallEvents> m_events; ///< Shared with the call of an event, which may end the call. Null if idle.
     std::uint64_t m_call = 0; ///< Number of the call in progress; 0 if idle.
-    std::uint64_t m_calls = 0;
     TimePoint m_usableUntil;
     bool m_isConnected = false;
     bool m_isWriting = false;
--- a/src/azurepaddle/http1/server.cpp
+++ b/src/azurepaddle/http1/server.cpp
@@ -37,7 +37,6 @@
 
 void Exchange::respond(Response response)
 {
-    m_hasBegun = true;
     m_onClosed = nullptr;
     if (const auto connection = std::exchange(m_connection, nullptr); connection && !connection->isClosed())
         connection->respond(std::move(response), m_request.method == "HEAD");
@@ -45,7 +44,6 @@
 
 void Exchange::beginStream(Response head)
 {
-    m_hasBegun = true;
     if (isOpen())
         m_connection->beginStream(std::move(head));
 }
--- a/src/azurepaddle/http1/server.hpp
+++ b/src/azurepaddle/http1/server.hpp
@@ -52,7 +52,6 @@
     /// Sets what happens when the client leaves before the answer is complete.
     void setOnClosed(std::function<void()> onClosed);
     [[nodiscard]] bool isOpen() const noexcept;
-    [[nodiscard]] bool hasBegun() const noexcept { return m_hasBegun; }
 
 private:
     friend class internal::ServerConnection;
@@ -62,7 +61,6 @@
     Request m_request;
     TimePoint m_receivedAt;
     std::function<void()> m_onClosed;
-    bool m_hasBegun = false;
 };
 
 using ExchangePointer = std::shared_ptr<Exchange>;
--- a/src/azurepaddle/platform/configuration.hpp
+++ b/src/azurepaddle/platform/configuration.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "azurepaddle/gateway/route_table.hpp"
-#include "azurepaddle/registry/commands.hpp"
 
 #include <tl/expected.hpp>
 
--- a/src/azurepaddle/registry/directory.cpp
+++ b/src/azurepaddle/registry/directory.cpp
@@ -134,6 +134,17 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
+WeightVersion Liveness::versionOf(const EndpointRecord& record, const batch::ModelName& model) const
+{
+    const Entry* entry = find(record.id);
+    if (entry && entry->startedMs == record.startedMs) {
+        const auto found = entry->versions.find(model.value());
+        if (found != entry->versions.end())
+            return found->second;
+    }
+    return record.versionOf(model);
+}
+
 std::vector<EndpointLeave> Liveness::silent(const Directory& directory, TimePoint now, Duration limit) const
 {
     std::vector<EndpointLeave> silent;
--- a/src/azurepaddle/registry/directory.hpp
+++ b/src/azurepaddle/registry/directory.hpp
@@ -55,6 +55,8 @@
     [[nodiscard]] const Entry* find(const EndpointId& id) const;
     /// Endpoints of the directory that were silent for longer than this.
     [[nodiscard]] std::vector<EndpointLeave> silent(const Directory& directory, TimePoint now, Duration limit) const;
+    /// The version of a model that an endpoint holds: as heard from this incarnation, or else as agreed.
+    [[nodiscard]] WeightVersion versionOf(const EndpointRecord& record, const batch::ModelName& model) const;
     void clear() { m_entries.clear(); }
 
 private:
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -4,8 +4,6 @@
 #include "azurepaddle/registry/requests.hpp"
 #include "azurepaddle/registry/state_machine.hpp"
 
-#include <deque>
-
 namespace azurepaddle::registry {
 
 using ServiceGroup = cluster::Group<StateMachine>;
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "entry_node.hpp"
 
+#include "http_options.hpp"
 #include "metrics_page.hpp"
 #include "transport_options.hpp"
 
@@ -19,11 +20,6 @@
     // Left for closing before the process is killed.
     constexpr Duration killMargin = std::chrono::milliseconds(1200);
 
-    http1::MessageLimits endpointMessageLimits()
-    {
-        return { 32U * 1024U, 64U * 1024U * 1024U };
-    }
-
     http1::ServerLimits smallServer()
     {
         http1::ServerLimits limits;
@@ -55,17 +51,10 @@
 
 bool EntryNode::start()
 {
-    const auto listen = [this](http1::Server& server, const std::string& text) {
-        const auto address = parseAddress(text);
-        const auto listening = address ? server.listen(*address) : tl::expected<void, std::string>();
-        if (!listening)
-            m_log.error("{}", listening.error());
-        return listening.has_value();
-    };
     const auto peers = m_peerClient.start();
     if (!peers)
         m_log.error("{}", peers.error().message());
-    if (!peers || !listen(m_callerServer, m_settings.listen.callers) || !listen(m_readyServer, m_settings.listen.ready) || !listen(m_metricsServer, m_settings.listen.metrics))
+    if (!peers || !listenOn(m_callerServer, m_settings.listen.callers, m_log) || !listenOn(m_readyServer, m_settings.listen.ready, m_log) || !listenOn(m_metricsServer, m_settings.listen.metrics, m_log))
         return false;
     m_log.info("start name={} data-centre={} callers={}", m_settings.node.name, m_settings.node.dataCentre, m_settings.listen.callers);
     poll();
--- /dev/null
+++ b/src/programs/azurepaddle-node/http_options.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "azurepaddle/core/log.hpp"
+#include "azurepaddle/http1/server.hpp"
+
+namespace azurepaddle::node {
+
+/// Largest responses that a node takes from endpoints.
+[[nodiscard]] inline http1::MessageLimits endpointMessageLimits()
+{
+    return { 32U * 1024U, 64U * 1024U * 1024U };
+}
+
+/// Listens on an address of the settings; an empty one means that nothing listens. False with a logged reason if the
+/// address is in use.
+[[nodiscard]] inline bool listenOn(http1::Server& server, const std::string& setting, const Log& log)
+{
+    const auto address = parseAddress(setting);
+    const auto listening = address ? server.listen(*address) : tl::expected<void, std::string>();
+    if (!listening)
+        log.error("{}", listening.error());
+    return listening.has_value();
+}
+
+}
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -1,5 +1,6 @@
 #include "store_node.hpp"
 
+#include "http_options.hpp"
 #include "metrics_page.hpp"
 #include "transport_options.hpp"
 
@@ -56,11 +57,6 @@
         return options;
     }
 
-    http1::MessageLimits endpointMessageLimits()
-    {
-        return { 32U * 1024U, 64U * 1024U * 1024U };
-    }
-
 }
 
 StoreNode::StoreNode(asio::io_context& io, config::NodeSettings settings)
@@ -92,20 +88,13 @@
 
 bool StoreNode::start()
 {
-    const auto listen = [this](http1::Server& server, const std::string& text) {
-        const auto address = parseAddress(text);
-        const auto listening = address ? server.listen(*address) : tl::expected<void, std::string>();
-        if (!listening)
-            m_log.error("{}", listening.error());
-        return listening.has_value();
-    };
     const auto client = m_peerClient.start();
     const auto server = m_peerServer.start();
     if (!client || !server) {
         m_log.error("{}", client ? server.error().message() : client.error().message());
         return false;
     }
-    if (!listen(m_controlServer, m_settings.listen.control) || !listen(m_metricsServer, m_settings.listen.metrics))
+    if (!listenOn(m_controlServer, m_settings.listen.control, m_log) || !listenOn(m_metricsServer, m_settings.listen.metrics, m_log))
         return false;
     m_log.info("start name={} identity={} control={}", m_settings.node.name, m_group.identity(), m_settings.listen.control);
     m_group.start();
