--- a/src/azurepaddle/batch/load_plan.cpp
+++ b/src/azurepaddle/batch/load_plan.cpp
@@ -2,117 +2,113 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
+#include <tuple>
 
 namespace azurepaddle::batch {
 
 namespace {
 
-    /// How many more endpoints of a model have to load its newest version, besides those that do so now.
-    std::size_t missingOf(const std::vector<LoadTarget>& targets, const ModelName& model, WeightVersion newest)
+    /// One model in a plan that is being made.
+    struct Demand {
+        ModelName model;
+        WantedVersion wanted;
+        std::size_t serving = 0; ///< Endpoints that serve the model.
+        std::size_t held = 0; ///< Those with the newest version.
+        std::size_t needed = 0;
+        bool isSettled = false; ///< No endpoint is left to load.
+    };
+
+    /// Endpoints with this version serve neither the present step nor the next one.
+    bool isUseless(WeightVersion version, const Demand& demand)
+    {
+        return version + 1 < demand.wanted.version;
+    }
+
+    Demand demandOf(const ModelName& model, const WantedVersion& wanted, std::size_t models, const std::vector<LoadTarget>& targets)
     {
-        std::size_t endpoints = 0;
-        std::size_t held = 0;
+        Demand demand { model, wanted };
         for (const LoadTarget& target : targets) {
-            if (target.home != model)
+            const auto found = target.models.find(model);
+            if (found == target.models.end())
                 continue;
-            ++endpoints;
-            held += target.version >= newest || target.isLoading ? 1 : 0;
+            ++demand.serving;
+            demand.held += found->second.version >= wanted.version || target.loading == model ? 1 : 0;
         }
-        const auto needed = static_cast<std::size_t>(std::ceil(static_cast<double>(endpoints) * newestShare));
-        return needed > held ? needed - held : 0;
+        const double share = std::min(largestShare, newestShare / static_cast<double>(models));
+        demand.needed = std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(static_cast<double>(demand.serving) * share)));
+        return demand;
+    }
+
+    /// Models other than this one whose present step can use the endpoint.
+    std::size_t otherUses(const LoadTarget& target, const Demand& demand, const std::vector<Demand>& demands)
+    {
+        return static_cast<std::size_t>(std::count_if(demands.begin(), demands.end(), [&](const Demand& other) {
+            const auto held = target.models.find(other.model);
+            return other.model != demand.model && held != target.models.end() && !isUseless(held->second.version, other);
+        }));
+    }
+
+    /// The endpoint whose load disturbs least, or null. Among equal ones, that which the fewest other models can use, so
+    /// that the models do not crowd on the same endpoints.
+    LoadTarget* bestTarget(std::vector<LoadTarget>& targets, const Demand& demand, const std::vector<Demand>& demands, bool mayExceedPart)
+    {
+        LoadTarget* best = nullptr;
+        const auto costOf = [&](const LoadTarget& target) {
+            const HeldModel& held = target.models.at(demand.model);
+            return std::tuple(!isUseless(held.version, demand), held.running, otherUses(target, demand, demands));
+        };
+        for (LoadTarget& target : targets) {
+            const auto held = target.models.find(demand.model);
+            if (target.loading || !target.isUsable || held == target.models.end() || held->second.version >= demand.wanted.version)
+                continue;
+            const bool isBeyondPart = demand.held >= demand.needed;
+            const bool mayLoad = !isBeyondPart || (mayExceedPart && demand.wanted.areItemsWaiting && isUseless(held->second.version, demand));
+            if (mayLoad && (!best || costOf(target) < costOf(*best)))
+                best = &target;
+        }
+        return best;
+    }
+
+    /// The model that is furthest from its part, those with waiting items first; null if none has to load.
+    Demand* neediest(std::vector<Demand>& demands)
+    {
+        Demand* neediest = nullptr;
+        const auto urgencyOf = [](const Demand& demand) {
+            const double part = static_cast<double>(demand.held) / static_cast<double>(std::max<std::size_t>(1, demand.needed));
+            return std::tuple(part >= 1, !demand.wanted.areItemsWaiting, part);
+        };
+        for (Demand& demand : demands) {
+            if (!demand.isSettled && (!neediest || urgencyOf(demand) < urgencyOf(*neediest)))
+                neediest = &demand;
+        }
+        return neediest;
     }
 
 }
 
 std::vector<Load> planLoads(std::vector<LoadTarget> targets, const std::map<ModelName, WantedVersion>& wanted)
 {
-    const auto wantedOf = [&](const LoadTarget& target) {
-        const auto found = wanted.find(target.home);
-        return found == wanted.end() ? WeightVersion { 0 } : found->second.version;
-    };
     const auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(static_cast<double>(targets.size()) * loadingShare)));
-    auto loading = static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [](const LoadTarget& target) { return target.isLoading; }));
-    std::map<ModelName, std::size_t> missing; // Endpoints that have to load the newest version of a model.
+    auto loading = static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [](const LoadTarget& target) { return target.loading.has_value(); }));
+    std::vector<Demand> demands;
     for (const auto& [model, version] : wanted)
-        missing[model] = missingOf(targets, model, version.version);
-    std::erase_if(targets, [&](const LoadTarget& target) { return target.isLoading || !target.isUsable || target.version >= wantedOf(target); });
-    std::stable_sort(targets.begin(), targets.end(), [&](const LoadTarget& a, const LoadTarget& b) {
-        const WeightVersion behindA = wantedOf(a) - a.version;
-        const WeightVersion behindB = wantedOf(b) - b.version;
-        return behindA != behindB ? behindA > behindB : a.running < b.running;
-    });
+        demands.push_back(demandOf(model, version, wanted.size(), targets));
     std::vector<Load> loads;
-    for (const LoadTarget& target : targets) {
-        const bool isUseless = target.version + 1 < wantedOf(target);
-        const bool isIdle = target.running == 0 && (isUseless || !wanted.at(target.home).areItemsWaiting);
-        std::size_t& left = missing[target.home];
-        if (loading >= limit || (left == 0 && !isIdle))
+    while (loading < limit) {
+        Demand* demand = neediest(demands);
+        if (!demand)
+            break;
+        LoadTarget* target = bestTarget(targets, *demand, demands, loading < limit / 2);
+        demand->isSettled = !target;
+        if (!target)
             continue;
-        left -= std::min<std::size_t>(left, 1);
+        target->loading = demand->model;
+        target->models[demand->model].version = demand->wanted.version;
+        ++demand->held;
         ++loading;
-        loads.push_back({ target.id, target.home, wantedOf(target) });
+        loads.push_back({ target->id, demand->model, demand->wanted.version });
     }
     return loads;
 }
 
-void HomeAssignment::update(const std::vector<Candidate>& endpoints, const std::vector<ModelName>& models)
-{
-    std::set<EndpointId> present;
-    for (const Candidate& endpoint : endpoints)
-        present.insert(endpoint.id);
-    std::erase_if(m_homes, [&](const auto& entry) {
-        return !present.contains(entry.first) || std::find(models.begin(), models.end(), entry.second) == models.end();
-    });
-    if (models.empty())
-        return;
-    const std::size_t share = (endpoints.size() + models.size() - 1) / models.size();
-    for (const Candidate& endpoint : endpoints) {
-        if (!m_homes.contains(endpoint.id))
-            m_homes[endpoint.id] = choose(endpoint, models, share);
-    }
-    balance(models);
-}
-
-ModelName HomeAssignment::homeOf(const EndpointId& id) const
-{
-    const auto found = m_homes.find(id);
-    return found == m_homes.end() ? ModelName() : found->second;
-}
-
-std::size_t HomeAssignment::countOf(const ModelName& model) const
-{
-    return static_cast<std::size_t>(std::count_if(m_homes.begin(), m_homes.end(), [&](const auto& entry) { return entry.second == model; }));
-}
-
-ModelName HomeAssignment::choose(const Candidate& endpoint, const std::vector<ModelName>& models, std::size_t share) const
-{
-    const ModelName* best = nullptr;
-    const auto versionOf = [&](const ModelName& model) {
-        const auto found = endpoint.versions.find(model.value());
-        return found == endpoint.versions.end() ? WeightVersion { 0 } : found->second;
-    };
-    for (const ModelName& model : models) {
-        if (countOf(model) >= share)
-            continue;
-        const bool isBetter = !best || versionOf(model) > versionOf(*best) || (versionOf(model) == versionOf(*best) && countOf(model) < countOf(*best));
-        if (isBetter)
-            best = &model;
-    }
-    return best ? *best : models.front();
-}
-
-void HomeAssignment::balance(const std::vector<ModelName>& models)
-{
-    for (std::size_t moves = 0; moves < m_homes.size(); ++moves) {
-        const auto byCount = [&](const ModelName& a, const ModelName& b) { return countOf(a) < countOf(b); };
-        const ModelName& fewest = *std::min_element(models.begin(), models.end(), byCount);
-        const ModelName& most = *std::max_element(models.begin(), models.end(), byCount);
-        if (countOf(most) < countOf(fewest) + 2)
-            return;
-        const auto moved = std::find_if(m_homes.begin(), m_homes.end(), [&](const auto& entry) { return entry.second == most; });
-        moved->second = fewest;
-    }
-}
-
 }
--- a/src/azurepaddle/batch/load_plan.hpp
+++ b/src/azurepaddle/batch/load_plan.hpp
@@ -9,13 +9,19 @@
 
 namespace azurepaddle::batch {
 
+/// What an endpoint holds of one model.
+struct HeldModel {
+    WeightVersion version = 0;
+    std::uint32_t running = 0; ///< Items of the model.
+
+    friend bool operator==(const HeldModel&, const HeldModel&) = default;
+};
+
 /// An endpoint as the plan of weight loads sees it.
 struct LoadTarget {
     EndpointId id;
-    ModelName home; ///< The model it is kept up to date for.
-    WeightVersion version = 0; ///< Of that model.
-    std::uint32_t running = 0; ///< Items of that model.
-    bool isLoading = false;
+    std::map<ModelName, HeldModel> models; ///< Those that it serves.
+    std::optional<ModelName> loading; ///< The model of the order in progress. It carries out one at a time.
     bool isUsable = true; ///< Takes orders.
 
     friend bool operator==(const LoadTarget&, const LoadTarget&) = default;
@@ -42,35 +48,15 @@
 /// Loads at once, as a part of all endpoints. More of them slow each other down.
 constexpr double loadingShare = 0.2;
 
-/// Part of a model's endpoints that is brought to each newest version. The others hold the version before, which the
-/// newest step allows too, and load the next one: so each version costs half of the loads, and items always find
-/// endpoints that are not about to load.
-constexpr double newestShare = 0.5;
+/// Part of the endpoints that is brought to the newest version of each model, shared among the models: with a version
+/// every 4 s for each model and loads of 0.9 s, loadingShare suffices for this much and some loads that are repeated.
+constexpr double newestShare = 0.7;
+/// The largest part for one model.
+constexpr double largestShare = 0.5;
 
-/// Chooses which endpoints load now, until enough of a model's endpoints hold its newest version: those that are the most
-/// versions behind, then those with the least running. Beyond that, idle endpoints load while no item waits, so that the
-/// next step finds more of them.
+/// Chooses which endpoints load now. A step usually allows the newest version and the one before, so each version goes to
+/// endpoints that hold an older one, and a running step keeps its endpoints: successive versions of a model take turns
+/// over the endpoints. While items of a model wait and few endpoints load, those that are of no use to it load beyond its part.
 [[nodiscard]] std::vector<Load> planLoads(std::vector<LoadTarget> targets, const std::map<ModelName, WantedVersion>& wanted);
 
-/// Keeps each endpoint of a service assigned to one model, in equal parts, so that a new version is loaded by as few
-/// endpoints as the model needs. Assignments change only where endpoints come or go.
-class HomeAssignment {
-public:
-    struct Candidate {
-        EndpointId id;
-        std::map<std::string, WeightVersion> versions; ///< By model. A new assignment prefers the model it holds newest.
-    };
-
-    void update(const std::vector<Candidate>& endpoints, const std::vector<ModelName>& models);
-    /// Empty if the endpoint is not assigned.
-    [[nodiscard]] ModelName homeOf(const EndpointId& id) const;
-
-private:
-    [[nodiscard]] std::size_t countOf(const ModelName& model) const;
-    [[nodiscard]] ModelName choose(const Candidate& endpoint, const std::vector<ModelName>& models, std::size_t share) const;
-    void balance(const std::vector<ModelName>& models);
-
-    std::map<EndpointId, ModelName> m_homes;
-};
-
 }
--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -8,13 +8,18 @@
 
     // Items of one group share an endpoint unless another one has this many items fewer.
     constexpr std::uint32_t affinitySlack = 2;
-    // An endpoint this much slower than the median loses its items, and one this fast may get them.
-    constexpr double slowBound = 1.8;
+    // An endpoint this fast may get items that leave a slow one.
     constexpr double fastBound = 1.3;
     // An item stays at least this long where it is, so that noise does not move it around.
-    constexpr Duration minimumStay = std::chrono::milliseconds(400);
+    constexpr Duration minimumStay = std::chrono::milliseconds(100);
+    // Later than this after an event, a part of the next one is lost by a move.
+    constexpr Duration freshEvent = std::chrono::milliseconds(35);
+    // From this slowness on, waiting for the next event takes longer than generating its beginning again.
+    constexpr double stuckBound = 4;
+    // About half a second of work. Less than that hardly decides when a step ends, and each move costs a connection.
+    constexpr std::uint64_t minMovedTokens = 600;
     // Moves planned at once, so that the slowness of the target is measured before more follow.
-    constexpr std::size_t maxMoves = 6;
+    constexpr std::size_t maxMoves = 12;
 
     template <typename Item>
     bool fits(const EndpointLoad& endpoint, const Item& item)
@@ -25,8 +30,7 @@
     double costOf(const EndpointLoad& endpoint)
     {
         const double share = (static_cast<double>(endpoint.running) + 1) / static_cast<double>(std::max(1U, endpoint.slots));
-        constexpr double foreignPenalty = 1; // Endpoints kept for other models come after all of the model's own.
-        return share * endpoint.slowness + (endpoint.isHome ? 0 : foreignPenalty);
+        return share * endpoint.slowness;
     }
 
     template <typename Item>
@@ -51,6 +55,13 @@
         std::stable_sort(running.begin(), running.end(), [](const RunningItem& a, const RunningItem& b) { return a.expectedTokens > b.expectedTokens; });
     }
 
+    bool shouldLeave(const RunningItem& item, const EndpointLoad& from)
+    {
+        if (from.slowness < slowBound || item.sinceStart < minimumStay || item.expectedTokens < minMovedTokens)
+            return false;
+        return item.sinceEvent <= freshEvent || from.slowness >= stuckBound;
+    }
+
     constexpr double anySlowness = 1e9;
 
 }
@@ -68,7 +79,7 @@
             continue;
         const auto known = placedAt.find(item.group);
         EndpointLoad* shared = known == placedAt.end() ? nullptr : findEndpoint(endpoints, known->second);
-        if (shared && fits(*shared, item) && shared->isHome == best->isHome && shared->slowness < slowBound && shared->running <= best->running + affinitySlack)
+        if (shared && fits(*shared, item) && shared->slowness < slowBound && shared->running <= best->running + affinitySlack)
             best = shared;
         ++best->running;
         placedAt[item.group] = best->id;
@@ -83,7 +94,7 @@
     std::vector<Placement> moves;
     for (const RunningItem& item : running) {
         const EndpointLoad* from = findEndpoint(endpoints, item.endpoint);
-        if (!from || from->slowness < slowBound || item.sinceStart < minimumStay || moves.size() >= maxMoves)
+        if (!from || !shouldLeave(item, *from) || moves.size() >= maxMoves)
             continue;
         EndpointLoad* target = cheapest(endpoints, item, fastBound);
         if (!target)
--- a/src/azurepaddle/batch/placement.hpp
+++ b/src/azurepaddle/batch/placement.hpp
@@ -9,6 +9,9 @@
 
 namespace azurepaddle::batch {
 
+/// An endpoint this much slower than the median loses its items.
+constexpr double slowBound = 1.8;
+
 /// An endpoint as the placement of items of one model sees it.
 struct EndpointLoad {
     EndpointId id;
@@ -16,7 +19,6 @@
     std::uint32_t running = 0; ///< Items of all models, by this instance's own count.
     WeightVersion version = 0; ///< Of the model in question.
     bool isUsable = true; ///< Takes new items of the model now.
-    bool isHome = true; ///< Is kept at the newest version of the model.
     double slowness = 1; ///< Time per event against the median of all endpoints.
 
     friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
@@ -54,11 +56,14 @@
     WeightVersion minVersion = 0;
     std::optional<WeightVersion> onlyVersion;
     Duration sinceStart {}; ///< Time at its present endpoint.
+    Duration sinceEvent {}; ///< Time since its last event.
 
     friend bool operator==(const RunningItem&, const RunningItem&) = default;
 };
 
-/// Moves items from endpoints that are much slower than the others to free slots of normal ones, the longest first.
+/// Moves items from endpoints that are much slower than the others to free slots of normal ones, the longest first. They
+/// leave right after an event, when nothing that they generated is lost, unless the endpoint hardly goes on at all. Items
+/// that end soon stay.
 [[nodiscard]] std::vector<Placement> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints);
 
 /// Moves all these items of an endpoint that is about to pause to other usable endpoints; nothing if they do not fit.
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -38,8 +38,6 @@
     void setLoading(const EndpointId& endpoint, const batch::ModelName& model, bool isLoading);
     /// Moves the items of a model away from an endpoint. False if they do not fit elsewhere.
     [[nodiscard]] bool evacuate(const EndpointId& endpoint, const batch::ModelName& model);
-    /// Says for which model an endpoint is kept up to date.
-    void setHomes(std::map<EndpointId, batch::ModelName> homes) { m_homes = std::move(homes); }
 
 private:
     enum class Stage : std::uint8_t {
@@ -73,6 +71,8 @@
         TimePoint notBefore;
         unsigned eventsHere = 0; ///< Received from the present endpoint.
         unsigned failures = 0; ///< Answers of 500.
+        std::shared_ptr<const gateway::RouteTable> routes; ///< Those that gave the service.
+        ServiceName service;
     };
     using RunPointer = std::shared_ptr<Run>;
 
@@ -87,7 +87,7 @@
     void dropRun(const RunPointer& run, std::string_view reason);
     void place();
     [[nodiscard]] std::vector<batch::EndpointLoad> loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const;
-    [[nodiscard]] ServiceName serviceOf(const Run& run, const batch::ItemSpec& spec) const;
+    [[nodiscard]] const ServiceName& serviceOf(Run& run, const batch::ItemSpec& spec) const;
     void start(const RunPointer& run, const EndpointId& endpoint);
     [[nodiscard]] bool onHead(const RunPointer& run, const http1::Response& head);
     void onBody(const RunPointer& run, const std::string& bytes);
@@ -103,8 +103,10 @@
     void flushResults();
     void keepTexts(TimePoint now);
     void giveUpOld(TimePoint now);
+    void forgetTexts(TimePoint now);
     void findSilent(TimePoint now);
     void moveFromSlow(TimePoint now);
+    [[nodiscard]] std::set<EndpointId> slowEndpoints(TimePoint now) const;
     [[nodiscard]] batch::RunningItem describe(const Run& run, std::size_t index, TimePoint now) const;
     [[nodiscard]] std::uint64_t remainingTokens(const Run& run) const;
     [[nodiscard]] std::optional<WeightVersion> onlyVersion(const Run& run) const;
@@ -130,11 +132,11 @@
     std::map<EndpointId, std::map<batch::ModelName, std::uint32_t>> m_running;
     std::map<EndpointId, std::set<batch::ModelName>> m_loading;
     std::map<EndpointId, TimePoint> m_avoidUntil;
-    std::map<EndpointId, batch::ModelName> m_homes;
     std::map<GroupId, EndpointId> m_lastOfGroup;
     std::map<batch::JobId, std::vector<batch::ItemResult>> m_results; ///< Finished, not yet proposed.
     SpeedMeter m_speed;
     TimePoint m_nextKeep {};
+    TimePoint m_nextTextSweep {};
     bool m_isUpdateScheduled = false;
     bool m_isFlushScheduled = false;
 };
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -13,6 +13,7 @@
     constexpr std::uint64_t tokensPerEvent = 56;
     // Texts of items that no open job wants are kept this long: their group may come again.
     constexpr Duration textLifetime = std::chrono::seconds(30);
+    constexpr Duration textSweepInterval = std::chrono::seconds(1);
     // Texts of this many events are recorded, this often, with at least so many new events.
     constexpr std::uint64_t minKeptEvents = 32;
     constexpr std::uint64_t minNewEvents = 24;
@@ -50,7 +51,6 @@
     m_texts.clear();
     m_loading.clear();
     m_avoidUntil.clear();
-    m_homes.clear();
     m_running.clear();
     if (isLeading)
         scheduleUpdate();
@@ -155,15 +155,20 @@
 }
 
 template <typename Protocol>
-ServiceName JobRunner<Protocol>::serviceOf(const Run& run, const batch::ItemSpec& spec) const
+const ServiceName& JobRunner<Protocol>::serviceOf(Run& run, const batch::ItemSpec& spec) const
 {
+    if (run.routes == m_routes)
+        return run.service;
+    run.routes = m_routes;
+    run.service = {};
     const gateway::Route* route = m_routes->find(run.host, http1::pathOf(spec.path));
     if (!route)
-        return {};
+        return run.service;
     // All items of a job use the service that its identifier selects, so that a group shares its prompt.
     constexpr double range = 4294967296.0;
     const double point = static_cast<double>(std::hash<std::string> {}(run.job.value()) & 0xffffffffU) / range;
-    return gateway::chooseService(*route, point);
+    run.service = gateway::chooseService(*route, point);
+    return run.service;
 }
 
 template <typename Protocol>
@@ -185,8 +190,6 @@
         const auto avoided = m_avoidUntil.find(id);
         const bool isDraining = record.state == registry::EndpointState::Draining;
         load.isUsable = !isDraining && (loading == m_loading.end() || !loading->second.contains(model)) && (avoided == m_avoidUntil.end() || now >= avoided->second);
-        const auto home = m_homes.find(id);
-        load.isHome = home == m_homes.end() || home->second == model;
         load.slowness = isDraining ? internal::drainingSlowness : m_speed.slowness(id, now);
         loads.push_back(std::move(load));
     }
@@ -217,8 +220,9 @@
 template <typename Protocol>
 void JobRunner<Protocol>::place()
 {
+    using Kind = std::pair<batch::ModelName, ServiceName>;
     const TimePoint now = m_clock.now();
-    std::map<std::pair<batch::ModelName, ServiceName>, std::vector<RunPointer>> waiting;
+    std::map<Kind, std::vector<RunPointer>> waiting;
     for (const auto& [job, runs] : m_runs) {
         for (const auto& [item, run] : runs) {
             const batch::ItemSpec* spec = run->stage == Stage::Waiting && now >= run->notBefore ? specOf(*run) : nullptr;
@@ -226,7 +230,17 @@
                 waiting[{ run->model, serviceOf(*run, *spec) }].push_back(run);
         }
     }
-    for (const auto& [kind, runs] : waiting) {
+    // Models share endpoints: the step that has waited longest takes free slots first.
+    std::vector<Kind> kinds;
+    for (const auto& [kind, runs] : waiting)
+        kinds.push_back(kind);
+    const auto oldest = [&](const Kind& kind) {
+        const auto& runs = waiting.at(kind);
+        return (*std::min_element(runs.begin(), runs.end(), [](const RunPointer& a, const RunPointer& b) { return a->acceptedAt < b->acceptedAt; }))->acceptedAt;
+    };
+    std::stable_sort(kinds.begin(), kinds.end(), [&](const Kind& a, const Kind& b) { return oldest(a) < oldest(b); });
+    for (const Kind& kind : kinds) {
+        const std::vector<RunPointer>& runs = waiting.at(kind);
         std::vector<batch::WaitingItem> items;
         for (std::size_t index = 0; index < runs.size(); ++index) {
             const Run& run = *runs[index];
@@ -252,11 +266,20 @@
     giveUpOld(now);
     findSilent(now);
     moveFromSlow(now);
+    forgetTexts(now);
+    update();
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::forgetTexts(TimePoint now)
+{
+    if (now < m_nextTextSweep)
+        return;
+    m_nextTextSweep = now + internal::textSweepInterval;
     std::erase_if(m_texts, [&](const auto& entry) {
         const bool isWanted = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& job) { return job.second.contains(entry.first); });
         return !isWanted && now - entry.second.usedAt > internal::textLifetime;
     });
-    update();
 }
 
 /// Records what long items generated, so that the next leader goes on with them. Short ones are soon made again.
@@ -305,11 +328,13 @@
     std::vector<RunPointer> silent;
     for (const auto& [job, runs] : m_runs) {
         for (const auto& [item, run] : runs) {
+            if (run->stage != Stage::Running || now - run->lastEventAt <= limit)
+                continue;
             const auto loading = m_loading.find(run->endpoint);
             const bool isPaused = loading != m_loading.end() && loading->second.contains(run->model);
             if (isPaused)
                 run->lastEventAt = now;
-            else if (run->stage == Stage::Running && now - run->lastEventAt > limit)
+            else
                 silent.push_back(run);
         }
     }
@@ -322,16 +347,31 @@
 template <typename Protocol>
 batch::RunningItem JobRunner<Protocol>::describe(const Run& run, std::size_t index, TimePoint now) const
 {
-    return { index, run.endpoint, remainingTokens(run), run.minVersion, onlyVersion(run), now - run.startedAt };
+    return { index, run.endpoint, remainingTokens(run), run.minVersion, onlyVersion(run), now - run.startedAt, now - run.lastEventAt };
+}
+
+template <typename Protocol>
+std::set<EndpointId> JobRunner<Protocol>::slowEndpoints(TimePoint now) const
+{
+    std::set<EndpointId> slow;
+    for (const auto& [id, counts] : m_running) {
+        const registry::EndpointRecord* record = m_machine.directory().find(id);
+        const bool isLeaving = record && record->state == registry::EndpointState::Draining;
+        if (isLeaving || m_speed.slowness(id, now) >= batch::slowBound)
+            slow.insert(id);
+    }
+    return slow;
 }
 
 template <typename Protocol>
 void JobRunner<Protocol>::moveFromSlow(TimePoint now)
 {
+    const std::set<EndpointId> slow = slowEndpoints(now);
     std::map<std::pair<batch::ModelName, ServiceName>, std::vector<RunPointer>> running;
     for (const auto& [job, runs] : m_runs) {
         for (const auto& [item, run] : runs) {
-            const batch::ItemSpec* spec = run->stage == Stage::Running ? specOf(*run) : nullptr;
+            const bool mayMove = run->stage == Stage::Running && slow.contains(run->endpoint);
+            const batch::ItemSpec* spec = mayMove ? specOf(*run) : nullptr;
             if (spec)
                 running[{ run->model, serviceOf(*run, *spec) }].push_back(run);
         }
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -114,6 +114,8 @@
     if (run->answerClass == gateway::AnswerClass::OtherRequest)
         return false;
     run->status = head.status;
+    if (const auto load = Protocol::loadOf(head))
+        m_speed.noteReported(run->endpoint, load->slowness, m_clock.now());
     if (run->answerClass != gateway::AnswerClass::Answer || head.status != 200)
         return true;
     const auto version = Protocol::versionOf(head);
--- a/src/azurepaddle/execution/weight_loader.hpp
+++ b/src/azurepaddle/execution/weight_loader.hpp
@@ -2,6 +2,7 @@
 
 #include "azurepaddle/batch/load_plan.hpp"
 #include "azurepaddle/execution/job_runner.hpp"
+#include "azurepaddle/execution/order_right.hpp"
 
 namespace azurepaddle::execution {
 
@@ -12,7 +13,8 @@
 };
 
 /// Brings endpoints to the named versions of their weights while its instance leads. Before its first order it takes the
-/// order right from an earlier holder by a record on the log and waits until that one's orders are out of the way.
+/// order right from an earlier holder by a record on the log, once that one's orders are out of the way. It sends orders
+/// only between two records that open and close a window for them, so that its successor knows how old they are.
 template <typename Protocol>
 class WeightLoader {
 public:
@@ -31,6 +33,7 @@
         TimePoint startedAt;
         TimePoint orderedAt; ///< Of the accepted order; zero before.
         unsigned attempts = 0;
+        bool isOrderUnanswered = false;
         http1::ClientCallPointer call;
         std::string body;
         unsigned status = 0;
@@ -38,9 +41,11 @@
     using LoadingPointer = std::shared_ptr<Loading>;
 
     [[nodiscard]] bool holdsOrders();
+    [[nodiscard]] bool mayOrder() const;
+    void setWindow(bool isOpen);
+    void closeWindowIfIdle(TimePoint now);
     void planLoads(TimePoint now);
-    [[nodiscard]] std::vector<batch::LoadTarget> targets(TimePoint now);
-    void updateHomes();
+    [[nodiscard]] std::vector<batch::LoadTarget> targets(TimePoint now) const;
     void begin(const batch::Load& load);
     void look(const LoadingPointer& loading);
     void onStatus(const LoadingPointer& loading, const EndpointStatus& status);
@@ -49,6 +54,7 @@
     void expectLoaded(const LoadingPointer& loading);
     [[nodiscard]] std::optional<std::uint64_t> knownOrders(const EndpointId& id) const;
     void noteOrders(const EndpointId& id, std::uint64_t count);
+    void orderLater(const LoadingPointer& loading, std::uint64_t acceptedOrders);
     void lookAgain(const LoadingPointer& loading, Duration delay);
     void end(const LoadingPointer& loading, std::string_view outcome);
     template <typename OnEnd>
@@ -67,7 +73,9 @@
     std::shared_ptr<const gateway::RouteTable> m_routes = std::make_shared<const gateway::RouteTable>();
     bool m_isLeading = false;
     bool m_isClaiming = false;
-    TimePoint m_leadingSince;
+    bool m_isChangingWindow = false;
+    TimePoint m_lastOrderEnd; ///< When no order was on its way any more.
+    OrderRight m_right;
     std::uint64_t m_nextNumber = 1;
     std::map<EndpointId, LoadingPointer> m_loading;
     /// Orders that an incarnation of an endpoint accepted, as far as known.
@@ -78,7 +86,6 @@
 
     std::map<EndpointId, AcceptedOrders> m_accepted;
     std::map<EndpointId, TimePoint> m_notBefore; ///< After a failed load.
-    std::map<ServiceName, batch::HomeAssignment> m_homes;
     std::map<batch::ModelName, std::pair<WeightVersion, TimePoint>> m_namedAt;
     TimePoint m_nextPlan {};
 };
--- a/src/azurepaddle/execution/weight_loader_impl.hpp
+++ b/src/azurepaddle/execution/weight_loader_impl.hpp
@@ -8,8 +8,11 @@
 
     constexpr Duration planInterval = std::chrono::milliseconds(50);
     constexpr Duration orderTimeout = std::chrono::milliseconds(400);
-    // An order of an earlier holder may be on its way this long after the end of its lease.
-    constexpr Duration orderMargin = orderTimeout + std::chrono::milliseconds(100);
+    // An order without an answer may still be on its way for so long.
+    constexpr Duration unansweredOrderTime = std::chrono::milliseconds(500);
+    // The window for orders stays open for those that follow soon.
+    constexpr Duration windowLinger = std::chrono::milliseconds(40);
+    constexpr Duration nextOrder = std::chrono::milliseconds(20);
     // A load takes this long. The next response shows the version that is really held.
     constexpr Duration loadTime = std::chrono::milliseconds(930);
     // The status that an endpoint gives is up to this old.
@@ -32,6 +35,7 @@
     , m_runner(runner)
     , m_metrics(metrics)
     , m_options(std::move(options))
+    , m_right(m_options.lease)
 {
 }
 
@@ -40,7 +44,9 @@
 {
     m_isLeading = isLeading;
     m_isClaiming = false;
-    m_leadingSince = m_clock.now();
+    m_isChangingWindow = false;
+    m_lastOrderEnd = {};
+    m_right.beginLeading(m_clock.now());
     for (const auto& [id, loading] : m_loading) {
         loading->number = 0;
         if (loading->call)
@@ -49,7 +55,6 @@
     m_loading.clear();
     m_accepted.clear();
     m_notBefore.clear();
-    m_homes.clear();
     m_namedAt.clear();
 }
 
@@ -57,10 +62,10 @@
 void WeightLoader<Protocol>::tick()
 {
     const TimePoint now = m_clock.now();
+    m_right.observe(m_machine.orders(), now);
     if (!m_isLeading || !m_group.isCurrent() || now < m_nextPlan)
         return;
     m_nextPlan = now + internal::planInterval;
-    updateHomes();
     for (const auto& [name, version] : m_machine.namedVersions()) {
         auto& [known, since] = m_namedAt[batch::ModelName(name)];
         if (known != version) {
@@ -70,18 +75,18 @@
     }
     if (!m_namedAt.empty() && holdsOrders())
         planLoads(now);
+    closeWindowIfIdle(now);
 }
 
 /// Whether this instance may give orders. Claims the right, once an earlier holder's orders cannot come any more.
 template <typename Protocol>
 bool WeightLoader<Protocol>::holdsOrders()
 {
-    const registry::ClaimOrders& holder = m_machine.orderHolder();
+    const registry::ClaimOrders& holder = m_machine.orders().holder;
     const std::uint64_t term = m_group.status().term;
     if (holder.instance == m_options.instance && holder.fence == term)
         return true;
-    const bool isFree = holder.instance.empty() || holder.instance == m_options.instance;
-    if (m_isClaiming || (!isFree && m_clock.now() < m_leadingSince + m_options.lease + internal::orderMargin))
+    if (m_isClaiming || !m_right.mayClaim(m_options.instance, m_clock.now()))
         return false;
     m_isClaiming = true;
     m_log.info("claims the order right fence={} from=\"{}\"", term, holder.instance);
@@ -89,37 +94,55 @@
     return false;
 }
 
+/// Whether the record says that this instance sends orders now.
 template <typename Protocol>
-void WeightLoader<Protocol>::updateHomes()
+bool WeightLoader<Protocol>::mayOrder() const
 {
-    std::map<EndpointId, batch::ModelName> all;
-    for (const auto& [name, service] : m_routes->services()) {
-        if (service.models.empty())
-            continue;
-        std::vector<batch::HomeAssignment::Candidate> candidates;
-        for (const auto& [id, record] : m_machine.directory().records()) {
-            if (record.service == name && record.state == registry::EndpointState::Ready)
-                candidates.push_back({ id, record.versions });
-        }
-        batch::HomeAssignment& homes = m_homes[name];
-        homes.update(candidates, service.models);
-        for (const auto& candidate : candidates)
-            all[candidate.id] = homes.homeOf(candidate.id);
-    }
-    m_runner.setHomes(std::move(all));
+    const registry::OrderRecord& record = m_machine.orders();
+    return record.isOpen && !m_isChangingWindow && record.holder.instance == m_options.instance && record.holder.fence == m_group.status().term;
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::setWindow(bool isOpen)
+{
+    if (std::exchange(m_isChangingWindow, true))
+        return;
+    m_log.debug("order window fence={} is-open={}", m_group.status().term, isOpen);
+    m_group.propose(registry::encodeCommand(registry::SetOrderWindow { m_group.status().term, isOpen }), [this, isOpen](const cluster::ProposalResult& result) {
+        m_isChangingWindow = false;
+        m_lastOrderEnd = m_clock.now();
+        if (!isOpen || result.status != cluster::ProposalStatus::Applied)
+            return;
+        m_nextPlan = {};
+        tick();
+    });
+}
+
+template <typename Protocol>
+void WeightLoader<Protocol>::closeWindowIfIdle(TimePoint now)
+{
+    const bool isSending = std::any_of(m_loading.begin(), m_loading.end(), [](const auto& entry) { return entry.second->isOrderUnanswered; });
+    if (mayOrder() && !isSending && now - m_lastOrderEnd > internal::windowLinger)
+        setWindow(false);
 }
 
 template <typename Protocol>
-std::vector<batch::LoadTarget> WeightLoader<Protocol>::targets(TimePoint now)
+std::vector<batch::LoadTarget> WeightLoader<Protocol>::targets(TimePoint now) const
 {
     std::vector<batch::LoadTarget> targets;
     for (const auto& [id, record] : m_machine.directory().records()) {
-        const auto homes = m_homes.find(record.service);
-        if (homes == m_homes.end() || record.state != registry::EndpointState::Ready)
+        const auto service = m_routes->services().find(record.service);
+        if (service == m_routes->services().end() || service->second.models.empty() || record.state != registry::EndpointState::Ready)
             continue;
-        const batch::ModelName home = homes->second.homeOf(id);
+        batch::LoadTarget target;
+        target.id = id;
+        for (const batch::ModelName& model : service->second.models)
+            target.models[model] = { m_liveness.versionOf(record, model), m_runner.running(id, model) };
+        if (const auto loading = m_loading.find(id); loading != m_loading.end())
+            target.loading = loading->second->load.model;
         const auto wait = m_notBefore.find(id);
-        targets.push_back({ id, home, m_liveness.versionOf(record, home), m_runner.running(id, home), m_loading.contains(id), wait == m_notBefore.end() || now >= wait->second });
+        target.isUsable = wait == m_notBefore.end() || now >= wait->second;
+        targets.push_back(std::move(target));
     }
     return targets;
 }
@@ -131,11 +154,21 @@
     for (const auto& [model, named] : m_namedAt)
         wanted[model] = { named.first, now - named.second, m_runner.areItemsWaiting(model) };
     const auto all = targets(now);
-    for (const batch::Load& load : batch::planLoads(all, wanted)) {
+    const std::vector<batch::Load> loads = batch::planLoads(all, wanted);
+    if (loads.empty())
+        return;
+    if (!mayOrder())
+        return setWindow(true);
+    // All of them first, so that no item moves to an endpoint that loads next.
+    for (const batch::Load& load : loads)
+        m_runner.setLoading(load.endpoint, load.model, true);
+    for (const batch::Load& load : loads) {
         const auto target = std::find_if(all.begin(), all.end(), [&](const batch::LoadTarget& candidate) { return candidate.id == load.endpoint; });
-        const bool mayPause = target->version + 1 < load.version || wanted[load.model].age > internal::patienceWithItems;
+        const bool mayPause = target->models.at(load.model).version + 1 < load.version || wanted[load.model].age > internal::patienceWithItems;
         if (m_runner.evacuate(load.endpoint, load.model) || mayPause)
             begin(load);
+        else
+            m_runner.setLoading(load.endpoint, load.model, false);
     }
 }
 
@@ -147,7 +180,6 @@
     loading->number = m_nextNumber++;
     loading->startedAt = m_clock.now();
     m_loading[load.endpoint] = loading;
-    m_runner.setLoading(load.endpoint, load.model, true);
     m_metrics.counter("loads_started_total").add();
     if (const auto known = knownOrders(load.endpoint))
         order(loading, *known);
@@ -237,7 +269,12 @@
     // Checked last: the lease may have ended while the endpoint was asked.
     if (!m_group.isCurrent() || !holdsOrders())
         return end(loading, "order right lost");
+    if (!mayOrder()) {
+        setWindow(true);
+        return orderLater(loading, acceptedOrders);
+    }
     ++loading->attempts;
+    loading->isOrderUnanswered = true;
     const LoadOrder order { loading->load.endpoint, loading->load.model, loading->load.version, m_options.instance, m_group.status().term, acceptedOrders };
     m_log.info("order endpoint={} model={} version={} fence={} expected-orders={} attempt={}", order.endpoint, order.model, order.version, order.fence, acceptedOrders, loading->attempts);
     m_metrics.counter("orders_sent_total").add();
@@ -251,6 +288,8 @@
     constexpr unsigned holds = 200;
     constexpr unsigned conflict = 409;
     m_log.info("order endpoint={} model={} version={} answered status={} cause=\"{}\"", loading->load.endpoint, loading->load.model, loading->load.version, loading->status, ended.message);
+    loading->isOrderUnanswered = false;
+    m_lastOrderEnd = std::max(m_lastOrderEnd, m_clock.now() + (ended.kind == http1::CallEndKind::Complete ? Duration::zero() : internal::unansweredOrderTime));
     const auto known = knownOrders(loading->load.endpoint);
     m_accepted.erase(loading->load.endpoint);
     if (ended.kind != http1::CallEndKind::Complete)
@@ -284,6 +323,19 @@
     });
 }
 
+/// Orders once the window for orders is open.
+template <typename Protocol>
+void WeightLoader<Protocol>::orderLater(const LoadingPointer& loading, std::uint64_t acceptedOrders)
+{
+    if (m_clock.now() - loading->startedAt > internal::loadTimeout)
+        return end(loading, "took too long");
+    const auto timer = std::make_shared<asio::steady_timer>(m_io, internal::nextOrder);
+    timer->async_wait([this, timer, loading, acceptedOrders, number = loading->number](std::error_code) {
+        if (loading->number == number && m_isLeading)
+            order(loading, acceptedOrders);
+    });
+}
+
 template <typename Protocol>
 void WeightLoader<Protocol>::lookAgain(const LoadingPointer& loading, Duration delay)
 {
--- a/src/azurepaddle/registry/commands.hpp
+++ b/src/azurepaddle/registry/commands.hpp
@@ -76,6 +76,21 @@
     MSGPACK_DEFINE(instance, fence)
 };
 
+/// The holder of the order right begins to send orders, or has no order on its way any more.
+struct SetOrderWindow {
+    std::uint64_t fence = 0; ///< Of the holder.
+    bool isOpen = false;
+    MSGPACK_DEFINE(fence, isOpen)
+};
+
+/// The right to send orders, as agreed.
+struct OrderRecord {
+    ClaimOrders holder;
+    bool isOpen = false; ///< Orders of the holder may be on their way.
+    std::uint64_t changes = 0; ///< Rises with each change.
+    MSGPACK_DEFINE(holder, isOpen, changes)
+};
+
 /// An operator wants an instance emptied.
 struct RetireInstance {
     std::string instance;
@@ -88,7 +103,7 @@
     MSGPACK_DEFINE(parts)
 };
 
-using Command = std::variant<PutConfiguration, NameVersion, SetEndpoint, LeaveEndpoint, ForgetEndpoint, AcceptJob, ListResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, KeepTexts>;
+using Command = std::variant<PutConfiguration, NameVersion, SetEndpoint, LeaveEndpoint, ForgetEndpoint, AcceptJob, ListResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, KeepTexts, SetOrderWindow>;
 
 [[nodiscard]] std::string encodeCommand(const Command& command);
 /// Nothing if the bytes are no command of this version.
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -14,10 +14,10 @@
         std::vector<EndpointRecord> endpoints;
         std::uint64_t directoryRevision = 0;
         std::vector<batch::JobSnapshot> jobs;
-        ClaimOrders orderHolder;
+        OrderRecord orders;
         std::set<std::string> retiring;
         std::vector<batch::TextPart> texts;
-        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orderHolder, retiring, texts)
+        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts)
     };
 
     // A snapshot holds all jobs, which may exceed the limit of messages between instances.
@@ -101,8 +101,17 @@
 
 std::string StateMachine::run(ClaimOrders command)
 {
-    if (command.fence > m_orderHolder.fence)
-        m_orderHolder = std::move(command);
+    if (command.fence > m_orders.holder.fence)
+        m_orders = { std::move(command), false, m_orders.changes + 1 };
+    return {};
+}
+
+std::string StateMachine::run(const SetOrderWindow& command)
+{
+    if (command.fence == m_orders.holder.fence) {
+        m_orders.isOpen = command.isOpen;
+        ++m_orders.changes;
+    }
     return {};
 }
 
@@ -127,7 +136,7 @@
 
 std::string StateMachine::snapshot() const
 {
-    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orderHolder, m_retiring, m_texts.snapshot() };
+    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot() };
     for (const auto& [id, record] : m_directory.records())
         state.endpoints.push_back(record);
     return codec::encode(state);
@@ -145,7 +154,7 @@
         records.emplace(record.id, std::move(record));
     m_directory.restore(std::move(records), state->directoryRevision);
     m_jobs.restore(std::move(state->jobs));
-    m_orderHolder = std::move(state->orderHolder);
+    m_orders = std::move(state->orders);
     m_retiring = std::move(state->retiring);
     m_texts.restore(state->texts);
     return true;
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -28,7 +28,7 @@
     [[nodiscard]] const Directory& directory() const noexcept { return m_directory; }
     [[nodiscard]] const batch::JobStore& jobs() const noexcept { return m_jobs; }
     [[nodiscard]] const batch::TextStore& texts() const noexcept { return m_texts; }
-    [[nodiscard]] const ClaimOrders& orderHolder() const noexcept { return m_orderHolder; }
+    [[nodiscard]] const OrderRecord& orders() const noexcept { return m_orders; }
     [[nodiscard]] const std::set<std::string>& retiring() const noexcept { return m_retiring; }
 
 private:
@@ -44,13 +44,14 @@
     std::string run(ClaimOrders command);
     std::string run(const RetireInstance& command);
     std::string run(const KeepTexts& command);
+    std::string run(const SetOrderWindow& command);
 
     ConfigurationDocument m_configuration;
     std::map<std::string, WeightVersion> m_versions; ///< Named ones, by model.
     Directory m_directory;
     batch::JobStore m_jobs;
     batch::TextStore m_texts;
-    ClaimOrders m_orderHolder;
+    OrderRecord m_orders;
     std::set<std::string> m_retiring;
 };
 
