Give long items endpoints with few others

Cause: items of the largest size take 139 events of 73 tokens, 6.7 s at the least of the 7.5 s that are due, and each item beside them adds 0.7 %, each prompt that is read there 2.6 ms.

Change: an item is long by its submitter's estimate or by what it generated, against the mean of its job; an endpoint counts a long item like four.

--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -27,9 +27,13 @@
         return endpoint.isUsable && endpoint.running < endpoint.slots && endpoint.version >= item.minVersion && (!item.onlyVersion || *item.onlyVersion == endpoint.version);
     }
 
+    // A long item counts like so many others: each item beside it and each prompt that is read there makes it later.
+    constexpr double longItemWeight = 4;
+
     double costOf(const EndpointLoad& endpoint)
     {
-        const double share = (static_cast<double>(endpoint.running) + 1) / static_cast<double>(std::max(1U, endpoint.slots));
+        const double items = static_cast<double>(endpoint.running) + 1 + (longItemWeight - 1) * static_cast<double>(endpoint.longItems);
+        const double share = items / static_cast<double>(std::max(1U, endpoint.slots));
         return share * endpoint.slowness;
     }
 
@@ -79,9 +83,10 @@
             continue;
         const auto known = placedAt.find(item.group);
         EndpointLoad* shared = known == placedAt.end() ? nullptr : findEndpoint(endpoints, known->second);
-        if (shared && fits(*shared, item) && shared->slowness < slowBound && shared->running <= best->running + affinitySlack)
+        if (shared && fits(*shared, item) && shared->slowness < slowBound && shared->longItems == 0 && shared->running <= best->running + affinitySlack)
             best = shared;
         ++best->running;
+        best->longItems += item.isLong ? 1 : 0;
         placedAt[item.group] = best->id;
         placements.push_back({ item.index, best->id });
     }
--- a/src/azurepaddle/batch/placement.hpp
+++ b/src/azurepaddle/batch/placement.hpp
@@ -17,6 +17,7 @@
     EndpointId id;
     std::uint32_t slots = 1;
     std::uint32_t running = 0; ///< Items of all models, by this instance's own count.
+    std::uint32_t longItems = 0; ///< Those of them that decide when their steps end.
     WeightVersion version = 0; ///< Of the model in question.
     bool isUsable = true; ///< Takes new items of the model now.
     double slowness = 1; ///< Time per event against the median of all endpoints.
@@ -30,6 +31,7 @@
     GroupId group;
     bool isCarried = false; ///< Its submitter waits for its group, whatever other groups are complete.
     std::uint64_t expectedTokens = 0; ///< Still to generate.
+    bool isLong = false; ///< Much longer than the others of its job.
     WeightVersion minVersion = 0;
     std::optional<WeightVersion> onlyVersion; ///< Must go on under the version that made its first tokens.
 
@@ -45,7 +47,8 @@
 
 /// Assigns waiting items to free slots: carried groups first, then the longest items, because the last items of a step
 /// decide when it ends. Items go to the least loaded endpoint; items of a group stay together where that costs little,
-/// so that their shared prompt is read once. Items without a free slot keep waiting.
+/// so that their shared prompt is read once. Endpoints with long items get few others. Items without a free slot keep
+/// waiting.
 [[nodiscard]] std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastOfGroup);
 
 /// A running item that could go on elsewhere.
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -55,6 +55,8 @@
         WeightVersion minVersion = 0;
         bool isSingleVersion = false;
         bool isCarried = false;
+        std::uint64_t longTokens = 0; ///< From this much output on an item of the job is long.
+        bool isLong = false; ///< By the estimate of its submitter, or by what it generated.
         std::uint32_t maxAttempts = 1;
         Duration retention {};
         Stage stage = Stage::Waiting;
@@ -82,7 +84,8 @@
     };
 
     void takeJobs();
-    void addRun(const batch::Job& job, const batch::ItemSpec& item, const std::vector<const batch::Job*>& jobs);
+    void addRun(const batch::Job& job, const batch::ItemSpec& item, std::uint64_t longTokens, const std::vector<const batch::Job*>& jobs);
+    void noteLength(const RunPointer& run);
     void adoptText(const RunPointer& run);
     void dropRun(const RunPointer& run, std::string_view reason);
     void place();
@@ -130,6 +133,7 @@
     std::map<batch::JobId, std::map<batch::ItemId, RunPointer>> m_runs;
     std::map<batch::ItemId, KnownText> m_texts;
     std::map<EndpointId, std::map<batch::ModelName, std::uint32_t>> m_running;
+    std::map<EndpointId, std::uint32_t> m_longItems; ///< Running ones.
     std::map<EndpointId, std::set<batch::ModelName>> m_loading;
     std::map<EndpointId, TimePoint> m_avoidUntil;
     std::map<GroupId, EndpointId> m_lastOfGroup;
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -21,9 +21,20 @@
     // An endpoint without any event for this long is taken for dead; its items go on elsewhere.
     constexpr Duration silenceLimit = std::chrono::milliseconds(700);
     constexpr Duration silenceAvoidance = std::chrono::seconds(2);
+    // An item this many times longer than the mean of its job is long.
+    constexpr std::uint64_t longFactor = 2;
     // A draining endpoint serves on for a while, so its items move as from a very slow one.
     constexpr double drainingSlowness = 100;
 
+    /// From this much output on an item of the job is long.
+    inline std::uint64_t longTokensOf(const batch::JobSpec& job)
+    {
+        std::uint64_t sum = 0;
+        for (const batch::ItemSpec& item : job.items)
+            sum += item.expectedTokens > 0 ? item.expectedTokens : defaultExpectedTokens;
+        return longFactor * sum / std::max<std::uint64_t>(1, job.items.size());
+    }
+
 }
 
 template <typename Protocol>
@@ -52,6 +63,7 @@
     m_loading.clear();
     m_avoidUntil.clear();
     m_running.clear();
+    m_longItems.clear();
     if (isLeading)
         scheduleUpdate();
 }
@@ -86,9 +98,10 @@
         if (job->isEnded || known != m_runs.end())
             continue;
         m_runs[job->spec.id];
+        const std::uint64_t longTokens = internal::longTokensOf(job->spec);
         for (const batch::ItemSpec& item : job->spec.items) {
             if (!m_machine.jobs().isListed(job->spec.id, item.id))
-                addRun(*job, item, jobs);
+                addRun(*job, item, longTokens, jobs);
         }
     }
     std::vector<RunPointer> ended;
@@ -108,7 +121,7 @@
 }
 
 template <typename Protocol>
-void JobRunner<Protocol>::addRun(const batch::Job& job, const batch::ItemSpec& item, const std::vector<const batch::Job*>& jobs)
+void JobRunner<Protocol>::addRun(const batch::Job& job, const batch::ItemSpec& item, std::uint64_t longTokens, const std::vector<const batch::Job*>& jobs)
 {
     const batch::JobSpec& spec = job.spec;
     const auto run = std::make_shared<Run>();
@@ -121,6 +134,8 @@
     run->maxAttempts = spec.maxAttempts;
     run->retention = std::chrono::milliseconds(spec.retentionMs);
     run->acceptedAt = m_clock.now();
+    run->longTokens = longTokens;
+    run->isLong = item.expectedTokens >= longTokens;
     for (const batch::Job* earlier : jobs)
         run->isCarried = run->isCarried || (earlier->order < job.order && m_machine.jobs().findItem(earlier->spec.id, item.id));
     m_runs[run->job][run->item] = run;
@@ -185,6 +200,8 @@
             for (const auto& [other, count] : found->second)
                 load.running += count;
         }
+        if (const auto found = m_longItems.find(id); found != m_longItems.end())
+            load.longItems = found->second;
         load.version = m_liveness.versionOf(record, model);
         const auto loading = m_loading.find(id);
         const auto avoided = m_avoidUntil.find(id);
@@ -244,7 +261,7 @@
         std::vector<batch::WaitingItem> items;
         for (std::size_t index = 0; index < runs.size(); ++index) {
             const Run& run = *runs[index];
-            items.push_back({ index, specOf(run)->group, run.isCarried, remainingTokens(run), run.minVersion, onlyVersion(run) });
+            items.push_back({ index, specOf(run)->group, run.isCarried, remainingTokens(run), run.isLong, run.minVersion, onlyVersion(run) });
         }
         for (const batch::Placement& placement : batch::placeItems(std::move(items), loadsOf(kind.first, kind.second, now), m_lastOfGroup)) {
             m_lastOfGroup[specOf(*runs[placement.index])->group] = placement.endpoint;
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -39,6 +39,7 @@
     run->lastEventAt = now;
     run->eventsHere = 0;
     ++m_running[endpoint][run->model];
+    m_longItems[endpoint] += run->isLong ? 1 : 0;
     const auto ifCurrent = [weak = std::weak_ptr(run), number = run->number]() -> RunPointer {
         const auto current = weak.lock();
         return current && current->number == number && current->stage == Stage::Running ? current : nullptr;
@@ -77,6 +78,18 @@
         call->cancel();
     std::uint32_t& count = m_running[run->endpoint][run->model];
     count -= std::min(count, 1U);
+    if (std::uint32_t& longItems = m_longItems[run->endpoint]; run->isLong)
+        longItems -= std::min(longItems, 1U);
+}
+
+/// Counts a running item as long once it has generated that much.
+template <typename Protocol>
+void JobRunner<Protocol>::noteLength(const RunPointer& run)
+{
+    if (run->isLong || textOf(*run).events() * internal::tokensPerEvent < run->longTokens)
+        return;
+    run->isLong = true;
+    ++m_longItems[run->endpoint];
 }
 
 template <typename Protocol>
@@ -169,6 +182,7 @@
     if (run->eventsHere++ > 0 && !isPaused)
         m_speed.note(run->endpoint, now - run->lastEventAt, now);
     run->lastEventAt = now;
+    noteLength(run);
 }
 
 template <typename Protocol>
--- a/test/azurepaddle/batch/placement.cpp
+++ b/test/azurepaddle/batch/placement.cpp
@@ -84,6 +84,20 @@
     cr_assert(placeItems({ item }, { endpoint("a", 0, 3), endpoint("b", 0, 2) }, {})[0].endpoint == EndpointId("b"));
 }
 
+// Guards against a step that ends late because short items crowd the endpoint of its longest one.
+Test(Placement, longItemsOfStep_shortOnes_goToOtherEndpoints)
+{
+    std::vector<WaitingItem> items;
+    for (std::size_t i = 0; i < 8; ++i)
+        items.push_back(waiting(i, i < 2 ? 5000 : 500));
+    items[0].isLong = true;
+    items[1].isLong = true;
+    const auto placements = placeItems(items, { endpoint("a"), endpoint("b"), endpoint("c"), endpoint("d") }, {});
+    const auto counts = countByEndpoint(placements);
+    cr_assert(placements[0].endpoint != placements[1].endpoint);
+    cr_assert(counts.at(placements[0].endpoint) == 1 && counts.at(placements[1].endpoint) == 1);
+}
+
 // Guards against a shared prompt that is read again at each endpoint of a lightly loaded service.
 Test(Placement, itemsOfOneGroup_lightLoad_shareAnEndpoint)
 {
