--- a/src/azurepaddle/config/node_settings.cpp
+++ b/src/azurepaddle/config/node_settings.cpp
@@ -53,6 +53,7 @@
         static const std::vector<Key<S>> keys {
             { "address", &S::address, { Form::IpAddress, 0, 0, {} }, true, "Address for other nodes." },
             { "port", &S::port, range(1, maxPort), false, "Port for other nodes, the same on all of them." },
+            { "listen_port", &S::listenPort, range(0, maxPort), false, "Port at which this node accepts other nodes, if a relay forwards `port` to it; 0: the same." },
             { "seeds", &S::seeds, plainText, true, "Addresses of store nodes to ask first, with any port. At the first start of a deployment they found its log." },
             { "secret", &S::secret, { Form::Secret, 0, 0, {} }, true, "Shared secret of the deployment's nodes." },
             { "first_start", &S::isFirstStart, plainText, false, "Whether the whole deployment starts for the first time, with empty disks." },
--- a/src/azurepaddle/config/node_settings.hpp
+++ b/src/azurepaddle/config/node_settings.hpp
@@ -37,6 +37,7 @@
 struct NodePeerSettings {
     std::string address;
     std::uint64_t port = 7400;
+    std::uint64_t listenPort = 0; ///< 0: the same as `port`.
     std::vector<std::string> seeds;
     std::string secret;
     bool isFirstStart = false;
@@ -67,6 +68,8 @@
     [[nodiscard]] bool isStore() const noexcept { return node.role == "store"; }
     [[nodiscard]] LogLevel logLevel() const noexcept;
     [[nodiscard]] InstanceAddress peerAddress() const { return { peer.address, static_cast<std::uint16_t>(peer.port) }; }
+    /// Where this node accepts other nodes.
+    [[nodiscard]] InstanceAddress peerListenAddress() const { return { peer.address, static_cast<std::uint16_t>(peer.listenPort == 0 ? peer.port : peer.listenPort) }; }
     /// Peer addresses of the seeds. All nodes of a deployment use the same peer port, so a seed's own port is not used.
     [[nodiscard]] std::vector<InstanceAddress> seedPeers() const;
 
--- a/src/programs/azurepaddle-node/transport_options.hpp
+++ b/src/programs/azurepaddle-node/transport_options.hpp
@@ -22,7 +22,7 @@
 [[nodiscard]] inline transport::ServerOptions peerServerOptions(const config::NodeSettings& settings)
 {
     transport::ServerOptions options;
-    options.listen = settings.peerAddress();
+    options.listen = settings.peerListenAddress();
     options.secret = settings.peer.secret;
     options.stopTimeout = std::chrono::milliseconds(300);
     return options;
--- a/test/azurepaddle/config/node_settings.cpp
+++ b/test/azurepaddle/config/node_settings.cpp
@@ -55,6 +55,17 @@
     cr_assert(settings->bounds.orderLease == std::chrono::seconds(3));
 }
 
+// Guards against a node behind a relay that listens where the relay does.
+Test(NodeSettings, listenPort_givenOrNot_isWhereTheNodeListens)
+{
+    cr_assert(parseNodeSettings(store, "node.ini")->peerListenAddress() == InstanceAddress({ "10.1.0.13", 7720 }));
+    std::string relayed = store;
+    relayed.replace(relayed.find("port = 7720"), 11, "port = 7720\nlisten_port = 7721");
+    const auto settings = parseNodeSettings(relayed, "node.ini");
+    cr_assert(settings->peerAddress() == InstanceAddress({ "10.1.0.13", 7720 }));
+    cr_assert(settings->peerListenAddress() == InstanceAddress({ "10.1.0.13", 7721 }));
+}
+
 // Guards against a node that starts with settings it cannot work with.
 Test(NodeSettings, missingOrWrongValues_read_areAllReported)
 {
--- /dev/null
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -0,0 +1,396 @@
+#include "azurepaddle/execution/job_runner.hpp"
+#include "azurepaddle/execution/weight_loader.hpp"
+#include "azurepaddle/http1/server.hpp"
+
+#include <criterion/criterion.h>
+#include <filesystem>
+#include <fmt/format.h>
+
+using namespace azurepaddle;
+using namespace azurepaddle::execution;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceName serviceName("models");
+const batch::ModelName model("m");
+const batch::JobId jobId("job");
+constexpr std::uint64_t eventsOfItem = 6;
+
+/// How items and orders are marked in these tests.
+struct TestProtocol {
+    static std::string requestId(const http1::Request& request) { return std::string(request.fields.find("Id")); }
+    static std::optional<Duration> patience(const http1::Request&) { return std::nullopt; }
+    static http1::Request forEndpoint(const http1::Request& request, const EndpointId&, Duration) { return request; }
+    static gateway::AnswerClass classify(const http1::Response& head, std::string_view)
+    {
+        if (head.status == 421)
+            return gateway::AnswerClass::WrongEndpoint;
+        return head.fields.contains("Not-Run") ? gateway::AnswerClass::NotRun : gateway::AnswerClass::Answer;
+    }
+    static std::optional<gateway::LoadReport> loadOf(const http1::Response&) { return std::nullopt; }
+    static http1::Request itemRequest(const batch::ItemSpec& item, const std::string& host, const EndpointId&, std::uint64_t held)
+    {
+        return { "POST", item.path, { { "Host", host }, { "Id", item.id.value() }, { "After", std::to_string(held) } }, item.body };
+    }
+    static std::optional<WeightVersion> versionOf(const http1::Response& head) { return numberOf(head.fields.find("Version")); }
+    static std::optional<WeightVersion> versionOf(const http1::StreamEvent&) { return std::nullopt; }
+    static std::optional<std::uint64_t> eventNumber(const http1::StreamEvent& event) { return numberOf(event.id); }
+    static http1::Request loadRequest(const LoadOrder& order)
+    {
+        return { "POST", "/order", { { "Host", "e" }, { "Version", std::to_string(order.version) }, { "Holder", order.holder } }, {} };
+    }
+    static http1::Request statusRequest(const EndpointId&) { return { "GET", "/status", { { "Host", "e" } }, {} }; }
+    static std::optional<EndpointStatus> parseStatus(const std::string& body)
+    {
+        const auto version = numberOf(body);
+        return version ? std::optional(EndpointStatus { { { model.value(), *version } }, false, 0 }) : std::nullopt;
+    }
+
+private:
+    static std::optional<std::uint64_t> numberOf(std::string_view text)
+    {
+        if (text.empty())
+            return std::nullopt;
+        return std::stoull(std::string(text));
+    }
+};
+
+enum class Behaviour : std::uint8_t {
+    Whole,
+    CutAfterThree, ///< The connection ends after three events.
+    Full, ///< Refuses each item as not run.
+    Fails, ///< Answers 500.
+    Unprocessable, ///< Answers 422.
+    SilentAfterThree,
+};
+
+/// An endpoint of the test, on the loop of the test.
+struct Endpoint {
+    Endpoint(asio::io_context& io, std::string name, Behaviour itsBehaviour, WeightVersion itsVersion)
+        : id(std::move(name))
+        , behaviour(itsBehaviour)
+        , version(itsVersion)
+        , cutTimer(io)
+        , server(io, [this](const http1::ExchangePointer& exchange) { handle(exchange); })
+    {
+        cr_assert(server.listen({ "127.0.0.1", 0 }).has_value());
+    }
+    ~Endpoint() { server.close(); }
+
+    void handle(const http1::ExchangePointer& exchange)
+    {
+        const http1::Request& request = exchange->request();
+        if (request.target == "/status")
+            return exchange->respond({ 200, {}, {}, std::to_string(version) });
+        if (request.target == "/order") {
+            ++orders;
+            version = std::stoull(std::string(request.fields.find("Version")));
+            return exchange->respond({ 202, {}, {}, {} });
+        }
+        starts.push_back(std::stoull(std::string(request.fields.find("After"))));
+        if (behaviour == Behaviour::Full)
+            return exchange->respond({ 503, {}, { { "Not-Run", "1" } }, {} });
+        if (behaviour == Behaviour::Fails || behaviour == Behaviour::Unprocessable)
+            return exchange->respond({ behaviour == Behaviour::Fails ? 500U : 422U, {}, {}, {} });
+        stream(exchange, starts.back());
+    }
+
+    void stream(const http1::ExchangePointer& exchange, std::uint64_t held)
+    {
+        exchange->beginStream({ 200, {}, { { "Version", std::to_string(version) } }, {} });
+        const std::uint64_t last = behaviour == Behaviour::Whole ? eventsOfItem : 3;
+        for (std::uint64_t number = held + 1; number <= last; ++number)
+            exchange->sendChunk(fmt::format("id: {}\ndata: event {}\n\n", number, number));
+        if (behaviour == Behaviour::Whole)
+            return exchange->endStream();
+        silent = exchange;
+        if (behaviour == Behaviour::CutAfterThree)
+            cutLater();
+    }
+
+    /// Ends the connection once what was sent has arrived.
+    void cutLater()
+    {
+        cutTimer.expires_after(50ms);
+        cutTimer.async_wait([this](std::error_code error) {
+            if (!error)
+                silent->abort();
+        });
+    }
+
+    EndpointId id;
+    Behaviour behaviour;
+    WeightVersion version;
+    asio::steady_timer cutTimer;
+    http1::Server server;
+    std::vector<std::uint64_t> starts; ///< Events that each run was told to go on after.
+    unsigned orders = 0;
+    http1::ExchangePointer silent;
+};
+
+std::uint16_t freePort()
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+cluster::GroupOptions groupOptions(const InstanceAddress& address, const std::string& folder)
+{
+    cluster::GroupOptions options;
+    options.name = "store";
+    options.address = address;
+    options.dataFolder = folder;
+    options.seeds = { address };
+    options.mayFound = true;
+    options.policy.voters = 1;
+    return options;
+}
+
+transport::ServerOptions serverOptions(const InstanceAddress& address)
+{
+    transport::ServerOptions options;
+    options.listen = address;
+    options.secret = "the shared secret";
+    return options;
+}
+
+transport::ClientOptions clientOptions()
+{
+    transport::ClientOptions options;
+    options.secret = "the shared secret";
+    return options;
+}
+
+/// A leader with a log of its own, and endpoints that it knows.
+struct RunnerFixture {
+    asio::io_context io;
+    std::filesystem::path folder = std::filesystem::temp_directory_path() / ("azurepaddle-runner-" + randomHex(6));
+    InstanceAddress address { "127.0.0.1", freePort() };
+    registry::StateMachine machine;
+    registry::Liveness liveness;
+    metrics::Registry metrics;
+    transport::PeerClient client { clientOptions() };
+    transport::PeerServer server { serverOptions(address) };
+    registry::ServiceGroup group { io, groupOptions(address, folder.string()), machine, client };
+    http1::ClientPool pool { io, {} };
+    JobRunner<TestProtocol> runner { io, pool, group, machine, liveness, metrics };
+    WeightLoader<TestProtocol> loader { io, pool, group, machine, liveness, runner, metrics, { "store", 200ms } };
+    std::vector<std::unique_ptr<Endpoint>> endpoints;
+    const SystemClock clock {};
+
+    RunnerFixture()
+    {
+        group.registerHandlers(server);
+        cr_assert(client.start().has_value());
+        cr_assert(server.start().has_value());
+        gateway::Route route { "r", "host", "/items/", gateway::RouteKind::Batch, { { serviceName, 1 } } };
+        const auto routes = std::make_shared<const gateway::RouteTable>(1, std::vector { route }, std::vector { gateway::Service { serviceName, {}, 64, { model } } }, http1::ServerLimits {});
+        runner.setRoutes(routes);
+        loader.setRoutes(routes);
+        group.start();
+        cr_assert(runUntil([&] { return group.isCurrent(); }));
+        runner.onLeadership(true);
+        loader.onLeadership(true);
+    }
+    ~RunnerFixture()
+    {
+        runner.onLeadership(false);
+        server.stop();
+        client.stop();
+        std::filesystem::remove_all(folder);
+    }
+
+    bool runUntil(const std::function<bool()>& condition, Duration limit = 20s)
+    {
+        const TimePoint end = clock.now() + limit;
+        while (!condition() && clock.now() < end) {
+            io.run_for(5ms);
+            runner.tick();
+            loader.tick();
+        }
+        return condition();
+    }
+
+    void apply(const registry::Command& command)
+    {
+        bool isApplied = false;
+        group.propose(registry::encodeCommand(command), [&](const cluster::ProposalResult& result) { isApplied = result.status == cluster::ProposalStatus::Applied; });
+        cr_assert(runUntil([&] { return isApplied; }));
+    }
+
+    Endpoint& add(const std::string& name, Behaviour behaviour, WeightVersion version = 1)
+    {
+        endpoints.push_back(std::make_unique<Endpoint>(io, name, behaviour, version));
+        Endpoint& endpoint = *endpoints.back();
+        registry::EndpointRecord record;
+        record.id = endpoint.id;
+        record.startedMs = 1;
+        record.service = serviceName;
+        record.ip = endpoint.server.address().ip;
+        record.port = endpoint.server.address().port;
+        record.slots = 4;
+        record.versions = { { model.value(), version } };
+        apply(registry::SetEndpoint { record });
+        cr_assert(liveness.note({ record, 1 }, clock.now()));
+        return endpoint;
+    }
+
+    void submit(WeightVersion minVersion = 1, std::uint32_t maxAttempts = 3)
+    {
+        batch::JobSpec job;
+        job.id = jobId;
+        job.host = "host";
+        job.model = model;
+        job.minVersion = minVersion;
+        job.maxAttempts = maxAttempts;
+        job.retentionMs = 60'000;
+        job.items.push_back({ batch::ItemId("item"), "/items/1", {}, "body", GroupId("g"), 10, 400 });
+        apply(registry::AcceptJob { job });
+    }
+
+    /// The only result of the job, once it is listed.
+    std::optional<batch::ItemResult> result()
+    {
+        static_cast<void>(runUntil([&] { return !machine.jobs().find(jobId)->results.empty(); }));
+        const auto& results = machine.jobs().find(jobId)->results;
+        return results.size() == 1 ? std::optional(machine.jobs().load(results.front())) : std::nullopt;
+    }
+};
+
+std::string wholeText()
+{
+    std::string text;
+    for (std::uint64_t number = 1; number <= eventsOfItem; ++number)
+        text += (number == 1 ? "" : "\n") + fmt::format("event {}", number);
+    return text;
+}
+
+}
+
+// Guards against a text with a missing or doubled event where an item continues at another endpoint.
+Test(JobRunner, connectionEndsMidway_itemContinuesElsewhere_textIsWhole)
+{
+    RunnerFixture fixture;
+    const Endpoint& cut = fixture.add("a", Behaviour::CutAfterThree);
+    fixture.submit();
+    cr_assert(fixture.runUntil([&] { return cut.starts.size() >= 2; }));
+    const Endpoint& whole = fixture.add("b", Behaviour::Whole);
+    const auto result = fixture.result();
+    cr_assert(result && result->state == batch::ResultState::Completed);
+    cr_assert(result->output == wholeText());
+    cr_assert(result->versions == std::vector<WeightVersion> { 1 });
+    cr_assert(whole.starts == std::vector<std::uint64_t> { 3 });
+}
+
+// Guards against an item that waits for an endpoint which sends nothing any more.
+Test(JobRunner, endpointFallsSilent_itemContinuesElsewhere)
+{
+    RunnerFixture fixture;
+    const Endpoint& silent = fixture.add("a", Behaviour::SilentAfterThree);
+    fixture.submit();
+    cr_assert(fixture.runUntil([&] { return !silent.starts.empty(); }));
+    const Endpoint& whole = fixture.add("b", Behaviour::Whole);
+    const auto result = fixture.result();
+    cr_assert(result && result->output == wholeText());
+    cr_assert(whole.starts == std::vector<std::uint64_t> { 3 });
+}
+
+// Guards against an item that stays with a full endpoint, and against a refusal that counts as a failed attempt.
+Test(JobRunner, endpointFull_itemRunsElsewhere)
+{
+    RunnerFixture fixture;
+    fixture.add("a", Behaviour::Full);
+    fixture.submit(1, 1);
+    static_cast<void>(fixture.runUntil([&] { return fixture.endpoints[0]->starts.size() >= 3; }));
+    fixture.add("b", Behaviour::Whole);
+    const auto result = fixture.result();
+    cr_assert(result && result->state == batch::ResultState::Completed);
+}
+
+// Guards against an item that fails at each run and reaches endpoints for ever.
+Test(JobRunner, itemFailsAtEachRun_isGivenUpAfterItsAttempts)
+{
+    RunnerFixture fixture;
+    const Endpoint& endpoint = fixture.add("a", Behaviour::Fails);
+    fixture.submit(1, 3);
+    const auto result = fixture.result();
+    cr_assert(result && result->state == batch::ResultState::Dead);
+    cr_assert(endpoint.starts.size() == 3);
+}
+
+// Guards against an item that can never be done and is tried again.
+Test(JobRunner, itemUnprocessable_isGivenUpAtOnce)
+{
+    RunnerFixture fixture;
+    const Endpoint& endpoint = fixture.add("a", Behaviour::Unprocessable);
+    fixture.submit(1, 3);
+    const auto result = fixture.result();
+    cr_assert(result && result->state == batch::ResultState::Dead);
+    cr_assert(endpoint.starts.size() == 1);
+}
+
+// Guards against tokens from weights older than a job allows, where the directory believes in newer ones.
+Test(JobRunner, endpointHasOlderWeightsThanBelieved_itsTokensAreNotUsed)
+{
+    RunnerFixture fixture;
+    Endpoint& endpoint = fixture.add("a", Behaviour::Whole, 2);
+    endpoint.version = 1;
+    fixture.submit(2);
+    cr_assert(fixture.runUntil([&] { return !endpoint.starts.empty(); }));
+    fixture.add("b", Behaviour::Whole, 2);
+    const auto result = fixture.result();
+    cr_assert(result && result->versions == std::vector<WeightVersion> { 2 });
+}
+
+// Guards against work that goes on for a job that its submitter has ended.
+Test(JobRunner, jobEnded_itemIsStopped)
+{
+    RunnerFixture fixture;
+    const Endpoint& silent = fixture.add("a", Behaviour::SilentAfterThree);
+    fixture.submit();
+    cr_assert(fixture.runUntil([&] { return silent.silent != nullptr; }));
+    fixture.apply(registry::EndJob { jobId });
+    cr_assert(fixture.runUntil([&] { return !silent.silent->isOpen(); }));
+    cr_assert(fixture.machine.jobs().find(jobId)->results.empty());
+}
+
+// Guards against a step that waits for ever because nobody orders the version it needs.
+Test(WeightLoader, versionNamed_isOrderedOnceAndItemsRunUnderIt)
+{
+    RunnerFixture fixture;
+    const Endpoint& endpoint = fixture.add("a", Behaviour::Whole);
+    fixture.submit(2);
+    fixture.apply(registry::NameVersion { model, 2 });
+    const auto result = fixture.result();
+    cr_assert(result && result->versions == std::vector<WeightVersion> { 2 });
+    cr_assert(endpoint.orders == 1);
+}
+
+// Guards against orders that a successor does not know of: they are sent only while the record says so, and the record is
+// closed once they are answered.
+Test(WeightLoader, ordersAnswered_recordIsClosed)
+{
+    RunnerFixture fixture;
+    const Endpoint& endpoint = fixture.add("a", Behaviour::Whole);
+    fixture.apply(registry::NameVersion { model, 2 });
+    cr_assert(fixture.runUntil([&] { return fixture.machine.orders().isOpen; }));
+    cr_assert(fixture.runUntil([&] { return endpoint.orders == 1; }));
+    cr_assert(fixture.runUntil([&] { return !fixture.machine.orders().isOpen; }));
+}
+
+// Guards against a new leader that orders while orders of the one before may be on their way.
+Test(WeightLoader, earlierHolderWasSending_firstOrderWaitsForItsLease)
+{
+    RunnerFixture fixture;
+    const Endpoint& endpoint = fixture.add("a", Behaviour::Whole);
+    fixture.apply(registry::ClaimOrders { "other", fixture.group.status().term - 1 });
+    fixture.apply(registry::SetOrderWindow { fixture.group.status().term - 1, true });
+    const TimePoint begin = fixture.clock.now();
+    fixture.loader.onLeadership(true);
+    fixture.apply(registry::NameVersion { model, 2 });
+    cr_assert(fixture.runUntil([&] { return endpoint.orders == 1; }));
+    cr_assert(fixture.clock.now() - begin >= 200ms);
+    cr_assert(fixture.machine.orders().holder.instance == "store");
+}
--- /dev/null
+++ b/test/processes/nodes.py
@@ -0,0 +1,232 @@
+"""A small deployment of nodes as separate processes, with endpoints in this process. Used by tests and by the fault soak."""
+import base64
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+
+import relay
+
+BUILD = pathlib.Path(os.environ.get("AZUREPADDLE_BUILD", "build"))
+BOUND = 30  # Seconds after which something counts as not happening.
+HOST = "callers.example"
+
+
+def free_port():
+    """A port below those that the system gives to outgoing connections: one of these could take it before its use."""
+    while True:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("0.0.0.0", port))
+                return port
+            except OSError:
+                pass
+
+
+def wait_until(condition):
+    end = time.monotonic() + BOUND
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+def call(port, method, path, body=None, headers=None):
+    """Status and body; status 0 if nobody answers."""
+    try:
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        data = response.read()
+        connection.close()
+        return response.status, data
+    except OSError:
+        return 0, b""
+
+
+class Server(http.server.ThreadingHTTPServer):
+    def handle_error(self, request, client_address):
+        """Callers may break off at any time."""
+
+
+class Endpoint:
+    """A model endpoint that generates events for each item, slowly, and answers plain requests at once."""
+
+    def __init__(self, service, pause=0.02, events=3, names_versions=False):
+        self.runs = []
+        self.orders = []  # (time, holder) of each accepted order.
+        self.version = 1
+        self.address = None  # Where callers reach it, if not at its own port.
+        self.lock = threading.Lock()
+        endpoint = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *arguments):
+                pass
+
+            def do_GET(self):
+                body = json.dumps({"models": [{"name": "m", "version": endpoint.version}], "busy": False, "sequence": len(endpoint.orders)}).encode()
+                self.reply(200, body)
+
+            def do_POST(self):
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                if self.path == "/-/order":
+                    order = json.loads(body)
+                    with endpoint.lock:
+                        if order.get("expect", len(endpoint.orders)) != len(endpoint.orders):
+                            return self.reply(409, b"")
+                        endpoint.orders.append((time.monotonic(), order["holder"]))
+                        endpoint.version = order["version"]
+                    return self.reply(202, b"")
+                with endpoint.lock:
+                    endpoint.runs.append(self.headers["X-Attempt-Id"])
+                if self.path.startswith(("/plain/", "/once/")):
+                    return self.reply(200, b"echo " + body)
+                self.stream()
+
+            def reply(self, status, body):
+                self.send_response(status)
+                self.send_header("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def stream(self):
+                version = endpoint.version
+                mark = f"@{version}" if names_versions else ""
+                self.send_response(200)
+                self.send_header("X-Attempt-Id", self.headers["X-Attempt-Id"])
+                self.send_header("X-Weight-Versions", str(version))
+                self.send_header("Transfer-Encoding", "chunked")
+                self.end_headers()
+                try:
+                    for number in range(int(self.headers.get("Last-Event-Id", 0)) + 1, events + 1):
+                        event = f"id: {number}\ndata: {self.headers['X-Attempt-Id']}-{number}{mark}\n\n".encode()
+                        self.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                        time.sleep(pause)
+                    self.wfile.write(b"0\r\n\r\n")
+                except OSError:
+                    self.close_connection = True
+
+        self.server = Server(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.port = self.server.server_address[1]
+        self.identity = f"i-{self.port}"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.service = service
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def beat(self, control_ports, state="ready"):
+        self.sequence += 1
+        body = {"service": self.service, "address": self.address or f"127.0.0.1:{self.port}", "zone": "a", "version": "v1", "slots": 4, "state": state,
+                "models": [{"name": "m", "version": self.version, "adapters": []}], "sequence": self.sequence, "born": self.born}
+        return any(call(port, "POST", f"/-/replicas/{self.identity}/heartbeat", json.dumps(body))[0] == 200 for port in control_ports)
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Deployment:
+    """Three stores and some entries. With relays, all connections between nodes pass through a relay for each node."""
+
+    def __init__(self, entries=1, with_relays=False):
+        self.folder = tempfile.TemporaryDirectory()
+        self.stores = {}
+        self.peer_ips = ["127.0.0.2", "127.0.0.3", "127.0.0.4"]  # All nodes share one peer port, so each has an address of its own.
+        self.peer_port = free_port()
+        self.listen_port = free_port() if with_relays else 0
+        self.control_ports = [free_port() for _ in self.peer_ips]
+        self.entry_ports = [free_port() for _ in range(entries)]
+        self.ready_ports = [free_port() for _ in range(entries)]
+        self.entries = {}
+        self.relays = [relay.Relay((ip, self.peer_port), (ip, self.listen_port)) for ip in self.peer_ips] if with_relays else []
+        for number in range(len(self.peer_ips)):
+            self.start_store(number, first_start=True)
+        for number in range(entries):
+            self.start_entry(number)
+
+    def close(self):
+        for process in [*self.entries.values(), *self.stores.values()]:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        for link in self.relays:
+            link.close()
+        self.folder.cleanup()
+
+    def start(self, name, node, ip, first_start, listen_port=0):
+        seeds = ",".join(f"{address}:1" for address in self.peer_ips)
+        path = pathlib.Path(self.folder.name) / f"{name}.ini"
+        path.write_text(f"[node]\nname = {name}\ndata_centre = a\n{node}[peer]\naddress = {ip}\nport = {self.peer_port}\nlisten_port = {listen_port}\nseeds = {seeds}\n"
+                        f"secret = a-secret-of-this-test\nfirst_start = {'yes' if first_start else 'no'}\n")
+        log = open(pathlib.Path(self.folder.name) / f"{name}.log", "ab")
+        process = subprocess.Popen([BUILD / "azurepaddle-node", "--config", path], stdout=log, stderr=log)
+        log.close()
+        return process
+
+    def data_folder(self, number):
+        return pathlib.Path(self.folder.name) / f"data{number}"
+
+    def start_store(self, number, first_start=False):
+        node = f"role = store\ndata_folder = {self.data_folder(number)}\n[listen]\ncontrol = 127.0.0.1:{self.control_ports[number]}\n"
+        self.stores[number] = self.start(f"store{number}", node, self.peer_ips[number], first_start, self.listen_port)
+
+    def start_entry(self, number):
+        node = f"role = entry\n[listen]\ncallers = 127.0.0.1:{self.entry_ports[number]}\nready = 127.0.0.1:{self.ready_ports[number]}\n"
+        self.entries[number] = self.start(f"entry{number}", node, f"127.0.0.{10 + number}", False)
+
+    def on_control(self, method, path, body=None):
+        for port in self.control_ports:
+            status, data = call(port, method, path, body)
+            if status in range(200, 500):
+                return status, data
+        return 0, b""
+
+    def put_configuration(self, version, service="plain", timeout_ms=3000):
+        return self.on_control("POST", "/-/config/replace", json.dumps(configuration(version, service, timeout_ms)))[0]
+
+    def submit(self, job, items, min_version=1, entry=0):
+        requests = [{"id": item, "path": "/batch/1", "headers": {}, "body": base64.b64encode(item.encode()).decode(), "token-count": 5, "group": "g"} for item in items]
+        body = json.dumps({"step": 0, "model": "m", "min-version": min_version, "group-count": 1, "requests": requests})
+        return call(self.entry_ports[entry], "POST", "/batch/x", body, {"Host": HOST, "X-Attempt-Id": job})[0]
+
+    def read(self, job, after=0, entry=0):
+        """Status and results of a job from a position on."""
+        status, data = call(self.entry_ports[entry], "GET", f"/-/lots/{job}?after={after}", None, {"Host": HOST})
+        return status, json.loads(data)["results"] if status == 200 else None
+
+    def results(self, job):
+        return self.read(job)[1]
+
+    def leader(self):
+        """The store whose log says that it leads last."""
+        leading = {}
+        for number in self.stores:
+            for line in (pathlib.Path(self.folder.name) / f"store{number}.log").read_text().splitlines():
+                if " leads in term " in line:
+                    term = int(line.split(" leads in term ")[1].split(":")[0])
+                    leading[number] = (term, line.endswith("begin"))
+        best = [number for number, (term, begins) in leading.items() if begins]
+        return max(best, key=lambda number: leading[number][0])
+
+
+def configuration(version, service="plain", timeout_ms=3000):
+    routes = [{"name": "p", "host": HOST, "path-prefix": "/plain/", "route-type": "idempotent", "timeout-ms": timeout_ms, "service": service, "max-attempts": 2},
+              {"name": "o", "host": HOST, "path-prefix": "/once/", "route-type": "non_idempotent", "timeout-ms": timeout_ms, "service": service, "max-attempts": 2},
+              {"name": "b", "host": HOST, "path-prefix": "/batch/", "route-type": "rollout", "timeout-ms": 9000, "due-ms": 7000, "retention-s": 300, "service": "models", "max-attempts": 3}]
+    services = [{"name": "plain"}, {"name": "models", "engine": {"models": [{"name": "m"}]}}]
+    return {"version": version, "routes": routes, "services": services}
