--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: bench build capacity check check-asan check-tsan demo soak format format-check lint test traces install-packages
+.PHONY: bench build capacity check check-asan check-tsan demo soak node-soak format format-check lint test traces install-packages
 
 build:
 	cmake -S . -B $(BUILD) -G Ninja --log-level=WARNING -DAZUREPADDLE_WARNINGS_AS_ERRORS=ON
@@ -43,6 +43,10 @@
 soak: build
 	tools/soak $(BUILD) $(SEEDS)
 
+# The same for the nodes that run on a platform.
+node-soak: build
+	tools/node-soak $(BUILD) $(SEEDS)
+
 bench: build
 	$(BUILD)/azurepaddle-bench run
 
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -149,3 +149,4 @@
 
 #include "azurepaddle/execution/job_runner_decide.hpp" // IWYU pragma: export
 #include "azurepaddle/execution/job_runner_send.hpp" // IWYU pragma: export
+#include "azurepaddle/execution/job_runner_watch.hpp" // IWYU pragma: export
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -8,19 +8,10 @@
 
 namespace internal {
 
-    // Tokens of one event, where an item does not say how many it expects.
+    // Output of an item that does not say how much it expects.
     constexpr std::uint64_t defaultExpectedTokens = 1000;
+    // The size of an event is not known before; this suffices to compare items.
     constexpr std::uint64_t tokensPerEvent = 56;
-    // Texts of items that no open job wants are kept this long: their group may come again.
-    constexpr Duration textLifetime = std::chrono::seconds(30);
-    constexpr Duration textSweepInterval = std::chrono::seconds(1);
-    // Texts of this many events are recorded, this often, with at least so many new events.
-    constexpr std::uint64_t minKeptEvents = 32;
-    constexpr std::uint64_t minNewEvents = 24;
-    constexpr Duration keepInterval = std::chrono::milliseconds(500);
-    // An endpoint without any event for this long is taken for dead; its items go on elsewhere.
-    constexpr Duration silenceLimit = std::chrono::milliseconds(700);
-    constexpr Duration silenceAvoidance = std::chrono::seconds(2);
     // An item this many times longer than the mean of its job is long.
     constexpr std::uint64_t longFactor = 2;
     // A draining endpoint serves on for a while, so its items move as from a very slow one.
@@ -273,135 +264,6 @@
         m_lastOfGroup.clear();
 }
 
-template <typename Protocol>
-void JobRunner<Protocol>::tick()
-{
-    if (!m_isLeading)
-        return;
-    const TimePoint now = m_clock.now();
-    keepTexts(now);
-    giveUpOld(now);
-    findSilent(now);
-    moveFromSlow(now);
-    forgetTexts(now);
-    update();
-}
-
-template <typename Protocol>
-void JobRunner<Protocol>::forgetTexts(TimePoint now)
-{
-    if (now < m_nextTextSweep)
-        return;
-    m_nextTextSweep = now + internal::textSweepInterval;
-    std::erase_if(m_texts, [&](const auto& entry) {
-        const bool isWanted = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& job) { return job.second.contains(entry.first); });
-        return !isWanted && now - entry.second.usedAt > internal::textLifetime;
-    });
-}
-
-/// Records what long items generated, so that the next leader goes on with them. Short ones are soon made again.
-template <typename Protocol>
-void JobRunner<Protocol>::keepTexts(TimePoint now)
-{
-    if (now < m_nextKeep || !m_group.isCurrent())
-        return;
-    m_nextKeep = now + internal::keepInterval;
-    registry::KeepTexts command;
-    for (const auto& [job, runs] : m_runs) {
-        for (const auto& [item, run] : runs) {
-            const auto known = m_texts.find(item);
-            if (run->stage == Stage::Listing || known == m_texts.end())
-                continue;
-            if (auto part = known->second.text.takeUnrecorded(item, internal::minKeptEvents, internal::minNewEvents))
-                command.parts.push_back(std::move(*part));
-        }
-    }
-    if (command.parts.empty())
-        return;
-    m_log.debug("texts kept items={}", command.parts.size());
-    m_group.propose(registry::encodeCommand(command), [](const cluster::ProposalResult&) {});
-}
-
-template <typename Protocol>
-void JobRunner<Protocol>::giveUpOld(TimePoint now)
-{
-    std::vector<RunPointer> old;
-    for (const auto& [job, runs] : m_runs) {
-        for (const auto& [item, run] : runs) {
-            if (run->stage != Stage::Listing && run->retention > Duration::zero() && now - run->acceptedAt > run->retention)
-                old.push_back(run);
-        }
-    }
-    for (const RunPointer& run : old) {
-        stop(run);
-        finish(run, { run->item, batch::ResultState::Dead, {}, {} });
-    }
-}
-
-template <typename Protocol>
-void JobRunner<Protocol>::findSilent(TimePoint now)
-{
-    const Duration limit = std::max<Duration>(internal::silenceLimit, m_speed.median(now) * 10);
-    std::vector<RunPointer> silent;
-    for (const auto& [job, runs] : m_runs) {
-        for (const auto& [item, run] : runs) {
-            if (run->stage != Stage::Running || now - run->lastEventAt <= limit)
-                continue;
-            const auto loading = m_loading.find(run->endpoint);
-            const bool isPaused = loading != m_loading.end() && loading->second.contains(run->model);
-            if (isPaused)
-                run->lastEventAt = now;
-            else
-                silent.push_back(run);
-        }
-    }
-    for (const RunPointer& run : silent) {
-        avoid(run->endpoint, internal::silenceAvoidance);
-        requeue(run, "silent", Duration::zero());
-    }
-}
-
-template <typename Protocol>
-batch::RunningItem JobRunner<Protocol>::describe(const Run& run, std::size_t index, TimePoint now) const
-{
-    return { index, run.endpoint, remainingTokens(run), run.minVersion, onlyVersion(run), now - run.startedAt, now - run.lastEventAt };
-}
-
-template <typename Protocol>
-std::set<EndpointId> JobRunner<Protocol>::slowEndpoints(TimePoint now) const
-{
-    std::set<EndpointId> slow;
-    for (const auto& [id, counts] : m_running) {
-        const registry::EndpointRecord* record = m_machine.directory().find(id);
-        const bool isLeaving = record && record->state == registry::EndpointState::Draining;
-        if (isLeaving || m_speed.slowness(id, now) >= batch::slowBound)
-            slow.insert(id);
-    }
-    return slow;
-}
-
-template <typename Protocol>
-void JobRunner<Protocol>::moveFromSlow(TimePoint now)
-{
-    const std::set<EndpointId> slow = slowEndpoints(now);
-    std::map<std::pair<batch::ModelName, ServiceName>, std::vector<RunPointer>> running;
-    for (const auto& [job, runs] : m_runs) {
-        for (const auto& [item, run] : runs) {
-            const bool mayMove = run->stage == Stage::Running && slow.contains(run->endpoint);
-            const batch::ItemSpec* spec = mayMove ? specOf(*run) : nullptr;
-            if (spec)
-                running[{ run->model, serviceOf(*run, *spec) }].push_back(run);
-        }
-    }
-    for (const auto& [kind, runs] : running) {
-        std::vector<batch::RunningItem> items;
-        for (std::size_t index = 0; index < runs.size(); ++index)
-            items.push_back(describe(*runs[index], index, now));
-        for (const batch::Placement& placement : batch::planMoves(std::move(items), loadsOf(kind.first, kind.second, now)))
-            move(runs[placement.index], placement.endpoint, "slow");
-    }
-}
-
 template <typename Protocol>
 std::uint32_t JobRunner<Protocol>::running(const EndpointId& endpoint, const batch::ModelName& model) const
 {
--- a/src/azurepaddle/transport/http2_link.cpp
+++ b/src/azurepaddle/transport/http2_link.cpp
@@ -3,7 +3,6 @@
 #include "azurepaddle/core/invariant.hpp"
 
 #include <algorithm>
-#include <cstring>
 #include <fmt/format.h>
 
 namespace azurepaddle::transport::internal {
@@ -113,7 +112,7 @@
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         Outgoing& outgoing = found->second;
         const std::size_t count = std::min(size, outgoing.body.size() - outgoing.offset);
-        std::memcpy(target, outgoing.body.data() + outgoing.offset, count);
+        outgoing.body.copy(reinterpret_cast<char*>(target), count, outgoing.offset);
         outgoing.offset += count;
         if (outgoing.offset == outgoing.body.size())
             *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/src/programs/azurepaddle/command_line.cpp
+++ b/src/programs/azurepaddle/command_line.cpp
@@ -111,8 +111,9 @@
         line.common.isJson = values.contains("json");
         if (values.contains("operands"))
             line.operands = values["operands"].as<std::vector<std::string>>();
-        if (line.operands.size() != command.operandCount)
-            return makeError(ExitCode::BadUsage, fmt::format("{} takes {} operand(s) {}, not {}", command.name, command.operandCount, command.operands, line.operands.size()));
+        const bool hasEnough = command.takesMoreOperands ? line.operands.size() >= command.operandCount : line.operands.size() == command.operandCount;
+        if (!hasEnough)
+            return makeError(ExitCode::BadUsage, fmt::format("{} takes {}{} operand(s) {}, not {}", command.name, command.takesMoreOperands ? "at least " : "", command.operandCount, command.operands, line.operands.size()));
         if (command.name == "apply") {
             line.waits = values.contains("wait");
             line.waitTimeout = std::chrono::milliseconds(values["wait-timeout-ms"].as<std::int64_t>());
--- a/src/programs/azurepaddle/main.cpp
+++ b/src/programs/azurepaddle/main.cpp
@@ -9,7 +9,7 @@
 
 using namespace azurepaddle::tool;
 
-constexpr std::array<Command, 13> commands { {
+constexpr std::array<Command, 14> commands { {
     { "check", "FILE", 1, "Checks a configuration file without calling an instance.", runCheck, false },
     { "apply", "FILE", 1, "Checks a configuration file and submits it.", runApply },
     { "diff", "FILE", 1, "Lists the differences between the configuration in force and a file.", runDiff },
@@ -23,6 +23,7 @@
     { "tenants", "", 0, "Lists the tenants with their queues and shares.", runTenants },
     { "histograms", "", 0, "Prints latencies by tenant and class as bars.", runHistograms },
     { "orders", "", 0, "Lists the orders to endpoints.", runOrders },
+    { "trace", "ID FILE...", 2, "Collects the lines of one request from log files, in order of time.", runTrace, false, true },
 } };
 
 void printHelp(std::ostream& stream)
--- a/src/programs/azurepaddle/tool.hpp
+++ b/src/programs/azurepaddle/tool.hpp
@@ -55,6 +55,7 @@
     std::string_view summary;
     Result<void> (*run)(const CommandLine& line);
     bool usesInstances = true;
+    bool takesMoreOperands = false; ///< The count is the smallest one.
 };
 
 /// Parses the arguments after the subcommand. Prints the help and returns nothing if it is asked for.
@@ -73,5 +74,6 @@
 [[nodiscard]] Result<void> runTenants(const CommandLine& line);
 [[nodiscard]] Result<void> runHistograms(const CommandLine& line);
 [[nodiscard]] Result<void> runOrders(const CommandLine& line);
+[[nodiscard]] Result<void> runTrace(const CommandLine& line);
 
 }
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -152,6 +152,7 @@
         self.control_ports = [free_port() for _ in self.peer_ips]
         self.entry_ports = [free_port() for _ in range(entries)]
         self.ready_ports = [free_port() for _ in range(entries)]
+        self.metrics_ports = [free_port() for _ in range(entries)]
         self.entries = {}
         self.relays = [relay.Relay((ip, self.peer_port), (ip, self.listen_port)) for ip in self.peer_ips] if with_relays else []
         for number in range(len(self.peer_ips)):
@@ -170,7 +171,7 @@
 
     def start(self, name, node, ip, first_start, listen_port=0):
         seeds = ",".join(f"{address}:1" for address in self.peer_ips)
-        path = pathlib.Path(self.folder.name) / f"{name}.ini"
+        path = self.settings_path(name)
         path.write_text(f"[node]\nname = {name}\ndata_centre = a\n{node}[peer]\naddress = {ip}\nport = {self.peer_port}\nlisten_port = {listen_port}\nseeds = {seeds}\n"
                         f"secret = a-secret-of-this-test\nfirst_start = {'yes' if first_start else 'no'}\n")
         log = open(pathlib.Path(self.folder.name) / f"{name}.log", "ab")
@@ -178,6 +179,12 @@
         log.close()
         return process
 
+    def settings_path(self, name):
+        return pathlib.Path(self.folder.name) / f"{name}.ini"
+
+    def log_text(self, name):
+        return (pathlib.Path(self.folder.name) / f"{name}.log").read_text()
+
     def data_folder(self, number):
         return pathlib.Path(self.folder.name) / f"data{number}"
 
@@ -186,7 +193,7 @@
         self.stores[number] = self.start(f"store{number}", node, self.peer_ips[number], first_start, self.listen_port)
 
     def start_entry(self, number):
-        node = f"role = entry\n[listen]\ncallers = 127.0.0.1:{self.entry_ports[number]}\nready = 127.0.0.1:{self.ready_ports[number]}\n"
+        node = f"role = entry\n[listen]\ncallers = 127.0.0.1:{self.entry_ports[number]}\nready = 127.0.0.1:{self.ready_ports[number]}\nmetrics = 127.0.0.1:{self.metrics_ports[number]}\n"
         self.entries[number] = self.start(f"entry{number}", node, f"127.0.0.{10 + number}", False)
 
     def on_control(self, method, path, body=None):
--- a/test/processes/test_node.py
+++ b/test/processes/test_node.py
@@ -89,6 +89,27 @@
         self.assertEqual(call(self.nodes.entry_ports[0], "GET", "/-/lots/unknown", None, {"Host": HOST})[0], 404)
         self.assertEqual(json.loads(self.nodes.on_control("GET", "/-/config/read")[1])["version"], 1)
 
+    # Guards against counters that nobody can read.
+    def test_metrics_page_counts_requests(self):
+        port = self.nodes.metrics_ports[0]
+        self.assertTrue(wait_until(lambda: call(self.nodes.entry_ports[0], "POST", "/plain/x", b"hello", {"Host": HOST, "X-Attempt-Id": "1"})[0] == 200))
+        status, data = call(port, "GET", "/metrics")
+        self.assertEqual(status, 200)
+        counts = dict(line.rsplit(" ", 1) for line in data.decode().splitlines() if line and not line.startswith("#"))
+        self.assertTrue(any(float(value) >= 1 for value in counts.values()), counts)
+        self.assertEqual(call(port, "GET", "/other")[0], 404)
+
+    # Guards against a node that ends or goes on with half a file when its settings change.
+    def test_settings_reloaded_by_signal_and_kept_if_invalid(self):
+        path, process = self.nodes.settings_path("entry0"), self.nodes.entries[0]
+        process.send_signal(signal.SIGHUP)
+        self.assertTrue(wait_until(lambda: "settings reloaded" in self.nodes.log_text("entry0")))
+        path.write_text("[node]\nname = ")
+        process.send_signal(signal.SIGHUP)
+        self.assertTrue(wait_until(lambda: "settings not reloaded" in self.nodes.log_text("entry0")))
+        self.assertIsNone(process.poll())
+        self.assertEqual(call(self.nodes.entry_ports[0], "GET", "/-/lots/none", None, {"Host": HOST})[0], 404)
+
     # Guards against a planned stop of an entry that cuts off a request in progress.
     def test_entry_stopped_request_in_progress_is_answered(self):
         with socket.create_connection(("127.0.0.1", self.nodes.entry_ports[0])) as connection:
--- a/test/processes/test_tool.py
+++ b/test/processes/test_tool.py
@@ -39,6 +39,20 @@
         self.assertEqual(self.tool("check", self.file(VALID))[0], 0)
         self.assertEqual(self.instance.calls, [])
 
+    # Guards against a trace that misses a process, mixes up the order, or takes in a longer identifier.
+    def test_trace_collectsLinesOfOneRequestInOrder(self):
+        first, second = self.folder / "entry.log", self.folder / "store.log"
+        first.write_text("2026-12-04T07:00:00.100 INFO  forwarder request id=ab12 endpoint=i-1 outcome=sent\n2026-12-04T07:00:00.300 INFO  forwarder request id=ab12 outcome=answered\n")
+        second.write_text("2026-12-04T07:00:00.200 INFO  items item id=ab12 outcome=again\n2026-12-04T07:00:00.250 INFO  items item id=ab123 outcome=sent\n")
+        code, output, _ = self.tool("trace", "ab12", second, first, instances="127.0.0.1:1")
+        self.assertEqual(code, 0)
+        self.assertEqual([line.split(" ")[0][-3:] for line in output.splitlines()], ["100", "200", "300"])
+        code, output, _ = self.tool("trace", "--json", "ab12", first)
+        self.assertEqual([(line["source"], line["level"]) for line in json.loads(output)], [("forwarder", "INFO")] * 2)
+        self.assertEqual(self.tool("trace", "unknown", first)[0], 1)
+        self.assertEqual(self.tool("trace", "ab12")[0], 2)
+        self.assertEqual(self.tool("trace", "ab12", self.folder / "missing.log")[0], 2)
+
     # Guards against a tool that reports success although the configuration is not in force.
     def test_apply_exitCodeFollowsResult(self):
         for result, expected in (("accepted", 0), ("already-accepted", 0), ("superseded", 1), ("conflict", 1), ("stale", 1), ("invalid", 1)):
