--- a/src/azurepaddle/batch/load_plan.cpp
+++ b/src/azurepaddle/batch/load_plan.cpp
@@ -91,6 +91,7 @@
     const auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(static_cast<double>(targets.size()) * loadingShare)));
     auto loading = static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [](const LoadTarget& target) { return target.loading.has_value(); }));
     std::vector<Demand> demands;
+    demands.reserve(wanted.size());
     for (const auto& [model, version] : wanted)
         demands.push_back(demandOf(model, version, wanted.size(), targets));
     std::vector<Load> loads;
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -12,6 +12,15 @@
 
 namespace azurepaddle::execution {
 
+namespace internal {
+
+    // Output of an item that does not say how much it expects.
+    constexpr std::uint64_t defaultExpectedTokens = 1000;
+    // The size of an event is not known before; this suffices to compare items.
+    constexpr std::uint64_t tokensPerEvent = 56;
+
+}
+
 /// Runs the items of all open jobs while its instance leads: sends them to endpoints, goes on elsewhere when an endpoint
 /// fails or slows down, and lists their results. What it knows beyond the agreed state is lost with the leadership; the
 /// next leader runs unlisted items again.
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -8,10 +8,6 @@
 
 namespace internal {
 
-    // Output of an item that does not say how much it expects.
-    constexpr std::uint64_t defaultExpectedTokens = 1000;
-    // The size of an event is not known before; this suffices to compare items.
-    constexpr std::uint64_t tokensPerEvent = 56;
     // An item this many times longer than the mean of its job is long.
     constexpr std::uint64_t longFactor = 2;
     // A draining endpoint serves on for a while, so its items move as from a very slow one.
@@ -239,15 +235,14 @@
         }
     }
     // Models share endpoints: the step that has waited longest takes free slots first.
-    std::vector<Kind> kinds;
-    for (const auto& [kind, runs] : waiting)
-        kinds.push_back(kind);
-    const auto oldest = [&](const Kind& kind) {
-        const auto& runs = waiting.at(kind);
-        return (*std::min_element(runs.begin(), runs.end(), [](const RunPointer& a, const RunPointer& b) { return a->acceptedAt < b->acceptedAt; }))->acceptedAt;
-    };
-    std::stable_sort(kinds.begin(), kinds.end(), [&](const Kind& a, const Kind& b) { return oldest(a) < oldest(b); });
-    for (const Kind& kind : kinds) {
+    std::vector<std::pair<TimePoint, Kind>> kinds;
+    kinds.reserve(waiting.size());
+    for (const auto& [kind, runs] : waiting) {
+        const auto oldest = std::min_element(runs.begin(), runs.end(), [](const RunPointer& a, const RunPointer& b) { return a->acceptedAt < b->acceptedAt; });
+        kinds.emplace_back((*oldest)->acceptedAt, kind);
+    }
+    std::sort(kinds.begin(), kinds.end());
+    for (const auto& [since, kind] : kinds) {
         const std::vector<RunPointer>& runs = waiting.at(kind);
         std::vector<batch::WaitingItem> items;
         for (std::size_t index = 0; index < runs.size(); ++index) {
