--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -105,6 +105,7 @@
         if (!target)
             continue;
         ++target->running;
+        target->longItems += item.isLong ? 1 : 0;
         moves.push_back({ item.index, target->id });
     }
     return moves;
@@ -123,6 +124,7 @@
         if (!target)
             return {};
         ++target->running;
+        target->longItems += item.isLong ? 1 : 0;
         moves.push_back({ item.index, target->id });
     }
     return moves;
--- a/src/azurepaddle/batch/placement.hpp
+++ b/src/azurepaddle/batch/placement.hpp
@@ -56,6 +56,7 @@
     std::size_t index = 0;
     EndpointId endpoint;
     std::uint64_t expectedTokens = 0; ///< Still to generate.
+    bool isLong = false; ///< Much longer than the others of its job.
     WeightVersion minVersion = 0;
     std::optional<WeightVersion> onlyVersion;
     Duration sinceStart {}; ///< Time at its present endpoint.
--- a/src/azurepaddle/execution/job_runner_watch.hpp
+++ b/src/azurepaddle/execution/job_runner_watch.hpp
@@ -95,13 +95,13 @@
     std::vector<RunPointer> silent;
     for (const auto& [job, runs] : m_runs) {
         for (const auto& [item, run] : runs) {
-            if (run->stage != Stage::Running || now - run->lastEventAt <= limit)
+            if (run->stage != Stage::Running)
                 continue;
             const auto loading = m_loading.find(run->endpoint);
             const bool isPaused = loading != m_loading.end() && loading->second.contains(run->model);
             if (isPaused)
-                run->lastEventAt = now;
-            else
+                run->lastEventAt = now; // Its silence counts from the end of the load.
+            else if (now - run->lastEventAt > limit)
                 silent.push_back(run);
         }
     }
@@ -114,7 +114,7 @@
 template <typename Protocol>
 batch::RunningItem JobRunner<Protocol>::describe(const Run& run, std::size_t index, TimePoint now) const
 {
-    return { index, run.endpoint, remainingTokens(run), run.minVersion, onlyVersion(run), now - run.startedAt, now - run.lastEventAt };
+    return { index, run.endpoint, remainingTokens(run), run.isLong, run.minVersion, onlyVersion(run), now - run.startedAt, now - run.lastEventAt };
 }
 
 template <typename Protocol>
--- a/test/azurepaddle/batch/placement.cpp
+++ b/test/azurepaddle/batch/placement.cpp
@@ -119,7 +119,7 @@
 {
     EndpointLoad slow = endpoint("a", 2);
     slow.slowness = 3;
-    const std::vector<RunningItem> running { { 0, EndpointId("a"), 700, 0, std::nullopt, longStay, {} }, { 1, EndpointId("a"), 900, 0, std::nullopt, longStay, {} } };
+    const std::vector<RunningItem> running { { 0, EndpointId("a"), 700, false, 0, std::nullopt, longStay, {} }, { 1, EndpointId("a"), 900, false, 0, std::nullopt, longStay, {} } };
     const auto moves = planMoves(running, { slow, endpoint("b", 3) });
     cr_assert(moves.size() == 1);
     cr_assert(moves[0] == Placement({ 1, EndpointId("b") }));
@@ -130,9 +130,9 @@
 {
     EndpointLoad noisy = endpoint("a", 1);
     noisy.slowness = 1.4;
-    cr_assert(planMoves({ { 0, EndpointId("a"), 900, 0, std::nullopt, longStay, {} } }, { noisy, endpoint("b") }).empty());
+    cr_assert(planMoves({ { 0, EndpointId("a"), 900, false, 0, std::nullopt, longStay, {} } }, { noisy, endpoint("b") }).empty());
     noisy.slowness = 3;
-    cr_assert(planMoves({ { 0, EndpointId("a"), 900, 0, std::nullopt, std::chrono::milliseconds(50), {} } }, { noisy, endpoint("b") }).empty());
+    cr_assert(planMoves({ { 0, EndpointId("a"), 900, false, 0, std::nullopt, std::chrono::milliseconds(50), {} } }, { noisy, endpoint("b") }).empty());
 }
 
 // Guards against moves that lose a half-made event, and against an item that waits at an endpoint that hardly goes on.
@@ -140,7 +140,7 @@
 {
     EndpointLoad slow = endpoint("a", 1);
     slow.slowness = 2.5;
-    const std::vector<RunningItem> running { { 0, EndpointId("a"), 900, 0, std::nullopt, longStay, std::chrono::milliseconds(80) } };
+    const std::vector<RunningItem> running { { 0, EndpointId("a"), 900, false, 0, std::nullopt, longStay, std::chrono::milliseconds(80) } };
     cr_assert(planMoves(running, { slow, endpoint("b") }).empty());
     slow.slowness = 6;
     cr_assert(planMoves(running, { slow, endpoint("b") }).size() == 1);
@@ -151,13 +151,24 @@
 {
     EndpointLoad slow = endpoint("a", 1);
     slow.slowness = 3;
-    cr_assert(planMoves({ { 0, EndpointId("a"), 100, 0, std::nullopt, longStay, {} } }, { slow, endpoint("b") }).empty());
+    cr_assert(planMoves({ { 0, EndpointId("a"), 100, false, 0, std::nullopt, longStay, {} } }, { slow, endpoint("b") }).empty());
+}
+
+// Guards against long items that all leave a slow endpoint for the same one.
+Test(Moves, twoLongItems_leaveForDifferentEndpoints)
+{
+    EndpointLoad slow = endpoint("a", 2);
+    slow.slowness = 3;
+    const std::vector<RunningItem> running { { 0, EndpointId("a"), 900, true, 0, std::nullopt, longStay, {} }, { 1, EndpointId("a"), 900, true, 0, std::nullopt, longStay, {} } };
+    const auto moves = planMoves(running, { slow, endpoint("b"), endpoint("c", 1) });
+    cr_assert(moves.size() == 2);
+    cr_assert(moves[0].endpoint != moves[1].endpoint);
 }
 
 // Guards against a load of weights that pauses items although there is room for them elsewhere.
 Test(Evacuation, roomElsewhere_allItemsMove_orNone)
 {
-    const std::vector<RunningItem> running { { 0, EndpointId("a"), 100, 0, std::nullopt, longStay, {} }, { 1, EndpointId("a"), 50, 0, std::nullopt, longStay, {} } };
+    const std::vector<RunningItem> running { { 0, EndpointId("a"), 100, false, 0, std::nullopt, longStay, {} }, { 1, EndpointId("a"), 50, false, 0, std::nullopt, longStay, {} } };
     const auto moves = planEvacuation(running, { endpoint("a", 2), endpoint("b", 3), endpoint("c", 3) });
     cr_assert(moves.size() == 2);
     cr_assert(countByEndpoint(moves).count(EndpointId("a")) == 0);
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -297,6 +297,21 @@
     cr_assert(whole.starts == std::vector<std::uint64_t> { 3 });
 }
 
+// Guards against an item that counts as silent because of the time that its endpoint loaded weights.
+Test(JobRunner, endpointLoads_itemCountsAsSilentOnlyAfterwards)
+{
+    RunnerFixture fixture;
+    const Endpoint& silent = fixture.add("a", Behaviour::SilentAfterThree);
+    fixture.submit();
+    cr_assert(fixture.runUntil([&] { return silent.silent != nullptr; }));
+    fixture.runner.setLoading(silent.id, model, true);
+    static_cast<void>(fixture.runUntil([] { return false; }, 1s));
+    fixture.runner.setLoading(silent.id, model, false);
+    static_cast<void>(fixture.runUntil([] { return false; }, 500ms));
+    cr_assert(silent.starts.size() == 1);
+    cr_assert(fixture.runUntil([&] { return silent.starts.size() == 2; }));
+}
+
 // Guards against an item that stays with a full endpoint, and against a refusal that counts as a failed attempt.
 Test(JobRunner, endpointFull_itemRunsElsewhere)
 {
