Remove the lost voter of the log group, never its replacement

Cause: which of two identities of an instance is lost was told by missing entries; a dead one that misses up to 64 counted as alive, and a live one counted as lost while an entry was on its way to it.

Now only silence of more than 1.2 s, while the other identity is heard of, marks a voter as replaced.

--- a/src/azurepaddle/control/group_repair.cpp
+++ b/src/azurepaddle/control/group_repair.cpp
@@ -1,4 +1,5 @@
 #include "azurepaddle/control/group.hpp"
+#include "azurepaddle/control/voter_repair.hpp"
 
 #include <algorithm>
 
@@ -96,17 +97,13 @@
         if (lag && *lag <= m_options.raft.promotionLag)
             return proposeChange(consensus::ChangeKind::PromoteLearner, learner);
     }
-    for (const InstanceId& voter : membership.voters) {
-        const bool isReplaced = std::any_of(membership.voters.begin(), membership.voters.end(), [&](const InstanceId& other) {
-            const auto lag = m_node->lagOf(other);
-            const bool isAlive = other == m_identity || (lag && *lag <= m_options.raft.promotionLag);
-            return other != voter && nameOf(other) == nameOf(voter) && isAlive;
-        });
-        const auto ownLag = m_node->lagOf(voter);
-        const bool isLive = voter == m_identity || (ownLag && *ownLag == 0);
-        if (isReplaced && !isLive)
-            return proposeChange(consensus::ChangeKind::Remove, voter);
-    }
+    const TimePoint now = m_clock.now();
+    std::vector<VoterView> voters;
+    voters.reserve(membership.voters.size());
+    for (const InstanceId& voter : membership.voters)
+        voters.push_back({ voter, nameOf(voter), voter == m_identity ? now : m_node->contactOf(voter).value_or(now) });
+    if (const auto replaced = findReplacedVoter(voters, now))
+        proposeChange(consensus::ChangeKind::Remove, *replaced);
 }
 
 void ControlGroup::proposeChange(consensus::ChangeKind kind, const InstanceId& node)
