--- a/src/azurepaddle/batch/fwd.hpp
+++ b/src/azurepaddle/batch/fwd.hpp
@@ -5,6 +5,8 @@
 struct ItemSpec;
 struct JobSpec;
 struct ItemResult;
+struct RewardCall;
+class TextStore;
 class JobStore;
 class ItemQueue;
 class LoadPlanner;
--- a/src/azurepaddle/batch/job_store.cpp
+++ b/src/azurepaddle/batch/job_store.cpp
@@ -10,7 +10,7 @@
     {
         std::size_t bytes = 0;
         for (const ItemSpec& item : job.spec.items)
-            bytes += item.body.size();
+            bytes += item.body.size() + item.reward.body.size();
         for (const StoredResult& result : job.results)
             bytes += result.output.size;
         return bytes;
@@ -46,7 +46,7 @@
         return false;
     dropBody(entry.job.spec.items[item->second]);
     m_bytes += result.output.size();
-    entry.job.results.push_back({ result.id, result.state, m_outputs.append(result.output), result.versions });
+    entry.job.results.push_back({ result.id, result.state, m_outputs.append(result.output), result.versions, result.score });
     return true;
 }
 
@@ -71,9 +71,10 @@
 
 void JobStore::dropBody(ItemSpec& item)
 {
-    m_bytes -= item.body.size();
+    m_bytes -= item.body.size() + item.reward.body.size();
     item.body = {};
     item.fields = {};
+    item.reward.body = {};
 }
 
 void JobStore::remove(const JobId& id)
@@ -110,24 +111,29 @@
 
 ItemResult JobStore::load(const StoredResult& result) const
 {
-    return { result.id, result.state, m_outputs.read(result.output), result.versions };
+    return { result.id, result.state, m_outputs.read(result.output), result.versions, result.score };
 }
 
-std::optional<ItemResult> JobStore::findCompleted(const ItemId& item) const
+std::optional<ItemResult> JobStore::findCompleted(const ItemId& item, const RewardCall& reward) const
 {
     const StoredResult* latest = nullptr;
-    std::uint64_t order = 0;
+    const Entry* latestJob = nullptr;
     for (const auto& [id, entry] : m_jobs) {
         const auto found = entry.listed.find(item.value());
-        if (found == entry.listed.end() || (latest && entry.job.order < order))
+        if (found == entry.listed.end() || (latestJob && entry.job.order < latestJob->job.order))
             continue;
         const StoredResult& result = entry.job.results[found->second];
         if (result.state != ResultState::Completed)
             continue;
         latest = &result;
-        order = entry.job.order;
+        latestJob = &entry;
     }
-    return latest ? std::optional(load(*latest)) : std::nullopt;
+    if (!latest)
+        return std::nullopt;
+    ItemResult result = load(*latest);
+    if (latestJob->job.spec.items[latestJob->itemIndex.at(item.value())].reward.id != reward.id)
+        result.score.clear();
+    return result;
 }
 
 std::vector<const Job*> JobStore::jobs() const
--- a/src/azurepaddle/batch/job_store.hpp
+++ b/src/azurepaddle/batch/job_store.hpp
@@ -15,6 +15,7 @@
     ResultState state = ResultState::Completed;
     storage::ScratchRef output;
     std::vector<WeightVersion> versions;
+    std::string score;
 };
 
 /// A job with its results. Results keep their positions.
@@ -64,8 +65,9 @@
     [[nodiscard]] bool isListed(const JobId& job, const ItemId& item) const;
     /// A result with its output.
     [[nodiscard]] ItemResult load(const StoredResult& result) const;
-    /// The completed result of the item in the latest job that lists one.
-    [[nodiscard]] std::optional<ItemResult> findCompleted(const ItemId& item) const;
+    /// The completed result of the item in the latest job that lists one. Its score counts only for a reward call with
+    /// the identifier of this one; otherwise it is empty.
+    [[nodiscard]] std::optional<ItemResult> findCompleted(const ItemId& item, const RewardCall& reward) const;
     /// All jobs in the order of their acceptance.
     [[nodiscard]] std::vector<const Job*> jobs() const;
     [[nodiscard]] std::size_t size() const noexcept { return m_jobs.size(); }
--- a/src/azurepaddle/batch/text_store.cpp
+++ b/src/azurepaddle/batch/text_store.cpp
@@ -1,14 +1,39 @@
 #include "azurepaddle/batch/text_store.hpp"
 
+#include <algorithm>
+
 namespace azurepaddle::batch {
 
+std::string outputOf(const std::vector<TextEvent>& events)
+{
+    std::string output;
+    for (const TextEvent& event : events) {
+        if (&event != &events.front())
+            output.push_back('\n');
+        output += event.data;
+    }
+    return output;
+}
+
+std::vector<WeightVersion> versionsOf(const std::vector<TextEvent>& events)
+{
+    std::vector<WeightVersion> versions;
+    for (const TextEvent& event : events) {
+        if (std::find(versions.begin(), versions.end(), event.version) == versions.end())
+            versions.push_back(event.version);
+    }
+    return versions;
+}
+
 void TextStore::add(const TextPart& part)
 {
-    std::vector<TextEvent>& events = m_texts[part.item];
+    Text& text = m_texts[part.item];
     if (part.firstEvent == 1)
-        events.clear();
-    if (part.firstEvent == events.size() + 1)
-        events.insert(events.end(), part.events.begin(), part.events.end());
+        text = {};
+    if (part.firstEvent != text.events.size() + 1)
+        return;
+    text.events.insert(text.events.end(), part.events.begin(), part.events.end());
+    text.isComplete = part.isLast;
 }
 
 void TextStore::forget(const ItemId& item)
@@ -19,14 +44,29 @@
 std::vector<TextEvent> TextStore::find(const ItemId& item) const
 {
     const auto found = m_texts.find(item);
-    return found == m_texts.end() ? std::vector<TextEvent>() : found->second;
+    return found == m_texts.end() ? std::vector<TextEvent>() : found->second.events;
+}
+
+bool TextStore::isComplete(const ItemId& item) const
+{
+    const auto found = m_texts.find(item);
+    return found != m_texts.end() && found->second.isComplete;
+}
+
+std::optional<ItemResult> TextStore::resultOf(const ScoredItem& scored) const
+{
+    const auto found = m_texts.find(scored.item);
+    if (found == m_texts.end() || !found->second.isComplete)
+        return std::nullopt;
+    const std::vector<TextEvent>& events = found->second.events;
+    return ItemResult { scored.item, ResultState::Completed, outputOf(events), versionsOf(events), scored.score };
 }
 
 std::vector<TextPart> TextStore::snapshot() const
 {
     std::vector<TextPart> parts;
-    for (const auto& [item, events] : m_texts)
-        parts.push_back({ item, 1, events });
+    for (const auto& [item, text] : m_texts)
+        parts.push_back({ item, 1, text.events, text.isComplete });
     return parts;
 }
 
--- a/src/azurepaddle/batch/text_store.hpp
+++ b/src/azurepaddle/batch/text_store.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/batch/types.hpp"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace azurepaddle::batch {
@@ -21,11 +22,17 @@
     ItemId item;
     std::uint64_t firstEvent = 1;
     std::vector<TextEvent> events;
+    bool isLast = false; ///< The text is complete with these events.
 
     friend bool operator==(const TextPart&, const TextPart&) = default;
-    MSGPACK_DEFINE(item, firstEvent, events)
+    MSGPACK_DEFINE(item, firstEvent, events, isLast)
 };
 
+/// The data of all events, separated by line feeds.
+[[nodiscard]] std::string outputOf(const std::vector<TextEvent>& events);
+/// The versions that made an event, in the order of first use.
+[[nodiscard]] std::vector<WeightVersion> versionsOf(const std::vector<TextEvent>& events);
+
 /// The agreed texts of items that are not listed yet, so that a new leader goes on with them. Deterministic.
 class TextStore {
 public:
@@ -34,13 +41,21 @@
     void forget(const ItemId& item);
     /// The events held of an item; none if it is unknown.
     [[nodiscard]] std::vector<TextEvent> find(const ItemId& item) const;
+    [[nodiscard]] bool isComplete(const ItemId& item) const;
+    /// The result of an item whose whole text is held; nothing otherwise.
+    [[nodiscard]] std::optional<ItemResult> resultOf(const ScoredItem& scored) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_texts.size(); }
 
     [[nodiscard]] std::vector<TextPart> snapshot() const;
     void restore(const std::vector<TextPart>& parts);
 
 private:
-    std::map<ItemId, std::vector<TextEvent>> m_texts;
+    struct Text {
+        std::vector<TextEvent> events;
+        bool isComplete = false;
+    };
+
+    std::map<ItemId, Text> m_texts;
 };
 
 }
--- a/src/azurepaddle/batch/types.hpp
+++ b/src/azurepaddle/batch/types.hpp
@@ -25,6 +25,17 @@
     MSGPACK_DEFINE(name, value)
 };
 
+/// A request to a reward service that scores the complete text of an item.
+struct RewardCall {
+    std::string id;
+    std::string host; ///< Selects the route together with the path.
+    std::string path;
+    std::string body;
+
+    friend bool operator==(const RewardCall&, const RewardCall&) = default;
+    MSGPACK_DEFINE(id, host, path, body)
+};
+
 /// One generation request of a job.
 struct ItemSpec {
     ItemId id;
@@ -34,9 +45,12 @@
     GroupId group; ///< Items of one group share their prompt.
     std::uint64_t promptTokens = 0;
     std::uint64_t expectedTokens = 0; ///< Output tokens, by the submitter's estimate.
+    RewardCall reward {}; ///< Without an id: the item needs no score.
+
+    [[nodiscard]] bool needsScore() const noexcept { return !reward.id.empty(); }
 
     friend bool operator==(const ItemSpec&, const ItemSpec&) = default;
-    MSGPACK_DEFINE(id, path, fields, body, group, promptTokens, expectedTokens)
+    MSGPACK_DEFINE(id, path, fields, body, group, promptTokens, expectedTokens, reward)
 };
 
 /// A batch job as submitted.
@@ -68,9 +82,19 @@
     ResultState state = ResultState::Completed;
     std::string output;
     std::vector<WeightVersion> versions; ///< Those that generated a token of the output, in the order of first use.
+    std::string score {}; ///< Of its reward call; empty if the item needs none.
 
     friend bool operator==(const ItemResult&, const ItemResult&) = default;
-    MSGPACK_DEFINE(id, state, output, versions)
+    MSGPACK_DEFINE(id, state, output, versions, score)
+};
+
+/// A completed item whose text is held already.
+struct ScoredItem {
+    ItemId item;
+    std::string score;
+
+    friend bool operator==(const ScoredItem&, const ScoredItem&) = default;
+    MSGPACK_DEFINE(item, score)
 };
 
 }
--- a/src/azurepaddle/execution/item_text.cpp
+++ b/src/azurepaddle/execution/item_text.cpp
@@ -4,42 +4,42 @@
 
 namespace azurepaddle::execution {
 
+ItemText::ItemText(std::vector<batch::TextEvent> events) noexcept
+    : m_events(std::move(events))
+    , m_recorded(m_events.size())
+{
+    for (const batch::TextEvent& event : m_events)
+        m_bytes += event.data.size();
+}
+
 bool ItemText::append(std::uint64_t number, std::string data, WeightVersion version)
 {
     if (number != m_events.size() + 1)
         return false;
+    m_bytes += data.size();
     m_events.push_back({ std::move(data), version });
     return true;
 }
 
-std::optional<batch::TextPart> ItemText::takeUnrecorded(const batch::ItemId& item, std::uint64_t least, std::uint64_t leastNew)
+batch::TextPart ItemText::takeNew(const batch::ItemId& item)
 {
-    if (m_events.size() < least || m_events.size() < m_recorded + leastNew)
-        return std::nullopt;
     batch::TextPart part { item, m_recorded + 1, { m_events.begin() + static_cast<std::ptrdiff_t>(m_recorded), m_events.end() } };
     m_recorded = m_events.size();
     return part;
 }
 
-std::string ItemText::output() const
+std::optional<batch::TextPart> ItemText::takeUnrecorded(const batch::ItemId& item, std::uint64_t least, std::uint64_t leastNew)
 {
-    std::string output;
-    for (const batch::TextEvent& event : m_events) {
-        if (&event != &m_events.front())
-            output.push_back('\n');
-        output += event.data;
-    }
-    return output;
+    if (m_events.size() < least || m_events.size() < m_recorded + leastNew)
+        return std::nullopt;
+    return takeNew(item);
 }
 
-std::vector<WeightVersion> ItemText::versions() const
+batch::TextPart ItemText::takeRest(const batch::ItemId& item)
 {
-    std::vector<WeightVersion> versions;
-    for (const batch::TextEvent& event : m_events) {
-        if (std::find(versions.begin(), versions.end(), event.version) == versions.end())
-            versions.push_back(event.version);
-    }
-    return versions;
+    batch::TextPart part = takeNew(item);
+    part.isLast = true;
+    return part;
 }
 
 bool fitsVersions(const std::vector<WeightVersion>& versions, WeightVersion minVersion, bool isSingleVersion)
--- a/src/azurepaddle/execution/item_text.hpp
+++ b/src/azurepaddle/execution/item_text.hpp
@@ -13,11 +13,7 @@
 public:
     ItemText() = default;
     /// Takes over events that are recorded.
-    explicit ItemText(std::vector<batch::TextEvent> events) noexcept
-        : m_events(std::move(events))
-        , m_recorded(m_events.size())
-    {
-    }
+    explicit ItemText(std::vector<batch::TextEvent> events) noexcept;
 
     /// Adds the event with this number, counted from 1. False if it is not the next one.
     [[nodiscard]] bool append(std::uint64_t number, std::string data, WeightVersion version);
@@ -26,20 +22,26 @@
     {
         m_events.clear();
         m_recorded = 0;
+        m_bytes = 0;
     }
 
     [[nodiscard]] std::uint64_t events() const noexcept { return m_events.size(); }
     /// The events that are not recorded yet, which count as recorded from now on. Nothing while the text has fewer events
     /// than `least`, or fewer new ones than `leastNew`.
     [[nodiscard]] std::optional<batch::TextPart> takeUnrecorded(const batch::ItemId& item, std::uint64_t least, std::uint64_t leastNew);
-    /// The data of all events, separated by line feeds.
-    [[nodiscard]] std::string output() const;
-    /// The versions that made an event, in the order of first use.
-    [[nodiscard]] std::vector<WeightVersion> versions() const;
+    /// The events that are not recorded yet, as the end of the text. All of it counts as recorded from now on.
+    [[nodiscard]] batch::TextPart takeRest(const batch::ItemId& item);
+    [[nodiscard]] std::string output() const { return batch::outputOf(m_events); }
+    [[nodiscard]] std::vector<WeightVersion> versions() const { return batch::versionsOf(m_events); }
+    /// Bytes of the data of all events.
+    [[nodiscard]] std::size_t bytes() const noexcept { return m_bytes; }
 
 private:
+    [[nodiscard]] batch::TextPart takeNew(const batch::ItemId& item);
+
     std::vector<batch::TextEvent> m_events;
     std::uint64_t m_recorded = 0; ///< Events that were taken for the record.
+    std::size_t m_bytes = 0;
 };
 
 /// Whether a job with these bounds may use a text that these versions made.
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/batch/placement.hpp"
+#include "azurepaddle/batch/score_plan.hpp"
 #include "azurepaddle/execution/item_text.hpp"
 #include "azurepaddle/execution/protocol.hpp"
 #include "azurepaddle/execution/speed_meter.hpp"
@@ -18,16 +19,19 @@
     constexpr std::uint64_t defaultExpectedTokens = 1000;
     // The size of an event is not known before; this suffices to compare items.
     constexpr std::uint64_t tokensPerEvent = 56;
+    // What failed is tried again after this long.
+    constexpr Duration retryDelay = std::chrono::milliseconds(30);
 
 }
 
 /// Runs the items of all open jobs while its instance leads: sends them to endpoints, goes on elsewhere when an endpoint
-/// fails or slows down, and lists their results. What it knows beyond the agreed state is lost with the leadership; the
+/// fails or slows down, has their texts scored where a job asks for it, and lists their results. What it knows beyond the agreed state is lost with the leadership; the
 /// next leader runs unlisted items again.
 template <typename Protocol>
 class JobRunner {
 public:
-    JobRunner(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, metrics::Registry& metrics);
+    /// Reward calls go through the forwarder, whose endpoints the balancer knows.
+    JobRunner(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, gateway::Forwarder<Protocol>& forwarder, gateway::Balancer& balancer, metrics::Registry& metrics);
 
     /// Called with a job to which results were appended.
     void setOnListed(std::function<void(const batch::JobId&)> onListed) { m_onListed = std::move(onListed); }
@@ -52,6 +56,7 @@
     enum class Stage : std::uint8_t {
         Waiting,
         Running,
+        Scoring, ///< Its text is complete and waits for its score.
         Listing, ///< Its result is being agreed on.
     };
 
@@ -82,6 +87,10 @@
         TimePoint notBefore;
         unsigned eventsHere = 0; ///< Received from the present endpoint.
         unsigned failures = 0; ///< Answers of 500.
+        std::shared_ptr<gateway::ForwardCall> rewardCall; ///< Null while it waits to be sent.
+        unsigned rewardTries = 0;
+        unsigned rewardFailures = 0; ///< Answers of 500 to its reward call.
+        std::optional<batch::ItemResult> reused; ///< Its text, if an earlier job completed it.
         std::shared_ptr<const gateway::RouteTable> routes; ///< Those that gave the service.
         ServiceName service;
     };
@@ -114,11 +123,21 @@
     void onRefused(const RunPointer& run);
     void onFailure(const RunPointer& run);
     void onStreamEnd(const RunPointer& run);
+    void complete(const RunPointer& run);
+    void dispatchScores();
+    void sendReward(const RunPointer& run, const gateway::Route& route);
+    void onReward(const RunPointer& run, const gateway::ForwardResult& result, unsigned maxAttempts);
+    void onScore(const RunPointer& run, std::string score);
+    void leaveScoring(const RunPointer& run);
+    [[nodiscard]] std::size_t unlistedInGroup(const Run& run) const;
+    void refreshEndpoints();
     void stop(const RunPointer& run);
     void requeue(const RunPointer& run, std::string_view cause, Duration delay);
     void move(const RunPointer& run, const EndpointId& target, std::string_view cause);
     void finish(const RunPointer& run, batch::ItemResult result);
+    void scheduleFlush();
     void flushResults();
+    void onListed(const registry::ListResults& command, const cluster::ProposalResult& result);
     void keepTexts(TimePoint now);
     void giveUpOld(TimePoint now);
     void forgetTexts(TimePoint now);
@@ -132,12 +151,15 @@
     [[nodiscard]] ItemText& textOf(const Run& run) { return m_texts[run.item].text; }
     void scheduleUpdate();
     void avoid(const EndpointId& endpoint, Duration duration);
+    void noteLeaving(const EndpointId& endpoint);
 
     asio::io_context& m_io;
     http1::ClientPool& m_pool;
     registry::ServiceGroup& m_group;
     const registry::StateMachine& m_machine;
     registry::Liveness& m_liveness;
+    gateway::Forwarder<Protocol>& m_forwarder;
+    gateway::Balancer& m_balancer;
     metrics::Registry& m_metrics;
     const Log m_log { "items" };
     const SystemClock m_clock {};
@@ -152,7 +174,10 @@
     std::map<EndpointId, std::set<batch::ModelName>> m_loading;
     std::map<EndpointId, TimePoint> m_avoidUntil;
     std::map<GroupId, EndpointId> m_lastOfGroup;
-    std::map<batch::JobId, std::vector<batch::ItemResult>> m_results; ///< Finished, not yet proposed.
+    std::vector<RunPointer> m_scoring; ///< In the order in which their texts were completed.
+    std::vector<batch::TextPart> m_completedTexts; ///< Ends of texts, not yet proposed.
+    std::map<batch::JobId, registry::ListResults> m_results; ///< Finished, not yet proposed.
+    std::uint64_t m_endpointsRevision = 0; ///< Of the directory that the balancer knows.
     SpeedMeter m_speed;
     TimePoint m_nextKeep {};
     TimePoint m_nextTextSweep {};
@@ -163,5 +188,7 @@
 }
 
 #include "azurepaddle/execution/job_runner_decide.hpp" // IWYU pragma: export
+#include "azurepaddle/execution/job_runner_list.hpp" // IWYU pragma: export
+#include "azurepaddle/execution/job_runner_score.hpp" // IWYU pragma: export
 #include "azurepaddle/execution/job_runner_send.hpp" // IWYU pragma: export
 #include "azurepaddle/execution/job_runner_watch.hpp" // IWYU pragma: export
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -25,12 +25,14 @@
 }
 
 template <typename Protocol>
-JobRunner<Protocol>::JobRunner(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, metrics::Registry& metrics)
+JobRunner<Protocol>::JobRunner(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, gateway::Forwarder<Protocol>& forwarder, gateway::Balancer& balancer, metrics::Registry& metrics)
     : m_io(io)
     , m_pool(pool)
     , m_group(group)
     , m_machine(machine)
     , m_liveness(liveness)
+    , m_forwarder(forwarder)
+    , m_balancer(balancer)
     , m_metrics(metrics)
 {
     static_assert(ItemProtocol<Protocol>);
@@ -46,6 +48,8 @@
     }
     m_runs.clear();
     m_results.clear();
+    m_scoring.clear();
+    m_completedTexts.clear();
     m_texts.clear();
     m_loading.clear();
     m_avoidUntil.clear();
@@ -72,8 +76,10 @@
     if (!m_isLeading)
         return;
     takeJobs();
-    if (m_group.isCurrent())
-        place();
+    if (!m_group.isCurrent())
+        return;
+    place();
+    dispatchScores();
 }
 
 template <typename Protocol>
@@ -133,10 +139,14 @@
 template <typename Protocol>
 void JobRunner<Protocol>::adoptText(const RunPointer& run)
 {
-    const auto result = run->isCarried ? m_machine.jobs().findCompleted(run->item) : std::nullopt;
+    const batch::ItemSpec& spec = *specOf(*run);
+    auto result = run->isCarried ? m_machine.jobs().findCompleted(run->item, spec.reward) : std::nullopt;
     if (result && fitsVersions(result->versions, run->minVersion, run->isSingleVersion)) {
         m_log.info("item id={} job={} outcome=reused", run->item, run->job);
-        return finish(run, *result);
+        if (!spec.needsScore() || !result->score.empty())
+            return finish(run, std::move(*result));
+        run->reused = std::move(result);
+        return complete(run);
     }
     KnownText& known = m_texts[run->item];
     known.usedAt = m_clock.now();
@@ -144,8 +154,11 @@
         known.text = ItemText(m_machine.texts().find(run->item));
     if (!fitsVersions(known.text.versions(), run->minVersion, run->isSingleVersion))
         known.text.clear();
-    if (known.text.events() > 0)
-        m_log.info("item id={} job={} continues after events={}", run->item, run->job, known.text.events());
+    if (known.text.events() == 0)
+        return;
+    m_log.info("item id={} job={} continues after events={}", run->item, run->job, known.text.events());
+    if (m_machine.texts().isComplete(run->item) && m_machine.texts().find(run->item).size() == known.text.events())
+        complete(run);
 }
 
 template <typename Protocol>
@@ -192,7 +205,7 @@
         load.version = m_liveness.versionOf(record, model);
         const auto loading = m_loading.find(id);
         const auto avoided = m_avoidUntil.find(id);
-        const bool isDraining = record.state == registry::EndpointState::Draining;
+        const bool isDraining = !m_liveness.isStaying(record);
         load.isUsable = !isDraining && (loading == m_loading.end() || !loading->second.contains(model)) && (avoided == m_avoidUntil.end() || now >= avoided->second);
         load.slowness = isDraining ? internal::drainingSlowness : m_speed.slowness(id, now);
         loads.push_back(std::move(load));
--- /dev/null
+++ b/src/azurepaddle/execution/job_runner_score.hpp
@@ -0,0 +1,175 @@
+#pragma once
+
+// How the runner has complete texts scored by reward services.
+
+#include "azurepaddle/execution/job_runner.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::execution {
+
+namespace internal {
+
+    // A reward call that got no score is sent again after this long, doubled with each further one.
+    constexpr Duration firstRewardDelay = std::chrono::milliseconds(30);
+    constexpr unsigned maxRewardDoublings = 5;
+
+}
+
+/// Lists the text of an item, or has it scored first. The text is recorded meanwhile, so that it is not generated again if
+/// this instance ceases to lead.
+template <typename Protocol>
+void JobRunner<Protocol>::complete(const RunPointer& run)
+{
+    const batch::ItemSpec* spec = specOf(*run);
+    if (!spec)
+        return;
+    if (!spec->needsScore()) {
+        const ItemText& text = textOf(*run);
+        return finish(run, { run->item, batch::ResultState::Completed, text.output(), text.versions(), {} });
+    }
+    run->stage = Stage::Scoring;
+    run->number = m_nextNumber++;
+    m_scoring.push_back(run);
+    if (!run->reused && !m_machine.texts().isComplete(run->item)) {
+        m_completedTexts.push_back(textOf(*run).takeRest(run->item));
+        scheduleFlush();
+    }
+    scheduleUpdate();
+}
+
+template <typename Protocol>
+std::size_t JobRunner<Protocol>::unlistedInGroup(const Run& run) const
+{
+    const batch::ItemSpec* own = specOf(run);
+    const auto runs = m_runs.find(run.job);
+    if (!own || runs == m_runs.end())
+        return 0;
+    return static_cast<std::size_t>(std::count_if(runs->second.begin(), runs->second.end(), [&](const auto& entry) {
+        const batch::ItemSpec* spec = specOf(*entry.second);
+        return spec && spec->group == own->group;
+    }));
+}
+
+/// Sends the reward calls for which there is room, service by service.
+template <typename Protocol>
+void JobRunner<Protocol>::dispatchScores()
+{
+    const TimePoint now = m_clock.now();
+    std::map<ServiceName, batch::ScoreCapacity> capacities;
+    std::map<ServiceName, std::vector<batch::WaitingScore>> waiting;
+    for (std::size_t index = 0; index < m_scoring.size(); ++index) {
+        const RunPointer& run = m_scoring[index];
+        const batch::ItemSpec* spec = specOf(*run);
+        const gateway::Route* route = spec ? gateway::findRewardRoute(*m_routes, spec->reward) : nullptr;
+        if (!route)
+            continue;
+        const ServiceName& service = route->services.front().service;
+        batch::ScoreCapacity& capacity = capacities[service];
+        capacity.inProgress += run->rewardCall ? 1 : 0;
+        if (run->rewardCall || now < run->notBefore)
+            continue;
+        const batch::Job* job = m_machine.jobs().find(run->job);
+        waiting[service].push_back({ index, spec->group, run->isCarried, job ? job->order : 0, unlistedInGroup(*run) });
+    }
+    std::vector<RunPointer> chosen;
+    for (auto& [service, scores] : waiting) {
+        batch::ScoreCapacity& capacity = capacities[service];
+        capacity.slots = m_balancer.slotsOf(service);
+        for (const std::size_t index : batch::planScores(std::move(scores), capacity))
+            chosen.push_back(m_scoring[index]);
+    }
+    for (const RunPointer& run : chosen) {
+        if (const batch::ItemSpec* spec = specOf(*run))
+            sendReward(run, *gateway::findRewardRoute(*m_routes, spec->reward));
+    }
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::sendReward(const RunPointer& run, const gateway::Route& route)
+{
+    // A reward call may be repeated, whatever the route says of the requests of others.
+    auto repeatable = std::make_shared<gateway::Route>(route);
+    repeatable->kind = gateway::RouteKind::Idempotent;
+    const unsigned maxAttempts = std::max(route.maxAttempts, run->maxAttempts);
+    auto request = std::make_shared<http1::Request>(Protocol::rewardRequest(specOf(*run)->reward));
+    ++run->rewardTries;
+    m_log.info("item id={} job={} reward-id={} route={} try={} outcome=scoring", run->item, run->job, Protocol::requestId(*request), route.name, run->rewardTries);
+    m_metrics.counter("reward_calls_total").add();
+    const auto onResult = [this, weak = std::weak_ptr(run), number = run->number, maxAttempts](gateway::ForwardResult result) {
+        // Not at once: the result may come while the call is being sent.
+        asio::post(m_io, [this, weak, number, maxAttempts, result = std::move(result)] {
+            const auto current = weak.lock();
+            if (current && current->number == number && current->stage == Stage::Scoring)
+                onReward(current, result, maxAttempts);
+        });
+    };
+    run->rewardCall = m_forwarder.send({ std::move(request), m_clock.now(), m_routes, std::move(repeatable) }, onResult);
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::onReward(const RunPointer& run, const gateway::ForwardResult& result, unsigned maxAttempts)
+{
+    constexpr unsigned firstSuccess = 200;
+    constexpr unsigned firstRedirection = 300;
+    constexpr unsigned unprocessable = 422;
+    run->rewardCall = nullptr;
+    const unsigned status = result.response.status;
+    const bool isSuccess = status >= firstSuccess && status < firstRedirection;
+    std::string score = isSuccess ? Protocol::scoreOf(result.response) : std::string();
+    scheduleUpdate();
+    if (!score.empty())
+        return onScore(run, std::move(score));
+    run->rewardFailures += result.internalErrors;
+    m_log.info("item id={} job={} endpoint={} outcome=not-scored status={} failures={} try={}", run->item, run->job, result.endpoint, status, run->rewardFailures, run->rewardTries);
+    const bool isUnprocessable = status == unprocessable && !result.endpoint.empty();
+    if (isUnprocessable || run->rewardFailures >= maxAttempts) {
+        leaveScoring(run);
+        return finish(run, { run->item, batch::ResultState::Dead, {}, {}, {} });
+    }
+    run->notBefore = m_clock.now() + internal::firstRewardDelay * (1U << std::min(run->rewardTries - 1, internal::maxRewardDoublings));
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::onScore(const RunPointer& run, std::string score)
+{
+    leaveScoring(run);
+    if (run->reused) {
+        run->reused->score = std::move(score);
+        return finish(run, std::move(*run->reused));
+    }
+    run->stage = Stage::Listing;
+    m_log.info("item id={} job={} outcome=scored took-ms={}", run->item, run->job, std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - run->acceptedAt).count());
+    m_metrics.counter("items_completed_total").add();
+    m_results[run->job].scored.push_back({ run->item, std::move(score) });
+    scheduleFlush();
+}
+
+/// Ends the scoring of an item without an outcome.
+template <typename Protocol>
+void JobRunner<Protocol>::leaveScoring(const RunPointer& run)
+{
+    run->stage = Stage::Waiting;
+    run->number = 0;
+    std::erase(m_scoring, run);
+    if (const auto call = std::exchange(run->rewardCall, nullptr))
+        call->cancel();
+}
+
+/// Tells the balancer of reward calls about changes of the directory.
+template <typename Protocol>
+void JobRunner<Protocol>::refreshEndpoints()
+{
+    const registry::Directory& directory = m_machine.directory();
+    if (directory.revision() == m_endpointsRevision)
+        return;
+    m_endpointsRevision = directory.revision();
+    std::vector<registry::EndpointRecord> records;
+    for (const auto& [id, record] : directory.records()) {
+        if (record.state != registry::EndpointState::Gone)
+            records.push_back(record);
+    }
+    m_balancer.setEndpoints(records);
+}
+
+}
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -10,10 +10,11 @@
 
     constexpr Duration itemConnectTimeout = std::chrono::milliseconds(400);
     constexpr std::size_t maxEventBytes = 256U * 1024U;
+    // An endpoint that sends more for one item is in trouble.
+    constexpr std::size_t maxTextBytes = 8U * 1024U * 1024U;
     // A full endpoint is left alone until some of its items may have ended.
     constexpr Duration refusalAvoidance = std::chrono::milliseconds(60);
     constexpr Duration failureAvoidance = std::chrono::milliseconds(500);
-    constexpr Duration retryDelay = std::chrono::milliseconds(30);
     // Connections beyond the slots, for calls that end while others begin.
     constexpr std::size_t spareConnections = 8;
 
@@ -70,6 +71,8 @@
 template <typename Protocol>
 void JobRunner<Protocol>::stop(const RunPointer& run)
 {
+    if (run->stage == Stage::Scoring)
+        return leaveScoring(run);
     if (run->stage != Stage::Running)
         return;
     run->stage = Stage::Waiting;
@@ -99,6 +102,17 @@
     until = std::max(until, m_clock.now() + duration);
 }
 
+/// Passes over an endpoint from now on, because its answer says that it leaves.
+template <typename Protocol>
+void JobRunner<Protocol>::noteLeaving(const EndpointId& endpoint)
+{
+    const registry::EndpointRecord* record = m_machine.directory().find(endpoint);
+    if (!record || !m_liveness.isStaying(*record))
+        return;
+    m_log.info("endpoint id={} started={} outcome=leaving", endpoint, record->startedMs);
+    m_liveness.noteLeaving({ endpoint, record->startedMs });
+}
+
 template <typename Protocol>
 void JobRunner<Protocol>::requeue(const RunPointer& run, std::string_view cause, Duration delay)
 {
@@ -127,6 +141,8 @@
     if (run->answerClass == gateway::AnswerClass::OtherRequest)
         return false;
     run->status = head.status;
+    if (run->answerClass != gateway::AnswerClass::WrongEndpoint && Protocol::isLeaving(head))
+        noteLeaving(run->endpoint);
     if (const auto load = Protocol::loadOf(head))
         m_speed.noteReported(run->endpoint, load->slowness, m_clock.now());
     if (run->answerClass != gateway::AnswerClass::Answer || head.status != 200)
@@ -177,6 +193,11 @@
         avoid(run->endpoint, internal::refusalAvoidance);
         return requeue(run, "event out of order", internal::retryDelay);
     }
+    if (text.bytes() > internal::maxTextBytes) {
+        text.clear();
+        avoid(run->endpoint, internal::failureAvoidance);
+        return requeue(run, "text without end", internal::retryDelay);
+    }
     const auto loading = m_loading.find(run->endpoint);
     const bool isPaused = loading != m_loading.end() && !loading->second.empty();
     if (run->eventsHere++ > 0 && !isPaused)
@@ -218,7 +239,7 @@
     m_log.info("item id={} job={} endpoint={} outcome=failed status={} failures={}", run->item, run->job, run->endpoint, status, run->failures);
     stop(run);
     if (status == unprocessable || run->failures >= run->maxAttempts)
-        return finish(run, { run->item, batch::ResultState::Dead, {}, {} });
+        return finish(run, { run->item, batch::ResultState::Dead, {}, {}, {} });
     requeue(run, "endpoint failure", internal::retryDelay);
 }
 
@@ -229,56 +250,8 @@
     if (run->parser->isWithinEvent() || text.events() == 0)
         return requeue(run, "stream ended early", internal::retryDelay);
     stop(run);
-    finish(run, { run->item, batch::ResultState::Completed, text.output(), text.versions() });
+    complete(run);
     scheduleUpdate();
 }
 
-template <typename Protocol>
-void JobRunner<Protocol>::finish(const RunPointer& run, batch::ItemResult result)
-{
-    run->stage = Stage::Listing;
-    const bool isCompleted = result.state == batch::ResultState::Completed;
-    m_log.info("item id={} job={} outcome={} bytes={} took-ms={}", run->item, run->job, isCompleted ? "completed" : "dead", result.output.size(), std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - run->acceptedAt).count());
-    m_metrics.counter(isCompleted ? "items_completed_total" : "items_dead_total").add();
-    m_texts.erase(run->item);
-    m_results[run->job].push_back(std::move(result));
-    if (std::exchange(m_isFlushScheduled, true))
-        return;
-    asio::post(m_io, [this] {
-        m_isFlushScheduled = false;
-        flushResults();
-    });
-}
-
-template <typename Protocol>
-void JobRunner<Protocol>::flushResults()
-{
-    for (auto& [job, results] : std::exchange(m_results, {})) {
-        std::string command = registry::encodeCommand(registry::ListResults { job, results });
-        m_group.propose(std::move(command), [this, job = job, results = std::move(results)](const cluster::ProposalResult& result) {
-            const auto runs = m_runs.find(job);
-            if (result.status == cluster::ProposalStatus::Applied) {
-                for (const batch::ItemResult& listed : results) {
-                    if (runs != m_runs.end())
-                        runs->second.erase(listed.id);
-                }
-                if (m_onListed)
-                    m_onListed(job);
-                return;
-            }
-            if (result.status != cluster::ProposalStatus::Busy || runs == m_runs.end())
-                return; // Leadership ended; the next leader runs the items again.
-            auto& again = m_results[job];
-            again.insert(again.end(), results.begin(), results.end());
-            if (std::exchange(m_isFlushScheduled, true))
-                return;
-            const auto timer = std::make_shared<asio::steady_timer>(m_io, internal::retryDelay);
-            timer->async_wait([this, timer](std::error_code) {
-                m_isFlushScheduled = false;
-                flushResults();
-            });
-        });
-    }
-}
-
 }
--- a/src/azurepaddle/execution/job_runner_watch.hpp
+++ b/src/azurepaddle/execution/job_runner_watch.hpp
@@ -29,6 +29,7 @@
     if (!m_isLeading)
         return;
     const TimePoint now = m_clock.now();
+    refreshEndpoints();
     keepTexts(now);
     giveUpOld(now);
     findSilent(now);
@@ -60,7 +61,8 @@
     for (const auto& [job, runs] : m_runs) {
         for (const auto& [item, run] : runs) {
             const auto known = m_texts.find(item);
-            if (run->stage == Stage::Listing || known == m_texts.end())
+            const bool isGenerating = run->stage == Stage::Waiting || run->stage == Stage::Running;
+            if (!isGenerating || known == m_texts.end())
                 continue;
             if (auto part = known->second.text.takeUnrecorded(item, internal::minKeptEvents, internal::minNewEvents))
                 command.parts.push_back(std::move(*part));
@@ -84,7 +86,7 @@
     }
     for (const RunPointer& run : old) {
         stop(run);
-        finish(run, { run->item, batch::ResultState::Dead, {}, {} });
+        finish(run, { run->item, batch::ResultState::Dead, {}, {}, {} });
     }
 }
 
@@ -123,7 +125,7 @@
     std::set<EndpointId> slow;
     for (const auto& [id, counts] : m_running) {
         const registry::EndpointRecord* record = m_machine.directory().find(id);
-        const bool isLeaving = record && record->state == registry::EndpointState::Draining;
+        const bool isLeaving = record && record->state != registry::EndpointState::Gone && !m_liveness.isStaying(*record);
         if (isLeaving || m_speed.slowness(id, now) >= batch::slowBound)
             slow.insert(id);
     }
--- a/src/azurepaddle/execution/protocol.hpp
+++ b/src/azurepaddle/execution/protocol.hpp
@@ -33,11 +33,17 @@
 
 /// How items and orders are sent to endpoints.
 template <typename T>
-concept ItemProtocol = gateway::EndpointProtocol<T> && requires(const batch::ItemSpec& item, const std::string& text, const EndpointId& id, std::uint64_t number, const http1::Response& head, const http1::StreamEvent& event, const LoadOrder& order)
+concept ItemProtocol = gateway::EndpointProtocol<T> && requires(const batch::ItemSpec& item, const batch::RewardCall& reward, const std::string& text, const EndpointId& id, std::uint64_t number, const http1::Response& head, const http1::StreamEvent& event, const LoadOrder& order)
 {
     {
         T::itemRequest(item, text, id, number)
         } -> std::same_as<http1::Request>; ///< Host, endpoint, and the number of events that are held.
+    {
+        T::rewardRequest(reward)
+        } -> std::same_as<http1::Request>;
+    {
+        T::scoreOf(head)
+        } -> std::same_as<std::string>; ///< Empty if the response carries no score.
     {
         T::versionOf(head)
         } -> std::same_as<std::optional<WeightVersion>>;
--- a/src/azurepaddle/execution/weight_loader_impl.hpp
+++ b/src/azurepaddle/execution/weight_loader_impl.hpp
@@ -8,6 +8,7 @@
 
     constexpr Duration planInterval = std::chrono::milliseconds(50);
     constexpr Duration orderTimeout = std::chrono::milliseconds(400);
+    constexpr std::uint64_t maxStatusBytes = 256U * 1024U;
     // An order without an answer may still be on its way for so long.
     constexpr Duration unansweredOrderTime = std::chrono::milliseconds(500);
     // The window for orders stays open for those that follow soon.
@@ -139,7 +140,7 @@
     std::vector<batch::LoadTarget> targets;
     for (const auto& [id, record] : m_machine.directory().records()) {
         const auto service = m_routes->services().find(record.service);
-        if (service == m_routes->services().end() || service->second.models.empty() || record.state != registry::EndpointState::Ready)
+        if (service == m_routes->services().end() || service->second.models.empty() || !m_liveness.isStaying(record))
             continue;
         batch::LoadTarget target;
         target.id = id;
@@ -221,8 +222,10 @@
     loading->body.clear();
     loading->status = 0;
     http1::CallEvents events;
-    events.onHead = [loading](const http1::Response& head) {
+    events.onHead = [this, loading, started = record->startedMs](const http1::Response& head) {
         loading->status = head.status;
+        if (Protocol::isLeaving(head))
+            m_liveness.noteLeaving({ loading->load.endpoint, started });
         return true;
     };
     events.onBody = [loading](const std::string& bytes) { loading->body += bytes; };
@@ -233,6 +236,7 @@
     http1::CallOptions options;
     options.deadline = m_clock.now() + internal::orderTimeout;
     options.maxConnections = record->slots + internal::spareConnections;
+    options.maxBodyBytes = internal::maxStatusBytes;
     loading->call = m_pool.send(record->address(), request, options, std::move(events));
 }
 
--- a/src/azurepaddle/gateway/balancer.cpp
+++ b/src/azurepaddle/gateway/balancer.cpp
@@ -8,6 +8,8 @@
 namespace {
 
     constexpr double averageWeight = 0.2; // Of the newest answer.
+    // Incarnations that leave, beyond which those that are not known any more are forgotten.
+    constexpr std::size_t maxLeaving = 1024;
     constexpr double defaultMs = 25;
     // A report fades: neighbours of the endpoint change its speed several times a second.
     constexpr Duration reportLifetime = std::chrono::milliseconds(600);
@@ -29,6 +31,24 @@
         entries.emplace(record.id, std::move(entry));
     }
     m_entries = std::move(entries);
+    if (m_leaving.size() > maxLeaving)
+        std::erase_if(m_leaving, [this](const auto& leaving) { return !m_entries.contains(leaving.first); });
+}
+
+bool Balancer::isUsable(const Entry& entry) const
+{
+    const auto leaving = m_leaving.find(entry.record.id);
+    return entry.record.state == registry::EndpointState::Ready && (leaving == m_leaving.end() || leaving->second != entry.record.startedMs);
+}
+
+std::optional<registry::EndpointLeave> Balancer::noteLeaving(const EndpointId& id)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || !isUsable(found->second))
+        return std::nullopt;
+    const std::uint64_t startedMs = found->second.record.startedMs;
+    m_leaving[id] = startedMs;
+    return registry::EndpointLeave { id, startedMs };
 }
 
 std::vector<Balancer::Entry*> Balancer::candidatesOf(const ServiceName& service, const std::set<EndpointId>& excluded, TimePoint now)
@@ -36,7 +56,7 @@
     std::vector<Entry*> good;
     std::vector<Entry*> avoided;
     for (auto& [id, entry] : m_entries) {
-        if (entry.record.service != service || entry.record.state != registry::EndpointState::Ready || excluded.contains(id))
+        if (entry.record.service != service || !isUsable(entry) || excluded.contains(id))
             continue;
         (now < entry.avoidUntil ? avoided : good).push_back(&entry);
     }
@@ -79,6 +99,11 @@
         entry.averageMs = entry.averageMs > 0 ? entry.averageMs * (1 - averageWeight) + ms * averageWeight : ms;
         entry.failures = 0;
         entry.avoidUntil = {};
+    } else if (experience == Experience::Overtaken) {
+        // Its answer takes at least this long.
+        const double ms = std::chrono::duration<double, std::milli>(took).count();
+        if (ms > entry.averageMs)
+            entry.averageMs = entry.averageMs > 0 ? entry.averageMs * (1 - averageWeight) + ms * averageWeight : ms;
     } else if (experience == Experience::Refused) {
         entry.avoidUntil = now + refusalAvoidance;
     } else {
@@ -99,10 +124,20 @@
 std::size_t Balancer::countOf(const ServiceName& service) const
 {
     return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) {
-        return entry.second.record.service == service && entry.second.record.state == registry::EndpointState::Ready;
+        return entry.second.record.service == service && isUsable(entry.second);
     }));
 }
 
+std::size_t Balancer::slotsOf(const ServiceName& service) const
+{
+    std::size_t slots = 0;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.record.service == service && isUsable(entry))
+            slots += entry.record.slots;
+    }
+    return slots;
+}
+
 Duration Balancer::usualTime(const ServiceName& service) const
 {
     std::vector<double> averages;
--- a/src/azurepaddle/gateway/balancer.hpp
+++ b/src/azurepaddle/gateway/balancer.hpp
@@ -27,6 +27,7 @@
     Answered,
     Refused, ///< It was full or is leaving.
     Failed, ///< No connection, a broken answer, or silence.
+    Overtaken, ///< It had not answered when the request was settled otherwise.
 };
 
 /// Chooses endpoints of plain services from reports that came with earlier answers, the requests this instance has in
@@ -60,9 +61,14 @@
     /// Ends a request; the time it took counts only if it was answered.
     void end(const EndpointId& id, Experience experience, Duration took, TimePoint now);
     void report(const EndpointId& id, const LoadReport& report, TimePoint now);
+    /// Passes over an endpoint that says itself that it leaves, for as long as this incarnation lasts. The next
+    /// incarnation, or another endpoint at its address, is not meant. Returns the incarnation where this is news.
+    std::optional<registry::EndpointLeave> noteLeaving(const EndpointId& id);
 
-    /// Ready endpoints of a service.
+    /// Usable endpoints of a service.
     [[nodiscard]] std::size_t countOf(const ServiceName& service) const;
+    /// Slots of these endpoints.
+    [[nodiscard]] std::size_t slotsOf(const ServiceName& service) const;
     /// Usual time of an answer of the service at this instance.
     [[nodiscard]] Duration usualTime(const ServiceName& service) const;
 
@@ -79,9 +85,11 @@
 
     [[nodiscard]] std::vector<Entry*> candidatesOf(const ServiceName& service, const std::set<EndpointId>& excluded, TimePoint now);
     [[nodiscard]] double costOf(const Entry& entry, TimePoint now) const;
+    [[nodiscard]] bool isUsable(const Entry& entry) const;
 
     DataCentreName m_own;
     std::map<EndpointId, Entry> m_entries;
+    std::map<EndpointId, std::uint64_t> m_leaving; ///< Start times of the incarnations. Outlives the known endpoints.
 };
 
 }
--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/core/log.hpp"
+#include "azurepaddle/gateway/answer_budget.hpp"
 #include "azurepaddle/gateway/balancer.hpp"
 #include "azurepaddle/gateway/retry_policy.hpp"
 #include "azurepaddle/gateway/route_table.hpp"
@@ -40,17 +41,50 @@
     {
         T::loadOf(response)
         } -> std::same_as<std::optional<LoadReport>>;
+    {
+        T::isLeaving(response)
+        } -> std::same_as<bool>; ///< The endpoint says that it leaves.
+};
+
+/// A request to forward.
+struct ForwardRequest {
+    std::shared_ptr<const http1::Request> request;
+    TimePoint receivedAt;
+    std::shared_ptr<const RouteTable> table;
+    std::shared_ptr<const Route> route;
+};
+
+/// How a forwarded request ended.
+struct ForwardResult {
+    http1::Response response; ///< Of an endpoint, or a refusal of this instance.
+    EndpointId endpoint; ///< That gave the response; empty for a refusal.
+    unsigned internalErrors = 0; ///< Endpoints that answered 500.
 };
 
-/// Forwards requests of plain routes to endpoints and answers their clients. A request that may not be repeated is sent
-/// at most once; others are repeated or sent a second time within the attempts of their route.
+using ForwardCallback = std::function<void(ForwardResult)>;
+
+/// A request that is being forwarded.
+class ForwardCall {
+public:
+    virtual ~ForwardCall() = default;
+    /// Ends the work of endpoints on it. No result follows.
+    virtual void cancel() = 0;
+};
+
+/// Forwards requests of plain routes to endpoints. A request that may not be repeated is sent at most once; others are
+/// repeated or sent a second time within the attempts of their route.
 template <typename Protocol>
 class Forwarder {
 public:
-    Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, Random& random, metrics::Registry& metrics);
+    /// Answers that are being received take at most so many bytes.
+    Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes);
 
-    /// Takes over the request. The table stays alive until it is answered.
+    /// Called once with each endpoint incarnation that an answer says is leaving.
+    void setOnLeaving(std::function<void(const registry::EndpointLeave&)> onLeaving) { m_onLeaving = std::move(onLeaving); }
+    /// Forwards a caller's request and answers it. The table stays alive until then.
     void forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route);
+    /// Forwards a request. The result may come before this returns.
+    std::shared_ptr<ForwardCall> send(ForwardRequest request, ForwardCallback onResult);
     [[nodiscard]] std::size_t inProgress() const noexcept { return m_inProgress; }
 
 private:
@@ -63,19 +97,20 @@
     };
 
     /// One request until its answer.
-    struct Forwarding {
-        http1::ExchangePointer exchange;
-        std::shared_ptr<const RouteTable> table;
-        const Route* route = nullptr;
+    struct Forwarding : ForwardCall, std::enable_shared_from_this<Forwarding> {
+        void cancel() override { owner->abandon(this->shared_from_this()); }
+
+        Forwarder* owner = nullptr;
+        ForwardRequest task;
+        ForwardCallback onResult;
         const Service* service = nullptr;
         std::string id;
-        TimePoint receivedAt;
         TimePoint deadline;
         std::set<EndpointId> excluded;
         std::map<std::uint64_t, Sending> sendings;
-        std::uint64_t nextSending = 1;
         unsigned runs = 0; ///< Endpoints that may have run it.
         unsigned refusals = 0;
+        unsigned internalErrors = 0; ///< Endpoints that answered 500.
         bool isDone = false;
         std::optional<http1::Response> failure; ///< An endpoint's own failure, to hand on if nothing better comes.
         std::unique_ptr<asio::steady_timer> deadlineTimer;
@@ -87,12 +122,15 @@
     void tryNext(const Pointer& forwarding);
     void armDeadline(const Pointer& forwarding);
     void armHedge(const Pointer& forwarding);
+    [[nodiscard]] http1::CallEvents eventsOf(const Pointer& forwarding, std::uint64_t number);
+    [[nodiscard]] bool onHead(const Pointer& forwarding, std::uint64_t number, const http1::Response& head);
+    void onBody(const Pointer& forwarding, std::uint64_t number, const std::string& bytes);
     void onEnd(const Pointer& forwarding, std::uint64_t number, const http1::CallEnd& end);
     void onAnswer(const Pointer& forwarding, Sending sending);
     void giveUp(const Pointer& forwarding, std::string_view reason);
     void finish(const Pointer& forwarding, http1::Response response, std::string_view outcome, const EndpointId& endpoint);
-    void clientLeft(const Pointer& forwarding);
-    void stopSendings(const Pointer& forwarding);
+    void abandon(const Pointer& forwarding);
+    void stopSendings(const Pointer& forwarding, Experience experience);
 
     asio::io_context& m_io;
     http1::ClientPool& m_pool;
@@ -101,6 +139,10 @@
     metrics::Registry& m_metrics;
     const Log m_log { "forward" };
     const SystemClock m_clock {};
+    std::function<void(const registry::EndpointLeave&)> m_onLeaving;
+    AnswerBudget m_budget;
+    std::map<std::uint64_t, std::weak_ptr<Forwarding>> m_sendings; ///< All in progress, by number.
+    std::uint64_t m_nextSending = 1;
     std::size_t m_inProgress = 0;
 };
 
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -18,12 +18,13 @@
 }
 
 template <typename Protocol>
-Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, Random& random, metrics::Registry& metrics)
+Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes)
     : m_io(io)
     , m_pool(pool)
     , m_balancer(balancer)
     , m_random(random)
     , m_metrics(metrics)
+    , m_budget(maxAnswerBytes)
 {
     static_assert(EndpointProtocol<Protocol>);
 }
@@ -31,23 +32,35 @@
 template <typename Protocol>
 void Forwarder<Protocol>::forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route)
 {
-    const auto forwarding = std::make_shared<Forwarding>();
-    forwarding->id = Protocol::requestId(exchange->request());
-    forwarding->receivedAt = exchange->receivedAt();
-    const Duration patience = Protocol::patience(exchange->request()).value_or(route.timeout);
-    forwarding->deadline = forwarding->receivedAt + std::min(patience, route.timeout);
-    forwarding->route = &route;
-    forwarding->service = table->findService(chooseService(route, m_random.uniform()));
-    forwarding->table = table;
-    forwarding->exchange = exchange;
-    forwarding->exchange->setOnClosed([this, weak = std::weak_ptr(forwarding)] {
+    ForwardRequest task { { exchange, &exchange->request() }, exchange->receivedAt(), table, { table, &route } };
+    const auto call = send(std::move(task), [exchange](ForwardResult result) {
+        result.response.fields.eraseHopByHop();
+        exchange->respond(std::move(result.response));
+    });
+    if (!exchange->isOpen())
+        return;
+    exchange->setOnClosed([weak = std::weak_ptr(call)] {
         if (const auto left = weak.lock())
-            clientLeft(left);
+            left->cancel();
     });
+}
+
+template <typename Protocol>
+std::shared_ptr<ForwardCall> Forwarder<Protocol>::send(ForwardRequest request, ForwardCallback onResult)
+{
+    const auto forwarding = std::make_shared<Forwarding>();
+    forwarding->owner = this;
+    forwarding->id = Protocol::requestId(*request.request);
+    const Duration patience = Protocol::patience(*request.request).value_or(request.route->timeout);
+    forwarding->deadline = request.receivedAt + std::min(patience, request.route->timeout);
+    forwarding->service = request.table->findService(chooseService(*request.route, m_random.uniform()));
+    forwarding->task = std::move(request);
+    forwarding->onResult = std::move(onResult);
     ++m_inProgress;
     armDeadline(forwarding);
     armHedge(forwarding);
     tryNext(forwarding);
+    return forwarding;
 }
 
 template <typename Protocol>
@@ -59,6 +72,7 @@
         if (error || !late || late->isDone)
             return;
         const bool isSent = !late->sendings.empty();
+        stopSendings(late, Experience::Failed);
         finish(late, refusal({ late->runs + (isSent ? 1U : 0U), late->refusals }, true, "no answer in time"), "timeout", {});
     });
 }
@@ -66,7 +80,7 @@
 template <typename Protocol>
 void Forwarder<Protocol>::armHedge(const Pointer& forwarding)
 {
-    const auto delay = hedgeDelay(*forwarding->route, m_balancer.usualTime(forwarding->service->name));
+    const auto delay = hedgeDelay(*forwarding->task.route, m_balancer.usualTime(forwarding->service->name));
     if (!delay)
         return;
     forwarding->hedgeTimer = std::make_unique<asio::steady_timer>(m_io, *delay);
@@ -75,7 +89,7 @@
         if (error || !slow || slow->isDone || slow->sendings.empty())
             return;
         const RetryState state { slow->runs + static_cast<unsigned>(slow->sendings.size()), slow->refusals };
-        if (maySendAgain(*slow->route, state))
+        if (maySendAgain(*slow->task.route, state))
             static_cast<void>(sendNext(slow));
     });
 }
@@ -89,37 +103,74 @@
     if (!endpoint || now >= forwarding->deadline)
         return false;
     forwarding->excluded.insert(endpoint->id);
-    const std::uint64_t number = forwarding->nextSending++;
+    const std::uint64_t number = m_nextSending++;
+    m_sendings[number] = forwarding;
     Sending& sending = forwarding->sendings[number];
     sending.endpoint = endpoint->id;
     sending.startedAt = now;
     m_balancer.begin(endpoint->id);
+    const http1::Request request = Protocol::forEndpoint(*forwarding->task.request, endpoint->id, forwarding->deadline - now);
+    http1::CallOptions options;
+    options.deadline = forwarding->deadline;
+    options.connectTimeout = internal::connectTimeout;
+    options.maxConnections = forwarding->service->maxConnections;
+    sending.call = m_pool.send(endpoint->address(), request, options, eventsOf(forwarding, number));
+    return true;
+}
+
+template <typename Protocol>
+http1::CallEvents Forwarder<Protocol>::eventsOf(const Pointer& forwarding, std::uint64_t number)
+{
     http1::CallEvents events;
-    events.onHead = [this, forwarding, number](const http1::Response& head) {
-        Sending& own = forwarding->sendings.at(number);
-        const AnswerClass answerClass = Protocol::classify(head, forwarding->id);
-        if (answerClass == AnswerClass::OtherRequest) {
-            m_log.warning("id={} endpoint={} outcome=foreign-answer", forwarding->id, own.endpoint);
-            return false;
-        }
-        own.answerClass = answerClass;
-        own.response = head;
-        if (const auto load = Protocol::loadOf(head))
-            m_balancer.report(own.endpoint, *load, m_clock.now());
-        return true;
-    };
-    events.onBody = [forwarding, number](const std::string& bytes) { forwarding->sendings.at(number).response.body += bytes; };
+    events.onHead = [this, forwarding, number](const http1::Response& head) { return onHead(forwarding, number, head); };
+    events.onBody = [this, forwarding, number](const std::string& bytes) { onBody(forwarding, number, bytes); };
     events.onEnd = [this, forwarding, number](const http1::CallEnd& end) { onEnd(forwarding, number, end); };
-    const http1::Request request = Protocol::forEndpoint(forwarding->exchange->request(), endpoint->id, forwarding->deadline - now);
-    sending.call = m_pool.send(endpoint->address(), request, { forwarding->deadline, internal::connectTimeout, forwarding->service->maxConnections }, std::move(events));
+    return events;
+}
+
+/// False if the response belongs to another request.
+template <typename Protocol>
+bool Forwarder<Protocol>::onHead(const Pointer& forwarding, std::uint64_t number, const http1::Response& head)
+{
+    Sending& own = forwarding->sendings.at(number);
+    const AnswerClass answerClass = Protocol::classify(head, forwarding->id);
+    const bool isOwnWord = answerClass != AnswerClass::OtherRequest && answerClass != AnswerClass::WrongEndpoint;
+    if (const auto leaving = isOwnWord && Protocol::isLeaving(head) ? m_balancer.noteLeaving(own.endpoint) : std::nullopt) {
+        m_log.info("id={} endpoint={} started={} outcome=leaving", forwarding->id, leaving->id, leaving->startedMs);
+        if (m_onLeaving)
+            m_onLeaving(*leaving);
+    }
+    if (answerClass == AnswerClass::OtherRequest) {
+        m_log.warning("id={} endpoint={} outcome=foreign-answer", forwarding->id, own.endpoint);
+        return false;
+    }
+    own.answerClass = answerClass;
+    own.response = head;
+    if (const auto load = Protocol::loadOf(head))
+        m_balancer.report(own.endpoint, *load, m_clock.now());
     return true;
 }
 
+template <typename Protocol>
+void Forwarder<Protocol>::onBody(const Pointer& forwarding, std::uint64_t number, const std::string& bytes)
+{
+    forwarding->sendings.at(number).response.body += bytes;
+    const auto tooLarge = m_budget.add(number, bytes.size());
+    if (!tooLarge)
+        return;
+    const Pointer owner = m_sendings.at(*tooLarge).lock();
+    if (!owner)
+        return;
+    owner->sendings.at(*tooLarge).call->cancel();
+    m_metrics.counter("gateway_oversized_answers_total").add();
+    onEnd(owner, *tooLarge, { http1::CallEndKind::Failed, true, "answers in progress exceed their memory" });
+}
+
 template <typename Protocol>
 void Forwarder<Protocol>::tryNext(const Pointer& forwarding)
 {
     const RetryState state { forwarding->runs, forwarding->refusals };
-    if (maySendAgain(*forwarding->route, state) && sendNext(forwarding))
+    if (maySendAgain(*forwarding->task.route, state) && sendNext(forwarding))
         return;
     if (forwarding->sendings.empty())
         giveUp(forwarding, forwarding->runs == 0 ? "no endpoint takes the request" : "no endpoint answered");
@@ -133,6 +184,8 @@
         return;
     Sending sending = std::move(found->second);
     forwarding->sendings.erase(found);
+    m_budget.release(number);
+    m_sendings.erase(number);
     if (end.kind == http1::CallEndKind::Complete)
         return onAnswer(forwarding, std::move(sending));
     const TimePoint now = m_clock.now();
@@ -146,7 +199,7 @@
 template <typename Protocol>
 void Forwarder<Protocol>::onAnswer(const Pointer& forwarding, Sending sending)
 {
-    constexpr unsigned firstServerError = 500;
+    constexpr unsigned internalError = 500;
     const TimePoint now = m_clock.now();
     if (sending.answerClass != AnswerClass::Answer) {
         const bool isFull = sending.answerClass == AnswerClass::NotRun;
@@ -157,9 +210,9 @@
     }
     m_balancer.end(sending.endpoint, Experience::Answered, now - sending.startedAt, now);
     ++forwarding->runs;
-    const bool isFailure = sending.response.status >= firstServerError;
+    forwarding->internalErrors += sending.response.status == internalError ? 1 : 0;
     const RetryState state { forwarding->runs, forwarding->refusals };
-    if (isFailure && (maySendAgain(*forwarding->route, state) || !forwarding->sendings.empty())) {
+    if (sending.response.status >= internalError && (maySendAgain(*forwarding->task.route, state) || !forwarding->sendings.empty())) {
         forwarding->failure = std::move(sending.response);
         return tryNext(forwarding);
     }
@@ -177,34 +230,39 @@
 template <typename Protocol>
 void Forwarder<Protocol>::finish(const Pointer& forwarding, http1::Response response, std::string_view outcome, const EndpointId& endpoint)
 {
-    const Duration took = m_clock.now() - forwarding->receivedAt;
-    m_log.info("id={} route={} configuration={} service={} endpoint={} status={} outcome=\"{}\" runs={} refusals={} took-ms={}", forwarding->id, forwarding->route->name, forwarding->table->version(), forwarding->service->name, endpoint, response.status, outcome, forwarding->runs, forwarding->refusals, internal::milliseconds(took));
+    const Duration took = m_clock.now() - forwarding->task.receivedAt;
+    m_log.info("id={} route={} configuration={} service={} endpoint={} status={} outcome=\"{}\" runs={} refusals={} took-ms={}", forwarding->id, forwarding->task.route->name, forwarding->task.table->version(), forwarding->service->name, endpoint, response.status, outcome, forwarding->runs, forwarding->refusals, internal::milliseconds(took));
     m_metrics.counter(response.status < 400 ? "gateway_answered_total" : "gateway_refused_total").add();
     m_metrics.histogram("gateway_request_seconds").record(took);
-    stopSendings(forwarding);
-    response.fields.eraseHopByHop();
-    forwarding->exchange->respond(std::move(response));
+    stopSendings(forwarding, Experience::Overtaken);
+    if (const auto onResult = std::exchange(forwarding->onResult, nullptr))
+        onResult({ std::move(response), endpoint, forwarding->internalErrors });
 }
 
+/// Ends a request whose result nobody wants any more.
 template <typename Protocol>
-void Forwarder<Protocol>::clientLeft(const Pointer& forwarding)
+void Forwarder<Protocol>::abandon(const Pointer& forwarding)
 {
     if (forwarding->isDone)
         return;
-    m_log.info("id={} route={} outcome=client-left sendings={} took-ms={}", forwarding->id, forwarding->route->name, forwarding->sendings.size(), internal::milliseconds(m_clock.now() - forwarding->receivedAt));
+    m_log.info("id={} route={} outcome=abandoned sendings={} took-ms={}", forwarding->id, forwarding->task.route->name, forwarding->sendings.size(), internal::milliseconds(m_clock.now() - forwarding->task.receivedAt));
     m_metrics.counter("gateway_abandoned_total").add();
-    stopSendings(forwarding);
+    forwarding->onResult = nullptr;
+    stopSendings(forwarding, Experience::Overtaken);
 }
 
 template <typename Protocol>
-void Forwarder<Protocol>::stopSendings(const Pointer& forwarding)
+void Forwarder<Protocol>::stopSendings(const Pointer& forwarding, Experience experience)
 {
-    forwarding->isDone = true;
+    if (std::exchange(forwarding->isDone, true))
+        return;
     --m_inProgress;
     const TimePoint now = m_clock.now();
     for (auto& [number, sending] : forwarding->sendings) {
         sending.call->cancel();
-        m_balancer.end(sending.endpoint, Experience::Refused, now - sending.startedAt, now);
+        m_balancer.end(sending.endpoint, experience, now - sending.startedAt, now);
+        m_budget.release(number);
+        m_sendings.erase(number);
     }
     // The calls' callbacks refer to the forwarding; this breaks the cycle once they are gone.
     asio::post(m_io, [forwarding] { forwarding->sendings.clear(); });
--- a/src/azurepaddle/gateway/fwd.hpp
+++ b/src/azurepaddle/gateway/fwd.hpp
@@ -4,7 +4,9 @@
 
 struct Route;
 class RouteTable;
+class AnswerBudget;
 class Balancer;
+class ForwardCall;
 template <typename Protocol>
 class Forwarder;
 
--- a/src/azurepaddle/gateway/route_table.cpp
+++ b/src/azurepaddle/gateway/route_table.cpp
@@ -77,6 +77,18 @@
     return std::nullopt;
 }
 
+const Route* findRewardRoute(const RouteTable& table, const batch::RewardCall& reward)
+{
+    const Route* route = table.find(hostOf(reward.host), http1::pathOf(reward.path));
+    return route && route->kind != RouteKind::Batch ? route : nullptr;
+}
+
+std::optional<batch::ItemId> findUnroutable(const RouteTable& table, const batch::JobSpec& job)
+{
+    const auto found = std::find_if(job.items.begin(), job.items.end(), [&table](const batch::ItemSpec& item) { return item.needsScore() && !findRewardRoute(table, item.reward); });
+    return found == job.items.end() ? std::nullopt : std::optional(found->id);
+}
+
 const ServiceName& chooseService(const Route& route, double point)
 {
     double total = 0;
--- a/src/azurepaddle/gateway/route_table.hpp
+++ b/src/azurepaddle/gateway/route_table.hpp
@@ -90,6 +90,12 @@
 /// Whether the routes make sense together: known services, distinct places, weights above 0, timeouts above 0.
 [[nodiscard]] std::optional<ConfigurationProblem> validate(const RouteTable& table);
 
+/// The route of a reward call. Null if there is none that answers single requests.
+[[nodiscard]] const Route* findRewardRoute(const RouteTable& table, const batch::RewardCall& reward);
+
+/// An item of the job whose reward call has no route, if there is one.
+[[nodiscard]] std::optional<batch::ItemId> findUnroutable(const RouteTable& table, const batch::JobSpec& job);
+
 /// The service for a request, by the weights of its route. The point is in [0, 1).
 [[nodiscard]] const ServiceName& chooseService(const Route& route, double point);
 
--- a/src/azurepaddle/http1/client.cpp
+++ b/src/azurepaddle/http1/client.cpp
@@ -55,7 +55,7 @@
         m_isSent = false;
         m_isHeadTaken = false;
         m_isDiscarding = false;
-        m_parser = ResponseParser(m_shared->limits);
+        resetParser();
         if (m_isConnected) {
             armTimer(m_options.deadline);
             return writeRequest();
@@ -64,6 +64,13 @@
         connect();
     }
 
+    void ClientConnection::resetParser()
+    {
+        MessageLimits limits = m_shared->limits;
+        limits.bodyBytes = std::min(limits.bodyBytes, m_options.maxBodyBytes);
+        m_parser = ResponseParser(limits);
+    }
+
     void ClientConnection::armTimer(TimePoint at)
     {
         if (at == TimePoint::max()) {
@@ -162,7 +169,7 @@
             const bool isForeign = std::exchange(m_isDiscarding, false);
             if (!isForeign)
                 return onMessageDone(rest);
-            m_parser = ResponseParser(m_shared->limits);
+            resetParser();
             m_isHeadTaken = false;
             bytes = std::move(rest);
         }
--- a/src/azurepaddle/http1/client_connection.hpp
+++ b/src/azurepaddle/http1/client_connection.hpp
@@ -45,6 +45,7 @@
     void onMessageDone(const std::string& rest);
     void finish(CallEndKind kind, std::string message);
     void armTimer(TimePoint at);
+    void resetParser();
 
     static constexpr std::size_t readBytes = 4U * 1024U;
 
--- a/src/azurepaddle/http1/parser.cpp
+++ b/src/azurepaddle/http1/parser.cpp
@@ -77,6 +77,7 @@
     class Feeder {
     public:
         explicit Feeder(const MessageLimits& limits)
+            : m_maxUnread(limits.headerBytes)
         {
             parser.header_limit(limits.headerBytes);
             parser.body_limit(limits.bodyBytes);
@@ -105,6 +106,9 @@
                 return used > held ? used - held : 0;
             }
             m_unread.erase(0, used);
+            // Beast bounds the header itself, but not the line before a chunk or the trailer after the last one.
+            if (m_unread.size() > m_maxUnread)
+                return tl::unexpected(ParseError(ParseErrorCode::HeaderTooLarge, "a line exceeds the limit of headers"));
             return bytes.size();
         }
 
@@ -112,6 +116,7 @@
         bool hasStarted = false;
 
     private:
+        std::size_t m_maxUnread;
         std::string m_unread;
     };
 
--- a/src/azurepaddle/platform/batch_format.cpp
+++ b/src/azurepaddle/platform/batch_format.cpp
@@ -4,6 +4,8 @@
 #include "azurepaddle/platform/json.hpp"
 #include "azurepaddle/platform/leading_count.hpp"
 
+#include <algorithm>
+
 namespace azurepaddle::platform {
 
 namespace {
@@ -15,6 +17,7 @@
     using internal::textOf;
 
     constexpr std::string_view tokenUsageField = "X-Token-Usage"; // Prompt tokens and largest output, by a comma.
+    constexpr std::size_t maxRewardBytes = 1024U * 1024U;
     constexpr std::string_view lengthHintField = "X-Length-Hint"; // Estimated output tokens.
 
     /// Takes the sizes from an item's own headers: the estimate of its output, or else the largest output it allows.
@@ -32,6 +35,33 @@
         }
     }
 
+    /// Whether a text can stand in the first line of a request.
+    bool isToken(std::string_view text)
+    {
+        return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+    }
+
+    /// Whether a header field can be sent without ending early or beginning another one.
+    bool isSendable(const batch::ItemField& field)
+    {
+        const auto isControl = [](char c) { return (c >= 0 && c < ' ' && c != '\t') || c == '\x7f'; };
+        return isToken(field.name) && field.name.find(':') == std::string::npos && std::none_of(field.value.begin(), field.value.end(), isControl);
+    }
+
+    /// Reads the request that scores an item. Nothing if it cannot be read.
+    std::optional<batch::RewardCall> decodeReward(const Json& json)
+    {
+        const auto id = textOf(json, "id");
+        const auto host = textOf(json, "host");
+        const auto path = textOf(json, "path");
+        const auto encoded = textOf(json, "body");
+        const auto body = encoded ? internal::decodeBase64(*encoded) : std::nullopt;
+        const bool isAddressed = id && isToken(*id) && host && isToken(*host) && path && isToken(*path) && path->starts_with('/');
+        if (!isAddressed || !body || body->size() > maxRewardBytes)
+            return std::nullopt;
+        return batch::RewardCall { *id, *host, *path, *body };
+    }
+
     std::optional<batch::ItemSpec> decodeItem(const Json& json)
     {
         const auto id = textOf(json, "id");
@@ -39,7 +69,7 @@
         const auto encoded = textOf(json, "body");
         const auto body = encoded ? internal::decodeBase64(*encoded) : std::nullopt;
         const auto headers = json.find("headers");
-        if (!id || id->empty() || !path || !body || headers == json.end() || !headers->is_object())
+        if (!id || !isToken(*id) || !path || !isToken(*path) || !body || headers == json.end() || !headers->is_object())
             return std::nullopt;
         batch::ItemSpec item;
         item.id = batch::ItemId(*id);
@@ -50,8 +80,16 @@
             if (!value.is_string())
                 return std::nullopt;
             item.fields.push_back({ name, value.get<std::string>() });
+            if (!isSendable(item.fields.back()))
+                return std::nullopt;
         }
         readSizes(item);
+        if (const auto scorer = json.find("scorer"); scorer != json.end() && !scorer->is_null()) {
+            auto reward = decodeReward(*scorer);
+            if (!reward)
+                return std::nullopt;
+            item.reward = std::move(*reward);
+        }
         return item;
     }
 
@@ -93,7 +131,10 @@
     Json results = Json::array();
     for (const batch::ItemResult& result : reply.results) {
         const bool isCompleted = result.state == batch::ResultState::Completed;
-        results.push_back({ { "id", result.id.value() }, { "state", isCompleted ? "completed" : "dead" }, { "output", result.output }, { "versions", result.versions } });
+        Json entry { { "id", result.id.value() }, { "state", isCompleted ? "completed" : "dead" }, { "output", result.output }, { "versions", result.versions } };
+        if (!result.score.empty())
+            entry["score"] = result.score;
+        results.push_back(std::move(entry));
     }
     const Json json { { "total", reply.total }, { "next-token", after + reply.results.size() }, { "results", std::move(results) } };
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -64,6 +64,10 @@
         m_log.info("job id={} status=400 cause=\"{}\"", id, reason);
         return exchange->respond(plain(400, reason));
     }
+    if (const auto unroutable = gateway::findUnroutable(*m_routes, *spec)) {
+        m_log.info("job id={} item={} configuration={} status=400 cause=\"no plain route for its reward call\"", id, *unroutable, m_routes->version());
+        return exchange->respond(plain(400, "the reward call of an item matches no plain route"));
+    }
     const TimePoint deadline = std::min(deadlineOf(*exchange), exchange->receivedAt() + defaultPatience);
     m_leader.send(registry::SubmitJobRequest { std::move(*spec) }, deadline, [this, exchange, id](registry::LeaderResult<registry::SubmitJobReply> reply) {
         const http1::Response response = !reply ? noReply(reply.error()) : reply->isAccepted ? plain(202, "accepted")
--- a/src/azurepaddle/platform/endpoint_protocol.cpp
+++ b/src/azurepaddle/platform/endpoint_protocol.cpp
@@ -17,6 +17,8 @@
     constexpr std::string_view versionField = "X-Weight-Versions";
     constexpr std::string_view eventVersionField = "x-weight-versions";
     constexpr std::string_view lastEventField = "Last-Event-Id";
+    constexpr std::string_view leavingField = "Server-Leaving"; // "1" in all answers of an endpoint that leaves.
+    constexpr std::string_view signatureField = "X-Server-Stamp"; // An endpoint's proof that it ran the request.
     constexpr unsigned misdirected = 421;
 
     /// The number after blanks that a field or a part of one begins with.
@@ -75,6 +77,21 @@
     return gateway::LoadReport { static_cast<std::uint32_t>(*running), static_cast<std::uint32_t>(*waiting), static_cast<std::uint32_t>(*slots), percent ? static_cast<double>(*percent) / usualPercent : 1 };
 }
 
+bool EndpointProtocol::isLeaving(const http1::Response& head)
+{
+    return head.fields.find(leavingField) == "1";
+}
+
+http1::Request EndpointProtocol::rewardRequest(const batch::RewardCall& reward)
+{
+    return { "POST", reward.path, { { "Host", reward.host }, { std::string(requestIdField), reward.id } }, reward.body };
+}
+
+std::string EndpointProtocol::scoreOf(const http1::Response& head)
+{
+    return std::string(head.fields.find(signatureField));
+}
+
 http1::Request EndpointProtocol::itemRequest(const batch::ItemSpec& item, const std::string& host, const EndpointId& endpoint, std::uint64_t eventsHeld)
 {
     http1::Request request { "POST", item.path, { { "Host", host }, { std::string(requestIdField), item.id.value() }, { std::string(expectedEndpointField), endpoint.value() } }, item.body };
--- a/src/azurepaddle/platform/endpoint_protocol.hpp
+++ b/src/azurepaddle/platform/endpoint_protocol.hpp
@@ -11,6 +11,9 @@
     [[nodiscard]] static http1::Request forEndpoint(const http1::Request& request, const EndpointId& endpoint, Duration left);
     [[nodiscard]] static gateway::AnswerClass classify(const http1::Response& head, std::string_view requestId);
     [[nodiscard]] static std::optional<gateway::LoadReport> loadOf(const http1::Response& head);
+    [[nodiscard]] static bool isLeaving(const http1::Response& head);
+    [[nodiscard]] static http1::Request rewardRequest(const batch::RewardCall& reward);
+    [[nodiscard]] static std::string scoreOf(const http1::Response& head);
     [[nodiscard]] static http1::Request itemRequest(const batch::ItemSpec& item, const std::string& host, const EndpointId& endpoint, std::uint64_t eventsHeld);
     [[nodiscard]] static std::optional<WeightVersion> versionOf(const http1::Response& head);
     [[nodiscard]] static std::optional<WeightVersion> versionOf(const http1::StreamEvent& event);
--- a/src/azurepaddle/registry/commands.hpp
+++ b/src/azurepaddle/registry/commands.hpp
@@ -56,7 +56,8 @@
 struct ListResults {
     batch::JobId job;
     std::vector<batch::ItemResult> results;
-    MSGPACK_DEFINE(job, results)
+    std::vector<batch::ScoredItem> scored {}; ///< Listed with the texts that are held; left out where one is not complete.
+    MSGPACK_DEFINE(job, results, scored)
 };
 
 struct EndJob {
--- a/src/azurepaddle/registry/directory.cpp
+++ b/src/azurepaddle/registry/directory.cpp
@@ -34,7 +34,11 @@
         if (id != record.id && other.state != EndpointState::Gone && other.address() == record.address() && other.startedMs <= record.startedMs)
             other.state = EndpointState::Gone;
     }
-    m_records[record.id] = record;
+    // A change that was proposed before the endpoint began to leave may be applied after it.
+    const EndpointState state = known && known->startedMs == record.startedMs ? std::max(known->state, record.state) : record.state;
+    EndpointRecord& stored = m_records[record.id];
+    stored = record;
+    stored.state = state;
     trimGone(m_records);
     ++m_revision;
 }
@@ -145,6 +149,30 @@
     return record.versionOf(model);
 }
 
+void Liveness::noteLeaving(const EndpointLeave& leave)
+{
+    if (m_leaving.size() >= maxGoneRecords && !m_leaving.contains(leave.id))
+        m_leaving.erase(std::min_element(m_leaving.begin(), m_leaving.end(), [](const auto& a, const auto& b) { return a.second < b.second; }));
+    m_leaving[leave.id] = leave.startedMs;
+}
+
+bool Liveness::isStaying(const EndpointRecord& record) const
+{
+    const auto found = m_leaving.find(record.id);
+    return record.state == EndpointState::Ready && (found == m_leaving.end() || found->second != record.startedMs);
+}
+
+std::vector<EndpointRecord> Liveness::leaving(const Directory& directory) const
+{
+    std::vector<EndpointRecord> records;
+    for (const auto& [id, startedMs] : m_leaving) {
+        const EndpointRecord* record = directory.find(id);
+        if (record && record->state == EndpointState::Ready && record->startedMs == startedMs)
+            records.push_back(*record);
+    }
+    return records;
+}
+
 std::vector<EndpointLeave> Liveness::silent(const Directory& directory, TimePoint now, Duration limit) const
 {
     std::vector<EndpointLeave> silent;
--- a/src/azurepaddle/registry/directory.hpp
+++ b/src/azurepaddle/registry/directory.hpp
@@ -57,10 +57,18 @@
     [[nodiscard]] std::vector<EndpointLeave> silent(const Directory& directory, TimePoint now, Duration limit) const;
     /// The version of a model that an endpoint holds: as heard from this incarnation, or else as agreed.
     [[nodiscard]] WeightVersion versionOf(const EndpointRecord& record, const batch::ModelName& model) const;
+    /// Notes that an incarnation says in its answers that it leaves.
+    void noteLeaving(const EndpointLeave& leave);
+    /// Whether this incarnation takes new work: it is agreed to be ready and did not say that it leaves.
+    [[nodiscard]] bool isStaying(const EndpointRecord& record) const;
+    /// Endpoints that are agreed to be ready but said that they leave.
+    [[nodiscard]] std::vector<EndpointRecord> leaving(const Directory& directory) const;
+    /// Forgets what was heard. What endpoints said of their leaving stays true.
     void clear() { m_entries.clear(); }
 
 private:
     std::map<EndpointId, Entry> m_entries;
+    std::map<EndpointId, std::uint64_t> m_leaving; ///< Start times of the incarnations.
 };
 
 }
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -74,6 +74,8 @@
 
 void LeaderService::handle(const PollRequest& request, const Answer<PollReply>& answer)
 {
+    for (const EndpointLeave& leave : request.leaving)
+        m_liveness.noteLeaving(leave);
     PollReply reply;
     const auto& configuration = m_machine.configuration();
     reply.configurationVersion = configuration.version;
@@ -272,6 +274,8 @@
         else
             reader.answer.notLeader();
     }
+    if (m_group.isCurrent())
+        drainLeavingEndpoints();
     if (now < m_nextSweep)
         return;
     m_nextSweep = now + sweepInterval;
@@ -289,6 +293,7 @@
         reader.answer.notLeader();
     m_jobSeen.clear();
     m_forgetting.clear();
+    m_draining.clear();
     m_liveness.clear();
     if (isLeading)
         m_liveness.expect(m_machine.directory(), m_clock.now());
@@ -308,6 +313,21 @@
     }
 }
 
+/// Lets all instances know of endpoints that said in an answer that they leave, before their own notice comes.
+void LeaderService::drainLeavingEndpoints()
+{
+    for (EndpointRecord& record : m_liveness.leaving(m_machine.directory())) {
+        if (!m_draining.insert(record.id).second)
+            continue;
+        m_log.info("endpoint id={} started={} state=draining: its answers say so", record.id, record.startedMs);
+        record.state = EndpointState::Draining;
+        m_group.propose(encodeCommand(SetEndpoint { record }), [this, id = record.id](const cluster::ProposalResult&) {
+            m_draining.erase(id);
+            changed();
+        });
+    }
+}
+
 void LeaderService::removeOldJobs(TimePoint now)
 {
     for (const batch::Job* job : m_machine.jobs().jobs()) {
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -92,6 +92,7 @@
     [[nodiscard]] std::set<std::string> memberNames() const;
     void removeOldJobs(TimePoint now);
     void forgetSilentEndpoints(TimePoint now);
+    void drainLeavingEndpoints();
     void changed();
 
     asio::io_context& m_io;
@@ -105,6 +106,7 @@
     std::vector<Reader> m_readers;
     std::map<batch::JobId, TimePoint> m_jobSeen;
     std::set<EndpointId> m_forgetting; ///< Proposed, not yet applied.
+    std::set<EndpointId> m_draining; ///< Proposed, not yet applied.
     TimePoint m_nextSweep {};
 };
 
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -26,7 +26,8 @@
     std::uint64_t configurationVersion = 0;
     std::uint64_t directoryTerm = 0; ///< A revision counts within the term of one leader.
     std::uint64_t directoryRevision = 0;
-    MSGPACK_DEFINE(configurationVersion, directoryTerm, directoryRevision)
+    std::vector<EndpointLeave> leaving; ///< Endpoints whose answers said so since the last poll.
+    MSGPACK_DEFINE(configurationVersion, directoryTerm, directoryRevision, leaving)
 };
 
 struct Done {
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -75,8 +75,12 @@
     return {};
 }
 
-std::string StateMachine::run(const ListResults& command)
+std::string StateMachine::run(ListResults command)
 {
+    for (const batch::ScoredItem& scored : command.scored) {
+        if (auto result = m_texts.resultOf(scored))
+            command.results.push_back(std::move(*result));
+    }
     m_jobs.list(command.job, command.results);
     for (const batch::ItemResult& result : command.results)
         m_texts.forget(result.id);
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -38,7 +38,7 @@
     std::string run(const LeaveEndpoint& command);
     std::string run(const ForgetEndpoint& command);
     std::string run(AcceptJob command);
-    std::string run(const ListResults& command);
+    std::string run(ListResults command);
     std::string run(const EndJob& command);
     std::string run(const RemoveJob& command);
     std::string run(ClaimOrders command);
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -36,7 +36,7 @@
     , m_leader(io, m_peerClient)
     , m_pool(io, endpointMessageLimits())
     , m_balancer(DataCentreName(m_settings.node.dataCentre))
-    , m_forwarder(io, m_pool, m_balancer, m_random, m_metrics)
+    , m_forwarder(io, m_pool, m_balancer, m_random, m_metrics, maxAnswerBytes(m_settings))
     , m_callers(m_forwarder, m_leader)
     , m_callerServer(io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); })
     , m_readyServer(
@@ -47,6 +47,7 @@
     , m_drainTimer(io)
 {
     m_leader.setMembers(m_settings.seedPeers());
+    m_forwarder.setOnLeaving([this](const registry::EndpointLeave& leave) { m_known.leaving.push_back(leave); });
 }
 
 bool EntryNode::start()
@@ -63,8 +64,8 @@
 
 void EntryNode::poll()
 {
-    m_leader.send(m_known, m_clock.now() + pollTimeout, [this](const registry::LeaderResult<registry::PollReply>& result) {
-        onPoll(result);
+    m_leader.send(m_known, m_clock.now() + pollTimeout, [this, told = m_known.leaving.size()](const registry::LeaderResult<registry::PollReply>& result) {
+        onPoll(result, told);
         m_pollTimer.expires_after(pollInterval);
         m_pollTimer.async_wait([this](std::error_code error) {
             if (!error)
@@ -73,7 +74,8 @@
     });
 }
 
-void EntryNode::onPoll(const registry::LeaderResult<registry::PollReply>& result)
+/// Takes over what the leader says. It knows the first so many of the endpoints that leave.
+void EntryNode::onPoll(const registry::LeaderResult<registry::PollReply>& result, std::size_t told)
 {
     const TimePoint now = m_clock.now();
     if (!result) {
@@ -82,6 +84,7 @@
         return;
     }
     m_lastContact = now;
+    m_known.leaving.erase(m_known.leaving.begin(), m_known.leaving.begin() + static_cast<std::ptrdiff_t>(told));
     if (!std::exchange(m_isInContact, true))
         m_log.info("dependency=leader state=found address={}", m_leader.leader() ? formatAddress(*m_leader.leader()) : std::string());
     std::vector<InstanceAddress> members;
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -23,7 +23,7 @@
 
 private:
     void poll();
-    void onPoll(const registry::LeaderResult<registry::PollReply>& result);
+    void onPoll(const registry::LeaderResult<registry::PollReply>& result, std::size_t told);
     void takeConfiguration(const registry::PollReply& reply);
     void answerReady(const http1::ExchangePointer& exchange) const;
     [[nodiscard]] bool isReady() const;
--- a/src/programs/azurepaddle-node/http_options.hpp
+++ b/src/programs/azurepaddle-node/http_options.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurepaddle/config/node_settings.hpp"
 #include "azurepaddle/core/log.hpp"
 #include "azurepaddle/http1/server.hpp"
 
@@ -11,6 +12,13 @@
     return { 32U * 1024U, 64U * 1024U * 1024U };
 }
 
+/// Memory for answers of endpoints that are being received, in bytes. An answer is copied while it is handed on.
+[[nodiscard]] inline std::size_t maxAnswerBytes(const config::NodeSettings& settings)
+{
+    constexpr std::uint64_t memoryShare = 8;
+    return settings.bounds.memory / memoryShare;
+}
+
 /// Listens on an address of the settings; an empty one means that nothing listens. False with a logged reason if the
 /// address is in use.
 [[nodiscard]] inline bool listenOn(http1::Server& server, const std::string& setting, const Log& log)
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -68,7 +68,10 @@
     , m_service(io, m_group, m_machine, m_liveness, leaderOptions(m_settings))
     , m_leader(io, m_peerClient)
     , m_pool(io, endpointMessageLimits())
-    , m_runner(io, m_pool, m_group, m_machine, m_liveness, m_metrics)
+    , m_random(std::random_device {}())
+    , m_balancer(DataCentreName(m_settings.node.dataCentre))
+    , m_forwarder(io, m_pool, m_balancer, m_random, m_metrics, maxAnswerBytes(m_settings))
+    , m_runner(io, m_pool, m_group, m_machine, m_liveness, m_forwarder, m_balancer, m_metrics)
     , m_loader(io, m_pool, m_group, m_machine, m_liveness, m_runner, m_metrics, { m_settings.node.name, m_settings.bounds.orderLease })
     , m_control(m_leader)
     , m_controlServer(io, [this](const http1::ExchangePointer& exchange) { m_control.handle(exchange); })
@@ -76,6 +79,7 @@
     , m_tickTimer(io)
     , m_drainTimer(io)
 {
+    m_forwarder.setOnLeaving([this](const registry::EndpointLeave& leave) { m_liveness.noteLeaving(leave); });
     m_service.setOnChange([this] { onChange(); });
     m_runner.setOnListed([this](const batch::JobId& job) { m_service.wakeReaders(job); });
     m_group.setOnLeadership([this](bool isLeading) { onLeadership(isLeading); });
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -42,6 +42,9 @@
     registry::LeaderService m_service;
     registry::LeaderClient m_leader;
     http1::ClientPool m_pool;
+    Random m_random;
+    gateway::Balancer m_balancer;
+    gateway::Forwarder<platform::EndpointProtocol> m_forwarder;
     Runner m_runner;
     Loader m_loader;
     platform::ControlApi m_control;
--- a/test/azurepaddle/batch/job_store.cpp
+++ b/test/azurepaddle/batch/job_store.cpp
@@ -99,7 +99,21 @@
 {
     JobStore store;
     store.accept(job("one"));
-    store.list(JobId("one"), { result("a", "text"), { ItemId("b"), ResultState::Dead, {}, {} } });
-    cr_assert(store.findCompleted(ItemId("a"))->output == "text");
-    cr_assert(!store.findCompleted(ItemId("b")));
+    store.list(JobId("one"), { result("a", "text"), { ItemId("b"), ResultState::Dead, {}, {}, {} } });
+    cr_assert(store.findCompleted(ItemId("a"), {})->output == "text");
+    cr_assert(!store.findCompleted(ItemId("b"), {}));
+}
+
+// Guards against the score of another reward call beside a text that is used again.
+Test(JobStore, itemOfEarlierJob_otherRewardCall_scoreIsNotReused)
+{
+    JobStore store;
+    JobSpec spec = job("one");
+    spec.items.front().reward = { "r1", "h", "/score/", "body" };
+    store.accept(spec);
+    const ItemId item = spec.items.front().id;
+    store.list(JobId("one"), { { item, ResultState::Completed, "text", { 1 }, "s1" } });
+    cr_assert(store.findCompleted(item, { "r1", "h", "/score/", "body" })->score == "s1");
+    cr_assert(store.findCompleted(item, { "r2", "h", "/score/", "body" })->score.empty());
+    cr_assert(store.bytes() == job("one").items.back().body.size() + 4, "the body of the reward call is still counted");
 }
--- a/test/azurepaddle/batch/text_store.cpp
+++ b/test/azurepaddle/batch/text_store.cpp
@@ -14,6 +14,15 @@
     return { item, first, std::move(events) };
 }
 
+TextPart last(std::uint64_t first, std::vector<TextEvent> events)
+{
+    return { item, first, std::move(events), true };
+}
+
+struct StoreFixture {
+    TextStore store;
+};
+
 }
 
 // Guards against a text with a missing or doubled event after a change of the leader.
@@ -47,3 +56,28 @@
     restored.restore(store.snapshot());
     cr_assert(restored.find(item) == store.find(item));
 }
+
+// Guards against a score that is joined to a text of which events are missing.
+Test(TextStore, lastPartAfterGap_textIsNotComplete)
+{
+    StoreFixture fixture;
+    fixture.store.add(part(1, { { "one", 3 } }));
+    cr_assert(!fixture.store.resultOf({ item, "s" }));
+    fixture.store.add(last(3, { { "three", 3 } }));
+    cr_assert(!fixture.store.isComplete(item));
+    fixture.store.add(last(2, { { "two", 4 } }));
+    const auto result = fixture.store.resultOf({ item, "s" });
+    cr_assert(result == ItemResult({ item, ResultState::Completed, "one\ntwo", { 3, 4 }, "s" }));
+}
+
+// Guards against a complete text that is generated again after a snapshot was loaded.
+Test(TextStore, snapshotRestored_completeTextStaysComplete)
+{
+    StoreFixture fixture;
+    fixture.store.add(last(1, { { "one", 3 } }));
+    TextStore restored;
+    restored.restore(fixture.store.snapshot());
+    cr_assert(restored.isComplete(item));
+    restored.add(part(1, { { "again", 4 } }));
+    cr_assert(!restored.isComplete(item));
+}
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 const ServiceName serviceName("models");
+const ServiceName rewardService("rewards");
+const batch::RewardCall scoreCall { "r", "host", "/score/1", "reward body" };
 const batch::ModelName model("m");
 const batch::JobId jobId("job");
 constexpr std::uint64_t eventsOfItem = 6;
@@ -30,6 +32,12 @@
         return head.fields.contains("Not-Run") ? gateway::AnswerClass::NotRun : gateway::AnswerClass::Answer;
     }
     static std::optional<gateway::LoadReport> loadOf(const http1::Response&) { return std::nullopt; }
+    static bool isLeaving(const http1::Response& head) { return head.fields.contains("Leaving"); }
+    static http1::Request rewardRequest(const batch::RewardCall& reward)
+    {
+        return { "POST", reward.path, { { "Host", reward.host }, { "Id", reward.id } }, reward.body };
+    }
+    static std::string scoreOf(const http1::Response& head) { return std::string(head.fields.find("Score")); }
     static http1::Request itemRequest(const batch::ItemSpec& item, const std::string& host, const EndpointId&, std::uint64_t held)
     {
         return { "POST", item.path, { { "Host", host }, { "Id", item.id.value() }, { "After", std::to_string(held) } }, item.body };
@@ -64,6 +72,9 @@
     Fails, ///< Answers 500.
     Unprocessable, ///< Answers 422.
     SilentAfterThree,
+    Leaving, ///< Serves the item and says that it leaves.
+    Scores, ///< A reward service.
+    ScoresNothing, ///< A reward service that answers without a score.
 };
 
 /// An endpoint of the test, on the loop of the test.
@@ -89,6 +100,8 @@
             version = std::stoull(std::string(request.fields.find("Version")));
             return exchange->respond({ 202, {}, {}, {} });
         }
+        if (request.target.starts_with("/score/"))
+            return score(exchange);
         starts.push_back(std::stoull(std::string(request.fields.find("After"))));
         if (behaviour == Behaviour::Full)
             return exchange->respond({ 503, {}, { { "Not-Run", "1" } }, {} });
@@ -97,13 +110,34 @@
         stream(exchange, starts.back());
     }
 
+    void score(const http1::ExchangePointer& exchange)
+    {
+        scored.emplace_back(fieldOf(*exchange, "Id"), exchange->request().body);
+        if (behaviour == Behaviour::Fails)
+            return exchange->respond({ 500, {}, {}, {} });
+        if (behaviour == Behaviour::SilentAfterThree) {
+            silent = exchange;
+            return;
+        }
+        http1::Response response;
+        if (behaviour == Behaviour::Scores)
+            response.fields.add("Score", "score of " + fieldOf(*exchange, "Id"));
+        exchange->respond(std::move(response));
+    }
+
+    static std::string fieldOf(const http1::Exchange& exchange, std::string_view field) { return std::string(exchange.request().fields.find(field)); }
+
     void stream(const http1::ExchangePointer& exchange, std::uint64_t held)
     {
-        exchange->beginStream({ 200, {}, { { "Version", std::to_string(version) } }, {} });
-        const std::uint64_t last = behaviour == Behaviour::Whole ? eventsOfItem : 3;
+        http1::Response head { 200, {}, { { "Version", std::to_string(version) } }, {} };
+        if (behaviour == Behaviour::Leaving)
+            head.fields.add("Leaving", "1");
+        const bool isWhole = behaviour == Behaviour::Whole || behaviour == Behaviour::Leaving;
+        exchange->beginStream(std::move(head));
+        const std::uint64_t last = isWhole ? eventsOfItem : 3;
         for (std::uint64_t number = held + 1; number <= last; ++number)
             exchange->sendChunk(fmt::format("id: {}\ndata: event {}\n\n", number, number));
-        if (behaviour == Behaviour::Whole)
+        if (isWhole)
             return exchange->endStream();
         silent = exchange;
         if (behaviour == Behaviour::CutAfterThree)
@@ -126,6 +160,7 @@
     asio::steady_timer cutTimer;
     http1::Server server;
     std::vector<std::uint64_t> starts; ///< Events that each run was told to go on after.
+    std::vector<std::pair<std::string, std::string>> scored; ///< Identifiers and bodies of reward calls.
     unsigned orders = 0;
     http1::ExchangePointer silent;
 };
@@ -161,7 +196,10 @@
     transport::PeerServer server { serverOptions(address) };
     registry::ServiceGroup group { io, groupOptions(address, folder.string()), machine, client };
     http1::ClientPool pool { io, {} };
-    JobRunner<TestProtocol> runner { io, pool, group, machine, liveness, metrics };
+    Random random { 3 };
+    gateway::Balancer balancer { DataCentreName("a") };
+    gateway::Forwarder<TestProtocol> forwarder { io, pool, balancer, random, metrics, 1024U * 1024U };
+    JobRunner<TestProtocol> runner { io, pool, group, machine, liveness, forwarder, balancer, metrics };
     WeightLoader<TestProtocol> loader { io, pool, group, machine, liveness, runner, metrics, { "store", 200ms } };
     std::vector<std::unique_ptr<Endpoint>> endpoints;
     const SystemClock clock {};
@@ -172,7 +210,10 @@
         cr_assert(client.start().has_value());
         cr_assert(server.start().has_value());
         gateway::Route route { "r", "host", "/items/", gateway::RouteKind::Batch, { { serviceName, 1 } } };
-        const auto routes = std::make_shared<const gateway::RouteTable>(1, std::vector { route }, std::vector { gateway::Service { serviceName, {}, 64, { model } } }, http1::ServerLimits {});
+        gateway::Route scores { "s", "host", "/score/", gateway::RouteKind::NonIdempotent, { { rewardService, 1 } } };
+        scores.timeout = 1s;
+        const std::vector services { gateway::Service { serviceName, {}, 64, { model } }, gateway::Service { rewardService, {}, 64, {} } };
+        const auto routes = std::make_shared<const gateway::RouteTable>(1, std::vector { route, scores }, services, http1::ServerLimits {});
         runner.setRoutes(routes);
         loader.setRoutes(routes);
         group.start();
@@ -206,14 +247,14 @@
         cr_assert(runUntil([&] { return isApplied; }));
     }
 
-    Endpoint& add(const std::string& name, Behaviour behaviour, WeightVersion version = 1)
+    Endpoint& add(const std::string& name, Behaviour behaviour, WeightVersion version = 1, const ServiceName& service = serviceName)
     {
         endpoints.push_back(std::make_unique<Endpoint>(io, name, behaviour, version));
         Endpoint& endpoint = *endpoints.back();
         registry::EndpointRecord record;
         record.id = endpoint.id;
         record.startedMs = 1;
-        record.service = serviceName;
+        record.service = service;
         record.ip = endpoint.server.address().ip;
         record.port = endpoint.server.address().port;
         record.slots = 4;
@@ -223,7 +264,7 @@
         return endpoint;
     }
 
-    void submit(WeightVersion minVersion = 1, std::uint32_t maxAttempts = 3)
+    void submit(WeightVersion minVersion = 1, std::uint32_t maxAttempts = 3, const batch::RewardCall& reward = {})
     {
         batch::JobSpec job;
         job.id = jobId;
@@ -232,7 +273,7 @@
         job.minVersion = minVersion;
         job.maxAttempts = maxAttempts;
         job.retentionMs = 60'000;
-        job.items.push_back({ batch::ItemId("item"), "/items/1", {}, "body", GroupId("g"), 10, 400 });
+        job.items.push_back({ batch::ItemId("item"), "/items/1", {}, "body", GroupId("g"), 10, 400, reward });
         apply(registry::AcceptJob { job });
     }
 
@@ -396,3 +437,90 @@
     cr_assert(fixture.clock.now() - begin >= 200ms);
     cr_assert(fixture.machine.orders().holder.instance == "store");
 }
+
+// Guards against a scored item that is listed without its score, or whose reward call changes on its way.
+Test(JobRunner, itemNeedsScore_isListedWithIt)
+{
+    RunnerFixture fixture;
+    const Endpoint& scorer = fixture.add("s", Behaviour::Scores, 1, rewardService);
+    fixture.add("a", Behaviour::Whole);
+    fixture.submit(1, 3, scoreCall);
+    const auto result = fixture.result();
+    cr_assert(result && result->state == batch::ResultState::Completed);
+    cr_assert(result->output == wholeText());
+    cr_assert(result->score == "score of r");
+    cr_assert(scorer.scored == (std::vector<std::pair<std::string, std::string>> { { "r", "reward body" } }));
+}
+
+// Guards against an item that is given up before its reward call failed as often as its route allows, or never.
+Test(JobRunner, rewardCallFailsAlways_itemIsDeadAfterItsAttempts)
+{
+    RunnerFixture fixture;
+    const Endpoint& scorer = fixture.add("s", Behaviour::Fails, 1, rewardService);
+    const Endpoint& endpoint = fixture.add("a", Behaviour::Whole);
+    fixture.submit(1, 3, scoreCall);
+    const auto result = fixture.result();
+    cr_assert(result && result->state == batch::ResultState::Dead);
+    cr_assert(scorer.scored.size() == 3);
+    cr_assert(endpoint.starts.size() == 1, "the text was generated again");
+}
+
+// Guards against a success without a score that is listed or gives the item up.
+Test(JobRunner, rewardServiceAnswersWithoutScore_isAskedAgain)
+{
+    RunnerFixture fixture;
+    Endpoint& scorer = fixture.add("s", Behaviour::ScoresNothing, 1, rewardService);
+    fixture.add("a", Behaviour::Whole);
+    fixture.submit(1, 1, scoreCall);
+    cr_assert(fixture.runUntil([&] { return scorer.scored.size() >= 4; }));
+    cr_assert(fixture.machine.jobs().find(jobId)->results.empty());
+    scorer.behaviour = Behaviour::Scores;
+    cr_assert(fixture.result()->score == "score of r");
+}
+
+// Guards against a complete text that the next leader generates again because its score was outstanding.
+Test(JobRunner, leadershipChangesBeforeScore_textIsNotGeneratedAgain)
+{
+    RunnerFixture fixture;
+    const Endpoint& endpoint = fixture.add("a", Behaviour::Whole);
+    fixture.submit(1, 3, scoreCall);
+    cr_assert(fixture.runUntil([&] { return fixture.machine.texts().isComplete(batch::ItemId("item")); }));
+    fixture.runner.onLeadership(false);
+    fixture.runner.onLeadership(true);
+    fixture.add("s", Behaviour::Scores, 1, rewardService);
+    const auto result = fixture.result();
+    cr_assert(result && result->output == wholeText() && result->score == "score of r");
+    cr_assert(endpoint.starts.size() == 1);
+}
+
+// Guards against a reward call that goes on after the end of its job.
+Test(JobRunner, jobEndedDuringRewardCall_callIsStopped)
+{
+    RunnerFixture fixture;
+    const Endpoint& scorer = fixture.add("s", Behaviour::SilentAfterThree, 1, rewardService);
+    fixture.add("a", Behaviour::Whole);
+    fixture.submit(1, 3, scoreCall);
+    cr_assert(fixture.runUntil([&] { return scorer.silent != nullptr; }));
+    fixture.apply(registry::EndJob { jobId });
+    cr_assert(fixture.runUntil([&] { return !scorer.silent->isOpen(); }));
+    static_cast<void>(fixture.runUntil([] { return false; }, 300ms));
+    cr_assert(scorer.scored.size() == 1);
+    cr_assert(fixture.machine.jobs().find(jobId)->results.empty());
+}
+
+// Guards against new items at an endpoint whose answer said that it leaves.
+Test(JobRunner, answerSaysLeaving_nextItemRunsElsewhere)
+{
+    RunnerFixture fixture;
+    const Endpoint& leaving = fixture.add("a", Behaviour::Leaving);
+    fixture.submit();
+    cr_assert(fixture.result());
+    const Endpoint& other = fixture.add("b", Behaviour::Whole);
+    batch::JobSpec next = fixture.machine.jobs().find(jobId)->spec;
+    next.id = batch::JobId("next");
+    next.items.front().id = batch::ItemId("other item");
+    fixture.apply(registry::AcceptJob { next });
+    cr_assert(fixture.runUntil([&] { return !fixture.machine.jobs().find(next.id)->results.empty(); }));
+    cr_assert(leaving.starts.size() == 1);
+    cr_assert(other.starts.size() == 1);
+}
--- a/test/azurepaddle/gateway/decisions.cpp
+++ b/test/azurepaddle/gateway/decisions.cpp
@@ -1,3 +1,4 @@
+#include "azurepaddle/gateway/answer_budget.hpp"
 #include "azurepaddle/gateway/balancer.hpp"
 #include "azurepaddle/gateway/retry_policy.hpp"
 #include "azurepaddle/gateway/route_table.hpp"
@@ -174,3 +175,47 @@
     cr_assert(fixture.choose().empty());
     cr_assert(fixture.balancer.countOf(ServiceName("s")) == 0);
 }
+
+// Guards against requests to an endpoint that says in an answer that it leaves: also after it was unknown for a while,
+// and not at its successor.
+Test(Balancer, endpointSaysThatItLeaves_isNotChosenAgain)
+{
+    BalancerFixture fixture;
+    fixture.balancer.setEndpoints({ endpoint("a") });
+    cr_assert(fixture.balancer.noteLeaving(EndpointId("a")) == registry::EndpointLeave({ EndpointId("a"), 1 }));
+    cr_assert(!fixture.balancer.noteLeaving(EndpointId("a")), "reported twice");
+    cr_assert(fixture.choose().empty());
+    cr_assert(fixture.balancer.slotsOf(ServiceName("s")) == 0);
+    fixture.balancer.setEndpoints({});
+    fixture.balancer.setEndpoints({ endpoint("a") });
+    cr_assert(fixture.choose().empty());
+    auto successor = endpoint("a");
+    successor.startedMs = 2;
+    fixture.balancer.setEndpoints({ successor });
+    cr_assert(fixture.choose() == "a");
+}
+
+// Plays a service of which one endpoint answers only after a second copy of each request did. Guards against a first copy
+// that goes to it again and again.
+Test(Balancer, endpointOvertakenAgainAndAgain_othersArePreferred)
+{
+    BalancerFixture fixture;
+    fixture.balancer.setEndpoints({ endpoint("a"), endpoint("b") });
+    for (const char* id : { "a", "b" })
+        fixture.balancer.end(EndpointId(id), Experience::Answered, usual, start);
+    fixture.balancer.end(EndpointId("a"), Experience::Overtaken, usual * 10, start);
+    for (int i = 0; i < 8; ++i)
+        cr_assert(fixture.choose() == "b");
+}
+
+// Guards against an endpoint that sends without end and takes the memory of all other answers.
+Test(AnswerBudget, endlessAnswer_exceedsBound_isTheOneGivenUp)
+{
+    AnswerBudget budget(100);
+    cr_assert(!budget.add(1, 10));
+    cr_assert(!budget.add(2, 90));
+    cr_assert(budget.add(1, 5) == 2U);
+    budget.release(2);
+    cr_assert(budget.bytes() == 15);
+    cr_assert(!budget.add(1, 5));
+}
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -24,6 +24,7 @@
         return response.fields.contains("X-Not-Run") ? AnswerClass::NotRun : AnswerClass::Answer;
     }
     static std::optional<LoadReport> loadOf(const Response&) { return std::nullopt; }
+    static bool isLeaving(const Response& response) { return response.fields.contains("X-Leaving"); }
 };
 
 std::string answer(unsigned status, const std::string& body, const std::string& fields = {})
@@ -31,6 +32,8 @@
     return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+constexpr std::size_t maxAnswerBytes = 64U * 1024U;
+
 /// An entry with some endpoints that follow scripts, and a caller.
 struct ForwarderFixture {
     asio::io_context io;
@@ -39,7 +42,7 @@
     Balancer balancer { DataCentreName("a") };
     Random random { 3 };
     metrics::Registry metrics;
-    Forwarder<TestProtocol> forwarder { io, pool, balancer, random, metrics };
+    Forwarder<TestProtocol> forwarder { io, pool, balancer, random, metrics, maxAnswerBytes };
     std::shared_ptr<const RouteTable> table;
     Server server { io, [this](const ExchangePointer& exchange) { forwarder.forward(exchange, table, table->routes().front()); } };
     std::vector<std::unique_ptr<RawPeer>> endpoints;
@@ -156,3 +159,53 @@
     cr_assert(outcome.response.status == 500);
     cr_assert(outcome.response.fields.find("X-Stamp") == "s");
 }
+
+// Guards against a caller that waits for an answer without end, and against an entry that keeps all of it.
+Test(Forwarder, endlessBody_idempotentRequest_isAnsweredByAnother)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint([](const std::string&) { return "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 20000000\r\n\r\n" + std::string(2 * maxAnswerBytes, 'x'); });
+    fixture.addEndpoint(good);
+    const Received outcome = fixture.request();
+    cr_assert(outcome.response.body == "good");
+    cr_assert(fixture.metrics.counter("gateway_oversized_answers_total").value() == 1);
+    cr_assert(runUntil(fixture.io, [&] { return fixture.endpoints[0]->closed() == 1; }), "the connection stays open");
+}
+
+// Guards against header lines without end.
+Test(Forwarder, endlessHeader_idempotentRequest_isAnsweredByAnother)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint([](const std::string&) {
+        std::string head = "HTTP/1.1 200 OK\r\n";
+        for (int line = 0; line < 4000; ++line)
+            head += "X-Line: endless endless endless\r\n";
+        return head;
+    });
+    fixture.addEndpoint(good);
+    cr_assert(fixture.request().response.body == "good");
+    cr_assert(runUntil(fixture.io, [&] { return fixture.endpoints[0]->closed() == 1; }));
+}
+
+// Guards against a request that may have run and is sent again because its answer had no end.
+Test(Forwarder, endlessBody_nonIdempotentRequest_isNotRepeated)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    fixture.addEndpoint([](const std::string&) { return "HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n" + std::string(2 * maxAnswerBytes, 'x'); });
+    fixture.addEndpoint(good);
+    cr_assert(fixture.request().response.status == 502);
+    cr_assert(fixture.endpoints[1]->accepted() == 0);
+}
+
+// Guards against requests that follow to an endpoint whose answer said that it leaves.
+Test(Forwarder, answerSaysLeaving_nextRequest_goesElsewhere)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint([](const std::string&) { return answer(200, "last", "X-Id: 7\r\nX-Leaving: 1\r\n"); });
+    fixture.addEndpoint(good);
+    std::vector<registry::EndpointLeave> told;
+    fixture.forwarder.setOnLeaving([&](const registry::EndpointLeave& leave) { told.push_back(leave); });
+    cr_assert(fixture.request().response.body == "last");
+    cr_assert(fixture.request().response.body == "good");
+    cr_assert(told == std::vector<registry::EndpointLeave>({ { EndpointId("e1"), 1 } }));
+}
--- a/test/azurepaddle/http1/client.cpp
+++ b/test/azurepaddle/http1/client.cpp
@@ -151,3 +151,19 @@
     cr_assert(!second.end->isSent);
     one->cancel();
 }
+
+// Guards against an answer of one call that is larger than its caller expects.
+Test(ClientPool, answerLargerThanCallAllows_received_endsCall)
+{
+    asio::io_context io;
+    RawPeer peer(io, [](const std::string&) { return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n" + std::string(1024, 'x'); });
+    ClientPool pool(io, {});
+    Received outcome;
+    CallOptions options;
+    options.maxBodyBytes = 100;
+    const auto call = pool.send(peer.address(), { "GET", "/", { { "Host", "h" } }, {} }, options, outcome.events());
+    cr_assert(runUntil(io, [&] { return outcome.end.has_value(); }));
+    cr_assert(outcome.end->kind == CallEndKind::Failed);
+    cr_assert(outcome.response.body.size() <= 100);
+    cr_assert(runUntil(io, [&] { return peer.closed() == 1; }));
+}
--- a/test/azurepaddle/http1/messages.cpp
+++ b/test/azurepaddle/http1/messages.cpp
@@ -155,3 +155,17 @@
     cr_assert(serializeHead(Response { 404, {}, {}, "abc" }, Framing::Length) == "HTTP/1.1 404 Not Found\r\nContent-Length: 3\r\n\r\n");
     cr_assert(serializeChunk("abc") == "3\r\nabc\r\n");
 }
+
+// Guards against a line before a chunk, or a trailer, that never ends and fills the memory.
+Test(ResponseParser, endlessLineInChunkedBody_fed_isRefused)
+{
+    for (const std::string begin : { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" }) {
+        ResponseParser parser({ 1024, 1024 });
+        cr_assert(parser.feed(begin).has_value());
+        const std::string more(256, 'x');
+        int fed = 0;
+        while (parser.feed(more) && fed < 100)
+            ++fed;
+        cr_assert(fed < 8);
+    }
+}
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -112,11 +112,12 @@
 // Guards against results that a trainer cannot place: position, state or versions.
 Test(BatchFormat, results_encoded_countOnFromPosition)
 {
-    const json encoded = json::parse(encodeResults({ true, 40, { { batch::ItemId("i"), batch::ResultState::Completed, "one\ntwo", { 6, 7 } }, { batch::ItemId("k"), batch::ResultState::Dead, "", {} } } }, 12));
+    const json encoded = json::parse(encodeResults({ true, 40, { { batch::ItemId("i"), batch::ResultState::Completed, "one\ntwo", { 6, 7 }, {} }, { batch::ItemId("k"), batch::ResultState::Dead, "", {}, {} }, { batch::ItemId("l"), batch::ResultState::Completed, "t", { 7 }, "s" } } }, 12));
     cr_assert(encoded["total"] == 40);
-    cr_assert(encoded["next-token"] == 14);
+    cr_assert(encoded["next-token"] == 15);
     cr_assert(encoded["results"][0] == json({ { "id", "i" }, { "state", "completed" }, { "output", "one\ntwo" }, { "versions", { 6, 7 } } }));
     cr_assert(encoded["results"][1]["state"] == "dead");
+    cr_assert(encoded["results"][2]["score"] == "s");
 }
 
 // Guards against a request that another endpoint at the same address would run, or that runs beyond its caller's time.
@@ -153,3 +154,62 @@
     cr_assert(status && status->isBusy && status->acceptedOrders == 3 && status->versions.at("m") == 4);
     cr_assert(!EndpointProtocol::parseStatus("{}"));
 }
+
+namespace {
+
+/// A batch job of one item with these headers and this reward call.
+tl::expected<batch::JobSpec, std::string> decodeScored(const json& reward, const json& headers = json::object())
+{
+    const auto table = decodeConfiguration(configuration().dump());
+    json item { { "id", "i" }, { "path", "/a/3" }, { "headers", headers }, { "body", "" }, { "group", "g" }, { "scorer", reward } };
+    return decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), json({ { "requests", { item } } }).dump());
+}
+
+}
+
+// Guards against a job that is accepted although an item can never be scored.
+Test(BatchFormat, malformedRewardCall_decoded_refusesTheJob)
+{
+    const json good { { "id", "r" }, { "host", "h" }, { "path", "/b/1" }, { "body", "q80=" } };
+    const auto spec = decodeScored(good);
+    cr_assert(spec && spec->items.front().reward == batch::RewardCall({ "r", "h", "/b/1", "\xab\xcd" }));
+    for (const auto& [field, value] : std::vector<std::pair<const char*, json>> { { "id", "" }, { "id", 7 }, { "host", "" }, { "host", nullptr }, { "path", "b" }, { "path", "/b/ HTTP/1.1\r\nX: y" }, { "body", "?" }, { "body", 1 }, { "body", std::string(2U * 1024U * 1024U, 'A') } }) {
+        json bad = good;
+        bad[field] = value;
+        cr_assert(!decodeScored(bad), "%s", field);
+    }
+    cr_assert(!decodeScored("text"));
+    cr_assert(!decodeScored(nullptr)->items.front().needsScore());
+}
+
+// Guards against a request that is hidden in a header of an item.
+Test(BatchFormat, headerWithLineBreak_decoded_refusesTheJob)
+{
+    cr_assert(decodeScored(nullptr, { { "X-A", "b c" } }));
+    cr_assert(!decodeScored(nullptr, { { "X-A", "b\r\n\r\nPOST /x HTTP/1.1" } }));
+    cr_assert(!decodeScored(nullptr, { { "X-A: b\r\nX", "c" } }));
+}
+
+// Guards against a job whose reward calls no route can take, or only the route of batch jobs.
+Test(RouteTable, rewardCallWithoutPlainRoute_itemIsNamed)
+{
+    const auto table = decodeConfiguration(configuration().dump());
+    const json call { { "id", "r" }, { "host", "h" }, { "path", "/b/1" }, { "body", "" } };
+    cr_assert(!gateway::findUnroutable(*table, *decodeScored(call)));
+    for (const char* path : { "/nowhere", "/a/1" }) {
+        json other = call;
+        other["path"] = path;
+        cr_assert(gateway::findUnroutable(*table, *decodeScored(other)) == batch::ItemId("i"));
+    }
+}
+
+// Guards against an endpoint that leaves and is not heard, and against a score that is taken from nowhere.
+Test(EndpointProtocol, marksOfLeavingAndScore_read)
+{
+    cr_assert(EndpointProtocol::isLeaving({ 200, {}, { { "Server-Leaving", "1" } }, {} }));
+    cr_assert(!EndpointProtocol::isLeaving({ 200, {}, {}, {} }));
+    cr_assert(EndpointProtocol::scoreOf({ 200, {}, { { "X-Server-Stamp", "s" } }, {} }) == "s");
+    cr_assert(EndpointProtocol::scoreOf({ 200, {}, {}, {} }).empty());
+    const auto request = EndpointProtocol::rewardRequest({ "r", "h", "/b/1", "body" });
+    cr_assert(request == http1::Request({ "POST", "/b/1", { { "Host", "h" }, { "X-Attempt-Id", "r" } }, "body" }));
+}
--- a/test/azurepaddle/registry/state.cpp
+++ b/test/azurepaddle/registry/state.cpp
@@ -169,3 +169,50 @@
     cr_assert(liveness.silent(directory, start + std::chrono::seconds(1), std::chrono::seconds(2)).empty());
     cr_assert(liveness.silent(directory, start + std::chrono::seconds(3), std::chrono::seconds(2)).size() == 1);
 }
+
+// Guards against a scored item whose text is lost or generated again: the result takes the text that was recorded.
+Test(StateMachine, scoredItem_listed_takesRecordedText)
+{
+    StateMachine machine;
+    batch::JobSpec job;
+    job.id = batch::JobId("j");
+    job.items.push_back({ batch::ItemId("i"), "/x", {}, "b", GroupId("g"), 1, 1, { "r", "h", "/s/", "rb" } });
+    static_cast<void>(machine.apply(encodeCommand(AcceptJob { job })));
+    static_cast<void>(machine.apply(encodeCommand(ListResults { job.id, {}, { { batch::ItemId("i"), "early" } } })));
+    cr_assert(machine.jobs().find(job.id)->results.empty(), "listed without a text");
+    static_cast<void>(machine.apply(encodeCommand(KeepTexts { { { batch::ItemId("i"), 1, { { "one", 2 } }, true } } })));
+    static_cast<void>(machine.apply(encodeCommand(ListResults { job.id, {}, { { batch::ItemId("i"), "score" } } })));
+    const auto result = machine.jobs().load(machine.jobs().find(job.id)->results.front());
+    cr_assert(result == batch::ItemResult({ batch::ItemId("i"), batch::ResultState::Completed, "one", { 2 }, "score" }));
+    cr_assert(machine.texts().size() == 0);
+}
+
+// Guards against an endpoint that leaves and is made ready again by a change that was proposed before.
+Test(Directory, changeProposedBeforeDrain_appliedAfter_endpointStaysDraining)
+{
+    Directory directory;
+    directory.set(draining(record("a")));
+    directory.set(record("a"));
+    cr_assert(directory.find(EndpointId("a"))->state == EndpointState::Draining);
+    directory.set(record("a", 2));
+    cr_assert(directory.find(EndpointId("a"))->state == EndpointState::Ready);
+}
+
+// Guards against new work at an endpoint that says in an answer that it leaves, and against a successor under its id or
+// at its address that is taken for it.
+Test(Liveness, endpointSaysThatItLeaves_onlyThatIncarnationIsMeant)
+{
+    Directory directory;
+    directory.set(record("a"));
+    directory.set(record("b", 1, "10.0.0.2"));
+    Liveness liveness;
+    liveness.noteLeaving({ EndpointId("a"), 1 });
+    cr_assert(!liveness.isStaying(*directory.find(EndpointId("a"))));
+    cr_assert(liveness.isStaying(*directory.find(EndpointId("b"))));
+    cr_assert(liveness.leaving(directory).size() == 1);
+    liveness.clear();
+    cr_assert(!liveness.isStaying(*directory.find(EndpointId("a"))), "forgotten with the leadership");
+    directory.set(record("a", 2));
+    cr_assert(liveness.isStaying(*directory.find(EndpointId("a"))));
+    cr_assert(liveness.leaving(directory).empty());
+}
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -43,13 +43,38 @@
         """Callers may break off at any time."""
 
 
+def endless(connection, trouble):
+    """Sends bytes that are no answer until the other side closes."""
+    begin, more, pause = {
+        "head": (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 65536, 0),
+        "lines": (b"HTTP/1.1 200 OK\r\n", b"X-Line: x\r\n" * 4096, 0),
+        "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"10000\r\n" + b"x" * 65536 + b"\r\n", 0),
+        "chunk line": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", b"x" * 65536, 0),
+        "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536, 0),
+        "behind": (b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", b"x" * 65536, 0),
+        "drip": (b"HTTP/1.1 200 OK\r\nX: ", b"x", 0.02),
+    }[trouble]
+    try:
+        connection.sendall(begin)
+        while True:
+            connection.sendall(more)
+            time.sleep(pause)
+    except OSError:
+        pass
+
+
+TROUBLES = ["head", "lines", "chunks", "chunk line", "body", "behind", "drip"]
+
+
 class Endpoint:
-    """A model endpoint that generates events for each item, slowly, and answers plain requests at once."""
+    """A model endpoint that generates events for each item, slowly, and answers plain requests and reward calls at once."""
 
     def __init__(self, service, pause=0.02, events=3, names_versions=False):
         self.runs = []
         self.orders = []  # (time, holder) of each accepted order.
         self.version = 1
+        self.trouble = None  # One of TROUBLES, in place of any answer.
+        self.is_leaving = False  # Says in its answers that it leaves.
         self.address = None  # Where callers reach it, if not at its own port.
         self.lock = threading.Lock()
         endpoint = self
@@ -61,11 +86,15 @@
                 pass
 
             def do_GET(self):
+                if endpoint.trouble:
+                    return self.spoil()
                 body = json.dumps({"models": [{"name": "m", "version": endpoint.version}], "busy": False, "sequence": len(endpoint.orders)}).encode()
                 self.reply(200, body)
 
             def do_POST(self):
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                if endpoint.trouble:
+                    return self.spoil()
                 if self.path == "/-/order":
                     order = json.loads(body)
                     with endpoint.lock:
@@ -80,9 +109,16 @@
                     return self.reply(200, b"echo " + body)
                 self.stream()
 
+            def spoil(self):
+                self.close_connection = True
+                endless(self.connection, endpoint.trouble)
+
             def reply(self, status, body):
                 self.send_response(status)
                 self.send_header("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))
+                self.send_header("X-Server-Stamp", f"{endpoint.identity} ran {self.headers.get('X-Attempt-Id', '')}")
+                if endpoint.is_leaving:
+                    self.send_header("Server-Leaving", "1")
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
@@ -156,7 +192,7 @@
         seeds = ",".join(f"{address}:1" for address in self.peer_ips)
         path = self.settings_path(name)
         path.write_text(f"[node]\nname = {name}\ndata_centre = a\n{node}[peer]\naddress = {ip}\nport = {self.peer_port}\nlisten_port = {listen_port}\nseeds = {seeds}\n"
-                        f"secret = a-secret-of-this-test\nfirst_start = {'yes' if first_start else 'no'}\n")
+                        f"secret = a-secret-of-this-test\nfirst_start = {'yes' if first_start else 'no'}\n[bounds]\nmemory = 64MiB\n")
         log = open(pathlib.Path(self.folder.name) / f"{name}.log", "ab")
         process = subprocess.Popen([BUILD / "azurepaddle-node", "--config", path], stdout=log, stderr=log)
         log.close()
@@ -189,8 +225,10 @@
     def put_configuration(self, version, service="plain", timeout_ms=3000):
         return self.on_control("POST", "/-/config/replace", json.dumps(configuration(version, service, timeout_ms)))[0]
 
-    def submit(self, job, items, min_version=1, entry=0):
+    def submit(self, job, items, min_version=1, entry=0, reward_path=None):
         requests = [{"id": item, "path": "/batch/1", "headers": {}, "body": base64.b64encode(item.encode()).decode(), "token-count": 5, "group": "g"} for item in items]
+        for request in requests if reward_path else []:
+            request["scorer"] = {"id": f"reward-{request['id']}", "host": HOST, "path": reward_path, "body": request["body"]}
         body = json.dumps({"step": 0, "model": "m", "min-version": min_version, "group-count": 1, "requests": requests})
         return call(self.entry_ports[entry], "POST", "/batch/x", body, {"Host": HOST, "X-Attempt-Id": job})[0]
 
--- a/test/processes/test_node.py
+++ b/test/processes/test_node.py
@@ -1,12 +1,15 @@
 """The nodes that run on a platform, as separate processes: three stores, one entry, and endpoints of the test's own."""
+import concurrent.futures
 import json
 import os
+import pathlib
+import re
 import signal
 import socket
 import unittest
 
 from harness import skip_known_red
-from nodes import BOUND, HOST, Deployment, Endpoint, call, wait_until
+from nodes import BOUND, HOST, TROUBLES, Deployment, Endpoint, call, wait_until
 
 
 class NodeTest(unittest.TestCase):
@@ -80,6 +83,63 @@
         self.assertTrue(wait_until(lambda: len(self.nodes.results("job") or []) == 1))
         self.assertEqual(self.nodes.results("job")[0]["versions"], [2])
 
+    # Guards against a result that comes without the score its job asks for, or that changes once it is read.
+    def test_scored_items_listed_with_their_scores_after_leader_lost(self):
+        items = [f"item{number}" for number in range(8)]
+        self.plain.trouble = "drip"
+        self.assertTrue(wait_until(lambda: self.nodes.submit("job", items, reward_path="/plain/score") == 202))
+        self.assertTrue(wait_until(lambda: len(self.models.runs) >= len(items)))
+        self.assertEqual(self.nodes.results("job"), [])
+        number = self.nodes.leader()
+        os.kill(self.nodes.stores[number].pid, signal.SIGKILL)
+        self.nodes.stores[number].wait()
+        self.plain.trouble = None
+        self.assertTrue(wait_until(lambda: self.models.beat(self.nodes.control_ports) and self.plain.beat(self.nodes.control_ports)))
+        self.assertTrue(wait_until(lambda: len(self.nodes.results("job") or []) == len(items)))
+        for result in self.nodes.results("job"):
+            self.assertEqual(result["score"], f"{self.plain.identity} ran reward-{result['id']}")
+            self.assertEqual(len(result["output"].split("\n")), 3)
+
+    # Guards against a job that is accepted although its items can never be scored.
+    def test_reward_call_without_route_job_refused_as_a_whole(self):
+        self.assertEqual(self.nodes.submit("job", ["a"], reward_path="/nowhere/x"), 400)
+        self.assertEqual(call(self.nodes.entry_ports[0], "GET", "/-/lots/job", None, {"Host": HOST})[0], 404)
+        self.assertEqual(self.models.runs, [])
+
+    # Guards against requests to an endpoint whose answer said that it leaves, also from another entry and after a reload.
+    def test_endpoint_says_leaving_gets_no_further_request(self):
+        def status():
+            return call(self.nodes.entry_ports[0], "POST", "/plain/x", b"hello", {"Host": HOST, "X-Attempt-Id": "1"})[0]
+        self.assertTrue(wait_until(lambda: status() == 200))
+        self.plain.is_leaving = True
+        self.assertEqual(status(), 200)
+        runs = len(self.plain.runs)
+        self.assertEqual(status(), 503)
+        self.assertEqual(self.nodes.put_configuration(2), 200)
+        self.nodes.entries[0].send_signal(signal.SIGHUP)
+        self.assertTrue(self.plain.beat(self.nodes.control_ports))
+        self.assertTrue(wait_until(lambda: any("answers say so" in self.nodes.log_text(f"store{number}") for number in self.nodes.stores)))
+        self.assertEqual(status(), 503)
+        self.assertEqual(len(self.plain.runs), runs)
+
+    # Guards against endpoints that send without end and take the memory of a node, or hold its callers.
+    def test_endpoints_send_without_end_callers_answered_and_memory_bounded(self):
+        self.assertTrue(wait_until(lambda: call(self.nodes.entry_ports[0], "POST", "/plain/x", b"hello", {"Host": HOST, "X-Attempt-Id": "1"})[0] == 200))
+        self.assertTrue(wait_until(lambda: self.nodes.submit("job", [f"item{number}" for number in range(8)], reward_path="/plain/score") == 202))
+        for trouble in TROUBLES:
+            self.plain.trouble = self.models.trouble = trouble
+            with concurrent.futures.ThreadPoolExecutor(8) as pool:
+                statuses = list(pool.map(lambda number: call(self.nodes.entry_ports[0], "POST", "/plain/x", b"hello", {"Host": HOST, "X-Attempt-Id": f"{trouble} {number}", "X-Deadline-Ms": "1000"})[0], range(8)))
+            self.assertTrue(set(statuses) <= {502, 503, 504}, (trouble, statuses))
+        for process in [*self.nodes.entries.values(), *self.nodes.stores.values()]:
+            self.assertIsNone(process.poll())
+            peak = int(re.search(r"VmHWM:\s+(\d+)", pathlib.Path(f"/proc/{process.pid}/status").read_text())[1])
+            self.assertLess(peak, 64 * 1024)
+        self.plain.trouble = self.models.trouble = None
+        self.assertTrue(wait_until(lambda: self.models.beat(self.nodes.control_ports) and self.plain.beat(self.nodes.control_ports)))
+        self.assertTrue(wait_until(lambda: call(self.nodes.entry_ports[0], "POST", "/plain/x", b"hello", {"Host": HOST, "X-Attempt-Id": "2"})[0] == 200))
+        self.assertTrue(wait_until(lambda: len(self.nodes.results("job") or []) == 8))
+
     # Guards against bad input that changes something or gets an unclear answer.
     def test_bad_input_refused_clearly_and_changes_nothing(self):
         self.assertEqual(self.nodes.on_control("POST", "/-/config/replace", "{")[0], 400)
