Give a score only to the text that was scored

The text was generated again under newer weights, but the record still said complete, so the new text was not recorded and the listed result took the old one. Ruled out: a wrong version in the answer of an endpoint (the events of the run carry version 3). Change: a text knows itself whether its end was recorded, and a scored result names a digest of the text; another text is not joined to it and the whole result is sent instead. Test: recordedTextTooOldForLaterJob_newTextIsListed failed first.

--- a/src/azurepaddle/batch/text_store.cpp
+++ b/src/azurepaddle/batch/text_store.cpp
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 
+// The library's own header asks for static linking unless told so.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace azurepaddle::batch {
 
 std::string outputOf(const std::vector<TextEvent>& events)
@@ -25,6 +29,14 @@
     return versions;
 }
 
+std::uint64_t digestOf(const std::vector<TextEvent>& events)
+{
+    std::uint64_t digest = events.size();
+    for (const TextEvent& event : events)
+        digest = XXH3_64bits_withSeed(event.data.data(), event.data.size(), digest ^ event.version);
+    return digest;
+}
+
 void TextStore::add(const TextPart& part)
 {
     Text& text = m_texts[part.item];
@@ -59,6 +71,8 @@
     if (found == m_texts.end() || !found->second.isComplete)
         return std::nullopt;
     const std::vector<TextEvent>& events = found->second.events;
+    if (digestOf(events) != scored.textDigest)
+        return std::nullopt;
     return ItemResult { scored.item, ResultState::Completed, outputOf(events), versionsOf(events), scored.score };
 }
 
--- a/src/azurepaddle/batch/text_store.hpp
+++ b/src/azurepaddle/batch/text_store.hpp
@@ -30,6 +30,8 @@
 
 /// The data of all events, separated by line feeds.
 [[nodiscard]] std::string outputOf(const std::vector<TextEvent>& events);
+/// Tells texts apart by their data and versions.
+[[nodiscard]] std::uint64_t digestOf(const std::vector<TextEvent>& events);
 /// The versions that made an event, in the order of first use.
 [[nodiscard]] std::vector<WeightVersion> versionsOf(const std::vector<TextEvent>& events);
 
@@ -42,7 +44,7 @@
     /// The events held of an item; none if it is unknown.
     [[nodiscard]] std::vector<TextEvent> find(const ItemId& item) const;
     [[nodiscard]] bool isComplete(const ItemId& item) const;
-    /// The result of an item whose whole text is held; nothing otherwise.
+    /// The result of an item if the whole text that was scored is held; nothing otherwise.
     [[nodiscard]] std::optional<ItemResult> resultOf(const ScoredItem& scored) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_texts.size(); }
 
--- a/src/azurepaddle/batch/types.hpp
+++ b/src/azurepaddle/batch/types.hpp
@@ -92,9 +92,10 @@
 struct ScoredItem {
     ItemId item;
     std::string score;
+    std::uint64_t textDigest = 0; ///< Of the text that was scored; another text of the item does not get the score.
 
     friend bool operator==(const ScoredItem&, const ScoredItem&) = default;
-    MSGPACK_DEFINE(item, score)
+    MSGPACK_DEFINE(item, score, textDigest)
 };
 
 }
--- a/src/azurepaddle/execution/item_text.cpp
+++ b/src/azurepaddle/execution/item_text.cpp
@@ -4,9 +4,10 @@
 
 namespace azurepaddle::execution {
 
-ItemText::ItemText(std::vector<batch::TextEvent> events) noexcept
+ItemText::ItemText(std::vector<batch::TextEvent> events, bool isComplete) noexcept
     : m_events(std::move(events))
     , m_recorded(m_events.size())
+    , m_isEndRecorded(isComplete)
 {
     for (const batch::TextEvent& event : m_events)
         m_bytes += event.data.size();
@@ -39,6 +40,7 @@
 {
     batch::TextPart part = takeNew(item);
     part.isLast = true;
+    m_isEndRecorded = true;
     return part;
 }
 
--- a/src/azurepaddle/execution/item_text.hpp
+++ b/src/azurepaddle/execution/item_text.hpp
@@ -12,8 +12,8 @@
 class ItemText {
 public:
     ItemText() = default;
-    /// Takes over events that are recorded.
-    explicit ItemText(std::vector<batch::TextEvent> events) noexcept;
+    /// Takes over events that are recorded, all of the text or its beginning.
+    ItemText(std::vector<batch::TextEvent> events, bool isComplete) noexcept;
 
     /// Adds the event with this number, counted from 1. False if it is not the next one.
     [[nodiscard]] bool append(std::uint64_t number, std::string data, WeightVersion version);
@@ -22,6 +22,7 @@
     {
         m_events.clear();
         m_recorded = 0;
+        m_isEndRecorded = false;
         m_bytes = 0;
     }
 
@@ -31,6 +32,9 @@
     [[nodiscard]] std::optional<batch::TextPart> takeUnrecorded(const batch::ItemId& item, std::uint64_t least, std::uint64_t leastNew);
     /// The events that are not recorded yet, as the end of the text. All of it counts as recorded from now on.
     [[nodiscard]] batch::TextPart takeRest(const batch::ItemId& item);
+    /// Whether the end of the text was taken for the record.
+    [[nodiscard]] bool isEndRecorded() const noexcept { return m_isEndRecorded; }
+    [[nodiscard]] std::uint64_t digest() const { return batch::digestOf(m_events); }
     [[nodiscard]] std::string output() const { return batch::outputOf(m_events); }
     [[nodiscard]] std::vector<WeightVersion> versions() const { return batch::versionsOf(m_events); }
     /// Bytes of the data of all events.
@@ -41,6 +45,7 @@
 
     std::vector<batch::TextEvent> m_events;
     std::uint64_t m_recorded = 0; ///< Events that were taken for the record.
+    bool m_isEndRecorded = false;
     std::size_t m_bytes = 0;
 };
 
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -151,13 +151,13 @@
     KnownText& known = m_texts[run->item];
     known.usedAt = m_clock.now();
     if (known.text.events() == 0)
-        known.text = ItemText(m_machine.texts().find(run->item));
+        known.text = ItemText(m_machine.texts().find(run->item), m_machine.texts().isComplete(run->item));
     if (!fitsVersions(known.text.versions(), run->minVersion, run->isSingleVersion))
         known.text.clear();
     if (known.text.events() == 0)
         return;
     m_log.info("item id={} job={} continues after events={}", run->item, run->job, known.text.events());
-    if (m_machine.texts().isComplete(run->item) && m_machine.texts().find(run->item).size() == known.text.events())
+    if (known.text.isEndRecorded())
         complete(run);
 }
 
--- a/src/azurepaddle/execution/job_runner_score.hpp
+++ b/src/azurepaddle/execution/job_runner_score.hpp
@@ -31,7 +31,7 @@
     run->stage = Stage::Scoring;
     run->number = m_nextNumber++;
     m_scoring.push_back(run);
-    if (!run->reused && !m_machine.texts().isComplete(run->item)) {
+    if (!run->reused && !textOf(*run).isEndRecorded()) {
         m_completedTexts.push_back(textOf(*run).takeRest(run->item));
         scheduleFlush();
     }
@@ -141,7 +141,7 @@
     run->stage = Stage::Listing;
     m_log.info("item id={} job={} outcome=scored took-ms={}", run->item, run->job, std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - run->acceptedAt).count());
     m_metrics.counter("items_completed_total").add();
-    m_results[run->job].scored.push_back({ run->item, std::move(score) });
+    m_results[run->job].scored.push_back({ run->item, std::move(score), textOf(*run).digest() });
     scheduleFlush();
 }
 
--- a/test/azurepaddle/batch/text_store.cpp
+++ b/test/azurepaddle/batch/text_store.cpp
@@ -62,11 +62,11 @@
 {
     StoreFixture fixture;
     fixture.store.add(part(1, { { "one", 3 } }));
-    cr_assert(!fixture.store.resultOf({ item, "s" }));
+    cr_assert(!fixture.store.resultOf({ item, "s", digestOf({ { "one", 3 }, { "two", 4 } }) }));
     fixture.store.add(last(3, { { "three", 3 } }));
     cr_assert(!fixture.store.isComplete(item));
     fixture.store.add(last(2, { { "two", 4 } }));
-    const auto result = fixture.store.resultOf({ item, "s" });
+    const auto result = fixture.store.resultOf({ item, "s", digestOf({ { "one", 3 }, { "two", 4 } }) });
     cr_assert(result == ItemResult({ item, ResultState::Completed, "one\ntwo", { 3, 4 }, "s" }));
 }
 
@@ -81,3 +81,13 @@
     restored.add(part(1, { { "again", 4 } }));
     cr_assert(!restored.isComplete(item));
 }
+
+// Guards against the score of one text beside another text of the item.
+Test(TextStore, otherTextHeld_scoreIsNotJoinedToIt)
+{
+    StoreFixture fixture;
+    fixture.store.add(last(1, { { "one", 3 } }));
+    cr_assert(fixture.store.resultOf({ item, "s", digestOf({ { "one", 3 } }) }));
+    cr_assert(!fixture.store.resultOf({ item, "s", digestOf({ { "one", 4 } }) }));
+    cr_assert(!fixture.store.resultOf({ item, "s", digestOf({ { "other", 3 } }) }));
+}
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -524,3 +524,26 @@
     cr_assert(leaving.starts.size() == 1);
     cr_assert(other.starts.size() == 1);
 }
+
+// Guards against the recorded text of an earlier job, made by weights too old for a later one, that is listed with the
+// score of the text which replaced it.
+Test(JobRunner, recordedTextTooOldForLaterJob_newTextIsListed)
+{
+    RunnerFixture fixture;
+    Endpoint& endpoint = fixture.add("a", Behaviour::Whole);
+    fixture.submit(1, 3, scoreCall);
+    cr_assert(fixture.runUntil([&] { return fixture.machine.texts().isComplete(batch::ItemId("item")); }));
+    fixture.apply(registry::EndJob { jobId });
+    endpoint.version = 2;
+    fixture.liveness.noteVersion(endpoint.id, model, 2);
+    fixture.add("s", Behaviour::Scores, 1, rewardService);
+    batch::JobSpec next = fixture.machine.jobs().find(jobId)->spec;
+    next.id = batch::JobId("next");
+    next.minVersion = 2;
+    next.items.front().reward = scoreCall;
+    fixture.apply(registry::AcceptJob { next });
+    cr_assert(fixture.runUntil([&] { return !fixture.machine.jobs().find(next.id)->results.empty(); }));
+    const auto result = fixture.machine.jobs().load(fixture.machine.jobs().find(next.id)->results.front());
+    cr_assert(result.versions == std::vector<WeightVersion> { 2 });
+    cr_assert(endpoint.starts.size() == 2);
+}
--- a/test/azurepaddle/execution/parts.cpp
+++ b/test/azurepaddle/execution/parts.cpp
@@ -70,7 +70,7 @@
 Test(ItemText, recordedEventsTakenOver_onlyNewOnesAreRecorded)
 {
     const batch::ItemId item("i");
-    ItemText text({ { "one", 1 }, { "two", 1 } });
+    ItemText text({ { "one", 1 }, { "two", 1 } }, false);
     cr_assert(text.append(3, "three", 1));
     cr_assert(text.takeUnrecorded(item, 1, 1) == batch::TextPart({ item, 3, { { "three", 1 } } }));
 }
--- a/test/azurepaddle/registry/state.cpp
+++ b/test/azurepaddle/registry/state.cpp
@@ -178,10 +178,10 @@
     job.id = batch::JobId("j");
     job.items.push_back({ batch::ItemId("i"), "/x", {}, "b", GroupId("g"), 1, 1, { "r", "h", "/s/", "rb" } });
     static_cast<void>(machine.apply(encodeCommand(AcceptJob { job })));
-    static_cast<void>(machine.apply(encodeCommand(ListResults { job.id, {}, { { batch::ItemId("i"), "early" } } })));
+    static_cast<void>(machine.apply(encodeCommand(ListResults { job.id, {}, { { batch::ItemId("i"), "early", batch::digestOf({ { "one", 2 } }) } } })));
     cr_assert(machine.jobs().find(job.id)->results.empty(), "listed without a text");
     static_cast<void>(machine.apply(encodeCommand(KeepTexts { { { batch::ItemId("i"), 1, { { "one", 2 } }, true } } })));
-    static_cast<void>(machine.apply(encodeCommand(ListResults { job.id, {}, { { batch::ItemId("i"), "score" } } })));
+    static_cast<void>(machine.apply(encodeCommand(ListResults { job.id, {}, { { batch::ItemId("i"), "score", batch::digestOf({ { "one", 2 } }) } } })));
     const auto result = machine.jobs().load(machine.jobs().find(job.id)->results.front());
     cr_assert(result == batch::ItemResult({ batch::ItemId("i"), batch::ResultState::Completed, "one", { 2 }, "score" }));
     cr_assert(machine.texts().size() == 0);
