Count copies in progress among the endpoints that may have run a request

Ruled out: refusals, which are counted apart. Test: secondCopyFails_firstInProgress_noThirdEndpointIsAsked failed first.

--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -118,6 +118,7 @@
     };
     using Pointer = std::shared_ptr<Forwarding>;
 
+    [[nodiscard]] static RetryState stateOf(const Forwarding& forwarding);
     [[nodiscard]] bool sendNext(const Pointer& forwarding);
     void tryNext(const Pointer& forwarding);
     void armDeadline(const Pointer& forwarding);
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -71,9 +71,9 @@
         const auto late = weak.lock();
         if (error || !late || late->isDone)
             return;
-        const bool isSent = !late->sendings.empty();
+        const RetryState state = stateOf(*late);
         stopSendings(late, Experience::Failed);
-        finish(late, refusal({ late->runs + (isSent ? 1U : 0U), late->refusals }, true, "no answer in time"), "timeout", {});
+        finish(late, refusal(state, true, "no answer in time"), "timeout", {});
     });
 }
 
@@ -88,12 +88,18 @@
         const auto slow = weak.lock();
         if (error || !slow || slow->isDone || slow->sendings.empty())
             return;
-        const RetryState state { slow->runs + static_cast<unsigned>(slow->sendings.size()), slow->refusals };
-        if (maySendAgain(*slow->task.route, state))
+        if (maySendAgain(*slow->task.route, stateOf(*slow)))
             static_cast<void>(sendNext(slow));
     });
 }
 
+/// How the request has fared, where endpoints that work on it count as having run it.
+template <typename Protocol>
+RetryState Forwarder<Protocol>::stateOf(const Forwarding& forwarding)
+{
+    return { forwarding.runs + static_cast<unsigned>(forwarding.sendings.size()), forwarding.refusals };
+}
+
 /// Sends the request to one more endpoint. False if there is none.
 template <typename Protocol>
 bool Forwarder<Protocol>::sendNext(const Pointer& forwarding)
@@ -169,8 +175,7 @@
 template <typename Protocol>
 void Forwarder<Protocol>::tryNext(const Pointer& forwarding)
 {
-    const RetryState state { forwarding->runs, forwarding->refusals };
-    if (maySendAgain(*forwarding->task.route, state) && sendNext(forwarding))
+    if (maySendAgain(*forwarding->task.route, stateOf(*forwarding)) && sendNext(forwarding))
         return;
     if (forwarding->sendings.empty())
         giveUp(forwarding, forwarding->runs == 0 ? "no endpoint takes the request" : "no endpoint answered");
@@ -211,8 +216,7 @@
     m_balancer.end(sending.endpoint, Experience::Answered, now - sending.startedAt, now);
     ++forwarding->runs;
     forwarding->internalErrors += sending.response.status == internalError ? 1 : 0;
-    const RetryState state { forwarding->runs, forwarding->refusals };
-    if (sending.response.status >= internalError && (maySendAgain(*forwarding->task.route, state) || !forwarding->sendings.empty())) {
+    if (sending.response.status >= internalError && (maySendAgain(*forwarding->task.route, stateOf(*forwarding)) || !forwarding->sendings.empty())) {
         forwarding->failure = std::move(sending.response);
         return tryNext(forwarding);
     }
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -209,3 +209,15 @@
     cr_assert(fixture.request().response.body == "good");
     cr_assert(told == std::vector<registry::EndpointLeave>({ { EndpointId("e1"), 1 } }));
 }
+
+// Guards against a request on more endpoints than its route allows: the second copy fails while the first is in progress.
+Test(Forwarder, secondCopyFails_firstInProgress_noThirdEndpointIsAsked)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint(silent);
+    for (int i = 0; i < 2; ++i)
+        fixture.addEndpoint([](const std::string&) { return answer(500, "broken", "X-Id: 7\r\n"); });
+    fixture.request();
+    const int asked = fixture.endpoints[0]->accepted() + fixture.endpoints[1]->accepted() + fixture.endpoints[2]->accepted();
+    cr_assert(asked == 2);
+}
