--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -97,6 +97,9 @@
     /// Whether the state machine holds all that was ever acknowledged: this instance leads, no other can have been
     /// elected, and its log is applied.
     [[nodiscard]] bool isCurrent() const;
+    /// Whether the state machine holds all that was acknowledged until a moment ago: this instance is current, or heard so
+    /// from the leader.
+    [[nodiscard]] bool isRecent() const;
     [[nodiscard]] bool isLeader() const { return m_node->role() == consensus::RaftRole::Leader; }
     [[nodiscard]] consensus::RaftStatus status() const { return m_node->status(); }
     [[nodiscard]] std::uint64_t term() const noexcept { return m_node->term(); }
@@ -106,6 +109,8 @@
     [[nodiscard]] std::vector<MemberIdentity> members() const;
     /// Whether a snapshot is overdue because the state is too large for it. Nothing large should be proposed then.
     [[nodiscard]] bool isSnapshotOverdue() const noexcept { return m_bytesSinceSnapshot >= m_options.snapshotBytes; }
+    /// Names of instances that asked to join lately and hold nothing, because there are enough participants.
+    [[nodiscard]] std::set<std::string> spares() const;
     /// Names of instances that are to be emptied.
     void setRetiring(std::set<std::string> names) { m_retiring = std::move(names); }
     /// Called when this instance becomes the leader with its log applied, or ceases to lead.
@@ -169,6 +174,7 @@
     std::map<InstanceId, Outgoing> m_outgoing;
     std::map<InstanceAddress, control::IntroduceReply> m_introductions; ///< Of the current round.
     std::set<std::string> m_retiring;
+    std::map<std::string, TimePoint> m_spares; ///< When each last asked to join.
     std::function<void(bool)> m_onLeadership;
     TimePoint m_nextMaintenance {};
     TimePoint m_lastLeader {}; ///< When a leader was last known.
--- a/src/azurepaddle/cluster/group_drive.hpp
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -23,6 +23,8 @@
         return bytes;
     }
     constexpr std::size_t folderBytes = 6;
+    // Some heartbeats of the leader may be late. Far below the times within which changes have to take effect everywhere.
+    constexpr Duration recentTime = std::chrono::milliseconds(600);
 
     /// Ends the process: what reached the disk is unknown, and guessing could break a promise.
     [[noreturn]] inline void stopProcess(const std::string& message)
@@ -223,6 +225,14 @@
     return isLeader() && m_appliedTerm == term() && m_clock.now() < m_node->leaseEnd();
 }
 
+template <typename Machine>
+bool Group<Machine>::isRecent() const
+{
+    if (isLeader())
+        return isCurrent();
+    return m_appliedIndex >= m_node->commitIndex() && m_clock.now() - m_node->caughtUpAt() < internal::recentTime;
+}
+
 template <typename Machine>
 void Group<Machine>::send(std::vector<consensus::RaftMessage> messages)
 {
--- a/src/azurepaddle/cluster/group_membership.hpp
+++ b/src/azurepaddle/cluster/group_membership.hpp
@@ -10,6 +10,8 @@
 
     constexpr Duration maintenanceInterval = std::chrono::milliseconds(200);
     constexpr Duration introduceDeadline = std::chrono::milliseconds(500);
+    // A spare instance asks to join several times within this time.
+    constexpr Duration spareLifetime = std::chrono::seconds(3);
     // Without a leader for this long a participant asks whether it was removed meanwhile.
     constexpr Duration leaderlessTime = std::chrono::milliseconds(1500);
 
@@ -150,12 +152,28 @@
     scheduleStep();
 }
 
+template <typename Machine>
+std::set<std::string> Group<Machine>::spares() const
+{
+    std::set<std::string> names;
+    for (const auto& [name, askedAt] : m_spares) {
+        if (m_clock.now() - askedAt < internal::spareLifetime)
+            names.insert(name);
+    }
+    return names;
+}
+
 template <typename Machine>
 void Group<Machine>::admit(const InstanceId& identity)
 {
     const auto parts = parseIdentity(identity);
     if (!isLeader() || m_node->membership().contains(identity) || !parts || m_retiring.contains(parts->name))
         return;
+    if (!mayJoin(memberViews(), parts->address, m_options.policy)) {
+        m_spares[parts->name] = m_clock.now();
+        return;
+    }
+    m_spares.erase(parts->name);
     proposeChange({ consensus::ChangeKind::AddLearner, identity });
 }
 
--- a/src/azurepaddle/cluster/membership_plan.cpp
+++ b/src/azurepaddle/cluster/membership_plan.cpp
@@ -79,6 +79,14 @@
 
 }
 
+bool mayJoin(const std::vector<MemberView>& members, const InstanceAddress& address, const MembershipPolicy& policy)
+{
+    const auto useful = std::count_if(members.begin(), members.end(), [&](const MemberView& member) {
+        return isLive(member, policy) && !member.isRetiring && member.address != address;
+    });
+    return static_cast<std::size_t>(useful) < policy.voters + policy.spareLearners;
+}
+
 std::optional<consensus::MembershipChange> planMembership(const std::vector<MemberView>& members, const MembershipPolicy& policy)
 {
     if (auto change = planPromotion(members, policy))
--- a/src/azurepaddle/consensus/raft_node.hpp
+++ b/src/azurepaddle/consensus/raft_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/consensus/entry_log.hpp"
+#include "azurepaddle/consensus/message_delay.hpp"
 #include "azurepaddle/consensus/progress.hpp"
 #include "azurepaddle/consensus/types.hpp"
 #include "azurepaddle/core/invariant.hpp"
@@ -51,6 +52,9 @@
     // Parts of the status, for callers that ask often: the status copies the membership.
     [[nodiscard]] RaftRole role() const noexcept { return m_role; }
     [[nodiscard]] std::uint64_t term() const noexcept { return m_vote.term; }
+    [[nodiscard]] std::uint64_t commitIndex() const noexcept { return m_log.commitIndex(); }
+    /// When a leader was last known to have committed nothing that this instance does not hold. For followers.
+    [[nodiscard]] TimePoint caughtUpAt() const noexcept { return m_caughtUpAt; }
     [[nodiscard]] const InstanceId& leader() const noexcept { return m_leader; }
     [[nodiscard]] const Membership& membership() const noexcept { return m_log.membership(); }
     /// Until then no other participant can be elected. In the past unless this is the leader.
@@ -166,6 +170,8 @@
 
     InstanceId m_leader;
     TimePoint m_lastHeard; ///< Last message of a leader, or the start of this instance.
+    TimePoint m_caughtUpAt; ///< When the leader sent the last message whose commit index was reached here.
+    MessageDelay m_leaderDelay; ///< Of messages of the present leader.
     TimePoint m_electionDeadline;
     std::set<InstanceId> m_votesGranted;
     bool m_hasGivenWay = false; ///< Postponed its own election for another instance in this term.
--- a/src/azurepaddle/consensus/raft_node_replication.hpp
+++ b/src/azurepaddle/consensus/raft_node_replication.hpp
@@ -120,6 +120,9 @@
     mergeEntries(message);
     const std::uint64_t matched = message.index + message.entries.size();
     commitUpTo(std::min(message.commit, matched));
+    const Duration delay = m_leaderDelay.note(std::chrono::nanoseconds(message.sentAt), m_now);
+    if (m_log.commitIndex() >= message.commit)
+        m_caughtUpAt = m_now - delay;
     replyMatched(from, message, matched);
 }
 
--- a/src/azurepaddle/gateway/route_table.cpp
+++ b/src/azurepaddle/gateway/route_table.cpp
@@ -77,6 +77,18 @@
     return std::nullopt;
 }
 
+std::set<ServiceName> forwardedServices(const RouteTable& table)
+{
+    std::set<ServiceName> services;
+    for (const Route& route : table.routes()) {
+        if (route.kind == RouteKind::Batch)
+            continue;
+        for (const WeightedService& part : route.services)
+            services.insert(part.service);
+    }
+    return services;
+}
+
 const Route* findRewardRoute(const RouteTable& table, const batch::RewardCall& reward)
 {
     const Route* route = table.find(hostOf(reward.host), http1::pathOf(reward.path));
--- a/src/azurepaddle/gateway/route_table.hpp
+++ b/src/azurepaddle/gateway/route_table.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -90,6 +91,9 @@
 /// Whether the routes make sense together: known services, distinct places, weights above 0, timeouts above 0.
 [[nodiscard]] std::optional<ConfigurationProblem> validate(const RouteTable& table);
 
+/// The services that get requests of single callers.
+[[nodiscard]] std::set<ServiceName> forwardedServices(const RouteTable& table);
+
 /// The route of a reward call. Null if there is none that answers single requests.
 [[nodiscard]] const Route* findRewardRoute(const RouteTable& table, const batch::RewardCall& reward);
 
--- a/src/azurepaddle/platform/control_api.cpp
+++ b/src/azurepaddle/platform/control_api.cpp
@@ -51,6 +51,8 @@
         m_log.warning("heartbeat id={} unreadable bytes={}", id, exchange->request().body.size());
         return exchange->respond(plain(400, "the heartbeat cannot be read"));
     }
+    if (m_local.take(*beat))
+        return exchange->respond(json(200, "{}"));
     m_leader.send(registry::BeatRequest { *beat }, m_clock.now() + callPatience, [exchange](const registry::LeaderResult<registry::Done>& reply) {
         exchange->respond(reply ? json(200, "{}") : unavailable("no leader took the heartbeat"));
     });
--- a/src/azurepaddle/platform/control_api.hpp
+++ b/src/azurepaddle/platform/control_api.hpp
@@ -3,15 +3,18 @@
 #include "azurepaddle/core/log.hpp"
 #include "azurepaddle/http1/server.hpp"
 #include "azurepaddle/registry/leader_client.hpp"
+#include "azurepaddle/registry/local_service.hpp"
 #include "azurepaddle/registry/requests.hpp"
 
 namespace azurepaddle::platform {
 
-/// The calls of endpoints, operators and trainers at a control instance. All of them are answered by the leader.
+/// The calls of endpoints, operators and trainers at a control instance. The leader answers them, except heartbeats that
+/// change nothing.
 class ControlApi {
 public:
-    explicit ControlApi(registry::LeaderClient& leader)
-        : m_leader(leader)
+    ControlApi(registry::LocalService& local, registry::LeaderClient& leader)
+        : m_local(local)
+        , m_leader(leader)
     {
     }
 
@@ -25,6 +28,7 @@
     void nameVersion(const http1::ExchangePointer& exchange);
     void retire(const http1::ExchangePointer& exchange, std::string_view instance, bool isBegin);
 
+    registry::LocalService& m_local;
     registry::LeaderClient& m_leader;
     const Log m_log { "control" };
     const SystemClock m_clock {};
--- a/src/azurepaddle/registry/directory.cpp
+++ b/src/azurepaddle/registry/directory.cpp
@@ -8,21 +8,50 @@
 
     // Records of endpoints that left, beyond which the oldest are forgotten.
     constexpr std::size_t maxGoneRecords = 512;
+    // Removals that are known one by one; a poll that missed more gets all records.
+    constexpr std::size_t maxKnownRemovals = 512;
 
-    void trimGone(std::map<EndpointId, EndpointRecord>& records)
-    {
-        const auto isGone = [](const auto& entry) { return entry.second.state == EndpointState::Gone; };
-        const auto gone = static_cast<std::size_t>(std::count_if(records.begin(), records.end(), isGone));
-        if (gone <= maxGoneRecords)
-            return;
-        auto oldest = records.end();
-        for (auto entry = records.begin(); entry != records.end(); ++entry) {
-            if (isGone(*entry) && (oldest == records.end() || entry->second.startedMs < oldest->second.startedMs))
-                oldest = entry;
-        }
-        records.erase(oldest);
+}
+
+void Directory::remove(std::map<EndpointId, EndpointRecord>::iterator record)
+{
+    m_changedAt.erase(record->first);
+    m_removed.emplace_back(m_revision, record->first);
+    m_records.erase(record);
+    if (m_removed.size() <= maxKnownRemovals)
+        return;
+    m_firstKnown = m_removed.front().first;
+    m_removed.pop_front();
+}
+
+void Directory::trimGone()
+{
+    const auto isGone = [](const auto& entry) { return entry.second.state == EndpointState::Gone; };
+    const auto gone = static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(), isGone));
+    if (gone <= maxGoneRecords)
+        return;
+    auto oldest = m_records.end();
+    for (auto entry = m_records.begin(); entry != m_records.end(); ++entry) {
+        if (isGone(*entry) && (oldest == m_records.end() || entry->second.startedMs < oldest->second.startedMs))
+            oldest = entry;
     }
+    remove(oldest);
+}
 
+std::optional<DirectoryChanges> Directory::changesSince(std::uint64_t revision) const
+{
+    if (revision < m_firstKnown || revision > m_revision)
+        return std::nullopt;
+    DirectoryChanges changes;
+    for (const auto& [id, changedAt] : m_changedAt) {
+        if (changedAt > revision)
+            changes.changed.push_back(m_records.at(id));
+    }
+    for (const auto& [removedAt, id] : m_removed) {
+        if (removedAt > revision && !m_records.contains(id))
+            changes.removed.push_back(id);
+    }
+    return changes;
 }
 
 void Directory::set(const EndpointRecord& record)
@@ -30,17 +59,20 @@
     const EndpointRecord* known = find(record.id);
     if (known && known->startedMs > record.startedMs)
         return;
+    ++m_revision;
     for (auto& [id, other] : m_records) {
-        if (id != record.id && other.state != EndpointState::Gone && other.address() == record.address() && other.startedMs <= record.startedMs)
-            other.state = EndpointState::Gone;
+        if (id == record.id || other.state == EndpointState::Gone || other.address() != record.address() || other.startedMs > record.startedMs)
+            continue;
+        other.state = EndpointState::Gone;
+        m_changedAt[id] = m_revision;
     }
     // A change that was proposed before the endpoint began to leave may be applied after it.
     const EndpointState state = known && known->startedMs == record.startedMs ? std::max(known->state, record.state) : record.state;
     EndpointRecord& stored = m_records[record.id];
     stored = record;
     stored.state = state;
-    trimGone(m_records);
-    ++m_revision;
+    m_changedAt[record.id] = m_revision;
+    trimGone();
 }
 
 void Directory::leave(const EndpointLeave& leave)
@@ -48,9 +80,10 @@
     const auto found = m_records.find(leave.id);
     if (found == m_records.end() || (leave.startedMs != 0 && leave.startedMs != found->second.startedMs))
         return;
-    found->second.state = EndpointState::Gone;
-    trimGone(m_records);
     ++m_revision;
+    found->second.state = EndpointState::Gone;
+    m_changedAt[leave.id] = m_revision;
+    trimGone();
 }
 
 void Directory::forget(const EndpointLeave& leave)
@@ -58,8 +91,8 @@
     const auto found = m_records.find(leave.id);
     if (found == m_records.end() || leave.startedMs != found->second.startedMs)
         return;
-    m_records.erase(found);
     ++m_revision;
+    remove(found);
 }
 
 const EndpointRecord* Directory::find(const EndpointId& id) const
@@ -94,21 +127,24 @@
 {
     m_records = std::move(records);
     m_revision = revision;
+    m_changedAt.clear();
+    m_removed.clear();
+    m_firstKnown = revision;
 }
 
-bool Liveness::note(const EndpointBeat& beat, TimePoint now)
+bool Liveness::note(const HeardBeat& beat, TimePoint now)
 {
-    Entry& entry = m_entries[beat.record.id];
-    const bool isOld = beat.record.startedMs < entry.startedMs || (beat.record.startedMs == entry.startedMs && beat.sequence < entry.sequence);
+    Entry& entry = m_entries[beat.id];
+    const bool isOld = beat.startedMs < entry.startedMs || (beat.startedMs == entry.startedMs && beat.sequence < entry.sequence);
     if (isOld)
         return false;
-    if (entry.startedMs != beat.record.startedMs)
+    if (entry.startedMs != beat.startedMs)
         entry.versions.clear();
-    entry.startedMs = beat.record.startedMs;
+    entry.startedMs = beat.startedMs;
     entry.sequence = beat.sequence;
     entry.lastBeat = now;
     // The versions of an incarnation only rise, and a heartbeat may be older than an order that was carried out.
-    for (const auto& [model, version] : beat.record.versions) {
+    for (const auto& [model, version] : beat.versions) {
         WeightVersion& known = entry.versions[model];
         known = std::max(known, version);
     }
--- a/src/azurepaddle/registry/directory.hpp
+++ b/src/azurepaddle/registry/directory.hpp
@@ -3,11 +3,18 @@
 #include "azurepaddle/core/clock.hpp"
 #include "azurepaddle/registry/endpoint.hpp"
 
+#include <deque>
 #include <optional>
 #include <vector>
 
 namespace azurepaddle::registry {
 
+/// What changed in the directory after a revision.
+struct DirectoryChanges {
+    std::vector<EndpointRecord> changed;
+    std::vector<EndpointId> removed;
+};
+
 /// The agreed records of all endpoints. Deterministic.
 class Directory {
 public:
@@ -22,8 +29,10 @@
     /// Null if unknown. Valid until the next change.
     [[nodiscard]] const EndpointRecord* find(const EndpointId& id) const;
     [[nodiscard]] const std::map<EndpointId, EndpointRecord>& records() const noexcept { return m_records; }
-    /// Rises with each change.
+    /// Rises with each change, and is the same on all instances that applied the same commands.
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
+    /// Nothing if the changes after this revision are not known any more.
+    [[nodiscard]] std::optional<DirectoryChanges> changesSince(std::uint64_t revision) const;
 
     /// What a heartbeat changes in the agreed records: nothing, or the record to agree on. Late heartbeats of
     /// incarnations that ended change nothing.
@@ -32,8 +41,14 @@
     void restore(std::map<EndpointId, EndpointRecord> records, std::uint64_t revision);
 
 private:
+    void remove(std::map<EndpointId, EndpointRecord>::iterator record);
+    void trimGone();
+
     std::map<EndpointId, EndpointRecord> m_records;
     std::uint64_t m_revision = 0;
+    std::map<EndpointId, std::uint64_t> m_changedAt; ///< Revisions of records that changed after m_firstKnown.
+    std::deque<std::pair<std::uint64_t, EndpointId>> m_removed; ///< With their revisions, the oldest first.
+    std::uint64_t m_firstKnown = 0; ///< Changes after this revision are known.
 };
 
 /// What one instance has heard of the endpoints itself. Not agreed.
@@ -47,7 +62,7 @@
     };
 
     /// False if the heartbeat is older than one that was heard.
-    [[nodiscard]] bool note(const EndpointBeat& beat, TimePoint now);
+    [[nodiscard]] bool note(const HeardBeat& beat, TimePoint now);
     /// Notes a version that was learnt otherwise, for example by an order.
     void noteVersion(const EndpointId& id, const batch::ModelName& model, WeightVersion version);
     /// Starts the time of silence of endpoints that were not heard yet.
--- a/src/azurepaddle/registry/endpoint.hpp
+++ b/src/azurepaddle/registry/endpoint.hpp
@@ -39,11 +39,24 @@
     MSGPACK_DEFINE(id, startedMs, service, ip, port, dataCentre, slots, state, versions)
 };
 
+/// What a heartbeat says that is not agreed on.
+struct HeardBeat {
+    EndpointId id;
+    std::uint64_t startedMs = 0;
+    std::uint64_t sequence = 0;
+    std::map<std::string, WeightVersion> versions; ///< By model.
+
+    friend bool operator==(const HeardBeat&, const HeardBeat&) = default;
+    MSGPACK_DEFINE(id, startedMs, sequence, versions)
+};
+
 /// One heartbeat of an endpoint.
 struct EndpointBeat {
     EndpointRecord record;
     std::uint64_t sequence = 0; ///< Rises with each heartbeat of an incarnation.
 
+    [[nodiscard]] HeardBeat heard() const { return { record.id, record.startedMs, sequence, record.versions }; }
+
     friend bool operator==(const EndpointBeat&, const EndpointBeat&) = default;
     MSGPACK_DEFINE(record, sequence)
 };
--- a/src/azurepaddle/registry/leader_client.hpp
+++ b/src/azurepaddle/registry/leader_client.hpp
@@ -23,6 +23,17 @@
 template <typename Reply>
 using LeaderResult = tl::expected<Reply, LeaderErrorCode>;
 
+/// The reply in a response of an instance; nothing if it did not take the request.
+template <typename Reply>
+[[nodiscard]] std::optional<Reply> replyIn(const std::string& response)
+{
+    const auto envelope = codec::decode<control::GroupReply>(response);
+    if (!envelope || envelope->status != control::GroupStatus::Ok)
+        return std::nullopt;
+    auto reply = codec::decode<Reply>(envelope->body);
+    return reply ? std::optional<Reply>(std::move(*reply)) : std::nullopt;
+}
+
 /// Sends requests to the leader, wherever it is, until the deadline. All requests may be repeated. Used on one loop.
 class LeaderClient {
 public:
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -42,7 +42,8 @@
 
 void LeaderService::registerHandlers(transport::PeerServer& server)
 {
-    registerHandler<PollRequest>(server);
+    registerHandler<HeardRequest>(server);
+    registerHandler<LeavingRequest>(server);
     registerHandler<BeatRequest>(server);
     registerHandler<LeaveRequest>(server);
     registerHandler<PutConfigurationRequest>(server);
@@ -72,32 +73,25 @@
         m_onChange();
 }
 
-void LeaderService::handle(const PollRequest& request, const Answer<PollReply>& answer)
+void LeaderService::handle(const HeardRequest& request, const Answer<Done>& answer)
+{
+    const TimePoint now = m_clock.now();
+    for (const HeardBeat& beat : request.beats)
+        static_cast<void>(m_liveness.note(beat, now));
+    answer.ok({});
+}
+
+void LeaderService::handle(const LeavingRequest& request, const Answer<Done>& answer)
 {
     for (const EndpointLeave& leave : request.leaving)
         m_liveness.noteLeaving(leave);
-    PollReply reply;
-    const auto& configuration = m_machine.configuration();
-    reply.configurationVersion = configuration.version;
-    if (configuration.version != request.configurationVersion)
-        reply.configuration = configuration.text;
-    reply.directoryTerm = m_group.term();
-    reply.directoryRevision = m_machine.directory().revision();
-    reply.hasEndpoints = reply.directoryTerm != request.directoryTerm || reply.directoryRevision != request.directoryRevision;
-    if (reply.hasEndpoints) {
-        for (const auto& [id, record] : m_machine.directory().records()) {
-            if (record.state != EndpointState::Gone)
-                reply.endpoints.push_back(record);
-        }
-    }
-    for (const cluster::MemberIdentity& member : m_group.members())
-        reply.members.push_back(formatAddress(member.address));
-    answer.ok(reply);
+    drainLeavingEndpoints();
+    answer.ok({});
 }
 
 void LeaderService::handle(const BeatRequest& request, const Answer<Done>& answer)
 {
-    if (!m_liveness.note(request.beat, m_clock.now()))
+    if (!m_liveness.note(request.beat.heard(), m_clock.now()))
         return answer.ok({});
     const auto change = m_machine.directory().changeBy(request.beat.record);
     if (!change)
@@ -171,6 +165,7 @@
     if (!request.isBegin || state != RetireState::Unknown)
         return answer.ok({ state });
     std::set<std::string> left = memberNames();
+    left.merge(m_group.spares());
     if (left.erase(request.instance) == 0)
         return answer.ok({ RetireState::Unknown });
     for (const std::string& retiring : m_machine.retiring())
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -68,7 +68,8 @@
         TimePoint deadline;
     };
 
-    void handle(const PollRequest& request, const Answer<PollReply>& answer);
+    void handle(const HeardRequest& request, const Answer<Done>& answer);
+    void handle(const LeavingRequest& request, const Answer<Done>& answer);
     void handle(const BeatRequest& request, const Answer<Done>& answer);
     void handle(const LeaveRequest& request, const Answer<Done>& answer);
     void handle(PutConfigurationRequest request, const Answer<PutConfigurationReply>& answer);
--- /dev/null
+++ b/src/azurepaddle/registry/local_service.cpp
@@ -0,0 +1,151 @@
+#include "azurepaddle/registry/local_service.hpp"
+
+namespace azurepaddle::registry {
+
+namespace {
+
+    // A poll without news is answered after this long, so that its sender knows that it is still heard.
+    constexpr Duration pollHold = std::chrono::milliseconds(800);
+    constexpr Duration reportInterval = std::chrono::milliseconds(400);
+    constexpr Duration reportPatience = std::chrono::milliseconds(900);
+
+}
+
+LocalService::LocalService(asio::io_context& io, ServiceGroup& group, const StateMachine& machine, LeaderClient& leader, DataCentreName dataCentre)
+    : m_io(io)
+    , m_group(group)
+    , m_machine(machine)
+    , m_leader(leader)
+    , m_dataCentre(std::move(dataCentre))
+{
+}
+
+void LocalService::registerHandlers(transport::PeerServer& server)
+{
+    server.handleDeferred(std::string(PollRequest::method), [this](transport::PeerRequest peerRequest, transport::PeerResponder respond) {
+        asio::post(m_io, [this, body = std::move(peerRequest.body), respond = std::move(respond)] {
+            const auto request = codec::decode<PollRequest>(body);
+            if (!request)
+                return respond(tl::unexpected(request.error().message()));
+            handle(*request, Answer<PollReply>(respond, {}));
+        });
+    });
+}
+
+void LocalService::handle(const PollRequest& request, const Answer<PollReply>& answer)
+{
+    if (!m_group.isRecent())
+        return answer.notLeader();
+    if (knowsServices() && hasNews(request))
+        return answer.ok(replyTo(request));
+    m_waiting.push_back({ request, answer, m_clock.now() + pollHold });
+}
+
+bool LocalService::hasNews(const PollRequest& request) const
+{
+    if (m_machine.configuration().version > request.configurationVersion)
+        return true;
+    if (m_machine.directory().revision() <= request.directoryRevision)
+        return false;
+    PollReply reply;
+    addEndpoints(reply, request);
+    return reply.areAllEndpoints || !reply.endpoints.empty() || !reply.removed.empty();
+}
+
+PollReply LocalService::replyTo(const PollRequest& request) const
+{
+    PollReply reply;
+    reply.dataCentre = m_dataCentre;
+    if (const auto leader = m_group.leaderAddress())
+        reply.leader = formatAddress(*leader);
+    for (const cluster::MemberIdentity& member : m_group.members())
+        reply.members.push_back(formatAddress(member.address));
+    const ConfigurationDocument& configuration = m_machine.configuration();
+    reply.configurationVersion = configuration.version;
+    if (configuration.version > request.configurationVersion)
+        reply.configuration = configuration.text;
+    addEndpoints(reply, request);
+    return reply;
+}
+
+void LocalService::addEndpoints(PollReply& reply, const PollRequest& request) const
+{
+    const Directory& directory = m_machine.directory();
+    const std::uint64_t version = m_machine.configuration().version;
+    reply.directoryRevision = request.directoryRevision;
+    // A sender that heard more from another instance keeps what it has.
+    if (directory.revision() < request.directoryRevision || version < request.configurationVersion)
+        return;
+    reply.directoryRevision = directory.revision();
+    const bool mayNeedOthers = version > request.configurationVersion;
+    const auto changes = mayNeedOthers ? std::nullopt : directory.changesSince(request.directoryRevision);
+    reply.areAllEndpoints = !changes;
+    const auto add = [&](const EndpointRecord& record) {
+        if (!m_services.contains(record.service))
+            return;
+        if (record.state != EndpointState::Gone)
+            reply.endpoints.push_back(record);
+        else if (!reply.areAllEndpoints)
+            reply.removed.push_back(record.id);
+    };
+    if (!changes) {
+        for (const auto& [id, record] : directory.records())
+            add(record);
+        return;
+    }
+    for (const EndpointRecord& record : changes->changed)
+        add(record);
+    reply.removed.insert(reply.removed.end(), changes->removed.begin(), changes->removed.end());
+}
+
+bool LocalService::take(const EndpointBeat& beat)
+{
+    if (m_group.isLeader() || !m_group.isRecent() || m_machine.directory().changeBy(beat.record))
+        return false;
+    HeardBeat& heard = m_heard[beat.record.id];
+    if (std::tie(beat.record.startedMs, beat.sequence) >= std::tie(heard.startedMs, heard.sequence))
+        heard = { beat.record.id, beat.record.startedMs, beat.sequence, beat.record.versions };
+    return true;
+}
+
+void LocalService::tick()
+{
+    const TimePoint now = m_clock.now();
+    answerPolls(now);
+    if (!m_heard.empty() && !m_isReporting && now >= m_nextReport)
+        reportBeats(now);
+}
+
+void LocalService::answerPolls(TimePoint now)
+{
+    const bool isRecent = m_group.isRecent();
+    std::vector<WaitingPoll> waiting;
+    for (WaitingPoll& poll : std::exchange(m_waiting, {})) {
+        if (!isRecent)
+            poll.answer.notLeader();
+        else if (knowsServices() && (now >= poll.deadline || hasNews(poll.request)))
+            poll.answer.ok(replyTo(poll.request));
+        else
+            waiting.push_back(std::move(poll));
+    }
+    m_waiting = std::move(waiting);
+}
+
+/// Tells the leader of all endpoints that were heard here since the last report.
+void LocalService::reportBeats(TimePoint now)
+{
+    m_nextReport = now + reportInterval;
+    m_isReporting = true;
+    HeardRequest request;
+    for (auto& [id, heard] : std::exchange(m_heard, {}))
+        request.beats.push_back(std::move(heard));
+    m_leader.send(request, now + reportPatience, [this, beats = request.beats](const LeaderResult<Done>& reply) {
+        m_isReporting = false;
+        if (reply)
+            return;
+        for (const HeardBeat& heard : beats)
+            m_heard.try_emplace(heard.id, heard);
+    });
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/registry/nearest_store.cpp
@@ -0,0 +1,71 @@
+#include "azurepaddle/registry/nearest_store.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::registry {
+
+namespace {
+
+    constexpr Duration failureAvoidance = std::chrono::seconds(2);
+
+}
+
+void NearestStore::setMembers(const std::vector<InstanceAddress>& members)
+{
+    if (members.empty())
+        return;
+    std::vector<Member> known;
+    for (const InstanceAddress& address : members) {
+        const Member* member = find(address);
+        known.push_back(member ? *member : Member { address, std::nullopt });
+    }
+    m_members = std::move(known);
+}
+
+NearestStore::Member* NearestStore::find(const InstanceAddress& address)
+{
+    const auto found = std::find_if(m_members.begin(), m_members.end(), [&](const Member& member) { return member.address == address; });
+    return found == m_members.end() ? nullptr : &*found;
+}
+
+/// The lower the rank, the sooner a member is polled.
+int NearestStore::rankOf(const Member& member, TimePoint now) const
+{
+    const bool isNear = member.dataCentre == m_own;
+    const bool isCurrent = m_current == member.address;
+    if (now < member.avoidUntil)
+        return 5;
+    if (isNear)
+        return isCurrent ? 0 : 1;
+    if (!member.dataCentre)
+        return 2;
+    return isCurrent ? 3 : 4;
+}
+
+std::optional<InstanceAddress> NearestStore::choose(TimePoint now)
+{
+    const Member* best = nullptr;
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        const Member& member = m_members[(m_startingPoint + index) % m_members.size()];
+        if (!best || rankOf(member, now) < rankOf(*best, now))
+            best = &member;
+    }
+    return best ? std::optional(best->address) : std::nullopt;
+}
+
+void NearestStore::noteAnswer(const InstanceAddress& address, const DataCentreName& dataCentre)
+{
+    m_current = address;
+    if (Member* member = find(address)) {
+        member->dataCentre = dataCentre;
+        member->avoidUntil = {};
+    }
+}
+
+void NearestStore::noteFailure(const InstanceAddress& address, TimePoint now)
+{
+    if (Member* member = find(address))
+        member->avoidUntil = now + failureAvoidance;
+}
+
+}
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -11,23 +11,23 @@
 struct PollReply {
     std::uint64_t configurationVersion = 0;
     std::string configuration; ///< Empty if the asker has this version.
-    std::uint64_t directoryTerm = 0;
     std::uint64_t directoryRevision = 0;
-    bool hasEndpoints = false; ///< False if the asker has this revision.
-    std::vector<EndpointRecord> endpoints; ///< Without those that left.
+    bool areAllEndpoints = false; ///< False: only what changed after the asker's revision.
+    std::vector<EndpointRecord> endpoints; ///< Of services that entry instances forward to, without those that left.
+    std::vector<EndpointId> removed;
     std::vector<std::string> members; ///< Peer addresses of the participants.
-    MSGPACK_DEFINE(configurationVersion, configuration, directoryTerm, directoryRevision, hasEndpoints, endpoints, members)
+    std::string leader; ///< Peer address; empty if unknown.
+    DataCentreName dataCentre; ///< Of the instance that answers.
+    MSGPACK_DEFINE(configurationVersion, configuration, directoryRevision, areAllEndpoints, endpoints, removed, members, leader, dataCentre)
 };
 
-/// Asks for what changed since the asker's last poll.
+/// Asks for what changed since the asker's last poll. Any store instance answers, once there is news or after a while.
 struct PollRequest {
     static constexpr std::string_view method = "poll";
     using Reply = PollReply;
     std::uint64_t configurationVersion = 0;
-    std::uint64_t directoryTerm = 0; ///< A revision counts within the term of one leader.
     std::uint64_t directoryRevision = 0;
-    std::vector<EndpointLeave> leaving; ///< Endpoints whose answers said so since the last poll.
-    MSGPACK_DEFINE(configurationVersion, directoryTerm, directoryRevision, leaving)
+    MSGPACK_DEFINE(configurationVersion, directoryRevision)
 };
 
 struct Done {
@@ -42,6 +42,22 @@
     MSGPACK_DEFINE(beat)
 };
 
+/// Endpoints that were heard by one instance and changed nothing.
+struct HeardRequest {
+    static constexpr std::string_view method = "heard";
+    using Reply = Done;
+    std::vector<HeardBeat> beats;
+    MSGPACK_DEFINE(beats)
+};
+
+/// Endpoints whose answers say that they leave.
+struct LeavingRequest {
+    static constexpr std::string_view method = "leaving";
+    using Reply = Done;
+    std::vector<EndpointLeave> leaving;
+    MSGPACK_DEFINE(leaving)
+};
+
 struct LeaveRequest {
     static constexpr std::string_view method = "leave";
     using Reply = Done;
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -10,9 +10,13 @@
 
 namespace {
 
-    constexpr Duration pollInterval = std::chrono::milliseconds(200);
-    constexpr Duration pollTimeout = std::chrono::milliseconds(1200);
-    // Without a leader for this long a node asks not to be chosen: others may still reach one.
+    // A store node holds a poll without news for a while.
+    constexpr Duration pollTimeout = std::chrono::milliseconds(1500);
+    // Changes that follow each other come with one reply.
+    constexpr Duration pollPause = std::chrono::milliseconds(60);
+    constexpr Duration pollRetryDelay = std::chrono::milliseconds(100);
+    constexpr Duration leavingPatience = std::chrono::milliseconds(2000);
+    // Without a store node that knows the present state for this long a node asks not to be chosen: others may still reach one.
     constexpr Duration contactLimit = std::chrono::seconds(4);
     constexpr Duration drainPoll = std::chrono::milliseconds(50);
     // The load balancer notices within this time that the node is not ready.
@@ -30,10 +34,12 @@
 }
 
 EntryNode::EntryNode(asio::io_context& io, config::NodeSettings settings)
-    : m_settings(std::move(settings))
+    : m_io(io)
+    , m_settings(std::move(settings))
     , m_random(std::random_device {}())
     , m_peerClient(peerClientOptions(m_settings))
     , m_leader(io, m_peerClient)
+    , m_stores(DataCentreName(m_settings.node.dataCentre), static_cast<std::size_t>(m_random.next()))
     , m_pool(io, endpointMessageLimits())
     , m_balancer(DataCentreName(m_settings.node.dataCentre))
     , m_forwarder(io, m_pool, m_balancer, m_random, m_metrics, maxAnswerBytes(m_settings))
@@ -47,7 +53,8 @@
     , m_drainTimer(io)
 {
     m_leader.setMembers(m_settings.seedPeers());
-    m_forwarder.setOnLeaving([this](const registry::EndpointLeave& leave) { m_known.leaving.push_back(leave); });
+    m_stores.setMembers(m_settings.seedPeers());
+    m_forwarder.setOnLeaving([this](const registry::EndpointLeave& leave) { tellLeaving(leave); });
 }
 
 bool EntryNode::start()
@@ -62,44 +69,91 @@
     return true;
 }
 
+void EntryNode::pollAfter(Duration delay)
+{
+    m_pollTimer.expires_after(delay);
+    m_pollTimer.async_wait([this](std::error_code error) {
+        if (!error)
+            poll();
+    });
+}
+
 void EntryNode::poll()
 {
-    m_leader.send(m_known, m_clock.now() + pollTimeout, [this, told = m_known.leaving.size()](const registry::LeaderResult<registry::PollReply>& result) {
-        onPoll(result, told);
-        m_pollTimer.expires_after(pollInterval);
-        m_pollTimer.async_wait([this](std::error_code error) {
-            if (!error)
-                poll();
+    const TimePoint now = m_clock.now();
+    const auto store = m_stores.choose(now);
+    if (!store)
+        return pollAfter(pollRetryDelay);
+    m_peerClient.send(*store, std::string(registry::PollRequest::method), codec::encode(m_known), now + pollTimeout, [this, store = *store](transport::CallResult result) {
+        asio::post(m_io, [this, store, result = std::move(result)] {
+            onPoll(store, result ? registry::replyIn<registry::PollReply>(*result) : std::nullopt);
         });
     });
 }
 
-/// Takes over what the leader says. It knows the first so many of the endpoints that leave.
-void EntryNode::onPoll(const registry::LeaderResult<registry::PollReply>& result, std::size_t told)
+void EntryNode::onPoll(const InstanceAddress& store, const std::optional<registry::PollReply>& reply)
 {
     const TimePoint now = m_clock.now();
-    if (!result) {
-        if (std::exchange(m_isInContact, false))
-            m_log.warning("dependency=leader state=lost configuration={}", m_known.configurationVersion);
-        return;
+    if (!reply) {
+        m_stores.noteFailure(store, now);
+        onNoStore();
+        return pollAfter(pollRetryDelay);
     }
     m_lastContact = now;
-    m_known.leaving.erase(m_known.leaving.begin(), m_known.leaving.begin() + static_cast<std::ptrdiff_t>(told));
+    m_stores.noteAnswer(store, reply->dataCentre);
     if (!std::exchange(m_isInContact, true))
-        m_log.info("dependency=leader state=found address={}", m_leader.leader() ? formatAddress(*m_leader.leader()) : std::string());
+        m_log.info("dependency=store state=found address={} data-centre={}", formatAddress(store), reply->dataCentre);
+    takeMembers(*reply);
+    takeConfiguration(*reply);
+    takeEndpoints(*reply);
+    pollAfter(pollPause);
+}
+
+/// Logs once that the present store node did not answer.
+void EntryNode::onNoStore()
+{
+    if (std::exchange(m_isInContact, false))
+        m_log.warning("dependency=store state=lost configuration={}", m_known.configurationVersion);
+}
+
+void EntryNode::takeMembers(const registry::PollReply& reply)
+{
     std::vector<InstanceAddress> members;
-    for (const std::string& member : result->members) {
+    for (const std::string& member : reply.members) {
         if (const auto address = parseAddress(member))
             members.push_back(*address);
     }
+    m_stores.setMembers(members);
     m_leader.setMembers(std::move(members));
-    takeConfiguration(*result);
-    if (result->hasEndpoints) {
-        m_known.directoryTerm = result->directoryTerm;
-        m_known.directoryRevision = result->directoryRevision;
-        m_balancer.setEndpoints(result->endpoints);
-        m_log.debug("endpoints={} revision={}", result->endpoints.size(), result->directoryRevision);
-    }
+    if (!m_leader.leader())
+        m_leader.setLeader(parseAddress(reply.leader));
+}
+
+void EntryNode::takeEndpoints(registry::PollReply reply)
+{
+    if (reply.areAllEndpoints)
+        m_endpoints.clear();
+    m_known.directoryRevision = reply.directoryRevision;
+    if (!reply.areAllEndpoints && reply.endpoints.empty() && reply.removed.empty())
+        return;
+    for (const EndpointId& id : reply.removed)
+        m_endpoints.erase(id);
+    for (registry::EndpointRecord& record : reply.endpoints)
+        m_endpoints.insert_or_assign(record.id, std::move(record));
+    std::vector<registry::EndpointRecord> records;
+    for (const auto& [id, record] : m_endpoints)
+        records.push_back(record);
+    m_balancer.setEndpoints(records);
+    m_log.debug("endpoints={} revision={}", records.size(), reply.directoryRevision);
+}
+
+/// Tells the leader that an endpoint said that it leaves, so that other nodes stop as well.
+void EntryNode::tellLeaving(const registry::EndpointLeave& leave)
+{
+    m_leader.send(registry::LeavingRequest { { leave } }, m_clock.now() + leavingPatience, [this, leave](const registry::LeaderResult<registry::Done>& reply) {
+        if (!reply)
+            m_log.warning("endpoint id={} started={} leaves, the leader was not told", leave.id, leave.startedMs);
+    });
 }
 
 void EntryNode::takeConfiguration(const registry::PollReply& reply)
@@ -164,8 +218,10 @@
 void EntryNode::reload(const config::NodeSettings& settings)
 {
     m_log.info("settings reloaded seeds={}", settings.peer.seeds.size());
-    if (!m_isInContact)
-        m_leader.setMembers(settings.seedPeers());
+    if (m_isInContact)
+        return;
+    m_stores.setMembers(settings.seedPeers());
+    m_leader.setMembers(settings.seedPeers());
 }
 
 void EntryNode::stop()
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -4,11 +4,12 @@
 #include "azurepaddle/gateway/balancer.hpp"
 #include "azurepaddle/platform/caller_api.hpp"
 #include "azurepaddle/registry/leader_client.hpp"
+#include "azurepaddle/registry/nearest_store.hpp"
 
 namespace azurepaddle::node {
 
-/// A node that serves callers. It keeps nothing: configuration and endpoints come from the leader, and what it has stays
-/// in use while no leader can be reached.
+/// A node that serves callers. It keeps nothing: configuration and endpoints come from a store node, in its own data
+/// centre if there is one, and what it has stays in use while none answers.
 class EntryNode {
 public:
     EntryNode(asio::io_context& io, config::NodeSettings settings);
@@ -23,12 +24,18 @@
 
 private:
     void poll();
-    void onPoll(const registry::LeaderResult<registry::PollReply>& result, std::size_t told);
+    void onPoll(const InstanceAddress& store, const std::optional<registry::PollReply>& reply);
+    void onNoStore();
+    void pollAfter(Duration delay);
     void takeConfiguration(const registry::PollReply& reply);
+    void takeEndpoints(registry::PollReply reply);
+    void takeMembers(const registry::PollReply& reply);
+    void tellLeaving(const registry::EndpointLeave& leave);
     void answerReady(const http1::ExchangePointer& exchange) const;
     [[nodiscard]] bool isReady() const;
     void watchDrain();
 
+    asio::io_context& m_io;
     const config::NodeSettings m_settings;
     const Log m_log { "entry" };
     const SystemClock m_clock {};
@@ -36,6 +43,7 @@
     Random m_random;
     transport::PeerClient m_peerClient;
     registry::LeaderClient m_leader;
+    registry::NearestStore m_stores;
     http1::ClientPool m_pool;
     gateway::Balancer m_balancer;
     platform::CallerApi::Forwarder m_forwarder;
@@ -46,6 +54,7 @@
     asio::steady_timer m_pollTimer;
     asio::steady_timer m_drainTimer;
     registry::PollRequest m_known;
+    std::map<EndpointId, registry::EndpointRecord> m_endpoints;
     TimePoint m_lastContact {};
     bool m_hasConfiguration = false;
     bool m_isInContact = false;
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -67,13 +67,14 @@
     , m_group(io, groupOptions(m_settings), m_machine, m_peerClient)
     , m_service(io, m_group, m_machine, m_liveness, leaderOptions(m_settings))
     , m_leader(io, m_peerClient)
+    , m_local(io, m_group, m_machine, m_leader, DataCentreName(m_settings.node.dataCentre))
     , m_pool(io, endpointMessageLimits())
     , m_random(std::random_device {}())
     , m_balancer(DataCentreName(m_settings.node.dataCentre))
     , m_forwarder(io, m_pool, m_balancer, m_random, m_metrics, maxAnswerBytes(m_settings))
     , m_runner(io, m_pool, m_group, m_machine, m_liveness, m_forwarder, m_balancer, m_metrics)
     , m_loader(io, m_pool, m_group, m_machine, m_liveness, m_runner, m_metrics, { m_settings.node.name, m_settings.bounds.orderLease })
-    , m_control(m_leader)
+    , m_control(m_local, m_leader)
     , m_controlServer(io, [this](const http1::ExchangePointer& exchange) { m_control.handle(exchange); })
     , m_metricsServer(io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); })
     , m_tickTimer(io)
@@ -85,6 +86,7 @@
     m_group.setOnLeadership([this](bool isLeading) { onLeadership(isLeading); });
     m_group.registerHandlers(m_peerServer);
     m_service.registerHandlers(m_peerServer);
+    m_local.registerHandlers(m_peerServer);
     auto members = m_settings.seedPeers();
     members.push_back(m_settings.peerAddress());
     m_leader.setMembers(std::move(members));
@@ -116,6 +118,7 @@
     m_leader.setMembers(std::move(members));
     updateRoutes();
     noteMemory();
+    m_local.tick();
     m_service.tick();
     m_runner.tick();
     m_loader.tick();
@@ -154,6 +157,7 @@
         return;
     auto table = platform::decodeConfiguration(document.text);
     m_routesVersion = document.version;
+    m_local.setServices(document.version, table ? gateway::forwardedServices(*table) : std::set<ServiceName>());
     if (!table) {
         m_log.error("configuration version={} cannot be read: {}", document.version, table.error());
         return;
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -41,6 +41,7 @@
     registry::ServiceGroup m_group;
     registry::LeaderService m_service;
     registry::LeaderClient m_leader;
+    registry::LocalService m_local;
     http1::ClientPool m_pool;
     Random m_random;
     gateway::Balancer m_balancer;
--- a/test/azurepaddle/cluster/membership.cpp
+++ b/test/azurepaddle/cluster/membership.cpp
@@ -109,3 +109,20 @@
     const auto planned = planMembership(members, {});
     cr_assert(!planned || planned->node != InstanceId("1"));
 }
+
+// Plays a deployment with many store instances. Guards against a log that is sent to all of them, and against an instance
+// that lost its disk and finds its place taken.
+Test(MembershipPlan, enoughParticipants_furtherOnesMayNotJoin)
+{
+    const InstanceAddress other { "10.0.0.9", 1 };
+    std::vector<MemberView> members { leader("1"), voter("2"), voter("3") };
+    cr_assert(mayJoin(members, other, {}));
+    members.push_back(learner("4"));
+    cr_assert(!mayJoin(members, other, {}));
+    cr_assert(mayJoin(members, members[2].address, {}), "the instance lost its disk and takes its own place");
+    members[2].silence = dead;
+    cr_assert(mayJoin(members, other, {}));
+    members[2].silence = alive;
+    members[1].isRetiring = true;
+    cr_assert(mayJoin(members, other, {}));
+}
--- a/test/azurepaddle/consensus/rules.cpp
+++ b/test/azurepaddle/consensus/rules.cpp
@@ -274,3 +274,25 @@
     participant.give(second, matched(3), MessageKind::AppendReply, term);
     cr_assert(participant.node->proposeChange(next, participant.now).has_value());
 }
+
+// Guards against a follower that answers from an old state: it lacks entries that are committed, or the message that said
+// otherwise was long on its way.
+Test(Rules, followerLacksCommittedEntries_isNotCaughtUp)
+{
+    Participant participant;
+    const auto heartbeat = [&](std::uint64_t commit, Duration underWay) {
+        RaftMessage message;
+        message.commit = commit;
+        message.sentAt = std::chrono::duration_cast<std::chrono::nanoseconds>((participant.now - underWay).time_since_epoch()).count();
+        participant.give(second, message, MessageKind::Append, 5);
+    };
+    participant.pass(100ms);
+    heartbeat(0, 1ms);
+    const TimePoint caughtUp = participant.node->caughtUpAt();
+    cr_assert(caughtUp == participant.now);
+    participant.pass(100ms);
+    heartbeat(99, 1ms);
+    cr_assert(participant.node->caughtUpAt() == caughtUp);
+    heartbeat(0, 91ms);
+    cr_assert(participant.node->caughtUpAt() == participant.now - 90ms);
+}
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -260,7 +260,7 @@
         record.slots = 4;
         record.versions = { { model.value(), version } };
         apply(registry::SetEndpoint { record });
-        cr_assert(liveness.note({ record, 1 }, clock.now()));
+        cr_assert(liveness.note(registry::EndpointBeat { record, 1 }.heard(), clock.now()));
         return endpoint;
     }
 
--- a/test/azurepaddle/gateway/decisions.cpp
+++ b/test/azurepaddle/gateway/decisions.cpp
@@ -219,3 +219,14 @@
     cr_assert(budget.bytes() == 15);
     cr_assert(!budget.add(1, 5));
 }
+
+// Guards against entry instances that hear of every engine of a fleet though they send nothing there.
+Test(RouteTable, forwardedServices_areThoseOfSingleRequests)
+{
+    Route batch = route("/batch/");
+    batch.kind = RouteKind::Batch;
+    batch.services = { { ServiceName("engines"), 1 } };
+    Route plain = route("/");
+    plain.services = { { ServiceName("s"), 1 }, { ServiceName("t"), 2 } };
+    cr_assert(forwardedServices(RouteTable(1, { batch, plain }, {}, {})) == std::set<ServiceName>({ ServiceName("s"), ServiceName("t") }));
+}
--- /dev/null
+++ b/test/azurepaddle/registry/nearest_store.cpp
@@ -0,0 +1,78 @@
+#include "azurepaddle/registry/nearest_store.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace azurepaddle;
+using namespace azurepaddle::registry;
+
+namespace {
+
+constexpr TimePoint start { std::chrono::seconds(100) };
+
+InstanceAddress store(int number)
+{
+    return { "10.0.0." + std::to_string(number), 80 };
+}
+
+/// Three store instances, of which the second is in the data centre of the one that polls.
+struct StoresFixture {
+    NearestStore stores { DataCentreName("b"), 0 };
+    std::vector<std::string> dataCentres { "a", "b", "c" };
+
+    StoresFixture() { stores.setMembers({ store(0), store(1), store(2) }); }
+
+    /// Polls so many times and returns the last one that was asked.
+    InstanceAddress poll(int times)
+    {
+        InstanceAddress asked;
+        for (int i = 0; i < times; ++i) {
+            asked = *stores.choose(start);
+            const auto number = static_cast<std::size_t>(asked.ip.back() - '0');
+            stores.noteAnswer(asked, DataCentreName(dataCentres.at(number)));
+        }
+        return asked;
+    }
+};
+
+}
+
+// Guards against polls that cross data centres although a store instance is near.
+Test(NearestStore, polledAFewTimes_nearOneIsFoundAndKept)
+{
+    StoresFixture fixture;
+    cr_assert(fixture.poll(3) == store(1));
+    cr_assert(fixture.poll(5) == store(1));
+}
+
+// Guards against an instance without a near store that asks all of them in turn for ever.
+Test(NearestStore, noneIsNear_oneThatAnswersIsKept)
+{
+    StoresFixture fixture;
+    fixture.dataCentres = { "a", "c", "d" };
+    const InstanceAddress kept = fixture.poll(3);
+    cr_assert(fixture.poll(4) == kept);
+}
+
+// Guards against an instance that waits for a lost store while others would answer.
+Test(NearestStore, nearOneFails_othersArePolled_untilItIsTriedAgain)
+{
+    StoresFixture fixture;
+    fixture.poll(3);
+    fixture.stores.noteFailure(store(1), start);
+    cr_assert(*fixture.stores.choose(start) != store(1));
+    fixture.poll(1);
+    cr_assert(*fixture.stores.choose(start + std::chrono::seconds(3)) == store(1));
+}
+
+// Guards against knowledge of a store that is lost, or kept, when participants change.
+Test(NearestStore, membersReplaced_knownOnesStayKnown)
+{
+    StoresFixture fixture;
+    fixture.poll(3);
+    fixture.stores.setMembers({ store(1), store(2) });
+    cr_assert(*fixture.stores.choose(start) == store(1));
+    fixture.stores.setMembers({});
+    cr_assert(*fixture.stores.choose(start) == store(1));
+    fixture.stores.setMembers({ store(4) });
+    cr_assert(*fixture.stores.choose(start) == store(4));
+}
--- a/test/azurepaddle/registry/state.cpp
+++ b/test/azurepaddle/registry/state.cpp
@@ -143,19 +143,19 @@
 Test(Liveness, olderHeartbeat_noted_isRefused)
 {
     Liveness liveness;
-    cr_assert(liveness.note({ record("e"), 5 }, start));
-    cr_assert(!liveness.note({ record("e"), 4 }, start));
-    cr_assert(liveness.note({ record("e", 2), 1 }, start));
-    cr_assert(!liveness.note({ record("e", 1), 9 }, start));
+    cr_assert(liveness.note(EndpointBeat { record("e"), 5 }.heard(), start));
+    cr_assert(!liveness.note(EndpointBeat { record("e"), 4 }.heard(), start));
+    cr_assert(liveness.note(EndpointBeat { record("e", 2), 1 }.heard(), start));
+    cr_assert(!liveness.note(EndpointBeat { record("e", 1), 9 }.heard(), start));
 }
 
 // Guards against a load that is ordered again because a heartbeat was older than its end.
 Test(Liveness, versionLearntByOrder_olderHeartbeat_keepsIt)
 {
     Liveness liveness;
-    cr_assert(liveness.note({ record("e"), 1 }, start));
+    cr_assert(liveness.note(EndpointBeat { record("e"), 1 }.heard(), start));
     liveness.noteVersion(EndpointId("e"), batch::ModelName("m"), 3);
-    cr_assert(liveness.note({ record("e"), 2 }, start));
+    cr_assert(liveness.note(EndpointBeat { record("e"), 2 }.heard(), start));
     cr_assert(liveness.find(EndpointId("e"))->versions.at("m") == 3);
 }
 
@@ -216,3 +216,46 @@
     cr_assert(liveness.isStaying(*directory.find(EndpointId("a"))));
     cr_assert(liveness.leaving(directory).empty());
 }
+
+// Guards against an entry instance that misses a change because it is told only of some.
+Test(Directory, changesSinceRevision_nameEachChangeOnce)
+{
+    Directory directory;
+    directory.set(record("a"));
+    directory.set(record("b", 1, "10.0.0.2"));
+    const std::uint64_t known = directory.revision();
+    cr_assert(directory.changesSince(known)->changed.empty());
+    directory.set(draining(record("a")));
+    directory.forget({ EndpointId("b"), 1 });
+    const auto changes = directory.changesSince(known);
+    cr_assert(changes->changed.size() == 1 && changes->changed.front().state == EndpointState::Draining);
+    cr_assert(changes->removed == std::vector<EndpointId>({ EndpointId("b") }));
+    cr_assert(directory.changesSince(0)->changed.size() == 1);
+    cr_assert(!directory.changesSince(directory.revision() + 1));
+}
+
+// Guards against an endpoint that took the address of another one, which goes on to be used.
+Test(Directory, addressTaken_changesNameBoth)
+{
+    Directory directory;
+    directory.set(record("a"));
+    const std::uint64_t known = directory.revision();
+    directory.set(record("b", 2));
+    cr_assert(directory.changesSince(known)->changed.size() == 2);
+}
+
+// Guards against changes that are taken for known after a snapshot was loaded or many endpoints were forgotten.
+Test(Directory, changesNotKnown_allRecordsAreNeeded)
+{
+    Directory directory;
+    directory.restore({ { EndpointId("a"), record("a") } }, 7);
+    cr_assert(!directory.changesSince(6));
+    cr_assert(directory.changesSince(7)->changed.empty());
+    for (int i = 0; i < 600; ++i) {
+        const std::string id = "e" + std::to_string(i);
+        directory.set(record(id, 1, id));
+        directory.forget({ EndpointId(id), 1 });
+    }
+    cr_assert(!directory.changesSince(7));
+    cr_assert(directory.changesSince(directory.revision() - 2)->removed.size() == 1);
+}
