--- /dev/null
+++ b/test/azurepaddle/registry/local_service.cpp
@@ -0,0 +1,159 @@
+#include "azurepaddle/registry/local_service.hpp"
+#include "azurepaddle/transport/fixture.hpp"
+
+#include <criterion/criterion.h>
+#include <filesystem>
+
+using namespace azurepaddle;
+using namespace azurepaddle::registry;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceName forwarded("forwarded");
+const ServiceName engines("engines");
+
+cluster::GroupOptions groupOptions(const InstanceAddress& address, const std::string& folder)
+{
+    cluster::GroupOptions options;
+    options.name = "store";
+    options.address = address;
+    options.dataFolder = folder;
+    options.seeds = { address };
+    options.mayFound = true;
+    options.policy.voters = 1;
+    return options;
+}
+
+transport::ServerOptions serverOptions(const InstanceAddress& address)
+{
+    transport::ServerOptions options = fixture::serverOptions();
+    options.listen = address;
+    return options;
+}
+
+/// The only store instance of a deployment, and an entry instance that polls it.
+struct LocalServiceFixture {
+    asio::io_context io;
+    std::filesystem::path folder = std::filesystem::temp_directory_path() / ("azurepaddle-local-" + randomHex(6));
+    InstanceAddress address { "127.0.0.1", fixture::freePort() };
+    StateMachine machine;
+    transport::PeerClient client { fixture::clientOptions() };
+    transport::PeerServer server { serverOptions(address) };
+    ServiceGroup group { io, groupOptions(address, folder.string()), machine, client };
+    LeaderClient leader { io, client };
+    LocalService service { io, group, machine, leader, DataCentreName("a") };
+    const SystemClock clock {};
+
+    LocalServiceFixture()
+    {
+        group.registerHandlers(server);
+        service.registerHandlers(server);
+        service.setServices(0, { forwarded });
+        cr_assert(client.start().has_value());
+        cr_assert(server.start().has_value());
+        group.start();
+        cr_assert(runUntil([&] { return group.isRecent(); }));
+    }
+    ~LocalServiceFixture()
+    {
+        server.stop();
+        client.stop();
+        std::filesystem::remove_all(folder);
+    }
+
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const TimePoint end = clock.now() + 20s;
+        while (!condition() && clock.now() < end) {
+            io.run_for(5ms);
+            service.tick();
+        }
+        return condition();
+    }
+
+    void apply(const Command& command)
+    {
+        bool isApplied = false;
+        group.propose(encodeCommand(command), [&](const cluster::ProposalResult& result) { isApplied = result.status == cluster::ProposalStatus::Applied; });
+        cr_assert(runUntil([&] { return isApplied; }));
+    }
+
+    void add(const std::string& id, const ServiceName& itsService)
+    {
+        apply(SetEndpoint { { EndpointId(id), 1, itsService, id, 80, DataCentreName("a"), 4, EndpointState::Ready, {} } });
+    }
+
+    /// Begins a poll. Its reply is set once it comes.
+    std::shared_ptr<std::optional<PollReply>> poll(const PollRequest& request)
+    {
+        auto reply = std::make_shared<std::optional<PollReply>>();
+        client.send(address, std::string(PollRequest::method), codec::encode(request), clock.now() + 5s, [this, reply](transport::CallResult result) {
+            asio::post(io, [reply, result = std::move(result)] { *reply = result ? replyIn<PollReply>(*result) : std::nullopt; });
+        });
+        return reply;
+    }
+
+    PollReply answered(const PollRequest& request)
+    {
+        const auto reply = poll(request);
+        cr_assert(runUntil([&] { return reply->has_value(); }));
+        return **reply;
+    }
+};
+
+}
+
+// Guards against an entry that is told of engines which it never sends to, or not of the others.
+Test(LocalService, firstPoll_answered_namesEndpointsOfForwardedServices)
+{
+    LocalServiceFixture fixture;
+    fixture.add("one", forwarded);
+    fixture.add("engine", engines);
+    const PollReply reply = fixture.answered({});
+    cr_assert(reply.endpoints.size() == 1 && reply.endpoints.front().id == EndpointId("one"));
+    cr_assert(reply.directoryRevision == 2);
+    cr_assert(reply.dataCentre == DataCentreName("a"));
+    cr_assert(reply.members == std::vector<std::string>({ formatAddress(fixture.address) }));
+}
+
+// Guards against a change that an entry learns of only at its next question, and against traffic without news.
+Test(LocalService, pollWithoutNews_isHeldUntilThereAreSome)
+{
+    LocalServiceFixture fixture;
+    fixture.add("one", forwarded);
+    const auto reply = fixture.poll({ 0, 1 });
+    fixture.add("engine", engines);
+    cr_assert(!reply->has_value(), "engines are no news");
+    fixture.apply(LeaveEndpoint { { EndpointId("one"), 1 } });
+    cr_assert(fixture.runUntil([&] { return reply->has_value(); }));
+    cr_assert((*reply)->removed == std::vector<EndpointId>({ EndpointId("one") }));
+    cr_assert(!(*reply)->areAllEndpoints);
+}
+
+// Guards against an entry that takes over a configuration without the endpoints of its services.
+Test(LocalService, configurationChanged_answered_onceItsServicesAreKnown)
+{
+    LocalServiceFixture fixture;
+    fixture.add("engine", engines);
+    const auto reply = fixture.poll({ 0, 1 });
+    fixture.apply(PutConfiguration { { 4, "four" } });
+    const TimePoint longEnough = fixture.clock.now() + 1s;
+    cr_assert(fixture.runUntil([&] { return fixture.clock.now() > longEnough; }));
+    cr_assert(!reply->has_value(), "the services of the new configuration are not known yet");
+    fixture.service.setServices(4, { engines });
+    cr_assert(fixture.runUntil([&] { return reply->has_value(); }));
+    cr_assert((*reply)->configuration == "four");
+    cr_assert((*reply)->areAllEndpoints && (*reply)->endpoints.size() == 1);
+}
+
+// Guards against an entry that falls back to what an instance with an older state says.
+Test(LocalService, askerKnowsMore_answered_keepsWhatItHas)
+{
+    LocalServiceFixture fixture;
+    fixture.add("one", forwarded);
+    const PollReply reply = fixture.answered({ 7, 9 });
+    cr_assert(reply.configuration.empty());
+    cr_assert(reply.directoryRevision == 9);
+    cr_assert(reply.endpoints.empty() && !reply.areAllEndpoints);
+}
