--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -84,7 +84,7 @@
     /// Forwards a caller's request and answers it. The table stays alive until then.
     void forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route);
     /// Forwards a request. The result may come before this returns.
-    std::shared_ptr<ForwardCall> send(ForwardRequest request, ForwardCallback onResult);
+    std::shared_ptr<ForwardCall> send(const ForwardRequest& request, const ForwardCallback& onResult);
     [[nodiscard]] std::size_t inProgress() const noexcept { return m_inProgress; }
 
 private:
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -32,8 +32,8 @@
 template <typename Protocol>
 void Forwarder<Protocol>::forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route)
 {
-    ForwardRequest task { { exchange, &exchange->request() }, exchange->receivedAt(), table, { table, &route } };
-    const auto call = send(std::move(task), [exchange](ForwardResult result) {
+    const ForwardRequest task { { exchange, &exchange->request() }, exchange->receivedAt(), table, { table, &route } };
+    const auto call = send(task, [exchange](ForwardResult result) {
         result.response.fields.eraseHopByHop();
         exchange->respond(std::move(result.response));
     });
@@ -46,7 +46,7 @@
 }
 
 template <typename Protocol>
-std::shared_ptr<ForwardCall> Forwarder<Protocol>::send(ForwardRequest request, ForwardCallback onResult)
+std::shared_ptr<ForwardCall> Forwarder<Protocol>::send(const ForwardRequest& request, const ForwardCallback& onResult)
 {
     const auto forwarding = std::make_shared<Forwarding>();
     forwarding->owner = this;
@@ -54,8 +54,8 @@
     const Duration patience = Protocol::patience(*request.request).value_or(request.route->timeout);
     forwarding->deadline = request.receivedAt + std::min(patience, request.route->timeout);
     forwarding->service = request.table->findService(chooseService(*request.route, m_random.uniform()));
-    forwarding->task = std::move(request);
-    forwarding->onResult = std::move(onResult);
+    forwarding->task = request;
+    forwarding->onResult = onResult;
     ++m_inProgress;
     armDeadline(forwarding);
     armHedge(forwarding);
