--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -1,10 +1,9 @@
 #include "azurepaddle/execution/job_runner.hpp"
 #include "azurepaddle/execution/weight_loader.hpp"
 #include "azurepaddle/http1/server.hpp"
-#include "azurepaddle/transport/fixture.hpp"
+#include "azurepaddle/registry/store_group.hpp"
 
 #include <criterion/criterion.h>
-#include <filesystem>
 #include <fmt/format.h>
 
 using namespace azurepaddle;
@@ -165,36 +164,10 @@
     http1::ExchangePointer silent;
 };
 
-cluster::GroupOptions groupOptions(const InstanceAddress& address, const std::string& folder)
-{
-    cluster::GroupOptions options;
-    options.name = "store";
-    options.address = address;
-    options.dataFolder = folder;
-    options.seeds = { address };
-    options.mayFound = true;
-    options.policy.voters = 1;
-    return options;
-}
-
-transport::ServerOptions serverOptions(const InstanceAddress& address)
-{
-    transport::ServerOptions options = fixture::serverOptions();
-    options.listen = address;
-    return options;
-}
-
 /// A leader with a log of its own, and endpoints that it knows.
-struct RunnerFixture {
-    asio::io_context io;
-    std::filesystem::path folder = std::filesystem::temp_directory_path() / ("azurepaddle-runner-" + randomHex(6));
-    InstanceAddress address { "127.0.0.1", fixture::freePort() };
-    registry::StateMachine machine;
+struct RunnerFixture : fixture::StoreGroup {
     registry::Liveness liveness;
     metrics::Registry metrics;
-    transport::PeerClient client { fixture::clientOptions() };
-    transport::PeerServer server { serverOptions(address) };
-    registry::ServiceGroup group { io, groupOptions(address, folder.string()), machine, client };
     http1::ClientPool pool { io, {} };
     Random random { 3 };
     gateway::Balancer balancer { DataCentreName("a") };
@@ -206,9 +179,6 @@
 
     RunnerFixture()
     {
-        group.registerHandlers(server);
-        cr_assert(client.start().has_value());
-        cr_assert(server.start().has_value());
         gateway::Route route { "r", "host", "/items/", gateway::RouteKind::Batch, { { serviceName, 1 } } };
         gateway::Route scores { "s", "host", "/score/", gateway::RouteKind::NonIdempotent, { { rewardService, 1 } } };
         scores.timeout = 1s;
@@ -216,7 +186,7 @@
         const auto routes = std::make_shared<const gateway::RouteTable>(1, std::vector { route, scores }, services, http1::ServerLimits {});
         runner.setRoutes(routes);
         loader.setRoutes(routes);
-        group.start();
+        start();
         cr_assert(runUntil([&] { return group.isCurrent(); }));
         runner.onLeadership(true);
         loader.onLeadership(true);
@@ -224,9 +194,6 @@
     ~RunnerFixture()
     {
         runner.onLeadership(false);
-        server.stop();
-        client.stop();
-        std::filesystem::remove_all(folder);
     }
 
     bool runUntil(const std::function<bool()>& condition, Duration limit = 20s)
--- a/test/azurepaddle/registry/local_service.cpp
+++ b/test/azurepaddle/registry/local_service.cpp
@@ -1,8 +1,5 @@
 #include "azurepaddle/registry/local_service.hpp"
-#include "azurepaddle/transport/fixture.hpp"
-
-#include <criterion/criterion.h>
-#include <filesystem>
+#include "azurepaddle/registry/store_group.hpp"
 
 using namespace azurepaddle;
 using namespace azurepaddle::registry;
@@ -13,54 +10,19 @@
 const ServiceName forwarded("forwarded");
 const ServiceName engines("engines");
 
-cluster::GroupOptions groupOptions(const InstanceAddress& address, const std::string& folder)
-{
-    cluster::GroupOptions options;
-    options.name = "store";
-    options.address = address;
-    options.dataFolder = folder;
-    options.seeds = { address };
-    options.mayFound = true;
-    options.policy.voters = 1;
-    return options;
-}
-
-transport::ServerOptions serverOptions(const InstanceAddress& address)
-{
-    transport::ServerOptions options = fixture::serverOptions();
-    options.listen = address;
-    return options;
-}
-
-/// The only store instance of a deployment, and an entry instance that polls it.
-struct LocalServiceFixture {
-    asio::io_context io;
-    std::filesystem::path folder = std::filesystem::temp_directory_path() / ("azurepaddle-local-" + randomHex(6));
-    InstanceAddress address { "127.0.0.1", fixture::freePort() };
-    StateMachine machine;
-    transport::PeerClient client { fixture::clientOptions() };
-    transport::PeerServer server { serverOptions(address) };
-    ServiceGroup group { io, groupOptions(address, folder.string()), machine, client };
+/// A store instance and an entry instance that polls it.
+struct LocalServiceFixture : fixture::StoreGroup {
     LeaderClient leader { io, client };
     LocalService service { io, group, machine, leader, DataCentreName("a") };
     const SystemClock clock {};
 
     LocalServiceFixture()
     {
-        group.registerHandlers(server);
         service.registerHandlers(server);
         service.setServices(0, { forwarded });
-        cr_assert(client.start().has_value());
-        cr_assert(server.start().has_value());
-        group.start();
+        start();
         cr_assert(runUntil([&] { return group.isRecent(); }));
     }
-    ~LocalServiceFixture()
-    {
-        server.stop();
-        client.stop();
-        std::filesystem::remove_all(folder);
-    }
 
     bool runUntil(const std::function<bool()>& condition)
     {
