Count the open items of each group once for all waiting reward calls

With a slow reward service up to a hundred calls wait, and each count went through all items of its job.

--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -25,8 +25,8 @@
 }
 
 /// Runs the items of all open jobs while its instance leads: sends them to endpoints, goes on elsewhere when an endpoint
-/// fails or slows down, has their texts scored where a job asks for it, and lists their results. What it knows beyond the agreed state is lost with the leadership; the
-/// next leader runs unlisted items again.
+/// fails or slows down, has their texts scored where a job asks for it, and lists their results. What it knows beyond the
+/// agreed state is lost with the leadership; the next leader runs unlisted items again.
 template <typename Protocol>
 class JobRunner {
 public:
@@ -129,7 +129,7 @@
     void onReward(const RunPointer& run, const gateway::ForwardResult& result, unsigned maxAttempts);
     void onScore(const RunPointer& run, std::string score);
     void leaveScoring(const RunPointer& run);
-    [[nodiscard]] std::size_t unlistedInGroup(const Run& run) const;
+    [[nodiscard]] std::map<GroupId, std::size_t> unlistedByGroup(const batch::JobId& job) const;
     void refreshEndpoints();
     void stop(const RunPointer& run);
     void requeue(const RunPointer& run, std::string_view cause, Duration delay);
--- a/src/azurepaddle/execution/job_runner_list.hpp
+++ b/src/azurepaddle/execution/job_runner_list.hpp
@@ -32,7 +32,7 @@
 template <typename Protocol>
 void JobRunner<Protocol>::flushResults()
 {
-    // A scored result refers to the text that is recorded before it.
+    // A scored result refers to the text that is recorded before it. If that record fails, the whole result is listed.
     if (!m_completedTexts.empty())
         m_group.propose(registry::encodeCommand(registry::KeepTexts { std::exchange(m_completedTexts, {}) }), [](const cluster::ProposalResult&) {});
     for (auto& [job, command] : std::exchange(m_results, {})) {
--- a/src/azurepaddle/execution/job_runner_score.hpp
+++ b/src/azurepaddle/execution/job_runner_score.hpp
@@ -38,17 +38,19 @@
     scheduleUpdate();
 }
 
+/// How many items of each group of a job have no result yet.
 template <typename Protocol>
-std::size_t JobRunner<Protocol>::unlistedInGroup(const Run& run) const
+std::map<GroupId, std::size_t> JobRunner<Protocol>::unlistedByGroup(const batch::JobId& job) const
 {
-    const batch::ItemSpec* own = specOf(run);
-    const auto runs = m_runs.find(run.job);
-    if (!own || runs == m_runs.end())
-        return 0;
-    return static_cast<std::size_t>(std::count_if(runs->second.begin(), runs->second.end(), [&](const auto& entry) {
-        const batch::ItemSpec* spec = specOf(*entry.second);
-        return spec && spec->group == own->group;
-    }));
+    std::map<GroupId, std::size_t> counts;
+    const auto runs = m_runs.find(job);
+    if (runs == m_runs.end())
+        return counts;
+    for (const auto& [item, run] : runs->second) {
+        if (const batch::ItemSpec* spec = specOf(*run))
+            ++counts[spec->group];
+    }
+    return counts;
 }
 
 /// Sends the reward calls for which there is room, service by service.
@@ -58,6 +60,7 @@
     const TimePoint now = m_clock.now();
     std::map<ServiceName, batch::ScoreCapacity> capacities;
     std::map<ServiceName, std::vector<batch::WaitingScore>> waiting;
+    std::map<batch::JobId, std::map<GroupId, std::size_t>> unlisted;
     for (std::size_t index = 0; index < m_scoring.size(); ++index) {
         const RunPointer& run = m_scoring[index];
         const batch::ItemSpec* spec = specOf(*run);
@@ -69,8 +72,11 @@
         capacity.inProgress += run->rewardCall ? 1 : 0;
         if (run->rewardCall || now < run->notBefore)
             continue;
+        auto counted = unlisted.find(run->job);
+        if (counted == unlisted.end())
+            counted = unlisted.emplace(run->job, unlistedByGroup(run->job)).first;
         const batch::Job* job = m_machine.jobs().find(run->job);
-        waiting[service].push_back({ index, spec->group, run->isCarried, job ? job->order : 0, unlistedInGroup(*run) });
+        waiting[service].push_back({ index, spec->group, run->isCarried, job ? job->order : 0, counted->second[spec->group] });
     }
     std::vector<RunPointer> chosen;
     for (auto& [service, scores] : waiting) {
