Keep one form of an address in the directory, and one way to mark an endpoint gone

Cause: the read-through of the change. Ruled out: dropping the counter of endpoints that left, which spares a look at all records with each change.

--- a/src/azurepaddle/registry/directory.cpp
+++ b/src/azurepaddle/registry/directory.cpp
@@ -16,7 +16,7 @@
 void Directory::remove(std::map<EndpointId, EndpointRecord>::iterator record)
 {
     m_changedAt.erase(record->first);
-    forgetPlace(record->second);
+    forgetAddress(record->second);
     m_gone -= record->second.state == EndpointState::Gone ? 1 : 0;
     m_removed.emplace_back(m_revision, record->first);
     m_records.erase(record);
@@ -61,13 +61,11 @@
     if (known && known->startedMs > record.startedMs)
         return;
     ++m_revision;
-    for (const EndpointId& id : m_atPlace[placeOf(record)]) {
+    for (const EndpointId& id : m_atAddress[record.address()]) {
         EndpointRecord& other = m_records.at(id);
         if (id == record.id || other.state == EndpointState::Gone || other.startedMs > record.startedMs)
             continue;
-        other.state = EndpointState::Gone;
-        ++m_gone;
-        m_changedAt[id] = m_revision;
+        markGone(other);
     }
     // A change that was proposed before the endpoint began to leave may be applied after it.
     const EndpointState state = known && known->startedMs == record.startedMs ? std::max(known->state, record.state) : record.state;
@@ -83,20 +81,27 @@
 {
     const auto known = m_records.find(record.id);
     if (known != m_records.end()) {
-        forgetPlace(known->second);
+        forgetAddress(known->second);
         m_gone -= known->second.state == EndpointState::Gone ? 1 : 0;
     }
     m_records[record.id] = record;
-    m_atPlace[placeOf(record)].insert(record.id);
+    m_atAddress[record.address()].insert(record.id);
     m_gone += record.state == EndpointState::Gone ? 1 : 0;
 }
 
-void Directory::forgetPlace(const EndpointRecord& record)
+void Directory::markGone(EndpointRecord& record)
 {
-    const auto found = m_atPlace.find(placeOf(record));
+    m_gone += record.state == EndpointState::Gone ? 0 : 1;
+    record.state = EndpointState::Gone;
+    m_changedAt[record.id] = m_revision;
+}
+
+void Directory::forgetAddress(const EndpointRecord& record)
+{
+    const auto found = m_atAddress.find(record.address());
     found->second.erase(record.id);
     if (found->second.empty())
-        m_atPlace.erase(found);
+        m_atAddress.erase(found);
 }
 
 void Directory::leave(const EndpointLeave& leave)
@@ -105,9 +110,7 @@
     if (found == m_records.end() || (leave.startedMs != 0 && leave.startedMs != found->second.startedMs))
         return;
     ++m_revision;
-    m_gone += found->second.state == EndpointState::Gone ? 0 : 1;
-    found->second.state = EndpointState::Gone;
-    m_changedAt[leave.id] = m_revision;
+    markGone(found->second);
     trimGone();
 }
 
@@ -126,10 +129,20 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
+std::vector<EndpointRecord> Directory::presentOf(const std::set<ServiceName>& services) const
+{
+    std::vector<EndpointRecord> present;
+    for (const auto& [id, record] : m_records) {
+        if (record.state != EndpointState::Gone && services.contains(record.service))
+            present.push_back(record);
+    }
+    return present;
+}
+
 std::optional<EndpointRecord> Directory::changeBy(const EndpointRecord& beat) const
 {
-    const auto others = m_atPlace.find(placeOf(beat));
-    const bool isAddressTaken = others != m_atPlace.end() && std::any_of(others->second.begin(), others->second.end(), [&](const EndpointId& id) {
+    const auto others = m_atAddress.find(beat.address());
+    const bool isAddressTaken = others != m_atAddress.end() && std::any_of(others->second.begin(), others->second.end(), [&](const EndpointId& id) {
         return id != beat.id && m_records.at(id).startedMs > beat.startedMs;
     });
     if (isAddressTaken)
@@ -149,12 +162,12 @@
     return changed;
 }
 
-void Directory::restore(const std::map<EndpointId, EndpointRecord>& records, std::uint64_t revision)
+void Directory::restore(const std::vector<EndpointRecord>& records, std::uint64_t revision)
 {
     m_records.clear();
-    m_atPlace.clear();
+    m_atAddress.clear();
     m_gone = 0;
-    for (const auto& [id, record] : records)
+    for (const EndpointRecord& record : records)
         store(record);
     m_revision = revision;
     m_changedAt.clear();
--- a/src/azurepaddle/registry/directory.hpp
+++ b/src/azurepaddle/registry/directory.hpp
@@ -30,6 +30,8 @@
     /// Null if unknown. Valid until the next change.
     [[nodiscard]] const EndpointRecord* find(const EndpointId& id) const;
     [[nodiscard]] const std::map<EndpointId, EndpointRecord>& records() const noexcept { return m_records; }
+    /// Records of these services without the endpoints that left.
+    [[nodiscard]] std::vector<EndpointRecord> presentOf(const std::set<ServiceName>& services) const;
     /// Rises with each change, and is the same on all instances that applied the same commands.
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
     /// Nothing if the changes after this revision are not known any more.
@@ -39,19 +41,17 @@
     /// incarnations that ended change nothing.
     [[nodiscard]] std::optional<EndpointRecord> changeBy(const EndpointRecord& beat) const;
 
-    void restore(const std::map<EndpointId, EndpointRecord>& records, std::uint64_t revision);
+    void restore(const std::vector<EndpointRecord>& records, std::uint64_t revision);
 
 private:
-    using Place = std::pair<std::string, std::uint16_t>; ///< Address and port.
-
     void remove(std::map<EndpointId, EndpointRecord>::iterator record);
     void trimGone();
     void store(const EndpointRecord& record);
-    void forgetPlace(const EndpointRecord& record);
-    [[nodiscard]] static Place placeOf(const EndpointRecord& record) { return { record.ip, record.port }; }
+    void markGone(EndpointRecord& record);
+    void forgetAddress(const EndpointRecord& record);
 
     std::map<EndpointId, EndpointRecord> m_records;
-    std::map<Place, std::set<EndpointId>> m_atPlace; ///< All records by their address.
+    std::map<InstanceAddress, std::set<EndpointId>> m_atAddress; ///< All records.
     std::size_t m_gone = 0; ///< Records of endpoints that left.
     std::uint64_t m_revision = 0;
     std::map<EndpointId, std::uint64_t> m_changedAt; ///< Revisions of records that changed after m_firstKnown.
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -153,10 +153,7 @@
         return false;
     m_configuration = std::move(state->configuration);
     m_versions = std::move(state->versions);
-    std::map<EndpointId, EndpointRecord> records;
-    for (EndpointRecord& record : state->endpoints)
-        records.emplace(record.id, std::move(record));
-    m_directory.restore(records, state->directoryRevision);
+    m_directory.restore(state->endpoints, state->directoryRevision);
     m_jobs.restore(std::move(state->jobs));
     m_orders = std::move(state->orders);
     m_retiring = std::move(state->retiring);
--- a/test/azurepaddle/registry/state.cpp
+++ b/test/azurepaddle/registry/state.cpp
@@ -248,7 +248,7 @@
 Test(Directory, changesNotKnown_allRecordsAreNeeded)
 {
     Directory directory;
-    directory.restore({ { EndpointId("a"), record("a") } }, 7);
+    directory.restore({ record("a") }, 7);
     cr_assert(!directory.changesSince(6));
     cr_assert(directory.changesSince(7)->changed.empty());
     for (int i = 0; i < 600; ++i) {
