Look at each change once for a poll that waits

Cause: as soon as the directory had changed at all, each waiting poll built its whole reply 40 times a second only to see whether it was empty, and once more to send it. With engines that come and go, which are no news to entries, that went on until the poll's time was up. Ruled out: answering polls on each change; engines would then wake all entries. Change: the reply is built once; what was none of a poll's news is noted in the poll and not looked at again. Polls and calls of the leader share the code that decodes a request on the loop.

--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -26,17 +26,12 @@
 template <typename Request>
 void LeaderService::registerHandler(transport::PeerServer& server)
 {
-    server.handleDeferred(std::string(Request::method), [this](transport::PeerRequest peerRequest, transport::PeerResponder respond) {
-        asio::post(m_io, [this, body = std::move(peerRequest.body), respond = std::move(respond)] {
-            auto request = codec::decode<Request>(body);
-            if (!request)
-                return respond(tl::unexpected(request.error().message()));
-            const auto leader = m_group.leaderAddress();
-            const Answer<typename Request::Reply> answer(respond, leader ? formatAddress(*leader) : std::string());
-            if (!m_group.isCurrent())
-                return answer.notLeader();
-            handle(std::move(*request), answer);
-        });
+    handleRequests<Request>(server, m_io, [this](Request request, const transport::PeerResponder& respond) {
+        const auto leader = m_group.leaderAddress();
+        const Answer<typename Request::Reply> answer(respond, leader ? formatAddress(*leader) : std::string());
+        if (!m_group.isCurrent())
+            return answer.notLeader();
+        handle(std::move(request), answer);
     });
 }
 
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -27,7 +27,7 @@
     }
 
     void ok(const Reply& reply) const { send({ control::GroupStatus::Ok, codec::encode(reply), {} }); }
-    /// Nothing was done; another instance leads.
+    /// Nothing was done; another instance leads, or knows more.
     void notLeader() const { send({ control::GroupStatus::NotLeader, {}, m_leader }); }
     /// The outcome of a proposal that was not applied.
     void failed(cluster::ProposalStatus status) const
@@ -44,6 +44,20 @@
     std::string m_leader; ///< Peer address of the leader, as far as known.
 };
 
+/// Registers a method whose requests are decoded and handled on the loop of the instance.
+template <typename Request, typename Handler>
+void handleRequests(transport::PeerServer& server, asio::io_context& io, Handler handler)
+{
+    server.handleDeferred(std::string(Request::method), [&io, handler](transport::PeerRequest peerRequest, transport::PeerResponder respond) {
+        asio::post(io, [handler, body = std::move(peerRequest.body), respond = std::move(respond)] {
+            auto request = codec::decode<Request>(body);
+            if (!request)
+                return respond(tl::unexpected(request.error().message()));
+            handler(std::move(*request), respond);
+        });
+    });
+}
+
 /// Answers what other instances ask of the leader. Reads are answered only while no other leader can exist, and writes
 /// once they are agreed.
 class LeaderService {
--- a/src/azurepaddle/registry/local_service.cpp
+++ b/src/azurepaddle/registry/local_service.cpp
@@ -1,5 +1,7 @@
 #include "azurepaddle/registry/local_service.hpp"
 
+#include <tuple>
+
 namespace azurepaddle::registry {
 
 namespace {
@@ -22,13 +24,8 @@
 
 void LocalService::registerHandlers(transport::PeerServer& server)
 {
-    server.handleDeferred(std::string(PollRequest::method), [this](transport::PeerRequest peerRequest, transport::PeerResponder respond) {
-        asio::post(m_io, [this, body = std::move(peerRequest.body), respond = std::move(respond)] {
-            const auto request = codec::decode<PollRequest>(body);
-            if (!request)
-                return respond(tl::unexpected(request.error().message()));
-            handle(*request, Answer<PollReply>(respond, otherInstance()));
-        });
+    handleRequests<PollRequest>(server, m_io, [this](const PollRequest& request, const transport::PeerResponder& respond) {
+        handle(request, Answer<PollReply>(respond, otherInstance()));
     });
 }
 
@@ -36,9 +33,10 @@
 {
     if (!m_group.isRecent())
         return answer.notLeader();
-    if (knowsServices() && hasNews(request))
-        return answer.ok(replyTo(request));
-    m_waiting.push_back({ request, answer, m_clock.now() + pollHold });
+    const TimePoint now = m_clock.now();
+    WaitingPoll poll { request, answer, now + pollHold };
+    if (!answerIfDue(poll, now))
+        m_waiting.push_back(std::move(poll));
 }
 
 /// Peer address of an instance that may know more than this one; empty if none is known.
@@ -50,15 +48,24 @@
     return participants.empty() ? std::string() : formatAddress(participants.front().address);
 }
 
-bool LocalService::hasNews(const PollRequest& request) const
+/// Answers a poll that has news or waited long enough. False if it goes on waiting; changes that are none of its news are
+/// not looked at again.
+bool LocalService::answerIfDue(WaitingPoll& poll, TimePoint now) const
 {
-    if (m_machine.configuration().version > request.configurationVersion)
-        return true;
-    if (m_machine.directory().revision() <= request.directoryRevision)
+    PollRequest& known = poll.request;
+    const bool isLate = now >= poll.deadline;
+    const bool hasConfiguration = m_machine.configuration().version > known.configurationVersion;
+    const bool mayHaveEndpoints = m_machine.directory().revision() > known.directoryRevision;
+    if (!knowsServices() || !(isLate || hasConfiguration || mayHaveEndpoints))
         return false;
-    PollReply reply;
-    addEndpoints(reply, request);
-    return reply.areAllEndpoints || !reply.endpoints.empty() || !reply.removed.empty();
+    const PollReply reply = replyTo(known);
+    const bool hasEndpoints = reply.areAllEndpoints || !reply.endpoints.empty() || !reply.removed.empty();
+    if (!isLate && !hasConfiguration && !hasEndpoints) {
+        known.directoryRevision = reply.directoryRevision;
+        return false;
+    }
+    poll.answer.ok(reply);
+    return true;
 }
 
 PollReply LocalService::replyTo(const PollRequest& request) const
@@ -89,21 +96,18 @@
     const bool mayNeedOthers = version > request.configurationVersion;
     const auto changes = mayNeedOthers ? std::nullopt : directory.changesSince(request.directoryRevision);
     reply.areAllEndpoints = !changes;
-    const auto add = [&](const EndpointRecord& record) {
+    if (!changes) {
+        reply.endpoints = directory.presentOf(m_services);
+        return;
+    }
+    for (const EndpointRecord& record : changes->changed) {
         if (!m_services.contains(record.service))
-            return;
+            continue;
         if (record.state != EndpointState::Gone)
             reply.endpoints.push_back(record);
-        else if (!reply.areAllEndpoints)
+        else
             reply.removed.push_back(record.id);
-    };
-    if (!changes) {
-        for (const auto& [id, record] : directory.records())
-            add(record);
-        return;
     }
-    for (const EndpointRecord& record : changes->changed)
-        add(record);
     reply.removed.insert(reply.removed.end(), changes->removed.begin(), changes->removed.end());
 }
 
@@ -142,9 +146,7 @@
     for (WaitingPoll& poll : std::exchange(m_waiting, {})) {
         if (!isRecent)
             poll.answer.notLeader();
-        else if (knowsServices() && (now >= poll.deadline || hasNews(poll.request)))
-            poll.answer.ok(replyTo(poll.request));
-        else
+        else if (!answerIfDue(poll, now))
             waiting.push_back(std::move(poll));
     }
     m_waiting = std::move(waiting);
--- a/src/azurepaddle/registry/local_service.hpp
+++ b/src/azurepaddle/registry/local_service.hpp
@@ -37,7 +37,7 @@
     void handle(const PollRequest& request, const Answer<PollReply>& answer);
     [[nodiscard]] std::string otherInstance() const;
     [[nodiscard]] bool knowsServices() const { return m_servicesVersion == m_machine.configuration().version; }
-    [[nodiscard]] bool hasNews(const PollRequest& request) const;
+    [[nodiscard]] bool answerIfDue(WaitingPoll& poll, TimePoint now) const;
     [[nodiscard]] PollReply replyTo(const PollRequest& request) const;
     void addEndpoints(PollReply& reply, const PollRequest& request) const;
     void answerPolls(TimePoint now);
--- a/test/azurepaddle/registry/local_service.cpp
+++ b/test/azurepaddle/registry/local_service.cpp
@@ -119,3 +119,15 @@
     cr_assert(reply.directoryRevision == 9);
     cr_assert(reply.endpoints.empty() && !reply.areAllEndpoints);
 }
+
+// Guards against a change that is lost because an earlier one, which was no news to the entry, had been passed over.
+Test(LocalService, changesWithoutAndWithNews_held_onlyTheLatterAnswers)
+{
+    LocalServiceFixture fixture;
+    const auto reply = fixture.poll({ 0, 0 });
+    fixture.add("engine", engines);
+    fixture.add("one", forwarded);
+    cr_assert(fixture.runUntil([&] { return reply->has_value(); }));
+    cr_assert((*reply)->endpoints.size() == 1 && (*reply)->endpoints.front().id == EndpointId("one"));
+    cr_assert((*reply)->directoryRevision == 2);
+}
