Give changes of endpoints to the balancer instead of keeping a second list

Cause: an entry kept a map of all records beside the one in its balancer and handed all of them over with each change. Ruled out: none; the balancer knows all that the map held. Change: Balancer::changeEndpoints; the map and a function with one caller go.

--- a/src/azurepaddle/gateway/balancer.cpp
+++ b/src/azurepaddle/gateway/balancer.cpp
@@ -24,13 +24,32 @@
 void Balancer::setEndpoints(const std::vector<registry::EndpointRecord>& records)
 {
     std::map<EndpointId, Entry> entries;
-    for (const registry::EndpointRecord& record : records) {
-        const auto known = m_entries.find(record.id);
-        Entry entry = known != m_entries.end() && known->second.record.startedMs == record.startedMs ? known->second : Entry {};
-        entry.record = record;
-        entries.emplace(record.id, std::move(entry));
-    }
+    for (const registry::EndpointRecord& record : records)
+        entries.emplace(record.id, entryOf(record));
     m_entries = std::move(entries);
+    trimLeaving();
+}
+
+void Balancer::changeEndpoints(const std::vector<registry::EndpointRecord>& changed, const std::vector<EndpointId>& removed)
+{
+    for (const EndpointId& id : removed)
+        m_entries.erase(id);
+    for (const registry::EndpointRecord& record : changed)
+        m_entries.insert_or_assign(record.id, entryOf(record));
+    trimLeaving();
+}
+
+/// The entry of a record, with what was observed of its incarnation.
+Balancer::Entry Balancer::entryOf(const registry::EndpointRecord& record) const
+{
+    const auto known = m_entries.find(record.id);
+    Entry entry = known != m_entries.end() && known->second.record.startedMs == record.startedMs ? known->second : Entry {};
+    entry.record = record;
+    return entry;
+}
+
+void Balancer::trimLeaving()
+{
     if (m_leaving.size() > maxLeaving)
         std::erase_if(m_leaving, [this](const auto& leaving) { return !m_entries.contains(leaving.first); });
 }
--- a/src/azurepaddle/gateway/balancer.hpp
+++ b/src/azurepaddle/gateway/balancer.hpp
@@ -41,6 +41,8 @@
 
     /// Replaces the known endpoints. What was observed of those that stay is kept.
     void setEndpoints(const std::vector<registry::EndpointRecord>& records);
+    /// Takes over what changed of them.
+    void changeEndpoints(const std::vector<registry::EndpointRecord>& changed, const std::vector<EndpointId>& removed);
 
     /// The best endpoint of a service that is not excluded, or null. Failing endpoints are used only if no other is left.
     template <RandomSource RandomEngine>
@@ -86,6 +88,8 @@
     [[nodiscard]] std::vector<Entry*> candidatesOf(const ServiceName& service, const std::set<EndpointId>& excluded, TimePoint now);
     [[nodiscard]] double costOf(const Entry& entry, TimePoint now) const;
     [[nodiscard]] bool isUsable(const Entry& entry) const;
+    [[nodiscard]] Entry entryOf(const registry::EndpointRecord& record) const;
+    void trimLeaving();
 
     DataCentreName m_own;
     std::map<EndpointId, Entry> m_entries;
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -99,7 +99,8 @@
     const TimePoint now = m_clock.now();
     if (!reply) {
         m_stores.noteFailure(store, now);
-        onNoStore();
+        if (std::exchange(m_isInContact, false))
+            m_log.warning("dependency=store state=lost configuration={}", m_known.configurationVersion);
         return pollAfter(pollRetryDelay);
     }
     m_lastContact = now;
@@ -112,13 +113,6 @@
     pollAfter(pollPause);
 }
 
-/// Logs once that the present store node did not answer.
-void EntryNode::onNoStore()
-{
-    if (std::exchange(m_isInContact, false))
-        m_log.warning("dependency=store state=lost configuration={}", m_known.configurationVersion);
-}
-
 void EntryNode::takeMembers(const registry::PollReply& reply)
 {
     std::vector<InstanceAddress> members;
@@ -132,22 +126,15 @@
         m_leader.setLeader(parseAddress(reply.leader));
 }
 
-void EntryNode::takeEndpoints(registry::PollReply reply)
+void EntryNode::takeEndpoints(const registry::PollReply& reply)
 {
-    if (reply.areAllEndpoints)
-        m_endpoints.clear();
     m_known.directoryRevision = reply.directoryRevision;
-    if (!reply.areAllEndpoints && reply.endpoints.empty() && reply.removed.empty())
-        return;
-    for (const EndpointId& id : reply.removed)
-        m_endpoints.erase(id);
-    for (registry::EndpointRecord& record : reply.endpoints)
-        m_endpoints.insert_or_assign(record.id, std::move(record));
-    std::vector<registry::EndpointRecord> records;
-    for (const auto& [id, record] : m_endpoints)
-        records.push_back(record);
-    m_balancer.setEndpoints(records);
-    m_log.debug("endpoints={} revision={}", records.size(), reply.directoryRevision);
+    if (reply.areAllEndpoints)
+        m_balancer.setEndpoints(reply.endpoints);
+    else
+        m_balancer.changeEndpoints(reply.endpoints, reply.removed);
+    if (reply.areAllEndpoints || !reply.endpoints.empty() || !reply.removed.empty())
+        m_log.debug("endpoints changed={} removed={} are-all={} revision={}", reply.endpoints.size(), reply.removed.size(), reply.areAllEndpoints, reply.directoryRevision);
 }
 
 /// Tells the leader that an endpoint said that it leaves, so that other nodes stop as well.
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -25,10 +25,9 @@
 private:
     void poll();
     void onPoll(const InstanceAddress& store, const std::optional<registry::PollReply>& reply);
-    void onNoStore();
     void pollAfter(Duration delay);
     void takeConfiguration(const registry::PollReply& reply);
-    void takeEndpoints(registry::PollReply reply);
+    void takeEndpoints(const registry::PollReply& reply);
     void takeMembers(const registry::PollReply& reply);
     void tellLeaving(const registry::EndpointLeave& leave);
     void answerReady(const http1::ExchangePointer& exchange) const;
@@ -54,7 +53,6 @@
     asio::steady_timer m_pollTimer;
     asio::steady_timer m_drainTimer;
     registry::PollRequest m_known;
-    std::map<EndpointId, registry::EndpointRecord> m_endpoints;
     TimePoint m_lastContact {};
     bool m_hasConfiguration = false;
     bool m_isInContact = false;
--- a/test/azurepaddle/gateway/decisions.cpp
+++ b/test/azurepaddle/gateway/decisions.cpp
@@ -230,3 +230,17 @@
     plain.services = { { ServiceName("s"), 1 }, { ServiceName("t"), 2 } };
     cr_assert(forwardedServices(RouteTable(1, { batch, plain }, {}, {})) == std::set<ServiceName>({ ServiceName("s"), ServiceName("t") }));
 }
+
+// Guards against endpoints that are lost or kept when only changes of them are told, and against what was observed of an
+// endpoint that is forgotten with a change of its record.
+Test(Balancer, endpointsChanged_othersStayKnown)
+{
+    BalancerFixture fixture;
+    fixture.balancer.setEndpoints({ endpoint("a"), endpoint("b") });
+    fixture.balancer.end(EndpointId("a"), Experience::Failed, usual, start);
+    fixture.balancer.changeEndpoints({ endpoint("a"), endpoint("c") }, { EndpointId("b") });
+    cr_assert(fixture.balancer.countOf(ServiceName("s")) == 2);
+    cr_assert(fixture.choose() == "c");
+    fixture.balancer.changeEndpoints({}, { EndpointId("c") });
+    cr_assert(fixture.choose() == "a");
+}
