Find the route of a reward call once and list results by one path

Cause: with each update of the leader the route of each waiting reward call was looked up, twice for those that were sent, and copied with each try; on a configuration of 1,400 routes that is a search of all of them. Results that had to be listed again scheduled that by code of their own, and three places kept a timer alive for a single wait. Ruled out: telling the forwarder that a request may be repeated; the copy of the route is made once for an item and a configuration now. Change: findRewardRoute keeps the route as serviceOf keeps the service; scheduleFlush takes the delay; onListed and listAgain are apart; runAfter. Result: no change of behaviour; 32 tests of execution and the tests of processes pass.

--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -88,6 +88,8 @@
         unsigned eventsHere = 0; ///< Received from the present endpoint.
         unsigned failures = 0; ///< Answers of 500.
         std::shared_ptr<gateway::ForwardCall> rewardCall; ///< Null while it waits to be sent.
+        std::shared_ptr<const gateway::RouteTable> rewardRoutes; ///< Those that gave the route of its reward call.
+        std::shared_ptr<const gateway::Route> rewardRoute; ///< As for requests that may be repeated. Null if there is none.
         unsigned rewardTries = 0;
         unsigned rewardFailures = 0; ///< Answers of 500 to its reward call.
         std::optional<batch::ItemResult> reused; ///< Its text, if an earlier job completed it.
@@ -125,7 +127,8 @@
     void onStreamEnd(const RunPointer& run);
     void complete(const RunPointer& run);
     void dispatchScores();
-    void sendReward(const RunPointer& run, const gateway::Route& route);
+    void findRewardRoute(Run& run, const batch::RewardCall& reward) const;
+    void sendReward(const RunPointer& run);
     void onReward(const RunPointer& run, const gateway::ForwardResult& result, unsigned maxAttempts);
     void onScore(const RunPointer& run, std::string score);
     void leaveScoring(const RunPointer& run);
@@ -135,9 +138,10 @@
     void requeue(const RunPointer& run, std::string_view cause, Duration delay);
     void move(const RunPointer& run, const EndpointId& target, std::string_view cause);
     void finish(const RunPointer& run, batch::ItemResult result);
-    void scheduleFlush();
+    void scheduleFlush(Duration delay = Duration::zero());
     void flushResults();
-    void onListed(const registry::ListResults& command, const cluster::ProposalResult& result);
+    void onListed(const registry::ListResults& command);
+    void listAgain(const registry::ListResults& command);
     void keepTexts(TimePoint now);
     void giveUpOld(TimePoint now);
     void forgetTexts(TimePoint now);
--- a/src/azurepaddle/execution/job_runner_list.hpp
+++ b/src/azurepaddle/execution/job_runner_list.hpp
@@ -2,6 +2,7 @@
 
 // How the runner records what items came to: the ends of texts, then results.
 
+#include "azurepaddle/core/run_after.hpp"
 #include "azurepaddle/execution/job_runner.hpp"
 
 namespace azurepaddle::execution {
@@ -19,14 +20,18 @@
 }
 
 template <typename Protocol>
-void JobRunner<Protocol>::scheduleFlush()
+void JobRunner<Protocol>::scheduleFlush(Duration delay)
 {
     if (std::exchange(m_isFlushScheduled, true))
         return;
-    asio::post(m_io, [this] {
+    const auto flush = [this] {
         m_isFlushScheduled = false;
         flushResults();
-    });
+    };
+    if (delay == Duration::zero())
+        asio::post(m_io, flush);
+    else
+        runAfter(m_io, delay, flush);
 }
 
 template <typename Protocol>
@@ -38,48 +43,49 @@
     for (auto& [job, command] : std::exchange(m_results, {})) {
         command.job = job;
         std::string bytes = registry::encodeCommand(command);
-        m_group.propose(std::move(bytes), [this, command = std::move(command)](const cluster::ProposalResult& result) { onListed(command, result); });
+        m_group.propose(std::move(bytes), [this, command = std::move(command)](const cluster::ProposalResult& result) {
+            if (result.status == cluster::ProposalStatus::Applied)
+                onListed(command);
+            else if (result.status == cluster::ProposalStatus::Busy)
+                listAgain(command);
+            // Otherwise the leadership ended; the next leader runs the items again.
+        });
     }
 }
 
 template <typename Protocol>
-void JobRunner<Protocol>::onListed(const registry::ListResults& command, const cluster::ProposalResult& result)
+void JobRunner<Protocol>::onListed(const registry::ListResults& command)
 {
-    const auto runs = m_runs.find(command.job);
-    if (result.status == cluster::ProposalStatus::Applied) {
-        for (const batch::ItemResult& listed : command.results) {
-            if (runs != m_runs.end())
-                runs->second.erase(listed.id);
-        }
+    if (const auto runs = m_runs.find(command.job); runs != m_runs.end()) {
+        for (const batch::ItemResult& listed : command.results)
+            runs->second.erase(listed.id);
         for (const batch::ScoredItem& scored : command.scored) {
-            if (runs == m_runs.end() || !runs->second.contains(scored.item))
-                continue;
             const auto text = m_texts.find(scored.item);
-            if (m_machine.jobs().isListed(command.job, scored.item) || text == m_texts.end()) {
-                runs->second.erase(scored.item);
-                m_texts.erase(scored.item);
+            if (!runs->second.contains(scored.item))
+                continue;
+            if (text != m_texts.end() && !m_machine.jobs().isListed(command.job, scored.item)) {
+                // The record of its text was not agreed on.
+                m_results[command.job].results.push_back({ scored.item, batch::ResultState::Completed, text->second.text.output(), text->second.text.versions(), scored.score });
+                scheduleFlush();
                 continue;
             }
-            // The record of its text was not agreed on.
-            m_results[command.job].results.push_back({ scored.item, batch::ResultState::Completed, text->second.text.output(), text->second.text.versions(), scored.score });
-            scheduleFlush();
+            runs->second.erase(scored.item);
+            m_texts.erase(scored.item);
         }
-        if (m_onListed)
-            m_onListed(command.job);
-        return;
     }
-    if (result.status != cluster::ProposalStatus::Busy || runs == m_runs.end())
-        return; // Leadership ended; the next leader runs the items again.
+    if (m_onListed)
+        m_onListed(command.job);
+}
+
+template <typename Protocol>
+void JobRunner<Protocol>::listAgain(const registry::ListResults& command)
+{
+    if (!m_runs.contains(command.job))
+        return;
     registry::ListResults& again = m_results[command.job];
     again.results.insert(again.results.end(), command.results.begin(), command.results.end());
     again.scored.insert(again.scored.end(), command.scored.begin(), command.scored.end());
-    if (std::exchange(m_isFlushScheduled, true))
-        return;
-    const auto timer = std::make_shared<asio::steady_timer>(m_io, internal::retryDelay);
-    timer->async_wait([this, timer](std::error_code) {
-        m_isFlushScheduled = false;
-        flushResults();
-    });
+    scheduleFlush(internal::retryDelay);
 }
 
 }
--- a/src/azurepaddle/execution/job_runner_score.hpp
+++ b/src/azurepaddle/execution/job_runner_score.hpp
@@ -53,6 +53,23 @@
     return counts;
 }
 
+/// Finds the route of a reward call, unless it is known already.
+template <typename Protocol>
+void JobRunner<Protocol>::findRewardRoute(Run& run, const batch::RewardCall& reward) const
+{
+    if (run.rewardRoutes == m_routes)
+        return;
+    run.rewardRoutes = m_routes;
+    run.rewardRoute = nullptr;
+    const gateway::Route* route = gateway::findRewardRoute(*m_routes, reward);
+    if (!route)
+        return;
+    // A reward call may be repeated, whatever the route says of the requests of others.
+    const auto repeatable = std::make_shared<gateway::Route>(*route);
+    repeatable->kind = gateway::RouteKind::Idempotent;
+    run.rewardRoute = repeatable;
+}
+
 /// Sends the reward calls for which there is room, service by service.
 template <typename Protocol>
 void JobRunner<Protocol>::dispatchScores()
@@ -62,45 +79,38 @@
     std::map<ServiceName, std::vector<batch::WaitingScore>> waiting;
     std::map<batch::JobId, std::map<GroupId, std::size_t>> unlisted;
     for (std::size_t index = 0; index < m_scoring.size(); ++index) {
-        const RunPointer& run = m_scoring[index];
-        const batch::ItemSpec* spec = specOf(*run);
-        const gateway::Route* route = spec ? gateway::findRewardRoute(*m_routes, spec->reward) : nullptr;
-        if (!route)
+        Run& run = *m_scoring[index];
+        const batch::ItemSpec* spec = specOf(run);
+        if (!spec)
             continue;
-        const ServiceName& service = route->services.front().service;
-        batch::ScoreCapacity& capacity = capacities[service];
-        capacity.inProgress += run->rewardCall ? 1 : 0;
-        if (run->rewardCall || now < run->notBefore)
+        findRewardRoute(run, spec->reward);
+        if (!run.rewardRoute)
+            continue;
+        const ServiceName& service = run.rewardRoute->services.front().service;
+        capacities[service].inProgress += run.rewardCall ? 1 : 0;
+        if (run.rewardCall || now < run.notBefore)
             continue;
-        auto counted = unlisted.find(run->job);
+        auto counted = unlisted.find(run.job);
         if (counted == unlisted.end())
-            counted = unlisted.emplace(run->job, unlistedByGroup(run->job)).first;
-        const batch::Job* job = m_machine.jobs().find(run->job);
-        waiting[service].push_back({ index, spec->group, run->isCarried, job ? job->order : 0, counted->second[spec->group] });
+            counted = unlisted.emplace(run.job, unlistedByGroup(run.job)).first;
+        const batch::Job* job = m_machine.jobs().find(run.job);
+        waiting[service].push_back({ index, spec->group, run.isCarried, job ? job->order : 0, counted->second[spec->group] });
     }
-    std::vector<RunPointer> chosen;
     for (auto& [service, scores] : waiting) {
         batch::ScoreCapacity& capacity = capacities[service];
         capacity.slots = m_balancer.slotsOf(service);
         for (const std::size_t index : batch::planScores(std::move(scores), capacity))
-            chosen.push_back(m_scoring[index]);
-    }
-    for (const RunPointer& run : chosen) {
-        if (const batch::ItemSpec* spec = specOf(*run))
-            sendReward(run, *gateway::findRewardRoute(*m_routes, spec->reward));
+            sendReward(m_scoring[index]);
     }
 }
 
 template <typename Protocol>
-void JobRunner<Protocol>::sendReward(const RunPointer& run, const gateway::Route& route)
+void JobRunner<Protocol>::sendReward(const RunPointer& run)
 {
-    // A reward call may be repeated, whatever the route says of the requests of others.
-    auto repeatable = std::make_shared<gateway::Route>(route);
-    repeatable->kind = gateway::RouteKind::Idempotent;
-    const unsigned maxAttempts = std::max(route.maxAttempts, run->maxAttempts);
+    const unsigned maxAttempts = std::max(run->rewardRoute->maxAttempts, run->maxAttempts);
     auto request = std::make_shared<http1::Request>(Protocol::rewardRequest(specOf(*run)->reward));
     ++run->rewardTries;
-    m_log.info("item id={} job={} reward-id={} route={} try={} outcome=scoring", run->item, run->job, Protocol::requestId(*request), route.name, run->rewardTries);
+    m_log.info("item id={} job={} reward-id={} route={} try={} outcome=scoring", run->item, run->job, Protocol::requestId(*request), run->rewardRoute->name, run->rewardTries);
     m_metrics.counter("reward_calls_total").add();
     const auto onResult = [this, weak = std::weak_ptr(run), number = run->number, maxAttempts](gateway::ForwardResult result) {
         // Not at once: the result may come while the call is being sent.
@@ -110,7 +120,7 @@
                 onReward(current, result, maxAttempts);
         });
     };
-    run->rewardCall = m_forwarder.send({ std::move(request), m_clock.now(), m_routes, std::move(repeatable) }, onResult);
+    run->rewardCall = m_forwarder.send({ std::move(request), m_clock.now(), run->rewardRoutes, run->rewardRoute }, onResult);
 }
 
 template <typename Protocol>
@@ -178,12 +188,7 @@
     if (directory.revision() == m_endpointsRevision)
         return;
     m_endpointsRevision = directory.revision();
-    std::vector<registry::EndpointRecord> records;
-    for (const auto& [id, record] : directory.records()) {
-        if (record.state != registry::EndpointState::Gone && m_forwardedServices.contains(record.service))
-            records.push_back(record);
-    }
-    m_balancer.setEndpoints(records);
+    m_balancer.setEndpoints(directory.presentOf(m_forwardedServices));
 }
 
 }
--- a/src/azurepaddle/execution/weight_loader_impl.hpp
+++ b/src/azurepaddle/execution/weight_loader_impl.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurepaddle/core/run_after.hpp"
 #include "azurepaddle/execution/weight_loader.hpp"
 
 namespace azurepaddle::execution {
@@ -325,8 +326,7 @@
 template <typename Action>
 void WeightLoader<Protocol>::after(Duration delay, const LoadingPointer& loading, Action action)
 {
-    const auto timer = std::make_shared<asio::steady_timer>(m_io, delay);
-    timer->async_wait([this, timer, loading, action, number = loading->number](std::error_code) {
+    runAfter(m_io, delay, [this, loading, action, number = loading->number] {
         if (loading->number == number && m_isLeading)
             action();
     });
--- a/src/azurepaddle/registry/leader_client.cpp
+++ b/src/azurepaddle/registry/leader_client.cpp
@@ -1,5 +1,7 @@
 #include "azurepaddle/registry/leader_client.hpp"
 
+#include "azurepaddle/core/run_after.hpp"
+
 #include <algorithm>
 
 namespace azurepaddle::registry {
@@ -82,8 +84,7 @@
 {
     if (delay == Duration::zero())
         return attempt(pending);
-    const auto timer = std::make_shared<asio::steady_timer>(m_io, delay);
-    timer->async_wait([this, timer, pending](std::error_code) { attempt(pending); });
+    runAfter(m_io, delay, [this, pending] { attempt(pending); });
 }
 
 }
