--- a/src/azurepaddle/batch/fwd.hpp
+++ b/src/azurepaddle/batch/fwd.hpp
@@ -8,7 +8,5 @@
 struct RewardCall;
 class TextStore;
 class JobStore;
-class ItemQueue;
-class LoadPlanner;
 
 }
--- a/src/azurepaddle/platform/batch_format.cpp
+++ b/src/azurepaddle/platform/batch_format.cpp
@@ -17,8 +17,8 @@
     using internal::textOf;
 
     constexpr std::string_view tokenUsageField = "X-Token-Usage"; // Prompt tokens and largest output, by a comma.
-    constexpr std::size_t maxRewardBytes = 1024U * 1024U;
     constexpr std::string_view lengthHintField = "X-Length-Hint"; // Estimated output tokens.
+    constexpr std::size_t maxRewardBytes = 1024U * 1024U;
 
     /// Takes the sizes from an item's own headers: the estimate of its output, or else the largest output it allows.
     void readSizes(batch::ItemSpec& item)
--- a/src/azurepaddle/registry/fwd.hpp
+++ b/src/azurepaddle/registry/fwd.hpp
@@ -6,6 +6,5 @@
 struct EndpointBeat;
 class Directory;
 class StateMachine;
-class Leader;
 
 }
