Say that a body is not there once its item is listed or its job ended

The body of a listed item is dropped, but the request was answered 200 with no bytes. The fault is as old as batch jobs on the platform; reward calls widen the time between the end of a run and the trainer's knowledge of it. Ruled out: the read-through itself, which does not touch bodies. Change: JobStore::bodyOf gives a body only while the item is not listed and its job is open; otherwise the answer is 404.

--- a/src/azurepaddle/batch/job_store.cpp
+++ b/src/azurepaddle/batch/job_store.cpp
@@ -109,6 +109,13 @@
     return found != m_jobs.end() && found->second.listed.contains(item.value());
 }
 
+const std::string* JobStore::bodyOf(const JobId& job, const ItemId& item) const
+{
+    const Job* known = find(job);
+    const ItemSpec* spec = findItem(job, item);
+    return known && spec && !known->isEnded && !isListed(job, item) ? &spec->body : nullptr;
+}
+
 ItemResult JobStore::load(const StoredResult& result) const
 {
     return { result.id, result.state, m_outputs.read(result.output), result.versions, result.score };
--- a/src/azurepaddle/batch/job_store.hpp
+++ b/src/azurepaddle/batch/job_store.hpp
@@ -63,6 +63,8 @@
     /// Null if the job or item is unknown.
     [[nodiscard]] const ItemSpec* findItem(const JobId& job, const ItemId& item) const;
     [[nodiscard]] bool isListed(const JobId& job, const ItemId& item) const;
+    /// The body of an item that is not listed yet and whose job is open; null otherwise: then it is not kept.
+    [[nodiscard]] const std::string* bodyOf(const JobId& job, const ItemId& item) const;
     /// A result with its output.
     [[nodiscard]] ItemResult load(const StoredResult& result) const;
     /// The completed result of the item in the latest job that lists one. Its score counts only for a reward call with
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -219,8 +219,8 @@
 
 void LeaderService::handle(const ReadItemRequest& request, const Answer<ReadItemReply>& answer)
 {
-    const batch::ItemSpec* item = m_machine.jobs().findItem(request.job, request.item);
-    answer.ok(item ? ReadItemReply { true, item->body } : ReadItemReply {});
+    const std::string* body = m_machine.jobs().bodyOf(request.job, request.item);
+    answer.ok(body ? ReadItemReply { true, *body } : ReadItemReply {});
 }
 
 void LeaderService::handle(const EndJobRequest& request, const Answer<EndJobReply>& answer)
--- a/test/azurepaddle/batch/job_store.cpp
+++ b/test/azurepaddle/batch/job_store.cpp
@@ -117,3 +117,17 @@
     cr_assert(store.findCompleted(item, { "r2", "h", "/score/", "body" })->score.empty());
     cr_assert(store.bytes() == job("one").items.back().body.size() + 4, "the body of the reward call is still counted");
 }
+
+// Guards against empty bytes that are handed out as the body of an item which is listed or whose job has ended.
+Test(JobStore, bodyOfItem_listedOrEnded_isNotThere)
+{
+    JobStore store;
+    store.accept(job("one"));
+    cr_assert(*store.bodyOf(JobId("one"), ItemId("a")) == job("one").items.front().body);
+    store.list(JobId("one"), { result("a", "text") });
+    cr_assert(!store.bodyOf(JobId("one"), ItemId("a")));
+    cr_assert(store.bodyOf(JobId("one"), ItemId("b")));
+    store.end(JobId("one"));
+    cr_assert(!store.bodyOf(JobId("one"), ItemId("b")));
+    cr_assert(!store.bodyOf(JobId("other"), ItemId("a")));
+}
--- a/test/processes/test_node.py
+++ b/test/processes/test_node.py
@@ -100,6 +100,18 @@
             self.assertEqual(result["score"], f"{self.plain.identity} ran reward-{result['id']}")
             self.assertEqual(len(result["output"].split("\n")), 3)
 
+    # Guards against empty bytes in place of the body of an item that is listed or whose job has ended.
+    def test_item_body_given_until_listed_or_ended_then_unknown(self):
+        def body(job):
+            return call(self.nodes.entry_ports[0], "GET", f"/-/items/{job}?id=a", None, {"Host": HOST})
+        self.assertTrue(wait_until(lambda: self.nodes.submit("waits", ["a"], min_version=2) == 202))
+        self.assertTrue(wait_until(lambda: body("waits") == (200, b"a")))
+        self.assertEqual(call(self.nodes.entry_ports[0], "DELETE", "/-/lots/waits", None, {"Host": HOST})[0], 200)
+        self.assertEqual(body("waits")[0], 404)
+        self.assertTrue(wait_until(lambda: self.nodes.submit("runs", ["a"]) == 202))
+        self.assertTrue(wait_until(lambda: len(self.nodes.results("runs") or []) == 1))
+        self.assertEqual(body("runs")[0], 404)
+
     # Guards against a job that is accepted although its items can never be scored.
     def test_reward_call_without_route_job_refused_as_a_whole(self):
         self.assertEqual(self.nodes.submit("job", ["a"], reward_path="/nowhere/x"), 400)
