Log which lost requests are repetitions of each other and whether the endpoint crashed

Callers saw a request that crashes endpoints sent on and on. The logs could not say so: each repetition has another identifier, and a line about a lost connection did not tell a crash from a connection that only broke.

The client tells the end of a connection (Lost) from bytes that are no response (Failed). An entry that loses a connection under a caller's request logs the request's fingerprint and probes the endpoint once: crashed if nobody listens there, alive, or unknown. Endpoints that are leaving are not probed. Nothing is decided by it yet.

--- a/src/azurepaddle/execution/job_runner_score.hpp
+++ b/src/azurepaddle/execution/job_runner_score.hpp
@@ -120,7 +120,7 @@
                 onReward(current, result, maxAttempts);
         });
     };
-    run->rewardCall = m_forwarder.send({ std::move(request), m_clock.now(), run->rewardRoutes, run->rewardRoute }, onResult);
+    run->rewardCall = m_forwarder.send({ std::move(request), m_clock.now(), run->rewardRoutes, run->rewardRoute, false }, onResult);
 }
 
 template <typename Protocol>
--- a/src/azurepaddle/gateway/balancer.cpp
+++ b/src/azurepaddle/gateway/balancer.cpp
@@ -70,6 +70,12 @@
     return registry::EndpointLeave { id, startedMs };
 }
 
+bool Balancer::isLeaving(const registry::EndpointRecord& record) const
+{
+    const auto known = m_entries.find(record.id);
+    return known == m_entries.end() || !isUsable(known->second);
+}
+
 std::vector<Balancer::Entry*> Balancer::candidatesOf(const ServiceName& service, const std::set<EndpointId>& excluded, TimePoint now)
 {
     std::vector<Entry*> good;
--- a/src/azurepaddle/gateway/balancer.hpp
+++ b/src/azurepaddle/gateway/balancer.hpp
@@ -67,6 +67,8 @@
     /// incarnation, or another endpoint at its address, is not meant. Returns the incarnation where this is news.
     std::optional<registry::EndpointLeave> noteLeaving(const EndpointId& id);
 
+    /// Whether an incarnation is to end as planned, or ended so.
+    [[nodiscard]] bool isLeaving(const registry::EndpointRecord& record) const;
     /// Usable endpoints of a service.
     [[nodiscard]] std::size_t countOf(const ServiceName& service) const;
     /// Slots of these endpoints.
--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/core/log.hpp"
 #include "azurepaddle/gateway/answer_budget.hpp"
 #include "azurepaddle/gateway/balancer.hpp"
+#include "azurepaddle/gateway/crash_watch.hpp"
 #include "azurepaddle/gateway/retry_policy.hpp"
 #include "azurepaddle/gateway/route_table.hpp"
 #include "azurepaddle/http1/client.hpp"
@@ -52,6 +53,7 @@
     TimePoint receivedAt;
     std::shared_ptr<const RouteTable> table;
     std::shared_ptr<const Route> route;
+    bool isOfCaller = true; ///< False for a call on behalf of a batch item, which is owed whatever happens to endpoints.
 };
 
 /// How a forwarded request ended.
@@ -77,7 +79,7 @@
 class Forwarder {
 public:
     /// Answers that are being received take at most so many bytes.
-    Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes);
+    Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashWatch& crashes, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes);
 
     /// Called once with each endpoint incarnation that an answer says is leaving.
     void setOnLeaving(std::function<void(const registry::EndpointLeave&)> onLeaving) { m_onLeaving = std::move(onLeaving); }
@@ -89,7 +91,7 @@
 
 private:
     struct Sending {
-        EndpointId endpoint;
+        registry::EndpointRecord endpoint; ///< As it was known when the request was sent.
         http1::ClientCallPointer call;
         TimePoint startedAt;
         http1::Response response; ///< As far as it arrived.
@@ -105,6 +107,7 @@
         ForwardCallback onResult;
         const Service* service = nullptr;
         std::string id;
+        registry::RequestFingerprint fingerprint; ///< Empty until it is needed.
         TimePoint deadline;
         std::set<EndpointId> excluded;
         std::map<std::uint64_t, Sending> sendings;
@@ -119,6 +122,7 @@
     using Pointer = std::shared_ptr<Forwarding>;
 
     [[nodiscard]] static RetryState stateOf(const Forwarding& forwarding);
+    [[nodiscard]] static const registry::RequestFingerprint& fingerprintOf(Forwarding& forwarding);
     [[nodiscard]] bool sendNext(const Pointer& forwarding);
     void tryNext(const Pointer& forwarding);
     void armDeadline(const Pointer& forwarding);
@@ -136,6 +140,7 @@
     asio::io_context& m_io;
     http1::ClientPool& m_pool;
     Balancer& m_balancer;
+    CrashWatch& m_crashes;
     Random& m_random;
     metrics::Registry& m_metrics;
     const Log m_log { "forward" };
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -18,10 +18,11 @@
 }
 
 template <typename Protocol>
-Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes)
+Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashWatch& crashes, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes)
     : m_io(io)
     , m_pool(pool)
     , m_balancer(balancer)
+    , m_crashes(crashes)
     , m_random(random)
     , m_metrics(metrics)
     , m_budget(maxAnswerBytes)
@@ -100,6 +101,14 @@
     return { forwarding.runs + static_cast<unsigned>(forwarding.sendings.size()), forwarding.refusals };
 }
 
+template <typename Protocol>
+const registry::RequestFingerprint& Forwarder<Protocol>::fingerprintOf(Forwarding& forwarding)
+{
+    if (forwarding.fingerprint.empty())
+        forwarding.fingerprint = gateway::fingerprintOf(*forwarding.task.request);
+    return forwarding.fingerprint;
+}
+
 /// Sends the request to one more endpoint. False if there is none.
 template <typename Protocol>
 bool Forwarder<Protocol>::sendNext(const Pointer& forwarding)
@@ -112,7 +121,7 @@
     const std::uint64_t number = m_nextSending++;
     m_sendings[number] = forwarding;
     Sending& sending = forwarding->sendings[number];
-    sending.endpoint = endpoint->id;
+    sending.endpoint = *endpoint;
     sending.startedAt = now;
     m_balancer.begin(endpoint->id);
     const http1::Request request = Protocol::forEndpoint(*forwarding->task.request, endpoint->id, forwarding->deadline - now);
@@ -141,19 +150,19 @@
     Sending& own = forwarding->sendings.at(number);
     const AnswerClass answerClass = Protocol::classify(head, forwarding->id);
     const bool isOwnWord = answerClass != AnswerClass::OtherRequest && answerClass != AnswerClass::WrongEndpoint;
-    if (const auto leaving = isOwnWord && Protocol::isLeaving(head) ? m_balancer.noteLeaving(own.endpoint) : std::nullopt) {
+    if (const auto leaving = isOwnWord && Protocol::isLeaving(head) ? m_balancer.noteLeaving(own.endpoint.id) : std::nullopt) {
         m_log.info("id={} endpoint={} started={} outcome=leaving", forwarding->id, leaving->id, leaving->startedMs);
         if (m_onLeaving)
             m_onLeaving(*leaving);
     }
     if (answerClass == AnswerClass::OtherRequest) {
-        m_log.warning("id={} endpoint={} outcome=foreign-answer", forwarding->id, own.endpoint);
+        m_log.warning("id={} endpoint={} outcome=foreign-answer", forwarding->id, own.endpoint.id);
         return false;
     }
     own.answerClass = answerClass;
     own.response = head;
     if (const auto load = Protocol::loadOf(head))
-        m_balancer.report(own.endpoint, *load, m_clock.now());
+        m_balancer.report(own.endpoint.id, *load, m_clock.now());
     return true;
 }
 
@@ -194,8 +203,11 @@
     if (end.kind == http1::CallEndKind::Complete)
         return onAnswer(forwarding, std::move(sending));
     const TimePoint now = m_clock.now();
-    m_balancer.end(sending.endpoint, Experience::Failed, now - sending.startedAt, now);
-    m_log.info("id={} endpoint={} outcome=failed sent={} cause=\"{}\" after-ms={}", forwarding->id, sending.endpoint, end.isSent, end.message, internal::milliseconds(now - sending.startedAt));
+    m_balancer.end(sending.endpoint.id, Experience::Failed, now - sending.startedAt, now);
+    const bool isLost = end.kind == http1::CallEndKind::Lost && forwarding->task.isOfCaller && !m_balancer.isLeaving(sending.endpoint);
+    m_log.info("id={} endpoint={} request={} outcome=failed sent={} cause=\"{}\" after-ms={}", forwarding->id, sending.endpoint.id, isLost ? fingerprintOf(*forwarding) : forwarding->fingerprint, end.isSent, end.message, internal::milliseconds(now - sending.startedAt));
+    if (isLost)
+        m_crashes.noteLost(sending.endpoint, fingerprintOf(*forwarding));
     if (end.isSent)
         ++forwarding->runs;
     tryNext(forwarding);
@@ -208,19 +220,19 @@
     const TimePoint now = m_clock.now();
     if (sending.answerClass != AnswerClass::Answer) {
         const bool isFull = sending.answerClass == AnswerClass::NotRun;
-        m_balancer.end(sending.endpoint, isFull ? Experience::Refused : Experience::Failed, now - sending.startedAt, now);
-        m_log.info("id={} endpoint={} outcome=not-run status={}", forwarding->id, sending.endpoint, sending.response.status);
+        m_balancer.end(sending.endpoint.id, isFull ? Experience::Refused : Experience::Failed, now - sending.startedAt, now);
+        m_log.info("id={} endpoint={} outcome=not-run status={}", forwarding->id, sending.endpoint.id, sending.response.status);
         ++forwarding->refusals;
         return tryNext(forwarding);
     }
-    m_balancer.end(sending.endpoint, Experience::Answered, now - sending.startedAt, now);
+    m_balancer.end(sending.endpoint.id, Experience::Answered, now - sending.startedAt, now);
     ++forwarding->runs;
     forwarding->internalErrors += sending.response.status == internalError ? 1 : 0;
     if (sending.response.status >= internalError && (maySendAgain(*forwarding->task.route, stateOf(*forwarding)) || !forwarding->sendings.empty())) {
         forwarding->failure = std::move(sending.response);
         return tryNext(forwarding);
     }
-    finish(forwarding, std::move(sending.response), "answered", sending.endpoint);
+    finish(forwarding, std::move(sending.response), "answered", sending.endpoint.id);
 }
 
 template <typename Protocol>
@@ -264,7 +276,7 @@
     const TimePoint now = m_clock.now();
     for (auto& [number, sending] : forwarding->sendings) {
         sending.call->cancel();
-        m_balancer.end(sending.endpoint, experience, now - sending.startedAt, now);
+        m_balancer.end(sending.endpoint.id, experience, now - sending.startedAt, now);
         m_budget.release(number);
         m_sendings.erase(number);
     }
--- a/src/azurepaddle/http1/client.cpp
+++ b/src/azurepaddle/http1/client.cpp
@@ -143,7 +143,7 @@
         if (m_isClosed || m_call == 0)
             return;
         if (error)
-            return finish(CallEndKind::Failed, error.message());
+            return finish(CallEndKind::Lost, error.message());
         take(std::string(m_buffer.data(), size));
         if (!m_isClosed)
             read();
--- a/src/azurepaddle/http1/client.hpp
+++ b/src/azurepaddle/http1/client.hpp
@@ -18,7 +18,8 @@
     Complete, ///< The whole response arrived.
     ConnectFailed,
     NoConnection, ///< All connections that the address allows are in use.
-    Failed, ///< The connection ended or its bytes were no response.
+    Lost, ///< The connection ended before the whole response.
+    Failed, ///< Its bytes were no response.
     TimedOut,
 };
 
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -45,6 +45,7 @@
     registry::NearestStore m_stores;
     http1::ClientPool m_pool;
     gateway::Balancer m_balancer;
+    gateway::CrashWatch m_crashes;
     platform::CallerApi::Forwarder m_forwarder;
     platform::CallerApi m_callers;
     http1::Server m_callerServer;
--- a/src/programs/azurepaddle-node/http_options.hpp
+++ b/src/programs/azurepaddle-node/http_options.hpp
@@ -2,6 +2,7 @@
 
 #include "azurepaddle/config/node_settings.hpp"
 #include "azurepaddle/core/log.hpp"
+#include "azurepaddle/gateway/crash_watch.hpp"
 #include "azurepaddle/http1/server.hpp"
 
 namespace azurepaddle::node {
@@ -12,6 +13,15 @@
     return { 32U * 1024U, 64U * 1024U * 1024U };
 }
 
+/// Finds out whether endpoints still run.
+[[nodiscard]] inline gateway::CrashWatch::Probe endpointProbe(asio::io_context& io)
+{
+    constexpr Duration timeout = std::chrono::milliseconds(300);
+    return [&io, timeout](const InstanceAddress& address, http1::ProbeCallback onOutcome) {
+        http1::probeConnection(io, address, timeout, std::move(onOutcome));
+    };
+}
+
 /// Memory for answers of endpoints that are being received, in bytes. An answer is copied while it is handed on.
 [[nodiscard]] inline std::size_t maxAnswerBytes(const config::NodeSettings& settings)
 {
