--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -4,6 +4,8 @@
 import http.server
 import json
 import pathlib
+import socket
+import struct
 import subprocess
 import tempfile
 import threading
@@ -39,9 +41,32 @@
 
 
 class Server(http.server.ThreadingHTTPServer):
+    def __init__(self, *arguments):
+        self.connections = set()
+        super().__init__(*arguments)
+
     def handle_error(self, request, client_address):
         """Callers may break off at any time."""
 
+    def process_request(self, request, client_address):
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def crash(self):
+        """Ends as a killed process does: nobody listens any more, and all connections are reset."""
+        self.socket.shutdown(socket.SHUT_RDWR)  # Closing alone would wait for the thread that polls the socket.
+        self.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
 
 def endless(connection, trouble):
     """Sends bytes that are no answer until the other side closes."""
@@ -74,6 +99,8 @@
         self.orders = []  # (time, holder) of each accepted order.
         self.version = 1
         self.trouble = None  # One of TROUBLES, in place of any answer.
+        self.crashes_on = None  # Bytes in the body of a plain request under which the endpoint ends.
+        self.crashed_under = []  # Identifiers of the requests under which it ended.
         self.is_leaving = False  # Says in its answers that it leaves.
         self.address = None  # Where callers reach it, if not at its own port.
         self.lock = threading.Lock()
@@ -105,6 +132,10 @@
                     return self.reply(202, b"")
                 with endpoint.lock:
                     endpoint.runs.append(self.headers["X-Attempt-Id"])
+                if endpoint.crashes_on and endpoint.crashes_on in body:
+                    endpoint.crashed_under.append(self.headers["X-Attempt-Id"])
+                    self.close_connection = True
+                    return endpoint.crash()
                 if self.path.startswith(("/plain/", "/once/")):
                     return self.reply(200, b"echo " + body)
                 self.stream()
@@ -140,15 +171,28 @@
                 except OSError:
                     self.close_connection = True
 
-        self.server = Server(("127.0.0.1", 0), Handler)
+        self.handler = Handler
+        self.port = 0
+        self.service = service
+        self.is_up = False
+        self.start()
+
+    def start(self):
+        """Begins to serve, as a new incarnation at the same port."""
+        self.server = Server(("127.0.0.1", self.port), self.handler)
         self.server.daemon_threads = True
         self.port = self.server.server_address[1]
-        self.identity = f"i-{self.port}"
         self.born = int(time.time() * 1000)
+        self.identity = f"i-{self.port}-{self.born}"
         self.sequence = 0
-        self.service = service
+        self.is_up = True
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
+    def crash(self):
+        self.is_up = False
+        self.server.crash()
+        threading.Thread(target=self.server.shutdown, daemon=True).start()
+
     def beat(self, control_ports, state="ready"):
         self.sequence += 1
         body = {"service": self.service, "address": self.address or f"127.0.0.1:{self.port}", "zone": "a", "version": "v1", "slots": 4, "state": state,
