Refuse requests that crash endpoints, at all entries

Callers saw a request under which three endpoints had ended sent to further ones, each of which ended too.

Cause: what an entry knew of a request ended with the attempt, and the request comes again under another identifier at any entry. Evidence: 12 crashes under one fingerprint and 6 identifiers, none of which ran on more than its route's 2 attempts; which rules out attempts that run too often, and items, which the leader sends.

An entry whose connection ends under a request probes the endpoint and, if nobody listens there, reports the crash with the requests that ran there. The agreed state counts crashes by what a request asks; three suffice, up to five where others may have caused them. Polls bring the verdicts to all entries, which refuse such a request at once with 503 and the time to come back. It works because every entry asks the same agreed state, which outlives the attempt, the entry and the leader; an entry that cannot reach a leader judges by what it saw. Sound neighbours and requests in a burst of crashes are cleared by their first whole answer. Items and reward calls are not judged.

--- a/src/azurepaddle/gateway/crash_watch.cpp
+++ b/src/azurepaddle/gateway/crash_watch.cpp
@@ -43,13 +43,13 @@
 {
 }
 
-void CrashWatch::noteLost(const registry::EndpointRecord& endpoint, const registry::RequestFingerprint& request)
+void CrashWatch::noteLost(const registry::EndpointRecord& endpoint, const std::optional<registry::RequestFingerprint>& request)
 {
     m_metrics.counter("gateway_lost_requests_total").add();
     const Incarnation incarnation { endpoint.id, endpoint.startedMs };
     const auto [known, isNew] = m_probed.try_emplace(incarnation);
-    if (known->second.size() < maxRequests)
-        known->second.insert(request);
+    if (request && known->second.size() < maxRequests)
+        known->second.insert(*request);
     if (isNew)
         m_probe(endpoint.address(), [this, incarnation](http1::ProbeOutcome outcome) { onProbed(incarnation, outcome); });
 }
@@ -58,7 +58,7 @@
 {
     const auto node = m_probed.extract(incarnation);
     const auto& requests = node.mapped();
-    m_log.info("endpoint={} started={} requests={} first-request={} outcome={}", incarnation.first, incarnation.second, requests.size(), *requests.begin(), nameOf(outcome));
+    m_log.info("endpoint={} started={} suspects={} first-suspect={} outcome={}", incarnation.first, incarnation.second, requests.size(), requests.empty() ? registry::RequestFingerprint() : *requests.begin(), nameOf(outcome));
     if (outcome != http1::ProbeOutcome::Refused)
         return;
     m_metrics.counter("gateway_endpoint_crashes_total").add();
--- a/src/azurepaddle/gateway/crash_watch.hpp
+++ b/src/azurepaddle/gateway/crash_watch.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace azurepaddle::gateway {
@@ -27,8 +28,9 @@
 
     /// Called with each endpoint that crashed under requests.
     void setOnCrash(std::function<void(const registry::EndpointCrash&)> onCrash) { m_onCrash = std::move(onCrash); }
-    /// Notes that a connection to an endpoint ended without an answer to a request.
-    void noteLost(const registry::EndpointRecord& endpoint, const registry::RequestFingerprint& request);
+    /// Notes that a connection to an endpoint ended without an answer to a request; nothing if the request is known to be
+    /// sound.
+    void noteLost(const registry::EndpointRecord& endpoint, const std::optional<registry::RequestFingerprint>& request);
 
 private:
     using Incarnation = std::pair<EndpointId, std::uint64_t>;
--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -3,7 +3,7 @@
 #include "azurepaddle/core/log.hpp"
 #include "azurepaddle/gateway/answer_budget.hpp"
 #include "azurepaddle/gateway/balancer.hpp"
-#include "azurepaddle/gateway/crash_watch.hpp"
+#include "azurepaddle/gateway/crash_guard.hpp"
 #include "azurepaddle/gateway/retry_policy.hpp"
 #include "azurepaddle/gateway/route_table.hpp"
 #include "azurepaddle/http1/client.hpp"
@@ -74,12 +74,12 @@
 };
 
 /// Forwards requests of plain routes to endpoints. A request that may not be repeated is sent at most once; others are
-/// repeated or sent a second time within the attempts of their route.
+/// repeated or sent a second time within the attempts of their route. A request that crashes endpoints is refused.
 template <typename Protocol>
 class Forwarder {
 public:
     /// Answers that are being received take at most so many bytes.
-    Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashWatch& crashes, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes);
+    Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashGuard& guard, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes);
 
     /// Called once with each endpoint incarnation that an answer says is leaving.
     void setOnLeaving(std::function<void(const registry::EndpointLeave&)> onLeaving) { m_onLeaving = std::move(onLeaving); }
@@ -123,6 +123,8 @@
 
     [[nodiscard]] static RetryState stateOf(const Forwarding& forwarding);
     [[nodiscard]] static const registry::RequestFingerprint& fingerprintOf(Forwarding& forwarding);
+    [[nodiscard]] bool isSuspect(Forwarding& forwarding) const;
+    [[nodiscard]] std::optional<Duration> refusedFor(Forwarding& forwarding) const;
     [[nodiscard]] bool sendNext(const Pointer& forwarding);
     void tryNext(const Pointer& forwarding);
     void armDeadline(const Pointer& forwarding);
@@ -140,7 +142,7 @@
     asio::io_context& m_io;
     http1::ClientPool& m_pool;
     Balancer& m_balancer;
-    CrashWatch& m_crashes;
+    CrashGuard& m_guard;
     Random& m_random;
     metrics::Registry& m_metrics;
     const Log m_log { "forward" };
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -18,11 +18,11 @@
 }
 
 template <typename Protocol>
-Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashWatch& crashes, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes)
+Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashGuard& guard, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes)
     : m_io(io)
     , m_pool(pool)
     , m_balancer(balancer)
-    , m_crashes(crashes)
+    , m_guard(guard)
     , m_random(random)
     , m_metrics(metrics)
     , m_budget(maxAnswerBytes)
@@ -89,7 +89,8 @@
         const auto slow = weak.lock();
         if (error || !slow || slow->isDone || slow->sendings.empty())
             return;
-        if (maySendAgain(*slow->task.route, stateOf(*slow)))
+        // A second copy could crash a second endpoint.
+        if (maySendAgain(*slow->task.route, stateOf(*slow)) && !isSuspect(*slow))
             static_cast<void>(sendNext(slow));
     });
 }
@@ -109,10 +110,25 @@
     return forwarding.fingerprint;
 }
 
-/// Sends the request to one more endpoint. False if there is none.
+template <typename Protocol>
+bool Forwarder<Protocol>::isSuspect(Forwarding& forwarding) const
+{
+    return forwarding.task.isOfCaller && m_guard.knowsSuspects() && m_guard.isSuspect(fingerprintOf(forwarding));
+}
+
+/// For how long the request is refused because endpoints crash under it; nothing if it may be sent.
+template <typename Protocol>
+std::optional<Duration> Forwarder<Protocol>::refusedFor(Forwarding& forwarding) const
+{
+    return isSuspect(forwarding) ? m_guard.refusedFor(fingerprintOf(forwarding), m_clock.now()) : std::nullopt;
+}
+
+/// Sends the request to one more endpoint. False if there is none, or if endpoints crash under it.
 template <typename Protocol>
 bool Forwarder<Protocol>::sendNext(const Pointer& forwarding)
 {
+    if (refusedFor(*forwarding))
+        return false;
     const TimePoint now = m_clock.now();
     const registry::EndpointRecord* endpoint = m_balancer.choose(forwarding->service->name, forwarding->excluded, now, m_random);
     if (!endpoint || now >= forwarding->deadline)
@@ -207,7 +223,7 @@
     const bool isLost = end.kind == http1::CallEndKind::Lost && forwarding->task.isOfCaller && !m_balancer.isLeaving(sending.endpoint);
     m_log.info("id={} endpoint={} request={} outcome=failed sent={} cause=\"{}\" after-ms={}", forwarding->id, sending.endpoint.id, isLost ? fingerprintOf(*forwarding) : forwarding->fingerprint, end.isSent, end.message, internal::milliseconds(now - sending.startedAt));
     if (isLost)
-        m_crashes.noteLost(sending.endpoint, fingerprintOf(*forwarding));
+        m_guard.noteLost(sending.endpoint, fingerprintOf(*forwarding));
     if (end.isSent)
         ++forwarding->runs;
     tryNext(forwarding);
@@ -227,6 +243,8 @@
     }
     m_balancer.end(sending.endpoint.id, Experience::Answered, now - sending.startedAt, now);
     ++forwarding->runs;
+    if (forwarding->task.isOfCaller)
+        m_guard.noteAnswered(fingerprintOf(*forwarding));
     forwarding->internalErrors += sending.response.status == internalError ? 1 : 0;
     if (sending.response.status >= internalError && (maySendAgain(*forwarding->task.route, stateOf(*forwarding)) || !forwarding->sendings.empty())) {
         forwarding->failure = std::move(sending.response);
@@ -240,6 +258,10 @@
 {
     if (forwarding->failure)
         return finish(forwarding, std::move(*forwarding->failure), "endpoint-failure", {});
+    if (const auto comeBackAfter = refusedFor(*forwarding)) {
+        m_metrics.counter("gateway_crash_refusals_total").add();
+        return finish(forwarding, crashRefusal(stateOf(*forwarding), *comeBackAfter), crashRefusalReason, {});
+    }
     finish(forwarding, refusal({ forwarding->runs, forwarding->refusals }, false, reason), reason, {});
 }
 
@@ -247,7 +269,7 @@
 void Forwarder<Protocol>::finish(const Pointer& forwarding, http1::Response response, std::string_view outcome, const EndpointId& endpoint)
 {
     const Duration took = m_clock.now() - forwarding->task.receivedAt;
-    m_log.info("id={} route={} configuration={} service={} endpoint={} status={} outcome=\"{}\" runs={} refusals={} took-ms={}", forwarding->id, forwarding->task.route->name, forwarding->task.table->version(), forwarding->service->name, endpoint, response.status, outcome, forwarding->runs, forwarding->refusals, internal::milliseconds(took));
+    m_log.info("id={} request={} route={} configuration={} service={} endpoint={} status={} outcome=\"{}\" runs={} refusals={} took-ms={}", forwarding->id, forwarding->fingerprint, forwarding->task.route->name, forwarding->task.table->version(), forwarding->service->name, endpoint, response.status, outcome, forwarding->runs, forwarding->refusals, internal::milliseconds(took));
     m_metrics.counter(response.status < 400 ? "gateway_answered_total" : "gateway_refused_total").add();
     m_metrics.histogram("gateway_request_seconds").record(took);
     stopSendings(forwarding, Experience::Overtaken);
--- a/src/azurepaddle/gateway/fwd.hpp
+++ b/src/azurepaddle/gateway/fwd.hpp
@@ -6,6 +6,7 @@
 class RouteTable;
 class AnswerBudget;
 class Balancer;
+class CrashGuard;
 class CrashWatch;
 class ForwardCall;
 template <typename Protocol>
--- a/src/azurepaddle/gateway/retry_policy.cpp
+++ b/src/azurepaddle/gateway/retry_policy.cpp
@@ -44,4 +44,12 @@
     return response;
 }
 
+http1::Response crashRefusal(const RetryState& state, Duration comeBackAfter)
+{
+    http1::Response response = refusal(state, false, crashRefusalReason);
+    if (response.fields.contains("Retry-After"))
+        response.fields.set("Retry-After", std::to_string(std::chrono::ceil<std::chrono::seconds>(comeBackAfter).count()));
+    return response;
+}
+
 }
--- a/src/azurepaddle/gateway/retry_policy.hpp
+++ b/src/azurepaddle/gateway/retry_policy.hpp
@@ -4,6 +4,9 @@
 
 namespace azurepaddle::gateway {
 
+/// Why a request under which endpoints crashed is refused.
+constexpr std::string_view crashRefusalReason = "endpoints crash under this request";
+
 /// How a request has fared so far.
 struct RetryState {
     unsigned runs = 0; ///< Endpoints that may have run it.
@@ -21,4 +24,7 @@
 /// The response to a request that is given up. It promises that the request never ran only if that is certain.
 [[nodiscard]] http1::Response refusal(const RetryState& state, bool isTimeout, std::string_view reason);
 
+/// The response to a request that crashes endpoints and may come back after a time.
+[[nodiscard]] http1::Response crashRefusal(const RetryState& state, Duration comeBackAfter);
+
 }
--- a/src/azurepaddle/registry/commands.hpp
+++ b/src/azurepaddle/registry/commands.hpp
@@ -2,6 +2,7 @@
 
 #include "azurepaddle/batch/job_store.hpp"
 #include "azurepaddle/batch/text_store.hpp"
+#include "azurepaddle/registry/crash.hpp"
 #include "azurepaddle/registry/endpoint.hpp"
 
 #include <optional>
@@ -104,7 +105,21 @@
     MSGPACK_DEFINE(parts)
 };
 
-using Command = std::variant<PutConfiguration, NameVersion, SetEndpoint, LeaveEndpoint, ForgetEndpoint, AcceptJob, ListResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, KeepTexts, SetOrderWindow>;
+/// Endpoints crashed under requests, and requests were answered whole.
+struct ReportSuspects {
+    std::vector<EndpointCrash> crashes;
+    std::vector<RequestFingerprint> cleared;
+    std::uint64_t atMs = 0; ///< Unix milliseconds of the leader.
+    MSGPACK_DEFINE(crashes, cleared, atMs)
+};
+
+/// Forgets crashes that were reported before a time.
+struct ForgetCrashes {
+    std::uint64_t beforeMs = 0; ///< Unix milliseconds of the leader.
+    MSGPACK_DEFINE(beforeMs)
+};
+
+using Command = std::variant<PutConfiguration, NameVersion, SetEndpoint, LeaveEndpoint, ForgetEndpoint, AcceptJob, ListResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, KeepTexts, SetOrderWindow, ReportSuspects, ForgetCrashes>;
 
 [[nodiscard]] std::string encodeCommand(const Command& command);
 /// Nothing if the bytes are no command of this version.
--- a/src/azurepaddle/registry/fwd.hpp
+++ b/src/azurepaddle/registry/fwd.hpp
@@ -6,5 +6,7 @@
 struct EndpointBeat;
 class Directory;
 class StateMachine;
+class Suspects;
+class SuspectReporter;
 
 }
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -39,6 +39,7 @@
 {
     registerHandler<HeardRequest>(server);
     registerHandler<LeavingRequest>(server);
+    registerHandler<SuspectsRequest>(server);
     registerHandler<BeatRequest>(server);
     registerHandler<LeaveRequest>(server);
     registerHandler<PutConfigurationRequest>(server);
@@ -84,6 +85,46 @@
     answer.ok({});
 }
 
+std::uint64_t LeaderService::unixMs() const
+{
+    return static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count());
+}
+
+void LeaderService::logSuspects(const std::vector<EndpointCrash>& crashes) const
+{
+    for (const EndpointCrash& crash : crashes) {
+        for (const RequestFingerprint& request : crash.requests) {
+            const auto suspicion = m_machine.suspects().find(request);
+            if (suspicion)
+                m_log.info("request={} endpoint={} started={} crashes={} evidence={} refused={}", request, crash.endpoint, crash.startedMs, suspicion->crashes, suspicion->evidence, suspicion->isConvicted());
+        }
+    }
+}
+
+void LeaderService::handle(const SuspectsRequest& request, const Answer<Done>& answer)
+{
+    const Suspects& suspects = m_machine.suspects();
+    ReportSuspects report { {}, {}, unixMs() };
+    std::copy_if(request.crashes.begin(), request.crashes.end(), std::back_inserter(report.crashes), [&](const EndpointCrash& crash) { return suspects.isNews(crash); });
+    std::copy_if(request.cleared.begin(), request.cleared.end(), std::back_inserter(report.cleared), [&](const RequestFingerprint& cleared) { return suspects.find(cleared).has_value(); });
+    if (report.crashes.empty() && report.cleared.empty())
+        return answer.ok({});
+    for (const RequestFingerprint& cleared : report.cleared)
+        m_log.info("request={} outcome=cleared, crashes={}", cleared, suspects.find(cleared)->crashes);
+    propose(report, answer, [this, answer, crashes = report.crashes](const std::string&) {
+        logSuspects(crashes);
+        answer.ok({});
+    });
+}
+
+void LeaderService::forgetOldCrashes()
+{
+    const auto oldest = m_machine.suspects().oldestMs();
+    const std::uint64_t before = unixMs() - static_cast<std::uint64_t>(Suspects::lifetime.count());
+    if (oldest && *oldest < before)
+        m_group.propose(encodeCommand(ForgetCrashes { before }), [](const cluster::ProposalResult&) {});
+}
+
 void LeaderService::handle(const BeatRequest& request, const Answer<Done>& answer)
 {
     if (!m_liveness.note(request.beat.heard(), m_clock.now()))
@@ -274,6 +315,7 @@
         return;
     forgetSilentEndpoints(now);
     removeOldJobs(now);
+    forgetOldCrashes();
 }
 
 void LeaderService::onLeadership(bool isLeading)
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -84,6 +84,7 @@
 
     void handle(const HeardRequest& request, const Answer<Done>& answer);
     void handle(const LeavingRequest& request, const Answer<Done>& answer);
+    void handle(const SuspectsRequest& request, const Answer<Done>& answer);
     void handle(const BeatRequest& request, const Answer<Done>& answer);
     void handle(const LeaveRequest& request, const Answer<Done>& answer);
     void handle(PutConfigurationRequest request, const Answer<PutConfigurationReply>& answer);
@@ -108,6 +109,9 @@
     void removeOldJobs(TimePoint now);
     void forgetSilentEndpoints(TimePoint now);
     void drainLeavingEndpoints();
+    void forgetOldCrashes();
+    void logSuspects(const std::vector<EndpointCrash>& crashes) const;
+    [[nodiscard]] std::uint64_t unixMs() const;
     void changed();
 
     asio::io_context& m_io;
--- a/src/azurepaddle/registry/local_service.cpp
+++ b/src/azurepaddle/registry/local_service.cpp
@@ -1,5 +1,6 @@
 #include "azurepaddle/registry/local_service.hpp"
 
+#include <algorithm>
 #include <tuple>
 
 namespace azurepaddle::registry {
@@ -56,11 +57,12 @@
     const bool isLate = now >= poll.deadline;
     const bool hasConfiguration = m_machine.configuration().version > known.configurationVersion;
     const bool mayHaveEndpoints = m_machine.directory().revision() > known.directoryRevision;
-    if (!knowsServices() || !(isLate || hasConfiguration || mayHaveEndpoints))
+    const bool hasSuspects = m_machine.suspects().revision() > known.suspectsRevision;
+    if (!knowsServices() || !(isLate || hasConfiguration || mayHaveEndpoints || hasSuspects))
         return false;
     const PollReply reply = replyTo(known);
     const bool hasEndpoints = reply.areAllEndpoints || !reply.endpoints.empty() || !reply.removed.empty();
-    if (!isLate && !hasConfiguration && !hasEndpoints) {
+    if (!isLate && !hasConfiguration && !hasEndpoints && !hasSuspects) {
         known.directoryRevision = reply.directoryRevision;
         return false;
     }
@@ -81,9 +83,23 @@
     if (configuration.version > request.configurationVersion)
         reply.configuration = configuration.text;
     addEndpoints(reply, request);
+    addSuspects(reply, request);
     return reply;
 }
 
+void LocalService::addSuspects(PollReply& reply, const PollRequest& request) const
+{
+    const Suspects& suspects = m_machine.suspects();
+    // A sender that heard more from another instance keeps what it has.
+    reply.suspectsRevision = std::max(suspects.revision(), request.suspectsRevision);
+    reply.areSuspectsChanged = suspects.revision() > request.suspectsRevision;
+    if (!reply.areSuspectsChanged)
+        return;
+    const auto nowMs = static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count());
+    for (const auto& [fingerprint, suspicion] : suspects.all())
+        reply.suspects.push_back({ fingerprint, suspects.refusedForMs(fingerprint, nowMs) });
+}
+
 void LocalService::addEndpoints(PollReply& reply, const PollRequest& request) const
 {
     const Directory& directory = m_machine.directory();
--- a/src/azurepaddle/registry/local_service.hpp
+++ b/src/azurepaddle/registry/local_service.hpp
@@ -40,6 +40,7 @@
     [[nodiscard]] bool answerIfDue(WaitingPoll& poll, TimePoint now) const;
     [[nodiscard]] PollReply replyTo(const PollRequest& request) const;
     void addEndpoints(PollReply& reply, const PollRequest& request) const;
+    void addSuspects(PollReply& reply, const PollRequest& request) const;
     void answerPolls(TimePoint now);
     void reportBeats(TimePoint now);
 
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -8,6 +8,15 @@
 
 /// What instances ask of the leader. Each request names its method and the type of its reply.
 
+/// A request of callers under which endpoints crashed.
+struct SuspectEntry {
+    RequestFingerprint request;
+    std::uint64_t refusedForMs = 0; ///< From now on; 0 if it may be sent.
+
+    friend bool operator==(const SuspectEntry&, const SuspectEntry&) = default;
+    MSGPACK_DEFINE(request, refusedForMs)
+};
+
 struct PollReply {
     std::uint64_t configurationVersion = 0;
     std::string configuration; ///< Empty if the asker has this version.
@@ -18,7 +27,10 @@
     std::vector<std::string> members; ///< Peer addresses of the participants.
     std::string leader; ///< Peer address; empty if unknown.
     DataCentreName dataCentre; ///< Of the instance that answers.
-    MSGPACK_DEFINE(configurationVersion, configuration, directoryRevision, areAllEndpoints, endpoints, removed, members, leader, dataCentre)
+    std::uint64_t suspectsRevision = 0;
+    bool areSuspectsChanged = false; ///< False: they are those of the asker's revision, and not repeated.
+    std::vector<SuspectEntry> suspects; ///< All of them.
+    MSGPACK_DEFINE(configurationVersion, configuration, directoryRevision, areAllEndpoints, endpoints, removed, members, leader, dataCentre, suspectsRevision, areSuspectsChanged, suspects)
 };
 
 /// Asks for what changed since the asker's last poll. Any store instance answers, once there is news or after a while.
@@ -27,7 +39,8 @@
     using Reply = PollReply;
     std::uint64_t configurationVersion = 0;
     std::uint64_t directoryRevision = 0;
-    MSGPACK_DEFINE(configurationVersion, directoryRevision)
+    std::uint64_t suspectsRevision = 0;
+    MSGPACK_DEFINE(configurationVersion, directoryRevision, suspectsRevision)
 };
 
 struct Done {
@@ -58,6 +71,16 @@
     MSGPACK_DEFINE(leaving)
 };
 
+/// Endpoints that crashed under requests of callers, and requests that were answered whole although endpoints had crashed
+/// under them.
+struct SuspectsRequest {
+    static constexpr std::string_view method = "suspects";
+    using Reply = Done;
+    std::vector<EndpointCrash> crashes;
+    std::vector<RequestFingerprint> cleared;
+    MSGPACK_DEFINE(crashes, cleared)
+};
+
 struct LeaveRequest {
     static constexpr std::string_view method = "leave";
     using Reply = Done;
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -17,7 +17,9 @@
         OrderRecord orders;
         std::set<std::string> retiring;
         std::vector<batch::TextPart> texts;
-        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts)
+        std::vector<CrashRecord> crashes;
+        std::uint64_t suspectsRevision = 0;
+        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts, crashes, suspectsRevision)
     };
 
     // A snapshot holds all jobs, which may exceed the limit of messages between instances.
@@ -132,6 +134,21 @@
     return {};
 }
 
+std::string StateMachine::run(const ReportSuspects& command)
+{
+    for (const EndpointCrash& crash : command.crashes)
+        m_suspects.add(crash, command.atMs);
+    for (const RequestFingerprint& request : command.cleared)
+        m_suspects.clear(request);
+    return {};
+}
+
+std::string StateMachine::run(const ForgetCrashes& command)
+{
+    m_suspects.forgetBefore(command.beforeMs);
+    return {};
+}
+
 std::optional<WeightVersion> StateMachine::namedVersion(const batch::ModelName& model) const
 {
     const auto found = m_versions.find(model.value());
@@ -140,7 +157,7 @@
 
 std::string StateMachine::snapshot() const
 {
-    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot() };
+    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot(), m_suspects.crashes(), m_suspects.revision() };
     for (const auto& [id, record] : m_directory.records())
         state.endpoints.push_back(record);
     return codec::encode(state);
@@ -158,6 +175,7 @@
     m_orders = std::move(state->orders);
     m_retiring = std::move(state->retiring);
     m_texts.restore(state->texts);
+    m_suspects.restore(std::move(state->crashes), state->suspectsRevision);
     return true;
 }
 
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -2,11 +2,12 @@
 
 #include "azurepaddle/registry/commands.hpp"
 #include "azurepaddle/registry/directory.hpp"
+#include "azurepaddle/registry/suspects.hpp"
 
 namespace azurepaddle::registry {
 
 /// All that the instances agree on: the configuration, versions of weights, endpoints, batch jobs, the holder of the
-/// order right, and instances to be emptied. Deterministic.
+/// order right, instances to be emptied, and requests under which endpoints crashed. Deterministic.
 class StateMachine {
 public:
     /// Outputs of batch jobs are kept in files of the folder, or in memory if it is empty.
@@ -30,6 +31,7 @@
     [[nodiscard]] const batch::TextStore& texts() const noexcept { return m_texts; }
     [[nodiscard]] const OrderRecord& orders() const noexcept { return m_orders; }
     [[nodiscard]] const std::set<std::string>& retiring() const noexcept { return m_retiring; }
+    [[nodiscard]] const Suspects& suspects() const noexcept { return m_suspects; }
 
 private:
     std::string run(PutConfiguration command);
@@ -45,6 +47,8 @@
     std::string run(const RetireInstance& command);
     std::string run(const KeepTexts& command);
     std::string run(const SetOrderWindow& command);
+    std::string run(const ReportSuspects& command);
+    std::string run(const ForgetCrashes& command);
 
     ConfigurationDocument m_configuration;
     std::map<std::string, WeightVersion> m_versions; ///< Named ones, by model.
@@ -53,6 +57,7 @@
     batch::TextStore m_texts;
     OrderRecord m_orders;
     std::set<std::string> m_retiring;
+    Suspects m_suspects;
 };
 
 }
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -6,6 +6,8 @@
 
 #include "azurepaddle/platform/configuration.hpp"
 
+#include <algorithm>
+
 namespace azurepaddle::node {
 
 namespace {
@@ -39,11 +41,12 @@
     , m_random(std::random_device {}())
     , m_peerClient(peerClientOptions(m_settings))
     , m_leader(io, m_peerClient)
+    , m_reporter(io, m_leader)
     , m_stores(DataCentreName(m_settings.node.dataCentre), static_cast<std::size_t>(m_random.next()))
     , m_pool(io, endpointMessageLimits())
     , m_balancer(DataCentreName(m_settings.node.dataCentre))
-    , m_crashes(endpointProbe(io), m_metrics)
-    , m_forwarder(io, m_pool, m_balancer, m_crashes, m_random, m_metrics, maxAnswerBytes(m_settings))
+    , m_guard(endpointProbe(io), m_metrics)
+    , m_forwarder(io, m_pool, m_balancer, m_guard, m_random, m_metrics, maxAnswerBytes(m_settings))
     , m_callers(m_forwarder, m_leader)
     , m_callerServer(io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); })
     , m_readyServer(
@@ -55,6 +58,7 @@
 {
     m_leader.setMembers(m_settings.seedPeers());
     m_stores.setMembers(m_settings.seedPeers());
+    m_guard.setOnReport([this](const registry::SuspectsRequest& report) { m_reporter.add(report); });
     m_forwarder.setOnLeaving([this](const registry::EndpointLeave& leave) { tellLeaving(leave); });
 }
 
@@ -111,6 +115,7 @@
     takeMembers(*reply);
     takeConfiguration(*reply);
     takeEndpoints(*reply);
+    takeSuspects(*reply);
     pollAfter(pollPause);
 }
 
@@ -138,6 +143,18 @@
         m_log.debug("endpoints changed={} removed={} are-all={} revision={}", reply.endpoints.size(), reply.removed.size(), reply.areAllEndpoints, reply.directoryRevision);
 }
 
+void EntryNode::takeSuspects(const registry::PollReply& reply)
+{
+    m_guard.noteContact();
+    if (!reply.areSuspectsChanged)
+        return;
+    m_known.suspectsRevision = reply.suspectsRevision;
+    m_guard.setAgreed(reply.suspects, m_clock.now());
+    const auto refused = std::count_if(reply.suspects.begin(), reply.suspects.end(), [](const registry::SuspectEntry& suspect) { return suspect.refusedForMs > 0; });
+    m_metrics.gauge("gateway_refused_requests").set(static_cast<double>(refused));
+    m_log.info("suspects={} refused={} revision={}", reply.suspects.size(), refused, reply.suspectsRevision);
+}
+
 /// Tells the leader that an endpoint said that it leaves, so that other nodes stop as well.
 void EntryNode::tellLeaving(const registry::EndpointLeave& leave)
 {
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -5,6 +5,7 @@
 #include "azurepaddle/platform/caller_api.hpp"
 #include "azurepaddle/registry/leader_client.hpp"
 #include "azurepaddle/registry/nearest_store.hpp"
+#include "azurepaddle/registry/suspect_reporter.hpp"
 
 namespace azurepaddle::node {
 
@@ -29,6 +30,7 @@
     void takeConfiguration(const registry::PollReply& reply);
     void takeEndpoints(const registry::PollReply& reply);
     void takeMembers(const registry::PollReply& reply);
+    void takeSuspects(const registry::PollReply& reply);
     void tellLeaving(const registry::EndpointLeave& leave);
     void answerReady(const http1::ExchangePointer& exchange) const;
     [[nodiscard]] bool isReady() const;
@@ -42,10 +44,11 @@
     Random m_random;
     transport::PeerClient m_peerClient;
     registry::LeaderClient m_leader;
+    registry::SuspectReporter m_reporter;
     registry::NearestStore m_stores;
     http1::ClientPool m_pool;
     gateway::Balancer m_balancer;
-    gateway::CrashWatch m_crashes;
+    gateway::CrashGuard m_guard;
     platform::CallerApi::Forwarder m_forwarder;
     platform::CallerApi m_callers;
     http1::Server m_callerServer;
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -45,7 +45,7 @@
     http1::ClientPool m_pool;
     Random m_random;
     gateway::Balancer m_balancer;
-    gateway::CrashWatch m_crashes;
+    gateway::CrashGuard m_guard;
     gateway::Forwarder<platform::EndpointProtocol> m_forwarder;
     Runner m_runner;
     Loader m_loader;
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -171,8 +171,8 @@
     http1::ClientPool pool { io, {} };
     Random random { 3 };
     gateway::Balancer balancer { DataCentreName("a") };
-    gateway::CrashWatch crashes { [](const InstanceAddress&, const http1::ProbeCallback&) {}, metrics };
-    gateway::Forwarder<TestProtocol> forwarder { io, pool, balancer, crashes, random, metrics, 1024U * 1024U };
+    gateway::CrashGuard guard { [](const InstanceAddress&, const http1::ProbeCallback&) {}, metrics };
+    gateway::Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, random, metrics, 1024U * 1024U };
     JobRunner<TestProtocol> runner { io, pool, group, machine, liveness, forwarder, balancer, metrics };
     WeightLoader<TestProtocol> loader { io, pool, group, machine, liveness, runner, metrics, { "store", 200ms } };
     std::vector<std::unique_ptr<Endpoint>> endpoints;
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -42,8 +42,8 @@
     Balancer balancer { DataCentreName("a") };
     Random random { 3 };
     metrics::Registry metrics;
-    CrashWatch crashes { [this](const InstanceAddress& address, ProbeCallback onOutcome) { probeConnection(io, address, std::chrono::seconds(1), std::move(onOutcome)); }, metrics };
-    Forwarder<TestProtocol> forwarder { io, pool, balancer, crashes, random, metrics, maxAnswerBytes };
+    CrashGuard guard { [this](const InstanceAddress& address, ProbeCallback onOutcome) { probeConnection(io, address, std::chrono::seconds(1), std::move(onOutcome)); }, metrics };
+    Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, random, metrics, maxAnswerBytes };
     std::shared_ptr<const RouteTable> table;
     Server server { io, [this](const ExchangePointer& exchange) { forwarder.forward(exchange, table, table->routes().front()); } };
     std::vector<std::unique_ptr<RawPeer>> endpoints;
@@ -222,3 +222,56 @@
     const int asked = fixture.endpoints[0]->accepted() + fixture.endpoints[1]->accepted() + fixture.endpoints[2]->accepted();
     cr_assert(asked == 2);
 }
+
+// Guards against a request that reaches an endpoint although all instances agreed that endpoints crash under it.
+Test(Forwarder, requestCrashesEndpoints_isRefusedAtOnce_asNotRun_andSaysWhenToComeBack)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint(good);
+    const auto fingerprint = gateway::fingerprintOf({ "POST", "/x", { { "Host", "h" } }, "body" });
+    fixture.guard.setAgreed({ { fingerprint, 7500 } }, SystemClock().now());
+    const Received outcome = fixture.request();
+    cr_assert(outcome.response.status == 503);
+    cr_assert(outcome.response.fields.find("Retry-After") == "8");
+    cr_assert(fixture.endpoints[0]->accepted() == 0);
+}
+
+// Guards against a suspected request that is sound and stays suspected.
+Test(Forwarder, suspectIsAnswered_othersAreTold)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint(good);
+    const auto fingerprint = gateway::fingerprintOf({ "POST", "/x", { { "Host", "h" } }, "body" });
+    std::vector<registry::SuspectsRequest> reports;
+    fixture.guard.setOnReport([&](const registry::SuspectsRequest& report) { reports.push_back(report); });
+    fixture.guard.setAgreed({ { fingerprint, 0 } }, SystemClock().now());
+    cr_assert(fixture.request().response.body == "good");
+    cr_assert(reports.size() == 1 && reports.front().cleared == std::vector<registry::RequestFingerprint>({ fingerprint }));
+}
+
+// Guards against a second copy of a request that may crash its endpoint.
+Test(Forwarder, silentEndpoint_suspectedRequest_isNotSentTwiceAtOnce)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint(silent);
+    fixture.addEndpoint(good);
+    fixture.guard.setAgreed({ { gateway::fingerprintOf({ "POST", "/x", { { "Host", "h" } }, "body" }), 0 } }, SystemClock().now());
+    cr_assert(fixture.request().response.status == 504);
+    cr_assert(fixture.endpoints[1]->accepted() == 0);
+}
+
+// Guards against a caller that is told "not run" although an endpoint crashed while it ran the request.
+Test(Forwarder, endpointCrashesUnderRequest_crashIsReported_answerPromisesNothing)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    fixture.addEndpoint([&](const std::string&) {
+        fixture.endpoints[0]->crash();
+        return std::string();
+    });
+    std::vector<registry::SuspectsRequest> reports;
+    fixture.guard.setOnReport([&](const registry::SuspectsRequest& report) { reports.push_back(report); });
+    cr_assert(fixture.request().response.status == 502);
+    cr_assert(runUntil(fixture.io, [&] { return !reports.empty(); }));
+    cr_assert(reports.front().crashes.front().endpoint == EndpointId("e1"));
+    cr_assert(reports.front().crashes.front().requests.size() == 1);
+}
--- a/test/azurepaddle/http1/fixture.hpp
+++ b/test/azurepaddle/http1/fixture.hpp
@@ -39,6 +39,12 @@
     [[nodiscard]] InstanceAddress address() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
     [[nodiscard]] int accepted() const { return m_accepted; }
     [[nodiscard]] int closed() const { return m_closed; }
+    /// Ends as a process does: nobody listens any more, and all connections end.
+    void crash()
+    {
+        m_acceptor.close();
+        closeAll();
+    }
     void closeAll()
     {
         for (const auto& connection : m_connections)
--- a/test/azurepaddle/registry/local_service.cpp
+++ b/test/azurepaddle/registry/local_service.cpp
@@ -131,3 +131,21 @@
     cr_assert((*reply)->endpoints.size() == 1 && (*reply)->endpoints.front().id == EndpointId("one"));
     cr_assert((*reply)->directoryRevision == 2);
 }
+
+// Guards against an entry that learns late, or never, of a request that crashes endpoints.
+Test(LocalService, endpointsCrashedUnderRequest_heldPoll_isAnsweredWithAllSuspects)
+{
+    LocalServiceFixture fixture;
+    const RequestFingerprint crashing("crashing");
+    const auto reply = fixture.poll({ 0, 0, 0 });
+    const auto nowMs = static_cast<std::uint64_t>(fixture.clock.wallNow().time_since_epoch().count());
+    fixture.apply(ReportSuspects { { { EndpointId("a"), 1, { crashing } }, { EndpointId("b"), 1, { crashing } }, { EndpointId("c"), 1, { crashing } } }, {}, nowMs });
+    cr_assert(fixture.runUntil([&] { return reply->has_value(); }));
+    cr_assert((*reply)->areSuspectsChanged);
+    cr_assert((*reply)->suspects.size() == 1 && (*reply)->suspects.front().request == crashing);
+    cr_assert((*reply)->suspects.front().refusedForMs > 0);
+    const auto cleared = fixture.poll({ 0, 0, (*reply)->suspectsRevision });
+    fixture.apply(ReportSuspects { {}, { crashing }, nowMs });
+    cr_assert(fixture.runUntil([&] { return cleared->has_value(); }));
+    cr_assert((*cleared)->areSuspectsChanged && (*cleared)->suspects.empty());
+}
--- a/test/azurepaddle/registry/state.cpp
+++ b/test/azurepaddle/registry/state.cpp
@@ -74,6 +74,7 @@
     static_cast<void>(machine.apply(encodeCommand(ClaimOrders { "a", 7 })));
     static_cast<void>(machine.apply(encodeCommand(SetOrderWindow { 7, true })));
     static_cast<void>(machine.apply(encodeCommand(RetireInstance { "store-1" })));
+    static_cast<void>(machine.apply(encodeCommand(ReportSuspects { { { EndpointId("e"), 1, { RequestFingerprint("f") } } }, {}, 5 })));
     StateMachine restored;
     cr_assert(restored.restore(machine.snapshot()));
     cr_assert(restored.configuration() == machine.configuration());
@@ -83,6 +84,19 @@
     cr_assert(restored.namedVersions() == machine.namedVersions());
     cr_assert(restored.orders().holder.fence == 7 && restored.orders().isOpen && restored.orders().changes == 2);
     cr_assert(restored.retiring() == machine.retiring());
+    cr_assert(restored.suspects().crashes() == machine.suspects().crashes());
+    cr_assert(restored.suspects().revision() == 1);
+}
+
+// Guards against crashes that are kept for ever.
+Test(StateMachine, crashesForgotten_requestIsNoSuspect)
+{
+    StateMachine machine;
+    const RequestFingerprint request("f");
+    static_cast<void>(machine.apply(encodeCommand(ReportSuspects { { { EndpointId("e"), 1, { request } } }, {}, 5 })));
+    cr_assert(machine.suspects().find(request));
+    static_cast<void>(machine.apply(encodeCommand(ForgetCrashes { 6 })));
+    cr_assert(!machine.suspects().find(request));
 }
 
 // Guards against bytes from another version that are taken for a command.
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -100,6 +100,7 @@
         self.version = 1
         self.trouble = None  # One of TROUBLES, in place of any answer.
         self.crashes_on = None  # Bytes in the body of a plain request under which the endpoint ends.
+        self.plain_pause = 0  # Seconds that a plain request takes.
         self.crashed_under = []  # Identifiers of the requests under which it ended.
         self.is_leaving = False  # Says in its answers that it leaves.
         self.address = None  # Where callers reach it, if not at its own port.
@@ -137,6 +138,7 @@
                     self.close_connection = True
                     return endpoint.crash()
                 if self.path.startswith(("/plain/", "/once/")):
+                    time.sleep(endpoint.plain_pause)
                     return self.reply(200, b"echo " + body)
                 self.stream()
 
--- a/test/processes/test_crashing_request.py
+++ b/test/processes/test_crashing_request.py
@@ -67,6 +67,34 @@
             self.send(entries[self.number % len(entries)], CRASHING)
             time.sleep(0.1)
 
+    def send_sound(self):
+        """Sends sound requests until the test is over, and keeps how they were answered."""
+        number = 0
+        while not self.is_over.wait(0.01):
+            number += 1
+            headers = {"Host": HOST, "X-Attempt-Id": f"sound{number}", "X-Deadline-Ms": "1500"}
+            self.sound_answers.append(call(self.nodes.entry_ports[number % 3], "POST", "/plain/x", f"sound {number}".encode(), headers))
+
+    # Guards against sound requests that are refused because they ran beside one that crashes endpoints.
+    def test_sound_requests_beside_crashing_one_are_never_refused_for_it(self):
+        self.sound_answers = []
+        callers = [threading.Thread(target=self.send_sound) for _ in range(6)]
+        for endpoint in self.endpoints:
+            endpoint.plain_pause = 0.05
+        for caller in callers:
+            caller.start()
+        self.crash_three([0, 1])
+        for number in range(20):
+            self.send(number % 3, CRASHING)
+            time.sleep(0.1)
+        self.is_over.set()
+        for caller in callers:
+            caller.join()
+        self.assertEqual(self.send(2, CRASHING), 503)
+        self.assertFalse(any(b"crash under this request" in data for _, data in self.sound_answers))
+        served = sum(status == 200 for status, _ in self.sound_answers)
+        self.assertGreater(served, 0.9 * len(self.sound_answers))
+
     # Guards against a request that comes again at any entry and crashes one endpoint after the other.
     def test_request_crashed_three_endpoints_every_entry_refuses_it(self):
         self.crash_three([0, 1])
