Count an item's failed runs over leaders

The count is agreed, a small record with each answer of 500 that does not end the item, kept with its job until the item is listed. It holds for one job: an item that comes again in a later job has the attempts of that job, because there it may not be given up before it used them.

The test fails before: after two changes of the leader the count of 4 allowed attempts begins anew (it waits for the second failure in vain).

--- a/src/azurepaddle/batch/job_store.cpp
+++ b/src/azurepaddle/batch/job_store.cpp
@@ -45,6 +45,7 @@
     if (item == entry.itemIndex.end() || !entry.listed.emplace(result.id.value(), entry.job.results.size()).second)
         return false;
     dropBody(entry.job.spec.items[item->second]);
+    entry.job.failures.erase(result.id);
     m_bytes += result.output.size();
     entry.job.results.push_back({ result.id, result.state, m_outputs.append(result.output), result.versions, result.score });
     return true;
@@ -58,6 +59,22 @@
     return static_cast<std::size_t>(std::count_if(results.begin(), results.end(), [&](const ItemResult& result) { return append(found->second, result); }));
 }
 
+void JobStore::noteFailures(const JobId& id, const ItemFailures& failures)
+{
+    if (!findItem(id, failures.item) || isListed(id, failures.item))
+        return;
+    ItemFailures& known = m_jobs.at(id).job.failures[failures.item];
+    known = { failures.item, std::max(known.runs, failures.runs), std::max(known.rewardCalls, failures.rewardCalls) };
+}
+
+ItemFailures JobStore::failuresOf(const JobId& job, const ItemId& item) const
+{
+    const Job* known = find(job);
+    if (!known || !known->failures.contains(item))
+        return { item };
+    return known->failures.at(item);
+}
+
 bool JobStore::end(const JobId& id)
 {
     const auto found = m_jobs.find(id);
@@ -156,7 +173,9 @@
 {
     std::vector<JobSnapshot> jobs;
     for (const auto& [id, entry] : m_jobs) {
-        JobSnapshot& job = jobs.emplace_back(JobSnapshot { entry.job.spec, {}, entry.job.isEnded, entry.job.order });
+        JobSnapshot& job = jobs.emplace_back(JobSnapshot { entry.job.spec, {}, entry.job.isEnded, entry.job.order, {} });
+        for (const auto& [item, failures] : entry.job.failures)
+            job.failures.push_back(failures);
         for (const StoredResult& result : entry.job.results)
             job.results.push_back(load(result));
     }
@@ -173,6 +192,8 @@
         Entry& entry = insert(std::move(job.spec), job.isEnded, job.order);
         for (const ItemResult& result : job.results)
             append(entry, result);
+        for (const ItemFailures& failures : job.failures)
+            entry.job.failures[failures.item] = failures;
     }
 }
 
--- a/src/azurepaddle/batch/job_store.hpp
+++ b/src/azurepaddle/batch/job_store.hpp
@@ -24,6 +24,7 @@
     std::vector<StoredResult> results;
     bool isEnded = false;
     std::uint64_t order = 0; ///< Position among all accepted jobs.
+    std::map<ItemId, ItemFailures> failures; ///< Of items without a result that failed.
 };
 
 /// A job with all of its outputs, for a snapshot.
@@ -32,7 +33,8 @@
     std::vector<ItemResult> results;
     bool isEnded = false;
     std::uint64_t order = 0;
-    MSGPACK_DEFINE(spec, results, isEnded, order)
+    std::vector<ItemFailures> failures;
+    MSGPACK_DEFINE(spec, results, isEnded, order, failures)
 };
 
 enum class AcceptOutcome : std::uint8_t {
@@ -53,6 +55,8 @@
     /// Appends the results of items that have none yet, and drops the bodies of these items. Returns how many were
     /// appended. Nothing is appended to an unknown job.
     std::size_t list(const JobId& id, const std::vector<ItemResult>& results);
+    /// Notes how often an item of the job failed so far, unless it is listed.
+    void noteFailures(const JobId& id, const ItemFailures& failures);
     /// Ends a job: its remaining items need no results, and all bodies are dropped. False if the job is unknown.
     bool end(const JobId& id);
     /// Forgets a job.
@@ -62,6 +66,8 @@
     [[nodiscard]] const Job* find(const JobId& id) const;
     /// Null if the job or item is unknown.
     [[nodiscard]] const ItemSpec* findItem(const JobId& job, const ItemId& item) const;
+    /// How often an item without a result failed so far.
+    [[nodiscard]] ItemFailures failuresOf(const JobId& job, const ItemId& item) const;
     [[nodiscard]] bool isListed(const JobId& job, const ItemId& item) const;
     /// The body of an item that is not listed yet and whose job is open; null otherwise: then it is not kept.
     [[nodiscard]] const std::string* bodyOf(const JobId& job, const ItemId& item) const;
--- a/src/azurepaddle/batch/types.hpp
+++ b/src/azurepaddle/batch/types.hpp
@@ -88,6 +88,16 @@
     MSGPACK_DEFINE(id, state, output, versions, score)
 };
 
+/// Answers of 500 that an item got before its result was listed.
+struct ItemFailures {
+    ItemId item;
+    std::uint32_t runs = 0; ///< To its generation.
+    std::uint32_t rewardCalls = 0; ///< To its reward call.
+
+    friend bool operator==(const ItemFailures&, const ItemFailures&) = default;
+    MSGPACK_DEFINE(item, runs, rewardCalls)
+};
+
 /// A completed item whose text is held already.
 struct ScoredItem {
     ItemId item;
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -86,12 +86,11 @@
         TimePoint lastEventAt;
         TimePoint notBefore;
         unsigned eventsHere = 0; ///< Received from the present endpoint.
-        unsigned failures = 0; ///< Answers of 500.
+        batch::ItemFailures failures; ///< Under this leader and those before.
         std::shared_ptr<gateway::ForwardCall> rewardCall; ///< Null while it waits to be sent.
         std::shared_ptr<const gateway::RouteTable> rewardRoutes; ///< Those that gave the route of its reward call.
         std::shared_ptr<const gateway::Route> rewardRoute; ///< As for requests that may be repeated. Null if there is none.
         unsigned rewardTries = 0;
-        unsigned rewardFailures = 0; ///< Answers of 500 to its reward call.
         std::optional<batch::ItemResult> reused; ///< Its text, if an earlier job completed it.
         std::shared_ptr<const gateway::RouteTable> routes; ///< Those that gave the service.
         ServiceName service;
@@ -114,6 +113,7 @@
     void noteLength(const RunPointer& run);
     void adoptText(const RunPointer& run);
     void dropRun(const RunPointer& run, std::string_view reason);
+    void recordFailures(const Run& run);
     void place();
     [[nodiscard]] std::vector<batch::EndpointLoad> loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const;
     [[nodiscard]] const ServiceName& serviceOf(Run& run, const batch::ItemSpec& spec) const;
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -120,6 +120,7 @@
     const auto run = std::make_shared<Run>();
     run->job = spec.id;
     run->item = item.id;
+    run->failures = m_machine.jobs().failuresOf(spec.id, item.id);
     run->host = spec.host;
     run->model = spec.model;
     run->minVersion = spec.minVersion;
--- a/src/azurepaddle/execution/job_runner_score.hpp
+++ b/src/azurepaddle/execution/job_runner_score.hpp
@@ -136,13 +136,15 @@
     scheduleUpdate();
     if (!score.empty())
         return onScore(run, std::move(score));
-    run->rewardFailures += result.internalErrors;
-    m_log.info("item id={} job={} endpoint={} outcome=not-scored status={} failures={} try={}", run->item, run->job, result.endpoint, status, run->rewardFailures, run->rewardTries);
+    run->failures.rewardCalls += result.internalErrors;
+    m_log.info("item id={} job={} endpoint={} outcome=not-scored status={} failures={} try={}", run->item, run->job, result.endpoint, status, run->failures.rewardCalls, run->rewardTries);
     const bool isUnprocessable = status == unprocessable && !result.endpoint.empty();
-    if (isUnprocessable || run->rewardFailures >= maxAttempts) {
+    if (isUnprocessable || run->failures.rewardCalls >= maxAttempts) {
         leaveScoring(run);
         return finish(run, { run->item, batch::ResultState::Dead, {}, {}, {} });
     }
+    if (result.internalErrors > 0)
+        recordFailures(*run);
     run->notBefore = m_clock.now() + internal::firstRewardDelay * (1U << std::min(run->rewardTries - 1, internal::maxRewardDoublings));
 }
 
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -235,14 +235,22 @@
 {
     constexpr unsigned unprocessable = 422;
     const unsigned status = run->status;
-    ++run->failures;
-    m_log.info("item id={} job={} endpoint={} outcome=failed status={} failures={}", run->item, run->job, run->endpoint, status, run->failures);
+    ++run->failures.runs;
+    m_log.info("item id={} job={} endpoint={} outcome=failed status={} failures={}", run->item, run->job, run->endpoint, status, run->failures.runs);
     stop(run);
-    if (status == unprocessable || run->failures >= run->maxAttempts)
+    if (status == unprocessable || run->failures.runs >= run->maxAttempts)
         return finish(run, { run->item, batch::ResultState::Dead, {}, {}, {} });
+    recordFailures(*run);
     requeue(run, "endpoint failure", internal::retryDelay);
 }
 
+/// Records how often an item failed, so that the next leader does not count from 0.
+template <typename Protocol>
+void JobRunner<Protocol>::recordFailures(const Run& run)
+{
+    m_group.propose(registry::encodeCommand(registry::NoteItemFailures { run.job, run.failures }), [](const cluster::ProposalResult&) {});
+}
+
 template <typename Protocol>
 void JobRunner<Protocol>::onStreamEnd(const RunPointer& run)
 {
--- a/src/azurepaddle/registry/commands.hpp
+++ b/src/azurepaddle/registry/commands.hpp
@@ -119,7 +119,14 @@
     MSGPACK_DEFINE(beforeMs)
 };
 
-using Command = std::variant<PutConfiguration, NameVersion, SetEndpoint, LeaveEndpoint, ForgetEndpoint, AcceptJob, ListResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, KeepTexts, SetOrderWindow, ReportSuspects, ForgetCrashes>;
+/// An item failed once more.
+struct NoteItemFailures {
+    batch::JobId job;
+    batch::ItemFailures failures;
+    MSGPACK_DEFINE(job, failures)
+};
+
+using Command = std::variant<PutConfiguration, NameVersion, SetEndpoint, LeaveEndpoint, ForgetEndpoint, AcceptJob, ListResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, KeepTexts, SetOrderWindow, ReportSuspects, ForgetCrashes, NoteItemFailures>;
 
 [[nodiscard]] std::string encodeCommand(const Command& command);
 /// Nothing if the bytes are no command of this version.
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -149,6 +149,12 @@
     return {};
 }
 
+std::string StateMachine::run(const NoteItemFailures& command)
+{
+    m_jobs.noteFailures(command.job, command.failures);
+    return {};
+}
+
 std::optional<WeightVersion> StateMachine::namedVersion(const batch::ModelName& model) const
 {
     const auto found = m_versions.find(model.value());
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -49,6 +49,7 @@
     std::string run(const SetOrderWindow& command);
     std::string run(const ReportSuspects& command);
     std::string run(const ForgetCrashes& command);
+    std::string run(const NoteItemFailures& command);
 
     ConfigurationDocument m_configuration;
     std::map<std::string, WeightVersion> m_versions; ///< Named ones, by model.
--- a/test/azurepaddle/batch/job_store.cpp
+++ b/test/azurepaddle/batch/job_store.cpp
@@ -131,3 +131,19 @@
     cr_assert(!store.bodyOf(JobId("one"), ItemId("b")));
     cr_assert(!store.bodyOf(JobId("other"), ItemId("a")));
 }
+
+// Guards against failures that a new participant forgets, that fall, or that stay after the item is listed.
+Test(JobStore, itemFailures_restored_holdUntilListed)
+{
+    JobStore store;
+    store.accept(job("j"));
+    store.noteFailures(JobId("j"), { ItemId("a"), 2, 1 });
+    store.noteFailures(JobId("j"), { ItemId("a"), 1, 3 });
+    store.noteFailures(JobId("j"), { ItemId("x"), 1, 0 });
+    JobStore restored;
+    restored.restore(store.snapshot());
+    cr_assert(restored.failuresOf(JobId("j"), ItemId("a")) == ItemFailures({ ItemId("a"), 2, 3 }));
+    cr_assert(restored.failuresOf(JobId("j"), ItemId("x")) == ItemFailures({ ItemId("x"), 0, 0 }));
+    restored.list(JobId("j"), { result("a", "text") });
+    cr_assert(restored.find(JobId("j"))->failures.empty());
+}
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -331,6 +331,22 @@
     cr_assert(endpoint.starts.size() == 3);
 }
 
+// Guards against an item that gets all of its attempts again from each leader.
+Test(JobRunner, itemFailsAtEachRun_leadershipChanges_attemptsGoOnCounting)
+{
+    RunnerFixture fixture;
+    const Endpoint& endpoint = fixture.add("a", Behaviour::Fails);
+    fixture.submit(1, 4);
+    for (unsigned failures = 1; failures <= 3; ++failures) {
+        cr_assert(fixture.runUntil([&] { return fixture.machine.jobs().failuresOf(jobId, batch::ItemId("item")).runs == failures; }));
+        fixture.runner.onLeadership(false);
+        fixture.runner.onLeadership(true);
+    }
+    const auto result = fixture.result();
+    cr_assert(result && result->state == batch::ResultState::Dead);
+    cr_assert(endpoint.starts.size() == 4);
+}
+
 // Guards against an item that can never be done and is tried again.
 Test(JobRunner, itemUnprocessable_isGivenUpAtOnce)
 {
