Show that items are placed again after endpoints crashed under them

A system like ours was reported never to place a sound item again after several endpoints had crashed under it. Here no crash counts against an item.

--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -67,6 +67,7 @@
 enum class Behaviour : std::uint8_t {
     Whole,
     CutAfterThree, ///< The connection ends after three events.
+    Crashes, ///< Ends as a process does once an item begins.
     Full, ///< Refuses each item as not run.
     Fails, ///< Answers 500.
     Unprocessable, ///< Answers 422.
@@ -102,6 +103,10 @@
         if (request.target.starts_with("/score/"))
             return score(exchange);
         starts.push_back(std::stoull(std::string(request.fields.find("After"))));
+        if (behaviour == Behaviour::Crashes) {
+            server.close();
+            return exchange->abort();
+        }
         if (behaviour == Behaviour::Full)
             return exchange->respond({ 503, {}, { { "Not-Run", "1" } }, {} });
         if (behaviour == Behaviour::Fails || behaviour == Behaviour::Unprocessable)
@@ -112,6 +117,10 @@
     void score(const http1::ExchangePointer& exchange)
     {
         scored.emplace_back(fieldOf(*exchange, "Id"), exchange->request().body);
+        if (behaviour == Behaviour::Crashes) {
+            server.close();
+            return exchange->abort();
+        }
         if (behaviour == Behaviour::Fails)
             return exchange->respond({ 500, {}, {}, {} });
         if (behaviour == Behaviour::SilentAfterThree) {
@@ -347,6 +356,35 @@
     cr_assert(endpoint.starts.size() == 4);
 }
 
+// Guards against a sound item that is never placed again because several endpoints crashed while they ran it.
+Test(JobRunner, endpointsCrashUnderItem_calmAfterwards_itemIsCompleted)
+{
+    RunnerFixture fixture;
+    constexpr unsigned crashes = 8;
+    for (unsigned number = 0; number < crashes; ++number)
+        fixture.add(fmt::format("crashing {}", number), Behaviour::Crashes);
+    fixture.submit(1, 1);
+    cr_assert(fixture.runUntil([&] { return std::all_of(fixture.endpoints.begin(), fixture.endpoints.end(), [](const auto& endpoint) { return endpoint->starts.size() == 1; }); }));
+    fixture.add("calm", Behaviour::Whole);
+    const auto result = fixture.result();
+    cr_assert(result && result->state == batch::ResultState::Completed);
+    cr_assert(result->output == wholeText());
+}
+
+// Guards against an item that is given up because the reward service crashed under its call.
+Test(JobRunner, rewardServiceCrashesUnderCall_calmAfterwards_itemIsScored)
+{
+    RunnerFixture fixture;
+    for (unsigned number = 0; number < 6; ++number)
+        fixture.add(fmt::format("crashing {}", number), Behaviour::Crashes, 1, rewardService);
+    fixture.add("a", Behaviour::Whole);
+    fixture.submit(1, 1, scoreCall);
+    cr_assert(fixture.runUntil([&] { return std::all_of(fixture.endpoints.begin(), fixture.endpoints.end() - 1, [](const auto& endpoint) { return endpoint->scored.size() == 1; }); }));
+    fixture.add("calm", Behaviour::Scores, 1, rewardService);
+    const auto result = fixture.result();
+    cr_assert(result && result->score == "score of r");
+}
+
 // Guards against an item that can never be done and is tried again.
 Test(JobRunner, itemUnprocessable_isGivenUpAtOnce)
 {
