Make the group known to seeds that hold no log

Cause: entries and store nodes without a log know their seeds alone after a restart. The seeds had been exchanged for nodes that hold no log and know each other alone; the participants know each other and never spoke to the seeds.

The leader introduces itself to its seeds and to nodes that asked once and ask no more; an introduction says what its sender knows of the group, and a node without a log hands it on. Of two accounts the higher commit index holds. A seed that was told of a group founds none. Store nodes take over reloaded seeds, entries fall back to the newest ones and log whom they asked.

--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -104,7 +104,9 @@
     [[nodiscard]] consensus::RaftStatus status() const { return m_node->status(); }
     [[nodiscard]] std::uint64_t term() const noexcept { return m_node->term(); }
     [[nodiscard]] const InstanceId& identity() const noexcept { return m_identity; }
-    /// Peer address of the leader, as far as known.
+    /// Replaces the addresses of instances to ask, and to make the group known to.
+    void setSeeds(std::vector<InstanceAddress> seeds) { m_seeds = std::move(seeds); }
+    /// Peer address of the leader, as far as known; as another instance said last, while this one is not a participant.
     [[nodiscard]] std::optional<InstanceAddress> leaderAddress() const;
     /// The participants; those that another instance named last, while this one is not a participant.
     [[nodiscard]] std::vector<MemberIdentity> members() const;
@@ -150,6 +152,12 @@
     void planChange();
     void lookForGroup();
     void takeIntroduction(const InstanceAddress& from, const control::IntroduceReply& reply);
+    void introduceTo(const std::set<InstanceAddress>& addresses);
+    void makeKnown();
+    void noteAsker(const InstanceId& identity);
+    void learn(const control::KnownGroup& view);
+    [[nodiscard]] control::KnownGroup knownGroup() const;
+    [[nodiscard]] control::IntroduceReply introduction() const;
     void foundIfAllFresh();
     [[nodiscard]] std::vector<MemberView> memberViews() const;
     void admit(const InstanceId& identity);
@@ -175,7 +183,10 @@
     std::multimap<std::uint64_t, Pending> m_proposals; ///< By log index.
     std::map<InstanceId, Outgoing> m_outgoing;
     std::map<InstanceAddress, control::IntroduceReply> m_introductions; ///< Of the current round.
-    consensus::Membership m_namedMembership; ///< As named by another instance last.
+    std::vector<InstanceAddress> m_seeds;
+    control::KnownGroup m_named; ///< The newest that other instances said of the group.
+    std::map<InstanceAddress, TimePoint> m_askers; ///< When other instances last asked who this one is.
+    TimePoint m_nextMakeKnown {};
     std::set<std::string> m_retiring;
     std::map<std::string, TimePoint> m_spares; ///< When each last asked to join.
     std::function<void(bool)> m_onLeadership;
--- a/src/azurepaddle/cluster/group_drive.hpp
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -53,6 +53,7 @@
     , m_files(internal::require(storage::PosixFileSystem::openFolder(m_options.dataFolder)))
     , m_random(std::random_device {}())
     , m_tickTimer(io)
+    , m_seeds(m_options.seeds)
 {
     static_assert(StateMachine<Machine>);
     const InstanceId fresh = formatIdentity({ m_options.name, m_options.address, randomHex(internal::folderBytes) });
@@ -78,10 +79,13 @@
         });
         respond(std::string());
     });
-    server.handleDeferred("introduce", [this](const PeerRequest&, PeerResponder respond) {
-        asio::post(m_io, [this, respond = std::move(respond)] {
-            const auto status = m_node->status();
-            respond(codec::encode(control::IntroduceReply { m_identity, status.lastIndex == 0, status.membership, status.leader }));
+    server.handleDeferred("introduce", [this](PeerRequest request, PeerResponder respond) {
+        asio::post(m_io, [this, body = std::move(request.body), respond = std::move(respond)] {
+            if (const auto asked = codec::decode<control::IntroduceRequest>(body)) {
+                noteAsker(asked->identity);
+                learn(asked->known);
+            }
+            respond(codec::encode(introduction()));
         });
     });
     server.handleDeferred("join", [this](PeerRequest request, PeerResponder respond) {
@@ -277,14 +281,14 @@
 template <typename Machine>
 std::optional<InstanceAddress> Group<Machine>::leaderAddress() const
 {
-    const auto parts = parseIdentity(m_node->leader());
+    const auto parts = parseIdentity(isParticipant() ? m_node->leader() : m_named.leader);
     return parts ? std::optional(parts->address) : std::nullopt;
 }
 
 template <typename Machine>
 std::vector<MemberIdentity> Group<Machine>::members() const
 {
-    const consensus::Membership& membership = isParticipant() ? m_node->membership() : m_namedMembership;
+    const consensus::Membership& membership = isParticipant() ? m_node->membership() : m_named.membership;
     std::vector<MemberIdentity> members;
     for (const auto* ids : { &membership.voters, &membership.learners }) {
         for (const InstanceId& id : *ids) {
--- a/src/azurepaddle/cluster/group_membership.hpp
+++ b/src/azurepaddle/cluster/group_membership.hpp
@@ -14,6 +14,11 @@
     constexpr Duration spareLifetime = std::chrono::seconds(3);
     // Without a leader for this long a participant asks whether it was removed meanwhile.
     constexpr Duration leaderlessTime = std::chrono::milliseconds(1500);
+    // The leader makes the group known this often to instances that may not know of it.
+    constexpr Duration makeKnownInterval = std::chrono::seconds(1);
+    // Instances that asked lately know of the group. Those that have not asked for this long are forgotten.
+    constexpr Duration askerLifetime = std::chrono::minutes(10);
+    constexpr std::size_t maxAskers = 256;
 
 }
 
@@ -24,6 +29,7 @@
     m_nextMaintenance = now + internal::maintenanceInterval;
     if (isLeader()) {
         m_lastLeader = now;
+        makeKnown();
         return planChange();
     }
     if (!m_node->leader().empty())
@@ -98,12 +104,78 @@
 {
     foundIfAllFresh();
     m_introductions.clear();
-    std::set<InstanceAddress> asked(m_options.seeds.begin(), m_options.seeds.end());
+    std::set<InstanceAddress> asked(m_seeds.begin(), m_seeds.end());
     for (const MemberIdentity& member : members())
         asked.insert(member.address);
-    asked.erase(m_options.address);
-    const std::string request = codec::encode(control::IntroduceRequest { m_identity });
-    for (const InstanceAddress& address : asked) {
+    introduceTo(asked);
+}
+
+/// Makes the group known to seeds and to instances that asked once and ask no more: after a restart they know their seeds
+/// alone, which may hold no log either.
+template <typename Machine>
+void Group<Machine>::makeKnown()
+{
+    const TimePoint now = m_clock.now();
+    if (now < m_nextMakeKnown)
+        return;
+    m_nextMakeKnown = now + internal::makeKnownInterval;
+    std::erase_if(m_askers, [now](const auto& asker) { return now - asker.second > internal::askerLifetime; });
+    std::set<InstanceAddress> unaware(m_seeds.begin(), m_seeds.end());
+    for (const auto& [address, askedAt] : m_askers)
+        unaware.insert(address);
+    for (const auto& [address, askedAt] : m_askers) {
+        if (now - askedAt < internal::makeKnownInterval)
+            unaware.erase(address);
+    }
+    for (const MemberIdentity& member : members())
+        unaware.erase(member.address);
+    introduceTo(unaware);
+}
+
+template <typename Machine>
+void Group<Machine>::noteAsker(const InstanceId& identity)
+{
+    const auto parts = parseIdentity(identity);
+    if (parts && (m_askers.size() < internal::maxAskers || m_askers.contains(parts->address)))
+        m_askers[parts->address] = m_clock.now();
+}
+
+/// Takes over what another instance knows of the group, if that is newer.
+template <typename Machine>
+void Group<Machine>::learn(const control::KnownGroup& view)
+{
+    if (view.membership.voters.empty() || view.commitIndex < m_named.commitIndex)
+        return;
+    if (m_named.membership.voters.empty() && !isParticipant())
+        m_log.info("told of a group: {} voters, leader={}", view.membership.voters.size(), view.leader);
+    m_named = view;
+}
+
+/// What this instance can tell of the group: as a participant its own view, otherwise what it was told.
+template <typename Machine>
+control::KnownGroup Group<Machine>::knownGroup() const
+{
+    if (!isParticipant())
+        return m_named;
+    const auto status = m_node->status();
+    return { status.membership, status.leader, status.commitIndex };
+}
+
+template <typename Machine>
+control::IntroduceReply Group<Machine>::introduction() const
+{
+    const control::KnownGroup known = knownGroup();
+    const bool isFresh = m_node->status().lastIndex == 0 && known.membership.voters.empty();
+    return { m_identity, isFresh, known.membership, known.leader, known.commitIndex };
+}
+
+template <typename Machine>
+void Group<Machine>::introduceTo(const std::set<InstanceAddress>& addresses)
+{
+    const std::string request = codec::encode(control::IntroduceRequest { m_identity, knownGroup() });
+    for (const InstanceAddress& address : addresses) {
+        if (address == m_options.address)
+            continue;
         m_client.send(address, "introduce", request, m_clock.now() + internal::introduceDeadline, [this, address](const transport::CallResult& result) {
             if (!result)
                 return;
@@ -121,8 +193,8 @@
     m_introductions[from] = reply;
     if (reply.isFresh)
         return;
-    m_namedMembership = reply.membership;
-    if (reply.membership.contains(m_identity))
+    learn(reply.known());
+    if (isLeader() || reply.membership.contains(m_identity))
         return;
     const auto leader = parseIdentity(reply.leader);
     if (leader)
@@ -130,12 +202,14 @@
 }
 
 /// The seed with the lowest address founds the group, once all seeds have said that they are new. An instance that lost
-/// its disk is not told to found, so that a group is founded once.
+/// its disk is not told to found, and one that was told of a group does not found and says so, so that a group is founded
+/// once.
 template <typename Machine>
 void Group<Machine>::foundIfAllFresh()
 {
-    const auto& seeds = m_options.seeds;
-    if (!m_options.mayFound || m_node->status().lastIndex > 0 || seeds.empty() || *std::min_element(seeds.begin(), seeds.end()) != m_options.address)
+    const auto& seeds = m_seeds;
+    const bool isFresh = introduction().isFresh;
+    if (!m_options.mayFound || !isFresh || seeds.empty() || *std::min_element(seeds.begin(), seeds.end()) != m_options.address)
         return;
     consensus::Membership founders;
     founders.voters.insert(m_identity);
--- a/src/azurepaddle/control/group_messages.hpp
+++ b/src/azurepaddle/control/group_messages.hpp
@@ -32,18 +32,32 @@
     MSGPACK_DEFINE(status, body, leader)
 };
 
-/// Asks a participant for its identity and whether it holds a log, before a group is founded.
+/// What an instance knows of the group that holds the log.
+struct KnownGroup {
+    consensus::Membership membership; ///< Empty if it knows of no group.
+    InstanceId leader; ///< Empty if unknown.
+    std::uint64_t commitIndex = 0; ///< Of the participant that said so. Of two views the one with the higher index is newer.
+
+    friend bool operator==(const KnownGroup&, const KnownGroup&) = default;
+    MSGPACK_DEFINE(membership, leader, commitIndex)
+};
+
+/// Asks an instance for its identity and what it knows of a group, and says what the asker knows.
 struct IntroduceRequest {
     InstanceId identity; ///< Of the instance that asks.
-    MSGPACK_DEFINE(identity)
+    KnownGroup known {};
+    MSGPACK_DEFINE(identity, known)
 };
 
 struct IntroduceReply {
     InstanceId identity;
-    bool isFresh = false;
+    bool isFresh = false; ///< Holds no log and knows of no group.
     consensus::Membership membership; ///< Newest known; empty if fresh.
     InstanceId leader; ///< Empty if unknown.
-    MSGPACK_DEFINE(identity, isFresh, membership, leader)
+    std::uint64_t commitIndex = 0; ///< As of a view.
+    MSGPACK_DEFINE(identity, isFresh, membership, leader, commitIndex)
+
+    [[nodiscard]] KnownGroup known() const { return { membership, leader, commitIndex }; }
 };
 
 /// Asks the leader to take in a participant whose folder is new; the former participant of the same instance name lost
--- a/src/azurepaddle/control/group_repair.cpp
+++ b/src/azurepaddle/control/group_repair.cpp
@@ -74,7 +74,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto status = m_node->status();
-    return { m_identity, isFresh(), status.membership, status.leader };
+    return { m_identity, isFresh(), status.membership, status.leader, status.commitIndex };
 }
 
 void ControlGroup::admitLearner(const InstanceId& identity)
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -20,6 +20,10 @@
     constexpr Duration leavingPatience = std::chrono::milliseconds(2000);
     // Without a store node that knows the present state for this long a node asks not to be chosen: others may still reach one.
     constexpr Duration contactLimit = std::chrono::seconds(4);
+    // An entry that finds no store node says so this often.
+    constexpr Duration missingNoteInterval = std::chrono::seconds(2);
+    // Without any answer for this long the seeds are asked again: all members that were known may be gone.
+    constexpr Duration seedFallbackTime = std::chrono::seconds(2);
     constexpr Duration drainPoll = std::chrono::milliseconds(50);
     // The load balancer notices within this time that the node is not ready.
     constexpr Duration minimumDrain = std::chrono::milliseconds(2500);
@@ -38,6 +42,7 @@
 EntryNode::EntryNode(asio::io_context& io, config::NodeSettings settings)
     : m_io(io)
     , m_settings(std::move(settings))
+    , m_seeds(m_settings.seedPeers())
     , m_random(std::random_device {}())
     , m_peerClient(peerClientOptions(m_settings))
     , m_leader(io, m_peerClient)
@@ -56,8 +61,8 @@
     , m_pollTimer(io)
     , m_drainTimer(io)
 {
-    m_leader.setMembers(m_settings.seedPeers());
-    m_stores.setMembers(m_settings.seedPeers());
+    m_leader.setMembers(m_seeds);
+    m_stores.setMembers(m_seeds);
     m_guard.setOnReport([this](const registry::SuspectsRequest& report) { m_reporter.add(report); });
     m_forwarder.setOnLeaving([this](const registry::EndpointLeave& leave) { tellLeaving(leave); });
 }
@@ -94,31 +99,45 @@
             const auto answer = result ? registry::answerIn<registry::PollReply>(*result) : registry::InstanceAnswer<registry::PollReply>();
             if (answer.other)
                 m_stores.add(*answer.other);
-            onPoll(store, answer.reply);
+            if (!answer.reply)
+                return onNoStore(store, answer.other);
+            onPoll(store, *answer.reply);
         });
     });
 }
 
-void EntryNode::onPoll(const InstanceAddress& store, const std::optional<registry::PollReply>& reply)
+void EntryNode::onPoll(const InstanceAddress& store, const registry::PollReply& reply)
 {
-    const TimePoint now = m_clock.now();
-    if (!reply) {
-        m_stores.noteFailure(store, now);
-        if (std::exchange(m_isInContact, false))
-            m_log.warning("dependency=store state=lost configuration={}", m_known.configurationVersion);
-        return pollAfter(pollRetryDelay);
-    }
-    m_lastContact = now;
-    m_stores.noteAnswer(store, reply->dataCentre);
+    m_lastContact = m_clock.now();
+    m_stores.noteAnswer(store, reply.dataCentre);
+    m_metrics.gauge("entry_has_store").set(1);
     if (!std::exchange(m_isInContact, true))
-        m_log.info("dependency=store state=found address={} data-centre={}", formatAddress(store), reply->dataCentre);
-    takeMembers(*reply);
-    takeConfiguration(*reply);
-    takeEndpoints(*reply);
-    takeSuspects(*reply);
+        m_log.info("dependency=store state=found address={} data-centre={}", formatAddress(store), reply.dataCentre);
+    takeMembers(reply);
+    takeConfiguration(reply);
+    takeEndpoints(reply);
+    takeSuspects(reply);
     pollAfter(pollPause);
 }
 
+/// Goes on to the next store node. The one that was asked may have named another.
+void EntryNode::onNoStore(const InstanceAddress& asked, const std::optional<InstanceAddress>& named)
+{
+    const TimePoint now = m_clock.now();
+    m_stores.noteFailure(asked, now);
+    m_metrics.gauge("entry_has_store").set(0);
+    const bool wasInContact = std::exchange(m_isInContact, false);
+    if (wasInContact || now >= m_nextMissingNote) {
+        m_nextMissingNote = now + missingNoteInterval;
+        m_log.warning("dependency=store state={} asked={} named={} configuration={}", wasInContact ? "lost" : "missing", formatAddress(asked), named ? formatAddress(*named) : std::string(), m_known.configurationVersion);
+    }
+    if (now - m_lastContact > seedFallbackTime) {
+        for (const InstanceAddress& seed : m_seeds)
+            m_stores.add(seed);
+    }
+    pollAfter(pollRetryDelay);
+}
+
 void EntryNode::takeMembers(const registry::PollReply& reply)
 {
     std::vector<InstanceAddress> members;
@@ -226,10 +245,11 @@
 void EntryNode::reload(const config::NodeSettings& settings)
 {
     m_log.info("settings reloaded seeds={}", settings.peer.seeds.size());
+    m_seeds = settings.seedPeers();
     if (m_isInContact)
         return;
-    m_stores.setMembers(settings.seedPeers());
-    m_leader.setMembers(settings.seedPeers());
+    m_stores.setMembers(m_seeds);
+    m_leader.setMembers(m_seeds);
 }
 
 void EntryNode::stop()
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -25,7 +25,8 @@
 
 private:
     void poll();
-    void onPoll(const InstanceAddress& store, const std::optional<registry::PollReply>& reply);
+    void onPoll(const InstanceAddress& store, const registry::PollReply& reply);
+    void onNoStore(const InstanceAddress& asked, const std::optional<InstanceAddress>& named);
     void pollAfter(Duration delay);
     void takeConfiguration(const registry::PollReply& reply);
     void takeEndpoints(const registry::PollReply& reply);
@@ -41,6 +42,7 @@
     const Log m_log { "entry" };
     const SystemClock m_clock {};
     metrics::Registry m_metrics;
+    std::vector<InstanceAddress> m_seeds; ///< Of the newest settings.
     Random m_random;
     transport::PeerClient m_peerClient;
     registry::LeaderClient m_leader;
@@ -58,6 +60,7 @@
     asio::steady_timer m_drainTimer;
     registry::PollRequest m_known;
     TimePoint m_lastContact {};
+    TimePoint m_nextMissingNote {}; ///< When to log again that no store node answers.
     bool m_hasConfiguration = false;
     bool m_isInContact = false;
     bool m_isDraining = false;
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -111,7 +111,8 @@
 
 void StoreNode::tick()
 {
-    if (const auto leader = m_group.leaderAddress())
+    // What a node without the log was told of the leader may be older than what the leader client has found.
+    if (const auto leader = m_group.leaderAddress(); leader && m_group.isParticipant())
         m_leader.setLeader(leader);
     std::vector<InstanceAddress> members;
     for (const cluster::MemberIdentity& member : m_group.members())
@@ -203,6 +204,7 @@
 void StoreNode::reload(const config::NodeSettings& settings)
 {
     m_log.info("settings reloaded seeds={}", settings.peer.seeds.size());
+    m_group.setSeeds(settings.seedPeers());
 }
 
 void StoreNode::stop()
--- a/test/azurepaddle/cluster/group.cpp
+++ b/test/azurepaddle/cluster/group.cpp
@@ -55,16 +55,22 @@
 
 struct GroupFixture {
     std::filesystem::path folder = std::filesystem::temp_directory_path() / ("azurepaddle-group-" + randomHex(6));
-    std::vector<InstanceAddress> addresses { { "127.0.0.1", fixture::freePort() }, { "127.0.0.1", fixture::freePort() }, { "127.0.0.1", fixture::freePort() } };
+    std::vector<InstanceAddress> addresses;
+    std::vector<InstanceAddress> seeds; ///< Of the participants that start from now on.
     std::vector<std::unique_ptr<asio::io_context>> loops; ///< One for each life of a participant; dropped ones never run again.
-    std::vector<asio::io_context*> current { nullptr, nullptr, nullptr };
+    std::vector<asio::io_context*> current;
     std::vector<std::unique_ptr<Participant>> participants;
 
-    GroupFixture()
+    /// Starts three participants, which are the seeds. Others may be started later.
+    explicit GroupFixture(std::size_t count = 3)
     {
         std::filesystem::create_directories(folder);
-        participants.resize(addresses.size());
-        for (std::size_t i = 0; i < addresses.size(); ++i)
+        for (std::size_t i = 0; i < count; ++i)
+            addresses.push_back({ "127.0.0.1", fixture::freePort() });
+        participants.resize(count);
+        current.resize(count);
+        seeds.assign(addresses.begin(), addresses.begin() + 3);
+        for (std::size_t i = 0; i < seeds.size(); ++i)
             startOne(i, true);
     }
     ~GroupFixture()
@@ -83,7 +89,7 @@
         options.name = "node" + std::to_string(i);
         options.address = addresses[i];
         options.dataFolder = folderOf(i);
-        options.seeds = addresses;
+        options.seeds = seeds;
         options.mayFound = mayFound;
         transport::ServerOptions serverOptions;
         serverOptions.listen = addresses[i];
@@ -302,3 +308,80 @@
     }
     std::filesystem::remove_all(folder);
 }
+
+namespace {
+
+/// A group whose seeds were exchanged for instances that hold no log.
+struct ExchangedSeedsFixture : GroupFixture {
+    static constexpr std::size_t firstSpare = 4;
+    static constexpr std::size_t count = 7;
+
+    ExchangedSeedsFixture()
+        : GroupFixture(count)
+    {
+        cr_assert(apply("a"));
+        startOne(3, false); // Becomes the learner beyond the voters.
+        cr_assert(allHold("a"));
+        for (std::size_t i = firstSpare; i < count; ++i)
+            startOne(i, false);
+        cr_assert(runUntil([&] { return sparesKnow(); }));
+        seeds.assign(addresses.begin() + firstSpare, addresses.end());
+    }
+
+    /// Whether all running instances without a log can tell others who holds it.
+    bool sparesKnow()
+    {
+        return std::all_of(participants.begin() + firstSpare, participants.end(), [](const auto& spare) {
+            return !spare || !spare->group.members().empty();
+        });
+    }
+
+    void stopAll()
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            stopOne(i);
+    }
+};
+
+}
+
+// Guards against a group that nobody finds after a loss of all power, because the seeds hold no log and know only each other.
+Test(Group, seedsHoldNoLog_allRestarted_seedsLearnWhoHoldsIt)
+{
+    ExchangedSeedsFixture fixture;
+    fixture.stopAll();
+    for (std::size_t i = 0; i < ExchangedSeedsFixture::count; ++i)
+        fixture.startOne(i, false);
+    cr_assert(fixture.runUntil([&] { return fixture.sparesKnow(); }));
+    cr_assert(fixture.apply("b"));
+}
+
+// Guards against instances without a log that only the others' memory knows: they restart with seeds that hold no log
+// either, while the group goes on with the seeds it had.
+Test(Group, sparesRestarted_groupHasOtherSeeds_sparesLearnWhoHoldsIt)
+{
+    ExchangedSeedsFixture fixture;
+    for (std::size_t i = ExchangedSeedsFixture::firstSpare; i < ExchangedSeedsFixture::count; ++i)
+        fixture.stopOne(i);
+    for (std::size_t i = ExchangedSeedsFixture::firstSpare; i < ExchangedSeedsFixture::count; ++i)
+        fixture.startOne(i, false);
+    cr_assert(fixture.runUntil([&] { return fixture.sparesKnow(); }));
+}
+
+// Guards against a second group of seeds that were told of the first one.
+Test(Group, emptySeedsToldOfGroup_mayFound_foundNone)
+{
+    ExchangedSeedsFixture fixture;
+    const std::size_t last = ExchangedSeedsFixture::count - 1;
+    fixture.stopOne(last);
+    for (std::size_t i = ExchangedSeedsFixture::firstSpare; i < last; ++i) {
+        fixture.stopOne(i);
+        fixture.startOne(i, true);
+    }
+    // While one seed is down nobody may found; meanwhile the others hear of the group.
+    cr_assert(fixture.runUntil([&] { return fixture.sparesKnow(); }));
+    fixture.startOne(last, true);
+    cr_assert(fixture.runUntil([&] { return fixture.sparesKnow(); }));
+    for (std::size_t i = ExchangedSeedsFixture::firstSpare; i < ExchangedSeedsFixture::count; ++i)
+        cr_assert(fixture.participants[i]->group.status().lastIndex == 0);
+}
