Let a removed voter tell what it was told of the group

A store node that was removed while it was frozen answered with its own old membership. It now hands on the newer account, which it learns by asking.

--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -183,7 +183,7 @@
     std::multimap<std::uint64_t, Pending> m_proposals; ///< By log index.
     std::map<InstanceId, Outgoing> m_outgoing;
     std::map<InstanceAddress, control::IntroduceReply> m_introductions; ///< Of the current round.
-    std::vector<InstanceAddress> m_seeds;
+    std::vector<InstanceAddress> m_seeds; ///< Of the newest settings.
     control::KnownGroup m_named; ///< The newest that other instances said of the group.
     std::map<InstanceAddress, TimePoint> m_askers; ///< When other instances last asked who this one is.
     TimePoint m_nextMakeKnown {};
--- a/src/azurepaddle/cluster/group_membership.hpp
+++ b/src/azurepaddle/cluster/group_membership.hpp
@@ -121,11 +121,11 @@
     m_nextMakeKnown = now + internal::makeKnownInterval;
     std::erase_if(m_askers, [now](const auto& asker) { return now - asker.second > internal::askerLifetime; });
     std::set<InstanceAddress> unaware(m_seeds.begin(), m_seeds.end());
-    for (const auto& [address, askedAt] : m_askers)
-        unaware.insert(address);
     for (const auto& [address, askedAt] : m_askers) {
         if (now - askedAt < internal::makeKnownInterval)
             unaware.erase(address);
+        else
+            unaware.insert(address);
     }
     for (const MemberIdentity& member : members())
         unaware.erase(member.address);
@@ -151,13 +151,15 @@
     m_named = view;
 }
 
-/// What this instance can tell of the group: as a participant its own view, otherwise what it was told.
+/// What this instance can tell of the group: as a participant its own view, otherwise what it was told. One that was
+/// removed without hearing of it tells what it was told as well.
 template <typename Machine>
 control::KnownGroup Group<Machine>::knownGroup() const
 {
-    if (!isParticipant())
-        return m_named;
     const auto status = m_node->status();
+    const bool isRemoved = m_named.commitIndex > status.commitIndex && !m_named.membership.contains(m_identity);
+    if (!isParticipant() || isRemoved)
+        return m_named;
     return { status.membership, status.leader, status.commitIndex };
 }
 
--- a/src/azurepaddle/gateway/crash_guard.hpp
+++ b/src/azurepaddle/gateway/crash_guard.hpp
@@ -18,10 +18,10 @@
     void setOnReport(std::function<void(const registry::SuspectsRequest&)> onReport) { m_onReport = std::move(onReport); }
     /// Replaces the suspects that all instances agreed on.
     void setAgreed(const std::vector<registry::SuspectEntry>& suspects, TimePoint now);
-    /// Says that the other instances can be reached. What was seen here and told them counts as agreed or cleared after a while.
+    /// Notes that the other instances can be reached: what was seen here a while ago is agreed by now, or cleared.
     void noteContact();
 
-    /// Whether any request is suspected. Fingerprints need not be made otherwise.
+    /// Whether any request is suspected.
     [[nodiscard]] bool knowsSuspects() const noexcept { return !m_agreed.empty() || !m_own.all().empty(); }
     /// Whether an endpoint crashed under the request and it got no whole answer since.
     [[nodiscard]] bool isSuspect(const registry::RequestFingerprint& request) const;
--- a/src/azurepaddle/gateway/crash_watch.cpp
+++ b/src/azurepaddle/gateway/crash_watch.cpp
@@ -10,7 +10,7 @@
 
     // 128 bits; requests do not share them by chance.
     constexpr std::size_t fingerprintDigits = 32;
-    // Requests reported with one crash. An endpoint has fewer slots than this.
+    // Requests reported with one crash. With as many, each one is hardly suspected.
     constexpr std::size_t maxRequests = 64;
 
     std::string_view nameOf(http1::ProbeOutcome outcome)
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -102,6 +102,7 @@
     return { forwarding.runs + static_cast<unsigned>(forwarding.sendings.size()), forwarding.refusals };
 }
 
+/// The fingerprint of the request, made when it is first needed.
 template <typename Protocol>
 const registry::RequestFingerprint& Forwarder<Protocol>::fingerprintOf(Forwarding& forwarding)
 {
@@ -110,6 +111,7 @@
     return forwarding.fingerprint;
 }
 
+/// Whether endpoints crashed under this request of a caller. No fingerprint is made while nothing is suspected.
 template <typename Protocol>
 bool Forwarder<Protocol>::isSuspect(Forwarding& forwarding) const
 {
--- a/src/azurepaddle/registry/suspect_reporter.cpp
+++ b/src/azurepaddle/registry/suspect_reporter.cpp
@@ -30,7 +30,7 @@
 
 }
 
-void SuspectReporter::add(SuspectsRequest report)
+void SuspectReporter::add(const SuspectsRequest& report)
 {
     m_waiting = joined(std::move(m_waiting), report);
     if (!m_isSending)
--- a/src/azurepaddle/registry/suspect_reporter.hpp
+++ b/src/azurepaddle/registry/suspect_reporter.hpp
@@ -16,7 +16,7 @@
     {
     }
 
-    void add(SuspectsRequest report);
+    void add(const SuspectsRequest& report);
 
 private:
     void send();
