Record partial texts of long items every 8 events

Hypothesis: a change of the leader costs a step up to 40 events of its longest item, because a partial text was recorded in parts of 24 events, every 500 ms at the most.

Parts of 8 events from 24 events on, every 250 ms.

--- a/src/azurepaddle/execution/job_runner_watch.hpp
+++ b/src/azurepaddle/execution/job_runner_watch.hpp
@@ -16,9 +16,9 @@
     constexpr Duration textSweepInterval = std::chrono::seconds(1);
     // A partial text is recorded if it has at least this many events in total and this many unrecorded ones, checked at
     // this interval.
-    constexpr std::uint64_t minTextEvents = 32;
-    constexpr std::uint64_t minUnrecordedEvents = 24;
-    constexpr Duration textRecordingInterval = std::chrono::milliseconds(500);
+    constexpr std::uint64_t minTextEvents = 24;
+    constexpr std::uint64_t minUnrecordedEvents = 8;
+    constexpr Duration textRecordingInterval = std::chrono::milliseconds(250);
     // An item without any event for this long, or ten times the median time between events if that is longer, resumes
     // elsewhere: its endpoint is assumed to have failed and is avoided.
     constexpr Duration silenceTimeout = std::chrono::milliseconds(700);
