Tell lasting speeds of endpoints from slowdowns, and move items by expected ends

The speed meter forgot an endpoint after 0.7 s and compared with the median of the moment, so long items started on slow endpoints, were moved onto them by a disturbance of 0.6 s, and returned to a slow one as soon as all items had left it.

--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -8,8 +8,16 @@
 
     // Items of one group share an endpoint unless another endpoint has more than this many items fewer.
     constexpr std::uint32_t affinitySlack = 2;
-    // Items are moved only to endpoints of at most this slowness.
-    constexpr double maxTargetSlowness = 1.3;
+    // Time that a move costs an item: a connection, processing of its prompt and its output so far, and a part of an
+    // event.
+    constexpr Duration moveCost = std::chrono::milliseconds(80);
+    // A move must be expected to gain this much, and this share of the remaining time, because speeds are estimates.
+    constexpr Duration minGain = std::chrono::milliseconds(40);
+    constexpr double minGainShare = 0.02;
+    // A slowdown is expected to last as long again as it has lasted, and at least this long.
+    constexpr Duration minSlowdown = std::chrono::milliseconds(400);
+    // Share by which each concurrent item slows an endpoint down.
+    constexpr double crowdingPerItem = 0.008;
     // Minimum time of an item on an endpoint before it may be moved, so that noise in the measurements causes no moves.
     constexpr Duration minStay = std::chrono::milliseconds(100);
     // A move later than this after an event loses a part of the next event.
@@ -21,6 +29,11 @@
     // Maximum moves in one plan, so that the slowness of the targets is measured before more items follow.
     constexpr std::size_t maxMoves = 12;
 
+    double toMilliseconds(Duration duration)
+    {
+        return std::chrono::duration<double, std::milli>(duration).count();
+    }
+
     template <typename Item>
     bool canTake(const EndpointLoad& endpoint, const Item& item)
     {
@@ -29,7 +42,7 @@
 
     // A long item counts as this many items, because each concurrent item and each prompt processed on its endpoint
     // delays it.
-    constexpr double longItemWeight = 4;
+    constexpr double longItemWeight = 8;
 
     double costOf(const EndpointLoad& endpoint)
     {
@@ -38,17 +51,38 @@
         return share * endpoint.slowness;
     }
 
-    template <typename Item>
-    EndpointLoad* cheapest(std::vector<EndpointLoad>& endpoints, const Item& item, double maxSlowness)
+    /// Expected time to generate the tokens at an endpoint beside its other items.
+    Duration expectedTime(std::uint64_t tokens, const EndpointLoad& endpoint, std::uint32_t otherItems, Duration tokenTime)
+    {
+        const double crowding = 1 + crowdingPerItem * (static_cast<double>(otherItems) + (longItemWeight - 1) * static_cast<double>(endpoint.longItems));
+        const double lastingMs = static_cast<double>(tokens) * toMilliseconds(tokenTime) * endpoint.lastingSlowness * crowding;
+        const double slowdown = std::max(1.0, endpoint.slowness / endpoint.lastingSlowness);
+        const double slowdownMs = toMilliseconds(std::max(minSlowdown, endpoint.slowFor));
+        const double delayMs = std::min(lastingMs * (slowdown - 1), slowdownMs * (1 - 1 / slowdown));
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(lastingMs + delayMs));
+    }
+
+    /// The endpoint with room for the item and the lowest cost, or null.
+    template <typename Item, typename Cost>
+    EndpointLoad* cheapest(std::vector<EndpointLoad>& endpoints, const Item& item, Cost cost)
     {
         EndpointLoad* best = nullptr;
         for (EndpointLoad& endpoint : endpoints) {
-            if (canTake(endpoint, item) && endpoint.slowness <= maxSlowness && (!best || costOf(endpoint) < costOf(*best)))
+            if (canTake(endpoint, item) && (!best || cost(endpoint) < cost(*best)))
                 best = &endpoint;
         }
         return best;
     }
 
+    /// The endpoint for an item: where a long one ends first, or the least loaded one for others.
+    template <typename Item>
+    EndpointLoad* bestEndpoint(std::vector<EndpointLoad>& endpoints, const Item& item, Duration tokenTime)
+    {
+        if (!item.isLong)
+            return cheapest(endpoints, item, costOf);
+        return cheapest(endpoints, item, [&](const EndpointLoad& endpoint) { return expectedTime(item.expectedTokens, endpoint, endpoint.running, tokenTime); });
+    }
+
     EndpointLoad* findEndpoint(std::vector<EndpointLoad>& endpoints, const EndpointId& id)
     {
         const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const EndpointLoad& endpoint) { return endpoint.id == id; });
@@ -69,18 +103,26 @@
         std::stable_sort(running.begin(), running.end(), [](const RunningItem& a, const RunningItem& b) { return a.expectedTokens > b.expectedTokens; });
     }
 
-    bool shouldMove(const RunningItem& item, const EndpointLoad& from)
+    bool mayMove(const RunningItem& item, const EndpointLoad& from)
     {
-        if (from.slowness < slownessThreshold || item.sinceStart < minStay || item.expectedTokens < minRemainingTokens)
+        if (item.sinceStart < minStay || item.expectedTokens < minRemainingTokens)
             return false;
         return item.sinceEvent <= maxEventAge || from.slowness >= stalledSlowness;
     }
 
-    constexpr double unlimitedSlowness = 1e9;
+    /// Whether the item is expected to end earlier at the other endpoint by more than the required gain.
+    bool gainsByMove(const RunningItem& item, const EndpointLoad& from, const EndpointLoad& target, Duration tokenTime)
+    {
+        EndpointLoad others = from;
+        others.longItems -= std::min(others.longItems, item.isLong ? 1U : 0U);
+        const Duration here = expectedTime(item.expectedTokens, others, others.running - std::min(others.running, 1U), tokenTime);
+        const Duration there = moveCost + expectedTime(item.expectedTokens, target, target.running, tokenTime);
+        return here - there > minGain + std::chrono::duration_cast<Duration>(here * minGainShare);
+    }
 
 }
 
-std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup)
+std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup, Duration tokenTime)
 {
     std::stable_sort(waiting.begin(), waiting.end(), [](const WaitingItem& a, const WaitingItem& b) {
         return a.isCarriedOver != b.isCarriedOver ? a.isCarriedOver : a.expectedTokens > b.expectedTokens;
@@ -88,12 +130,12 @@
     std::map<GroupId, EndpointId> endpointOfGroup = lastEndpointOfGroup;
     std::vector<Placement> placements;
     for (const WaitingItem& item : waiting) {
-        EndpointLoad* best = cheapest(endpoints, item, unlimitedSlowness);
+        EndpointLoad* best = bestEndpoint(endpoints, item, tokenTime);
         if (!best)
             continue;
         const auto found = endpointOfGroup.find(item.group);
         EndpointLoad* groupEndpoint = found == endpointOfGroup.end() ? nullptr : findEndpoint(endpoints, found->second);
-        if (groupEndpoint && canTake(*groupEndpoint, item) && groupEndpoint->slowness < slownessThreshold && groupEndpoint->longItems == 0 && groupEndpoint->running <= best->running + affinitySlack)
+        if (!item.isLong && groupEndpoint && canTake(*groupEndpoint, item) && groupEndpoint->slowness < slownessThreshold && groupEndpoint->longItems == 0 && groupEndpoint->running <= best->running + affinitySlack)
             best = groupEndpoint;
         endpointOfGroup[item.group] = best->id;
         placements.push_back(assign(*best, item));
@@ -101,16 +143,16 @@
     return placements;
 }
 
-std::vector<Placement> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints)
+std::vector<Placement> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints, Duration tokenTime)
 {
     sortLongestFirst(running);
     std::vector<Placement> moves;
     for (const RunningItem& item : running) {
         const EndpointLoad* from = findEndpoint(endpoints, item.endpoint);
-        if (!from || !shouldMove(item, *from) || moves.size() >= maxMoves)
+        if (!from || !mayMove(item, *from) || moves.size() >= maxMoves)
             continue;
-        EndpointLoad* target = cheapest(endpoints, item, maxTargetSlowness);
-        if (!target)
+        EndpointLoad* target = cheapest(endpoints, item, [&](const EndpointLoad& endpoint) { return expectedTime(item.expectedTokens, endpoint, endpoint.running, tokenTime); });
+        if (!target || target == from || !gainsByMove(item, *from, *target, tokenTime))
             continue;
         moves.push_back(assign(*target, item));
     }
@@ -125,8 +167,10 @@
         if (EndpointLoad* from = findEndpoint(endpoints, item.endpoint))
             from->isUsable = false;
     }
+    for (EndpointLoad& endpoint : endpoints)
+        endpoint.isUsable = endpoint.isUsable && endpoint.slowness <= slownessThreshold;
     for (const RunningItem& item : running) {
-        EndpointLoad* target = cheapest(endpoints, item, slownessThreshold);
+        EndpointLoad* target = bestEndpoint(endpoints, item, defaultTokenTime);
         if (!target)
             return {};
         moves.push_back(assign(*target, item));
--- a/src/azurepaddle/batch/placement.hpp
+++ b/src/azurepaddle/batch/placement.hpp
@@ -9,8 +9,12 @@
 
 namespace azurepaddle::batch {
 
-/// Items are moved away from endpoints that are slower than the median by this factor.
+/// From this slowness on, an endpoint is avoided by items that have a choice.
 constexpr double slownessThreshold = 1.8;
+/// From this lasting slowness on, long items may gain by a move to a faster endpoint.
+constexpr double lastingSlownessThreshold = 1.12;
+/// Time to generate a token at the median endpoint, assumed until it is measured.
+constexpr Duration defaultTokenTime = std::chrono::microseconds(700);
 
 /// The state of an endpoint as input of the placement of items of one model.
 struct EndpointLoad {
@@ -20,7 +24,9 @@
     std::uint32_t longItems = 0; ///< Running items that determine when their steps end.
     WeightVersion version = 0; ///< Weight version of the model.
     bool isUsable = true; ///< Accepts new items of the model.
-    double slowness = 1; ///< Time per event relative to the median of all endpoints.
+    double slowness = 1; ///< Current time per event relative to the median of all endpoints.
+    double lastingSlowness = 1; ///< The same without slowdowns that pass, for example because its hardware is older.
+    Duration slowFor {}; ///< How long it has been slower than its lasting speed.
 
     friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
 };
@@ -46,10 +52,11 @@
 };
 
 /// Assigns waiting items to free slots: carried-over groups first, then the longest items, because the last items of a
-/// step determine when it ends. Items go to the least loaded endpoint. Items of a group share an endpoint where that
-/// costs little, so that their common prompt is processed once. Endpoints with long items get few others. Items without
-/// a free slot are left out.
-[[nodiscard]] std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup);
+/// step determine when it ends. Long items go to the endpoint where they are expected to end first, others to the least
+/// loaded one. Items of a group share an endpoint where that costs little, so that their common prompt is processed
+/// once. Endpoints with long items get few others. Items without a free slot are left out. `tokenTime` is the time to
+/// generate a token at the median endpoint.
+[[nodiscard]] std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup, Duration tokenTime = defaultTokenTime);
 
 /// A running item that may be moved to another endpoint.
 struct RunningItem {
@@ -65,10 +72,10 @@
     friend bool operator==(const RunningItem&, const RunningItem&) = default;
 };
 
-/// Plans moves of items from endpoints that are much slower than the others to free slots of normal ones, longest items
-/// first. An item moves right after an event, when no generated output is lost, unless its endpoint has almost stalled.
-/// Items that end soon are not moved.
-[[nodiscard]] std::vector<Placement> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints);
+/// Plans moves of items to free slots of endpoints where they are expected to end earlier, with the cost of the move
+/// included, longest items first. A slowdown that has just begun is expected to pass soon. An item moves right after an
+/// event, when no generated output is lost, unless its endpoint has almost stalled. Items that end soon are not moved.
+[[nodiscard]] std::vector<Placement> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints, Duration tokenTime = defaultTokenTime);
 
 /// Plans moves of all these items from an endpoint that is about to pause to other usable endpoints; empty if there are
 /// not enough free slots for all of them.
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -149,9 +149,10 @@
     void evictTexts(TimePoint now);
     void requeueSilentItems(TimePoint now);
     void moveItemsFromSlowEndpoints(TimePoint now);
-    [[nodiscard]] std::set<EndpointId> findSlowEndpoints(TimePoint now) const;
+    [[nodiscard]] std::map<EndpointId, bool> findSlowEndpoints(TimePoint now) const;
     [[nodiscard]] batch::RunningItem runningItemOf(const Run& run, std::size_t index, TimePoint now) const;
     [[nodiscard]] std::uint64_t remainingTokens(const Run& run) const;
+    [[nodiscard]] Duration tokenTime(TimePoint now) const;
     [[nodiscard]] std::optional<WeightVersion> requiredVersion(const Run& run) const;
     [[nodiscard]] const batch::ItemSpec* specOf(const Run& run) const { return m_machine.jobs().findItem(run.job, run.item); }
     [[nodiscard]] ItemText& textOf(const Run& run) { return m_texts[run.item].text; }
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -210,7 +210,9 @@
         const auto avoided = m_avoidUntil.find(id);
         const bool isDraining = !m_liveness.isAcceptingWork(record);
         load.isUsable = !isDraining && (loading == m_loadingModels.end() || !loading->second.contains(model)) && (avoided == m_avoidUntil.end() || now >= avoided->second);
+        load.lastingSlowness = isDraining ? internal::drainingSlowness : m_speedMeter.lastingSlowness(id, now);
         load.slowness = isDraining ? internal::drainingSlowness : m_speedMeter.slowness(id, now);
+        load.slowFor = m_speedMeter.slowFor(id, now);
         loads.push_back(std::move(load));
     }
     return loads;
@@ -227,6 +229,13 @@
     return expected > receivedTokens ? expected - receivedTokens : std::max<std::uint64_t>(receivedTokens / 2, 1);
 }
 
+/// The time to generate a token at the median endpoint.
+template <typename Protocol>
+Duration JobRunner<Protocol>::tokenTime(TimePoint now) const
+{
+    return m_speedMeter.median(now) / internal::tokensPerEvent;
+}
+
 template <typename Protocol>
 std::optional<WeightVersion> JobRunner<Protocol>::requiredVersion(const Run& run) const
 {
@@ -272,7 +281,7 @@
             const Run& run = *runs[index];
             items.push_back({ index, specOf(run)->group, run.isCarriedOver, remainingTokens(run), run.isLong, run.minVersion, requiredVersion(run) });
         }
-        for (const batch::Placement& placement : batch::placeItems(std::move(items), loadsOf(key.first, key.second, now), m_lastEndpointOfGroup)) {
+        for (const batch::Placement& placement : batch::placeItems(std::move(items), loadsOf(key.first, key.second, now), m_lastEndpointOfGroup, tokenTime(now))) {
             m_lastEndpointOfGroup[specOf(*runs[placement.index])->group] = placement.endpoint;
             start(runs[placement.index], placement.endpoint);
         }
--- a/src/azurepaddle/execution/job_runner_watch.hpp
+++ b/src/azurepaddle/execution/job_runner_watch.hpp
@@ -123,17 +123,19 @@
     return { index, run.endpoint, remainingTokens(run), run.isLong, run.minVersion, requiredVersion(run), now - run.startedAt, now - run.lastEventAt };
 }
 
+/// Returns the endpoints with items that are slow now (true), or that are lastingly slower than others (false).
 template <typename Protocol>
-std::set<EndpointId> JobRunner<Protocol>::findSlowEndpoints(TimePoint now) const
+std::map<EndpointId, bool> JobRunner<Protocol>::findSlowEndpoints(TimePoint now) const
 {
-    std::set<EndpointId> slow;
+    std::map<EndpointId, bool> slow;
     for (const auto& [id, counts] : m_running) {
         if (std::all_of(counts.begin(), counts.end(), [](const auto& count) { return count.second == 0; }))
             continue;
         const registry::EndpointRecord* record = m_machine.directory().find(id);
         const bool isDraining = record && record->state != registry::EndpointState::Gone && !m_liveness.isAcceptingWork(*record);
-        if (isDraining || m_speedMeter.slowness(id, now) >= batch::slownessThreshold)
-            slow.insert(id);
+        const bool isSlowNow = isDraining || m_speedMeter.slowness(id, now) >= batch::slownessThreshold;
+        if (isSlowNow || m_speedMeter.lastingSlowness(id, now) >= batch::lastingSlownessThreshold)
+            slow[id] = isSlowNow;
     }
     return slow;
 }
@@ -141,13 +143,18 @@
 template <typename Protocol>
 void JobRunner<Protocol>::moveItemsFromSlowEndpoints(TimePoint now)
 {
-    const std::set<EndpointId> slow = findSlowEndpoints(now);
-    const auto affected = runsByPlacementKey([&slow](const Run& run) { return run.stage == Stage::Running && slow.contains(run.endpoint); });
+    const std::map<EndpointId, bool> slow = findSlowEndpoints(now);
+    const auto affected = runsByPlacementKey([&slow](const Run& run) {
+        if (run.stage != Stage::Running)
+            return false;
+        const auto found = slow.find(run.endpoint);
+        return found != slow.end() && (found->second || run.isLong);
+    });
     for (const auto& [key, runs] : affected) {
         std::vector<batch::RunningItem> items;
         for (std::size_t index = 0; index < runs.size(); ++index)
             items.push_back(runningItemOf(*runs[index], index, now));
-        for (const batch::Placement& placement : batch::planMoves(std::move(items), loadsOf(key.first, key.second, now)))
+        for (const batch::Placement& placement : batch::planMoves(std::move(items), loadsOf(key.first, key.second, now), tokenTime(now)))
             move(runs[placement.index], placement.endpoint, "slow");
     }
 }
--- a/test/azurepaddle/batch/placement.cpp
+++ b/test/azurepaddle/batch/placement.cpp
@@ -114,6 +114,19 @@
     cr_assert(placements[0] == Placement({ 1, EndpointId("b") }));
 }
 
+// Guards against a long item that starts on an empty endpoint which is lastingly slower and ends there seconds later
+// than beside a few items on a fast one.
+Test(Placement, longItem_fleetOfTwoSpeeds_goesToFastEndpoint)
+{
+    EndpointLoad older = endpoint("a");
+    older.lastingSlowness = 1.3;
+    older.slowness = 1.3;
+    WaitingItem item = waiting(0, 8000);
+    item.isLong = true;
+    cr_assert(placeItems({ item }, { older, endpoint("b", 2) }, {})[0].endpoint == EndpointId("b"));
+    cr_assert(placeItems({ waiting(0, 300) }, { older, endpoint("b", 2) }, {})[0].endpoint == EndpointId("a"), "a short item took a place on the fast endpoint");
+}
+
 // Guards against a step that is delayed by an item on a slow endpoint while normal ones have free slots.
 Test(Moves, endpointSlowed_longItemMoves_toFreeSlot)
 {
@@ -166,6 +179,47 @@
     cr_assert(moves[0].endpoint != moves[1].endpoint);
 }
 
+// Guards against a long item that leaves a fast endpoint because of a disturbance of half a second and stays on a
+// lastingly slower one, where it ends later.
+Test(Moves, fastEndpointDisturbed_onlyLastinglySlowerFree_longItemStays)
+{
+    EndpointLoad disturbed = endpoint("a", 1);
+    disturbed.slowness = 2.5;
+    EndpointLoad older = endpoint("b");
+    older.lastingSlowness = 1.3;
+    older.slowness = 1.3;
+    const std::vector<RunningItem> running { { 0, EndpointId("a"), 6000, true, 0, std::nullopt, longStay, {} } };
+    cr_assert(planMoves(running, { disturbed, older }).empty());
+    const auto moves = planMoves(running, { disturbed, older, endpoint("c") });
+    cr_assert(moves.size() == 1);
+    cr_assert(moves[0] == Placement({ 0, EndpointId("c") }));
+}
+
+// Guards against a long item that stays on a lastingly slower endpoint, and against a move that costs more than it gains.
+Test(Moves, lastinglySlowerEndpoint_longItemMoves_whereItGains)
+{
+    EndpointLoad older = endpoint("a", 1);
+    older.lastingSlowness = 1.3;
+    older.slowness = 1.3;
+    cr_assert(planMoves({ { 0, EndpointId("a"), 5000, true, 0, std::nullopt, longStay, {} } }, { older, endpoint("b") }).size() == 1);
+    cr_assert(planMoves({ { 0, EndpointId("a"), 300, true, 0, std::nullopt, longStay, {} } }, { older, endpoint("b") }).empty());
+    older.lastingSlowness = 1.15;
+    older.slowness = 1.15;
+    cr_assert(planMoves({ { 0, EndpointId("a"), 1000, true, 0, std::nullopt, longStay, {} } }, { older, endpoint("b") }).empty());
+}
+
+// Guards against an item that waits for the end of a slowdown which has already lasted for seconds.
+Test(Moves, slowdownLasts_itemMovesToLastinglySlowerEndpoint)
+{
+    EndpointLoad slow = endpoint("a", 1);
+    slow.slowness = 3;
+    slow.slowFor = std::chrono::seconds(3);
+    EndpointLoad older = endpoint("b");
+    older.lastingSlowness = 1.3;
+    older.slowness = 1.3;
+    cr_assert(planMoves({ { 0, EndpointId("a"), 3000, true, 0, std::nullopt, longStay, {} } }, { slow, older }).size() == 1);
+}
+
 // Guards against a weight load that pauses items although other endpoints have free slots for all of them.
 Test(Evacuation, roomElsewhere_allItemsMove_orNone)
 {
--- a/test/azurepaddle/execution/parts.cpp
+++ b/test/azurepaddle/execution/parts.cpp
@@ -17,6 +17,16 @@
         meter.recordEventInterval(EndpointId(id), std::chrono::milliseconds(ms), start);
 }
 
+/// Records events at this interval for a while. Returns the time of the last one.
+TimePoint observeFor(SpeedMeter& meter, const std::string& id, int ms, TimePoint from, Duration duration)
+{
+    const Duration interval = std::chrono::milliseconds(ms);
+    TimePoint at = from;
+    for (; at < from + duration; at += interval)
+        meter.recordEventInterval(EndpointId(id), interval, at);
+    return at - interval;
+}
+
 }
 
 // Guards against a text with a missing or duplicate event.
@@ -130,3 +140,33 @@
     meter.recordReportedSlowness(EndpointId("a"), 1, start + std::chrono::milliseconds(100));
     cr_assert(meter.slowness(EndpointId("a"), start + std::chrono::milliseconds(100)) < 1.1);
 }
+
+// Guards against a lastingly slower endpoint that counts as equal once its last events are some time ago, and against a
+// disturbance of half a second that counts as lasting.
+Test(SpeedMeter, fleetOfTwoSpeeds_lastingAndPassingSlowness_areToldApart)
+{
+    SpeedMeter meter;
+    observeFor(meter, "a", 40, start, std::chrono::seconds(3));
+    observeFor(meter, "b", 40, start, std::chrono::seconds(3));
+    const TimePoint last = observeFor(meter, "c", 52, start, std::chrono::seconds(3));
+    const TimePoint disturbedUntil = observeFor(meter, "a", 100, last, std::chrono::milliseconds(600));
+    cr_assert(meter.lastingSlowness(EndpointId("c"), disturbedUntil) > 1.25);
+    cr_assert(meter.lastingSlowness(EndpointId("a"), disturbedUntil) < 1.05);
+    cr_assert(meter.slowness(EndpointId("a"), disturbedUntil) > 2);
+    cr_assert(meter.slowFor(EndpointId("a"), disturbedUntil) >= std::chrono::milliseconds(400));
+    cr_assert(meter.slowFor(EndpointId("c"), disturbedUntil) == Duration::zero());
+    const TimePoint later = last + std::chrono::seconds(1);
+    cr_assert(meter.slowness(EndpointId("c"), later) > 1.2);
+}
+
+// Guards against long items that return to a slow endpoint as soon as all items have left it, and against an endpoint
+// that is avoided for good because nothing runs there.
+Test(SpeedMeter, itemsLeaveSlowEndpoint_slowdownIsRememberedForSeconds)
+{
+    SpeedMeter meter;
+    observeFor(meter, "a", 40, start, std::chrono::seconds(2));
+    const TimePoint normal = observeFor(meter, "b", 40, start, std::chrono::seconds(2));
+    const TimePoint left = observeFor(meter, "b", 140, normal, std::chrono::milliseconds(300));
+    cr_assert(meter.slowness(EndpointId("b"), left + std::chrono::seconds(1)) > 2);
+    cr_assert(meter.slowness(EndpointId("b"), left + std::chrono::seconds(5)) < 1.1);
+}
