--- a/src/azurepaddle/http1/client.hpp
+++ b/src/azurepaddle/http1/client.hpp
@@ -44,7 +44,7 @@
     TimePoint deadline = TimePoint::max();
     Duration connectTimeout = std::chrono::milliseconds(500);
     std::size_t maxConnections = 64; ///< To the address, over all calls.
-    Duration maxIdle = std::chrono::seconds(4); ///< A connection that was idle for longer is not used again.
+    Duration maxIdle = std::chrono::seconds(10); ///< A connection that was idle for longer is not used again.
     std::uint64_t maxBodyBytes = std::numeric_limits<std::uint64_t>::max(); ///< Of the answer, if less than the pool allows.
 
     friend bool operator==(const CallOptions&, const CallOptions&) = default;
