--- a/src/azurepaddle/http1/client.cpp
+++ b/src/azurepaddle/http1/client.cpp
@@ -53,7 +53,7 @@
         m_events = std::make_shared<const CallEvents>(std::move(events));
         m_call = call;
         m_isSent = false;
-        m_isHeadTaken = false;
+        m_isHeadDelivered = false;
         m_isDiscarding = false;
         resetParser();
         if (m_isConnected) {
@@ -133,7 +133,7 @@
         if (m_call == 0)
             return close(); // The server closed an idle connection or sent bytes that belong to no request.
         if (error == asio::error::eof && m_parser.hasStarted() && m_parser.feedEnd()) {
-            if (!m_isHeadTaken && !takeHead())
+            if (!m_isHeadDelivered && !deliverHead())
                 return;
             const std::uint64_t call = m_call;
             deliverBody();
@@ -144,19 +144,19 @@
             return;
         if (error)
             return finish(CallEndKind::Lost, error.message());
-        take(std::string(m_buffer.data(), size));
+        receive(std::string(m_buffer.data(), size));
         if (!m_isClosed)
             read();
     }
 
-    void ClientConnection::take(std::string bytes)
+    void ClientConnection::receive(std::string bytes)
     {
         const std::uint64_t call = m_call;
         while (!bytes.empty() && m_call == call && !m_isClosed) {
             const auto taken = m_parser.feed(bytes);
             if (!taken)
                 return finish(CallEndKind::Failed, taken.error().message());
-            if (!m_isHeadTaken && m_parser.isHeaderDone() && !takeHead())
+            if (!m_isHeadDelivered && m_parser.isHeaderDone() && !deliverHead())
                 return;
             if (m_call != call)
                 return;
@@ -168,17 +168,17 @@
                 return;
             const bool isForeign = std::exchange(m_isDiscarding, false);
             if (!isForeign)
-                return onMessageDone(rest);
+                return onMessageComplete(rest);
             resetParser();
-            m_isHeadTaken = false;
+            m_isHeadDelivered = false;
             bytes = std::move(rest);
         }
     }
 
     /// False if the call ended or was cancelled by its owner.
-    bool ClientConnection::takeHead()
+    bool ClientConnection::deliverHead()
     {
-        m_isHeadTaken = true;
+        m_isHeadDelivered = true;
         constexpr unsigned firstFinalStatus = 200;
         const std::uint64_t call = m_call;
         const bool isInformational = m_parser.head().status < firstFinalStatus;
@@ -195,7 +195,7 @@
             events->onBody(std::move(body));
     }
 
-    void ClientConnection::onMessageDone(const std::string& rest)
+    void ClientConnection::onMessageComplete(const std::string& rest)
     {
         const bool isClean = rest.empty() && m_parser.keepsAlive() && !m_isWriting;
         const Duration kept = keepAliveTime(m_parser.head()).value_or(m_options.maxIdle + keepAliveMargin) - keepAliveMargin;
--- a/src/azurepaddle/http1/client_connection.hpp
+++ b/src/azurepaddle/http1/client_connection.hpp
@@ -39,10 +39,10 @@
     void writeRequest();
     void read();
     void onRead(const std::error_code& error, std::size_t size);
-    void take(std::string bytes);
-    [[nodiscard]] bool takeHead();
+    void receive(std::string bytes);
+    [[nodiscard]] bool deliverHead();
     void deliverBody();
-    void onMessageDone(const std::string& rest);
+    void onMessageComplete(const std::string& rest);
     void finish(CallEndKind kind, std::string message);
     void armTimer(TimePoint at);
     void resetParser();
@@ -63,7 +63,7 @@
     bool m_isConnected = false;
     bool m_isWriting = false;
     bool m_isSent = false;
-    bool m_isHeadTaken = false;
+    bool m_isHeadDelivered = false;
     bool m_isDiscarding = false; ///< The response in progress belongs to another request.
     bool m_isClosed = false;
 };
--- a/src/azurepaddle/platform/batch_format.cpp
+++ b/src/azurepaddle/platform/batch_format.cpp
@@ -21,7 +21,7 @@
     constexpr std::size_t maxRewardBytes = 1024U * 1024U;
 
     /// Takes the sizes from an item's own headers: the estimate of its output, or else the largest output it allows.
-    void readSizes(batch::ItemSpec& item)
+    void setTokenCounts(batch::ItemSpec& item)
     {
         for (const batch::ItemField& field : item.fields) {
             if (http1::equalNames(field.name, tokenUsageField)) {
@@ -36,16 +36,16 @@
     }
 
     /// Whether a text can stand in the first line of a request.
-    bool isToken(std::string_view text)
+    bool isSafeInRequestLine(std::string_view text)
     {
         return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
     }
 
     /// Whether a header field can be sent without ending early or beginning another one.
-    bool isSendable(const batch::ItemField& field)
+    bool isValidField(const batch::ItemField& field)
     {
         const auto isControl = [](char c) { return (c >= 0 && c < ' ' && c != '\t') || c == '\x7f'; };
-        return isToken(field.name) && field.name.find(':') == std::string::npos && std::none_of(field.value.begin(), field.value.end(), isControl);
+        return isSafeInRequestLine(field.name) && field.name.find(':') == std::string::npos && std::none_of(field.value.begin(), field.value.end(), isControl);
     }
 
     /// Reads the request that scores an item. Nothing if it cannot be read.
@@ -56,7 +56,7 @@
         const auto path = textOf(json, "path");
         const auto encoded = textOf(json, "body");
         const auto body = encoded ? internal::decodeBase64(*encoded) : std::nullopt;
-        const bool isAddressed = id && isToken(*id) && host && isToken(*host) && path && isToken(*path) && path->starts_with('/');
+        const bool isAddressed = id && isSafeInRequestLine(*id) && host && isSafeInRequestLine(*host) && path && isSafeInRequestLine(*path) && path->starts_with('/');
         if (!isAddressed || !body || body->size() > maxRewardBytes)
             return std::nullopt;
         return batch::RewardCall { *id, *host, *path, *body };
@@ -69,7 +69,7 @@
         const auto encoded = textOf(json, "body");
         const auto body = encoded ? internal::decodeBase64(*encoded) : std::nullopt;
         const auto headers = json.find("headers");
-        if (!id || !isToken(*id) || !path || !isToken(*path) || !body || headers == json.end() || !headers->is_object())
+        if (!id || !isSafeInRequestLine(*id) || !path || !isSafeInRequestLine(*path) || !body || headers == json.end() || !headers->is_object())
             return std::nullopt;
         batch::ItemSpec item;
         item.id = batch::ItemId(*id);
@@ -80,10 +80,10 @@
             if (!value.is_string())
                 return std::nullopt;
             item.fields.push_back({ name, value.get<std::string>() });
-            if (!isSendable(item.fields.back()))
+            if (!isValidField(item.fields.back()))
                 return std::nullopt;
         }
-        readSizes(item);
+        setTokenCounts(item);
         if (const auto scorer = json.find("scorer"); scorer != json.end() && !scorer->is_null()) {
             auto reward = decodeReward(*scorer);
             if (!reward)
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -12,9 +12,9 @@
     constexpr std::string_view itemPath = "/-/items/";
     constexpr std::string_view waitField = "X-Wait-Ms";
     // Calls of batch jobs that state no deadline are given up after this long.
-    constexpr Duration defaultPatience = std::chrono::milliseconds(2500);
+    constexpr Duration defaultTimeout = std::chrono::milliseconds(2500);
     // Their answer must arrive before the client stops waiting.
-    constexpr Duration answerMargin = std::chrono::milliseconds(100);
+    constexpr Duration responseMargin = std::chrono::milliseconds(100);
 
 }
 
@@ -52,7 +52,7 @@
 
 TimePoint CallerApi::deadlineOf(const http1::Exchange& exchange) const
 {
-    return exchange.receivedAt() + EndpointProtocol::clientTimeout(exchange.request()).value_or(defaultPatience) - answerMargin;
+    return exchange.receivedAt() + EndpointProtocol::clientTimeout(exchange.request()).value_or(defaultTimeout) - responseMargin;
 }
 
 void CallerApi::submit(const http1::ExchangePointer& exchange, const gateway::Route& route)
@@ -68,7 +68,7 @@
         m_log.info("job id={} item={} configuration={} status=400 cause=\"no plain route for its reward call\"", id, *unroutable, m_routes->version());
         return exchange->respond(plain(400, "the reward call of an item matches no plain route"));
     }
-    const TimePoint deadline = std::min(deadlineOf(*exchange), exchange->receivedAt() + defaultPatience);
+    const TimePoint deadline = std::min(deadlineOf(*exchange), exchange->receivedAt() + defaultTimeout);
     m_leader.send(registry::SubmitJobRequest { std::move(*spec) }, deadline, [this, exchange, id](registry::LeaderResult<registry::SubmitJobReply> reply) {
         const http1::Response response = !reply ? noReply(reply.error()) : reply->isAccepted ? plain(202, "accepted")
                                                                                              : unavailable("too many batch jobs are held");
--- a/src/azurepaddle/platform/control_api.cpp
+++ b/src/azurepaddle/platform/control_api.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     // A caller asks another instance after a second without an answer.
-    constexpr Duration callPatience = std::chrono::milliseconds(900);
+    constexpr Duration callTimeout = std::chrono::milliseconds(900);
 
     /// The part of a path between a prefix and a suffix, if it has both.
     std::optional<std::string_view> between(std::string_view path, std::string_view prefix, std::string_view suffix)
@@ -28,15 +28,15 @@
     const std::string_view path = http1::pathOf(request.target);
     const bool isPost = request.method == "POST";
     if (const auto id = between(path, "/-/replicas/", "/heartbeat"); id && isPost)
-        return beat(exchange, *id);
+        return receiveHeartbeat(exchange, *id);
     if (const auto id = between(path, "/-/replicas/", "/deregister"); id && isPost)
-        return leave(exchange, *id);
+        return deregister(exchange, *id);
     if (path == "/-/config/replace" && isPost)
         return putConfiguration(exchange);
     if (path == "/-/config/read" && request.method == "GET")
         return readConfiguration(exchange);
     if (path == "/-/version-put" && isPost)
-        return nameVersion(exchange);
+        return publishVersion(exchange);
     if (const auto instance = between(path, "/-/retire/", "/begin"); instance && isPost)
         return retire(exchange, *instance, true);
     if (const auto instance = between(path, "/-/retire/", "/read"); instance && request.method == "GET")
@@ -44,7 +44,7 @@
     exchange->respond(plain(404, "no such call"));
 }
 
-void ControlApi::beat(const http1::ExchangePointer& exchange, std::string_view id)
+void ControlApi::receiveHeartbeat(const http1::ExchangePointer& exchange, std::string_view id)
 {
     const auto beat = decodeBeat(id, exchange->request().body);
     if (!beat) {
@@ -53,7 +53,7 @@
     }
     if (m_local.acceptHeartbeat(*beat))
         return exchange->respond(json(200, "{}"));
-    m_leader.send(registry::HeartbeatRequest { *beat }, m_clock.now() + callPatience, [this, exchange, id = beat->record.id](const registry::LeaderResult<registry::Acknowledgement>& reply) {
+    m_leader.send(registry::HeartbeatRequest { *beat }, m_clock.now() + callTimeout, [this, exchange, id = beat->record.id](const registry::LeaderResult<registry::Acknowledgement>& reply) {
         if (!reply)
             return exchange->respond(unavailable("no leader took the heartbeat"));
         const auto better = m_local.preferredInstanceFor(id);
@@ -62,9 +62,9 @@
     });
 }
 
-void ControlApi::leave(const http1::ExchangePointer& exchange, std::string_view id)
+void ControlApi::deregister(const http1::ExchangePointer& exchange, std::string_view id)
 {
-    m_leader.send(registry::DeregisterRequest { decodeLeave(id, exchange->request().body) }, m_clock.now() + callPatience, [exchange](const registry::LeaderResult<registry::Acknowledgement>& reply) {
+    m_leader.send(registry::DeregisterRequest { decodeLeave(id, exchange->request().body) }, m_clock.now() + callTimeout, [exchange](const registry::LeaderResult<registry::Acknowledgement>& reply) {
         exchange->respond(reply ? plain(200, "gone") : unavailable("no leader took the message"));
     });
 }
@@ -79,7 +79,7 @@
         return exchange->respond(plain(400, problem->message));
     }
     const registry::ConfigurationDocument document { table->version(), text };
-    m_leader.send(registry::PutConfigurationRequest { document }, m_clock.now() + callPatience, [exchange](const registry::LeaderResult<registry::PutConfigurationReply>& reply) {
+    m_leader.send(registry::PutConfigurationRequest { document }, m_clock.now() + callTimeout, [exchange](const registry::LeaderResult<registry::PutConfigurationReply>& reply) {
         if (!reply)
             return exchange->respond(noReply(reply.error()));
         const bool isConflict = reply->outcome == registry::ConfigurationOutcome::Conflict;
@@ -89,28 +89,28 @@
 
 void ControlApi::readConfiguration(const http1::ExchangePointer& exchange)
 {
-    m_leader.send(registry::ReadConfigurationRequest {}, m_clock.now() + callPatience, [exchange](const registry::LeaderResult<registry::ReadConfigurationReply>& reply) {
+    m_leader.send(registry::ReadConfigurationRequest {}, m_clock.now() + callTimeout, [exchange](const registry::LeaderResult<registry::ReadConfigurationReply>& reply) {
         if (!reply || reply->document.version == 0)
             return exchange->respond(unavailable("the newest configuration is not known here"));
         exchange->respond(json(200, reply->document.text));
     });
 }
 
-void ControlApi::nameVersion(const http1::ExchangePointer& exchange)
+void ControlApi::publishVersion(const http1::ExchangePointer& exchange)
 {
     const auto json = internal::parseJson(exchange->request().body);
     const auto model = json ? internal::textOf(*json, "model") : std::nullopt;
     const auto version = json ? internal::countOf(*json, "version") : std::nullopt;
     if (!model || !version)
         return exchange->respond(plain(400, "model or version is missing"));
-    m_leader.send(registry::PublishVersionRequest { { batch::ModelName(*model), *version } }, m_clock.now() + callPatience, [exchange](const registry::LeaderResult<registry::Acknowledgement>& reply) {
+    m_leader.send(registry::PublishVersionRequest { { batch::ModelName(*model), *version } }, m_clock.now() + callTimeout, [exchange](const registry::LeaderResult<registry::Acknowledgement>& reply) {
         exchange->respond(reply ? plain(200, "recorded") : unavailable("no leader recorded the version"));
     });
 }
 
 void ControlApi::retire(const http1::ExchangePointer& exchange, std::string_view instance, bool isBegin)
 {
-    m_leader.send(registry::RetireRequest { std::string(instance), isBegin }, m_clock.now() + callPatience, [exchange, isBegin](const registry::LeaderResult<registry::RetireReply>& reply) {
+    m_leader.send(registry::RetireRequest { std::string(instance), isBegin }, m_clock.now() + callTimeout, [exchange, isBegin](const registry::LeaderResult<registry::RetireReply>& reply) {
         if (!reply)
             return exchange->respond(unavailable("no leader took the request"));
         switch (reply->state) {
--- a/src/azurepaddle/platform/control_api.hpp
+++ b/src/azurepaddle/platform/control_api.hpp
@@ -23,11 +23,11 @@
     void handle(const http1::ExchangePointer& exchange);
 
 private:
-    void beat(const http1::ExchangePointer& exchange, std::string_view id);
-    void leave(const http1::ExchangePointer& exchange, std::string_view id);
+    void receiveHeartbeat(const http1::ExchangePointer& exchange, std::string_view id);
+    void deregister(const http1::ExchangePointer& exchange, std::string_view id);
     void putConfiguration(const http1::ExchangePointer& exchange);
     void readConfiguration(const http1::ExchangePointer& exchange);
-    void nameVersion(const http1::ExchangePointer& exchange);
+    void publishVersion(const http1::ExchangePointer& exchange);
     void retire(const http1::ExchangePointer& exchange, std::string_view instance, bool isBegin);
 
     registry::LocalService& m_local;
