--- a/src/azurepaddle/http1/client.cpp
+++ b/src/azurepaddle/http1/client.cpp
@@ -14,12 +14,12 @@
 
     namespace {
 
-        // A connection whose bytes are not acknowledged for this long is dead, also without a reset.
+        // A connection is closed if the peer acknowledges no bytes for this long, even without a reset.
         constexpr unsigned userTimeoutMs = 3000;
-        // The server may close a connection this much before the time it states.
+        // The server may close a connection this much before the timeout that it states.
         constexpr Duration keepAliveMargin = std::chrono::milliseconds(1000);
 
-        /// How long the server keeps an idle connection, if it says so.
+        /// Returns the idle timeout that the server states; empty if it states none.
         std::optional<Duration> keepAliveTime(const Response& head)
         {
             const std::string_view value = head.fields.find("Keep-Alive");
@@ -83,7 +83,7 @@
                 return;
             if (!self->m_isConnected)
                 return self->finish(CallEndKind::ConnectFailed, "connecting took too long");
-            self->finish(CallEndKind::TimedOut, "the deadline passed");
+            self->finish(CallEndKind::TimedOut, "deadline exceeded");
         });
     }
 
@@ -92,7 +92,7 @@
         std::error_code error;
         const auto ip = asio::ip::make_address(m_address.ip, error);
         if (error) {
-            asio::post(m_shared->io, [self = shared_from_this()] { self->finish(CallEndKind::ConnectFailed, "not an IP address"); });
+            asio::post(m_shared->io, [self = shared_from_this()] { self->finish(CallEndKind::ConnectFailed, "the address is not an IP address"); });
             return;
         }
         m_socket.async_connect({ ip, m_address.port }, [self = shared_from_this()](std::error_code connectError) {
@@ -116,7 +116,7 @@
         m_isSent = true;
         asio::async_write(m_socket, asio::buffer(m_request), [self = shared_from_this()](std::error_code error, std::size_t) {
             self->m_isWriting = false;
-            // A failed write shows as a failed read too, which also hands out an early answer.
+            // A failed write also causes a failed read, which first delivers a response that arrived early.
             static_cast<void>(error);
         });
     }
@@ -131,7 +131,7 @@
         if (m_isClosed)
             return;
         if (m_call == 0)
-            return close(); // The server closed an idle connection or sent bytes that belong to no request.
+            return close(); // The server closed an idle connection, or sent bytes without a request.
         if (error == asio::error::eof && m_parser.hasStarted() && m_parser.feedEnd()) {
             if (!m_isHeadDelivered && !deliverHead())
                 return;
@@ -175,7 +175,7 @@
         }
     }
 
-    /// False if the call ended or was cancelled by its owner.
+    /// Returns false if the call ended or was cancelled by its owner.
     bool ClientConnection::deliverHead()
     {
         m_isHeadDelivered = true;
@@ -269,7 +269,7 @@
         std::uint64_t m_call;
     };
 
-    /// A call that was refused before it had a connection.
+    /// A call that was rejected before it got a connection.
     class RefusedCall final : public ClientCall {
     public:
         void cancel() override { isCancelled = true; }
@@ -313,7 +313,7 @@
         auto refused = std::make_shared<RefusedCall>();
         asio::post(m_shared->io, [refused, events = std::move(events)] {
             if (!refused->isCancelled && events.onEnd)
-                events.onEnd({ CallEndKind::NoConnection, false, "all connections are in use" });
+                events.onEnd({ CallEndKind::NoConnection, false, "the maximum number of connections is in use" });
         });
         return refused;
     }
--- a/src/azurepaddle/http1/client.hpp
+++ b/src/azurepaddle/http1/client.hpp
@@ -15,11 +15,11 @@
 namespace azurepaddle::http1 {
 
 enum class CallEndKind : unsigned char {
-    Complete, ///< The whole response arrived.
+    Complete, ///< The response was received completely.
     ConnectFailed,
-    NoConnection, ///< All connections that the address allows are in use.
-    Lost, ///< The connection ended before the whole response.
-    Failed, ///< Its bytes were no response.
+    NoConnection, ///< The maximum number of connections to the address is in use.
+    Lost, ///< The connection was closed before the response was complete.
+    Failed, ///< The received bytes are not a valid response.
     TimedOut,
 };
 
@@ -27,25 +27,25 @@
 struct CallEnd {
     CallEndKind kind = CallEndKind::Complete;
     bool isSent = false; ///< Bytes of the request may have reached the server.
-    std::string message; ///< For people.
+    std::string message; ///< Readable description of an error; empty without one.
 
     friend bool operator==(const CallEnd&, const CallEnd&) = default;
 };
 
-/// What the sender of a request hears. None is called after onEnd or after the call was cancelled.
+/// Callbacks of one call. None is called after onEnd or after the call was cancelled.
 struct CallEvents {
-    std::function<bool(const Response&)> onHead; ///< False: this response belongs to another request; wait for the next.
+    std::function<bool(const Response&)> onHead; ///< Returns false if the response belongs to another request; it is then discarded and the next one awaited.
     std::function<void(std::string)> onBody; ///< A part of the body.
     std::function<void(CallEnd)> onEnd;
 };
 
-/// Bounds of one call.
+/// Limits of one call.
 struct CallOptions {
     TimePoint deadline = TimePoint::max();
     Duration connectTimeout = std::chrono::milliseconds(500);
-    std::size_t maxConnections = 64; ///< To the address, over all calls.
-    Duration maxIdle = std::chrono::seconds(10); ///< A connection that was idle for longer is not used again.
-    std::uint64_t maxBodyBytes = std::numeric_limits<std::uint64_t>::max(); ///< Of the answer, if less than the pool allows.
+    std::size_t maxConnections = 64; ///< To the address, by all calls together.
+    Duration maxIdle = std::chrono::seconds(10); ///< A connection that was idle for longer is not reused.
+    std::uint64_t maxBodyBytes = std::numeric_limits<std::uint64_t>::max(); ///< Maximum size of the response body, if lower than that of the pool.
 
     friend bool operator==(const CallOptions&, const CallOptions&) = default;
 };
@@ -59,13 +59,13 @@
 class ClientCall {
 public:
     virtual ~ClientCall() = default;
-    /// Closes the connection, so that the server stops its work. No event follows.
+    /// Closes the connection, so that the server stops processing the request. No callback follows.
     virtual void cancel() = 0;
 };
 
 using ClientCallPointer = std::shared_ptr<ClientCall>;
 
-/// Sends HTTP/1.1 requests over kept connections. Nothing is retried. Used on one thread.
+/// Sends HTTP/1.1 requests over persistent connections. Requests are not retried. Not thread-safe.
 class ClientPool {
 public:
     ClientPool(asio::io_context& io, const MessageLimits& limits);
@@ -73,9 +73,9 @@
     ClientPool(const ClientPool&) = delete;
     ClientPool& operator=(const ClientPool&) = delete;
 
-    /// Sends a request. No event comes before this returns.
+    /// Sends a request. No callback is called before this returns.
     [[nodiscard]] ClientCallPointer send(const InstanceAddress& address, const Request& request, const CallOptions& options, CallEvents events);
-    /// Connections to an address, idle ones included.
+    /// Returns the number of connections to an address, including idle ones.
     [[nodiscard]] std::size_t connections(const InstanceAddress& address) const;
 
 private:
--- a/src/azurepaddle/http1/client_connection.hpp
+++ b/src/azurepaddle/http1/client_connection.hpp
@@ -10,11 +10,11 @@
 
 /// The connections to one address.
 struct AddressConnections {
-    std::vector<std::shared_ptr<ClientConnection>> idle; ///< The most recently used one last.
+    std::vector<std::shared_ptr<ClientConnection>> idle; ///< In order of last use, the most recent one last.
     std::size_t open = 0;
 };
 
-/// What the connections of a pool share.
+/// State shared by the connections of a pool.
 struct ClientShared {
     asio::io_context& io;
     MessageLimits limits;
@@ -22,7 +22,7 @@
     SystemClock clock {};
 };
 
-/// One connection, which carries one call at a time.
+/// One connection. It carries one call at a time.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
     ClientConnection(std::shared_ptr<ClientShared> shared, InstanceAddress address);
@@ -57,14 +57,14 @@
     std::array<char, readBytes> m_buffer {};
     std::string m_request;
     CallOptions m_options;
-    std::shared_ptr<const CallEvents> m_events; ///< Shared with the call of an event, which may end the call. Null if idle.
+    std::shared_ptr<const CallEvents> m_events; ///< Shared with a running callback, which may end the call. Null if idle.
     std::uint64_t m_call = 0; ///< Number of the call in progress; 0 if idle.
     TimePoint m_usableUntil;
     bool m_isConnected = false;
     bool m_isWriting = false;
     bool m_isSent = false;
     bool m_isHeadDelivered = false;
-    bool m_isDiscarding = false; ///< The response in progress belongs to another request.
+    bool m_isDiscarding = false; ///< The response being received belongs to another request.
     bool m_isClosed = false;
 };
 
--- a/src/azurepaddle/http1/connection_probe.cpp
+++ b/src/azurepaddle/http1/connection_probe.cpp
@@ -44,7 +44,7 @@
 
         asio::ip::tcp::socket m_socket;
         asio::steady_timer m_timer;
-        ProbeCallback m_onOutcome; ///< Null once it was called.
+        ProbeCallback m_onOutcome; ///< Null after it was called.
     };
 
 }
--- a/src/azurepaddle/http1/connection_probe.hpp
+++ b/src/azurepaddle/http1/connection_probe.hpp
@@ -8,16 +8,16 @@
 
 namespace azurepaddle::http1 {
 
-/// What an attempt to connect to an address shows.
+/// Outcome of an attempt to connect to an address.
 enum class ProbeOutcome : unsigned char {
-    Accepted, ///< A process listens there.
-    Refused, ///< The machine answers, and no process listens there.
-    NoAnswer, ///< Nothing came back in time.
+    Accepted, ///< A process accepts connections.
+    Refused, ///< The machine responds, but no process listens on the port.
+    NoAnswer, ///< No response within the timeout.
 };
 
 using ProbeCallback = std::function<void(ProbeOutcome)>;
 
-/// Opens a connection, closes it again and says what that showed. The callback does not come before this returns.
+/// Opens a connection, closes it and reports the outcome. The callback is not called before this returns.
 void probeConnection(asio::io_context& io, const InstanceAddress& address, Duration timeout, ProbeCallback onOutcome);
 
 }
--- a/src/azurepaddle/http1/event_stream.hpp
+++ b/src/azurepaddle/http1/event_stream.hpp
@@ -12,13 +12,13 @@
 /// One event of a text/event-stream.
 struct StreamEvent {
     std::string id;
-    std::string data; ///< Several data lines are joined by line feeds.
-    Fields extra; ///< Fields that the standard does not name, in lower case as sent.
+    std::string data; ///< All data lines of the event, joined by line feeds.
+    Fields extra; ///< Fields that are not part of the standard, with lower-case names as sent.
 
     friend bool operator==(const StreamEvent&, const StreamEvent&) = default;
 };
 
-/// Cuts the bytes of an event stream into events. An event counts only once its closing empty line arrived.
+/// Splits the bytes of an event stream into events. An event is complete once the empty line that ends it is received.
 class EventStreamParser {
 public:
     explicit EventStreamParser(std::size_t maxEventBytes) noexcept
@@ -26,17 +26,17 @@
     {
     }
 
-    /// Calls the function for each complete event. False if an event exceeds the limit.
+    /// Calls the function for each complete event. Returns false if an event exceeds the limit.
     [[nodiscard]] bool feed(std::string_view bytes, const std::function<void(StreamEvent)>& onEvent);
 
-    /// Whether bytes of an incomplete event are held.
+    /// Whether an event was received in part.
     [[nodiscard]] bool isWithinEvent() const noexcept { return m_size > 0; }
 
 private:
     void takeLine(std::string_view line, const std::function<void(StreamEvent)>& onEvent);
 
     std::size_t m_maxEventBytes;
-    std::size_t m_size = 0; ///< Bytes of the event in progress.
+    std::size_t m_size = 0; ///< Size in bytes of the incomplete event.
     std::string m_line;
     StreamEvent m_event;
     bool m_hasData = false;
--- a/src/azurepaddle/http1/message.hpp
+++ b/src/azurepaddle/http1/message.hpp
@@ -7,7 +7,7 @@
 
 namespace azurepaddle::http1 {
 
-/// One header field, its name spelled as it was received.
+/// One header field, with its name spelled as received.
 struct Field {
     std::string name;
     std::string value;
@@ -15,7 +15,7 @@
     friend bool operator==(const Field&, const Field&) = default;
 };
 
-/// The header fields of a message in their order. Names are compared without regard to case.
+/// The header fields of a message in their order. Names are case-insensitive.
 class Fields {
 public:
     Fields() = default;
@@ -24,16 +24,16 @@
     {
     }
 
-    /// The value of the first field with this name, or an empty view.
+    /// Returns the value of the first field with this name, or an empty view.
     [[nodiscard]] std::string_view find(std::string_view name) const noexcept;
     [[nodiscard]] bool contains(std::string_view name) const noexcept;
     /// Whether a comma-separated field lists this token.
     [[nodiscard]] bool hasToken(std::string_view name, std::string_view token) const noexcept;
     void add(std::string name, std::string value) { m_fields.push_back({ std::move(name), std::move(value) }); }
-    /// Replaces all fields of this name by one.
+    /// Replaces all fields with this name by one field.
     void set(std::string name, std::string value);
     void erase(std::string_view name);
-    /// Removes what concerns only the connection the message came on, and its framing.
+    /// Removes the hop-by-hop fields and those that delimit the body.
     void eraseHopByHop();
 
     [[nodiscard]] auto begin() const noexcept { return m_fields.begin(); }
@@ -57,7 +57,7 @@
 
 struct Response {
     unsigned status = 200;
-    std::string reason; ///< Empty for the usual phrase of the status.
+    std::string reason; ///< Empty for the standard phrase of the status.
     Fields fields;
     std::string body;
 
@@ -68,22 +68,22 @@
 enum class Framing : unsigned char {
     Length,
     Chunked,
-    None, ///< A status without a body.
+    None, ///< The status allows no body.
 };
 
-/// The path of a target, without its query.
+/// Returns the path of a request target, without its query.
 [[nodiscard]] std::string_view pathOf(std::string_view target) noexcept;
 
-/// The decoded value of a query parameter, if the target has it.
+/// Returns the decoded value of a query parameter; empty if the target lacks it.
 [[nodiscard]] std::optional<std::string> queryParameter(std::string_view target, std::string_view name);
 
-/// A whole request with its length.
+/// Encodes a complete request with a Content-Length.
 [[nodiscard]] std::string serialize(const Request& request);
 
-/// The head of a response: with the length of its body, or chunked.
+/// Encodes the head of a response, with a Content-Length or for a chunked body.
 [[nodiscard]] std::string serializeHead(const Response& response, Framing framing);
 
-/// One chunk of a chunked body. An empty text makes the final chunk.
+/// Encodes one chunk of a chunked body. An empty text yields the final chunk.
 [[nodiscard]] std::string serializeChunk(std::string_view bytes);
 
 [[nodiscard]] std::string_view reasonPhrase(unsigned status) noexcept;
--- a/src/azurepaddle/http1/parser.cpp
+++ b/src/azurepaddle/http1/parser.cpp
@@ -16,7 +16,7 @@
         return { text.data(), text.size() };
     }
 
-    /// Collects what the parser of Boost.Beast finds.
+    /// Collects the parts of a message that the parser of Boost.Beast reports.
     template <bool isRequest>
     class Collector final : public beast::http::basic_parser<isRequest> {
     public:
@@ -64,15 +64,15 @@
     {
         using Error = beast::http::error;
         if (code == Error::header_limit)
-            return { ParseErrorCode::HeaderTooLarge, "the header exceeds its limit" };
+            return { ParseErrorCode::HeaderTooLarge, "the header exceeds the limit" };
         if (code == Error::body_limit)
-            return { ParseErrorCode::BodyTooLarge, "the body exceeds its limit" };
+            return { ParseErrorCode::BodyTooLarge, "the body exceeds the limit" };
         if (code == Error::partial_message || code == Error::end_of_stream)
-            return { ParseErrorCode::Truncated, "the connection ended within a message" };
+            return { ParseErrorCode::Truncated, "the connection was closed within a message" };
         return { ParseErrorCode::Malformed, code.message() };
     }
 
-    /// Feeds a parser that wants its unread bytes again together with new ones.
+    /// Feeds a parser, which needs its unconsumed bytes again together with new ones.
     template <bool isRequest>
     class Feeder {
     public:
@@ -106,7 +106,7 @@
                 return used > held ? used - held : 0;
             }
             m_unread.erase(0, used);
-            // Beast bounds the header itself, but not the line before a chunk or the trailer after the last one.
+            // Beast limits the header itself, but neither the line before a chunk nor the trailer after the last one.
             if (m_unread.size() > m_maxUnread)
                 return tl::unexpected(ParseError(ParseErrorCode::HeaderTooLarge, "a line exceeds the limit of headers"));
             return bytes.size();
@@ -200,7 +200,7 @@
     beast::error_code code;
     m_implementation->feeder.parser.put_eof(code);
     if (code || !isDone())
-        return tl::unexpected(code ? translate(code) : ParseError(ParseErrorCode::Truncated, "the connection ended within a message"));
+        return tl::unexpected(code ? translate(code) : ParseError(ParseErrorCode::Truncated, "the connection was closed within a message"));
     return {};
 }
 
--- a/src/azurepaddle/http1/parser.hpp
+++ b/src/azurepaddle/http1/parser.hpp
@@ -10,7 +10,7 @@
 namespace azurepaddle::http1 {
 
 enum class ParseErrorCode : unsigned char {
-    Malformed, ///< The bytes are not a message of the protocol.
+    Malformed, ///< The bytes are not a valid HTTP message.
     HeaderTooLarge,
     BodyTooLarge,
     Truncated, ///< The connection ended within a message.
@@ -18,7 +18,7 @@
 
 using ParseError = LayerError<ParseErrorCode>;
 
-/// Largest header and body that a parser accepts, in bytes.
+/// Maximum sizes of header and body, in bytes.
 struct MessageLimits {
     std::uint32_t headerBytes = 16U * 1024U;
     std::uint64_t bodyBytes = 32U * 1024U * 1024U;
@@ -26,8 +26,7 @@
     friend bool operator==(const MessageLimits&, const MessageLimits&) = default;
 };
 
-/// Reads one request from the bytes of a connection. Refuses ambiguous lengths, so that no request can hide inside
-/// another.
+/// Parses one request from the bytes of a connection. Rejects ambiguous lengths, which would allow request smuggling.
 class RequestParser {
 public:
     explicit RequestParser(const MessageLimits& limits);
@@ -35,12 +34,12 @@
     RequestParser(RequestParser&&) noexcept;
     RequestParser& operator=(RequestParser&&) noexcept;
 
-    /// Takes bytes up to the end of the message and returns how many it took.
+    /// Consumes bytes up to the end of the message and returns their number.
     [[nodiscard]] tl::expected<std::size_t, ParseError> feed(std::string_view bytes);
-    [[nodiscard]] bool hasStarted() const noexcept; ///< Whether any byte of the message arrived.
+    [[nodiscard]] bool hasStarted() const noexcept; ///< Whether any byte of the message was received.
     [[nodiscard]] bool isHeaderDone() const noexcept;
     [[nodiscard]] bool isDone() const noexcept;
-    /// The message so far.
+    /// The request as received so far.
     [[nodiscard]] Request& request() noexcept;
 
 private:
@@ -48,7 +47,7 @@
     std::unique_ptr<Implementation> m_implementation;
 };
 
-/// Reads one response. Its body is handed out in parts by takeBody.
+/// Parses one response. Its body is returned in parts by takeBody.
 class ResponseParser {
 public:
     explicit ResponseParser(const MessageLimits& limits);
@@ -57,16 +56,16 @@
     ResponseParser& operator=(ResponseParser&&) noexcept;
 
     [[nodiscard]] tl::expected<std::size_t, ParseError> feed(std::string_view bytes);
-    /// The connection ended in order. An error unless the message is complete by that.
+    /// Signals that the peer closed the connection in order. An error unless this completes the message.
     [[nodiscard]] tl::expected<void, ParseError> feedEnd();
     [[nodiscard]] bool hasStarted() const noexcept;
     [[nodiscard]] bool isHeaderDone() const noexcept;
     [[nodiscard]] bool isDone() const noexcept;
-    /// Whether the connection can carry another message after this one.
+    /// Whether the connection can be reused after this message.
     [[nodiscard]] bool keepsAlive() const noexcept;
-    /// Status and fields; the body stays empty.
+    /// Status and fields. The body is empty.
     [[nodiscard]] const Response& head() const noexcept;
-    /// The part of the body that arrived since the last call.
+    /// Returns the part of the body that was received since the last call.
     [[nodiscard]] std::string takeBody();
 
 private:
--- a/src/azurepaddle/http1/server.cpp
+++ b/src/azurepaddle/http1/server.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr auto sweepInterval = std::chrono::milliseconds(250);
-    // After an accept that failed for lack of descriptors or memory.
+    // Delay after an accept that failed for lack of descriptors or memory.
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(100);
 
 }
--- a/src/azurepaddle/http1/server.hpp
+++ b/src/azurepaddle/http1/server.hpp
@@ -13,11 +13,11 @@
 
 namespace azurepaddle::http1 {
 
-/// What clients may send and how long they may take. Can be changed while the server runs.
+/// Limits of the requests of clients. They can be changed while the server runs.
 struct ServerLimits {
     MessageLimits message;
     Duration headerTimeout = std::chrono::seconds(3); ///< From the first byte of a request to the end of its header.
-    Duration idleTimeout = std::chrono::seconds(15); ///< Without a request in progress, or within a body.
+    Duration idleTimeout = std::chrono::seconds(15); ///< Without a request in progress, or between two parts of a body.
     std::size_t maxConnections = 3000;
 
     friend bool operator==(const ServerLimits&, const ServerLimits&) = default;
@@ -27,8 +27,8 @@
     class ServerConnection;
 }
 
-/// One request and the means to answer it. Answered at most once; an exchange that is dropped without an answer closes
-/// its connection. Used on the server's thread only.
+/// One request and its response. At most one response is sent. Destroying the exchange without a response closes the
+/// connection. Not thread-safe.
 class Exchange {
 public:
     Exchange(std::shared_ptr<internal::ServerConnection> connection, Request request, TimePoint receivedAt);
@@ -39,17 +39,17 @@
     [[nodiscard]] const Request& request() const noexcept { return m_request; }
     [[nodiscard]] TimePoint receivedAt() const noexcept { return m_receivedAt; }
 
-    /// Sends a whole response.
+    /// Sends a complete response.
     void respond(Response response);
     /// Sends the head of a response whose body follows in chunks.
     void beginStream(Response head);
     void sendChunk(std::string_view bytes);
     /// Marks the streamed body as complete.
     void endStream();
-    /// Closes the connection without completing the answer.
+    /// Closes the connection without completing the response.
     void abort();
 
-    /// Sets what happens when the client leaves before the answer is complete.
+    /// Sets the function called if the client closes the connection before the response is complete.
     void setOnClosed(std::function<void()> onClosed);
     [[nodiscard]] bool isOpen() const noexcept;
 
@@ -57,7 +57,7 @@
     friend class internal::ServerConnection;
     void clientLeft();
 
-    std::shared_ptr<internal::ServerConnection> m_connection; ///< Null once answered or closed.
+    std::shared_ptr<internal::ServerConnection> m_connection; ///< Null after the response or the close.
     Request m_request;
     TimePoint m_receivedAt;
     std::function<void()> m_onClosed;
@@ -66,7 +66,7 @@
 using ExchangePointer = std::shared_ptr<Exchange>;
 using Handler = std::function<void(ExchangePointer)>;
 
-/// An HTTP/1.1 server on one thread. Requests of one connection are answered in order, one at a time.
+/// An HTTP/1.1 server on one thread. The requests of a connection are processed in order, one at a time.
 class Server {
 public:
     Server(asio::io_context& io, Handler handler, ServerLimits limits = {});
@@ -74,16 +74,16 @@
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
 
-    /// Binds the address. An error message if that fails.
+    /// Binds the address and starts to accept connections. Returns an error message on failure.
     [[nodiscard]] tl::expected<void, std::string> listen(const InstanceAddress& address);
-    /// The address it listens on, with the port that the system chose.
+    /// The address it listens on, with the actual port if port 0 was requested.
     [[nodiscard]] InstanceAddress address() const;
     void setLimits(const ServerLimits& limits);
-    /// Answers from now on say that their connection closes.
+    /// Makes all further responses announce that the connection will be closed.
     void beginDrain();
     /// Closes connections without a request in progress.
     void closeIdle();
-    /// Stops to accept connections and closes all of them.
+    /// Stops accepting connections and closes all of them.
     void close();
     [[nodiscard]] std::size_t connections() const noexcept;
     [[nodiscard]] std::size_t requestsInProgress() const noexcept;
--- a/src/azurepaddle/http1/server_connection.cpp
+++ b/src/azurepaddle/http1/server_connection.cpp
@@ -128,7 +128,7 @@
         m_closesAfterWrite = true;
         return flush();
     }
-    // Not from within the handler: it may still hold the exchange it has just answered.
+    // Posted, because the handler may still hold the exchange to which it has just responded.
     asio::post(m_shared->io, [self = shared_from_this()] {
         if (!self->m_isClosed && !self->m_isBusy)
             self->parse();
@@ -151,7 +151,8 @@
     if (m_output.empty()) {
         if (!m_closesAfterWrite)
             return;
-        // The client closes after the last answer. Closing first with unread bytes would reset the answer on its way.
+        // The client closes after the last response. Closing first with unread bytes would reset the connection before the
+        // response is delivered.
         std::error_code ignored;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
         return;
@@ -180,7 +181,7 @@
     if (isInHeader && now - m_messageStart > m_shared->limits.headerTimeout) {
         m_closesAfterResponse = true;
         m_isBusy = true;
-        return respond({ 408, {}, {}, "the header did not arrive in time\n" }, false);
+        return respond({ 408, {}, {}, "the header was not received within the timeout\n" }, false);
     }
     if (now - m_lastActivity > m_shared->limits.idleTimeout)
         close();
--- a/src/azurepaddle/http1/server_connection.hpp
+++ b/src/azurepaddle/http1/server_connection.hpp
@@ -6,7 +6,7 @@
 
 namespace azurepaddle::http1 {
 
-/// What the connections of one server share.
+/// State shared by the connections of a server.
 struct Server::Shared {
     asio::io_context& io;
     Handler handler;
@@ -25,7 +25,7 @@
         ServerConnection(std::shared_ptr<Server::Shared> shared, asio::ip::tcp::socket socket);
 
         void start();
-        /// Closes a connection that is idle or incomplete for too long.
+        /// Closes the connection if it has been idle, or its request incomplete, for longer than allowed.
         void checkTimeouts(TimePoint now);
         void close();
         [[nodiscard]] bool isIdle() const noexcept { return !m_isBusy && !m_parser.hasStarted() && m_unparsed.empty(); }
@@ -48,7 +48,7 @@
         void finishResponse();
         void addConnectionFields(Response& response);
 
-        // A client that sends ahead of its answers is read no further than this.
+        // Maximum number of bytes read of pipelined requests before their turn.
         static constexpr std::size_t maxUnparsedBytes = 256U * 1024U;
         static constexpr std::size_t readBytes = 16U * 1024U;
 
@@ -56,14 +56,14 @@
         asio::ip::tcp::socket m_socket;
         RequestParser m_parser;
         std::array<char, readBytes> m_buffer {};
-        std::string m_unparsed; ///< Bytes behind the request in progress.
+        std::string m_unparsed; ///< Bytes received after the end of the current request.
         std::weak_ptr<Exchange> m_exchange;
         TimePoint m_lastActivity;
         TimePoint m_messageStart;
         std::deque<std::string> m_output;
         bool m_isReading = false;
         bool m_isWriting = false;
-        bool m_isBusy = false; ///< A request is being answered.
+        bool m_isBusy = false; ///< A request is being processed.
         bool m_closesAfterResponse = false;
         bool m_closesAfterWrite = false;
         bool m_isClosed = false;
--- a/src/azurepaddle/platform/batch_format.cpp
+++ b/src/azurepaddle/platform/batch_format.cpp
@@ -16,11 +16,11 @@
     using internal::listOf;
     using internal::textOf;
 
-    constexpr std::string_view tokenUsageField = "X-Token-Usage"; // Prompt tokens and largest output, by a comma.
+    constexpr std::string_view tokenUsageField = "X-Token-Usage"; // Prompt tokens and maximum output tokens, separated by a comma.
     constexpr std::string_view lengthHintField = "X-Length-Hint"; // Estimated output tokens.
     constexpr std::size_t maxRewardBytes = 1024U * 1024U;
 
-    /// Takes the sizes from an item's own headers: the estimate of its output, or else the largest output it allows.
+    /// Sets the token counts from the header fields of an item: for the output its estimate, or its maximum without one.
     void setTokenCounts(batch::ItemSpec& item)
     {
         for (const batch::ItemField& field : item.fields) {
@@ -35,20 +35,20 @@
         }
     }
 
-    /// Whether a text can stand in the first line of a request.
+    /// Whether a text contains only characters that are allowed in a request target.
     bool isSafeInRequestLine(std::string_view text)
     {
         return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
     }
 
-    /// Whether a header field can be sent without ending early or beginning another one.
+    /// Whether a header field contains no characters that would end it early or start another field.
     bool isValidField(const batch::ItemField& field)
     {
         const auto isControl = [](char c) { return (c >= 0 && c < ' ' && c != '\t') || c == '\x7f'; };
         return isSafeInRequestLine(field.name) && field.name.find(':') == std::string::npos && std::none_of(field.value.begin(), field.value.end(), isControl);
     }
 
-    /// Reads the request that scores an item. Nothing if it cannot be read.
+    /// Parses the reward call of an item. Empty if it is invalid.
     std::optional<batch::RewardCall> decodeReward(const Json& json)
     {
         const auto id = textOf(json, "id");
@@ -105,7 +105,7 @@
     const auto json = internal::parseJson(body);
     const Json* requests = json ? listOf(*json, "requests") : nullptr;
     if (!requests || requests->empty())
-        return tl::unexpected(std::string("the batch job is not JSON or has no requests"));
+        return tl::unexpected(std::string("the batch job is not valid JSON or lacks requests"));
     batch::JobSpec spec;
     spec.id = id;
     spec.host = route.host;
@@ -120,7 +120,7 @@
     for (const Json& request : *requests) {
         auto item = decodeItem(request);
         if (!item)
-            return tl::unexpected(std::string("an item of the batch job cannot be read"));
+            return tl::unexpected(std::string("an item of the batch job is invalid"));
         spec.items.push_back(std::move(*item));
     }
     return spec;
--- a/src/azurepaddle/platform/batch_format.hpp
+++ b/src/azurepaddle/platform/batch_format.hpp
@@ -8,10 +8,10 @@
 
 namespace azurepaddle::platform {
 
-/// Reads a batch job that was submitted on a route. A message says what cannot be read.
+/// Parses a batch job that was submitted on a route. The error message names the part that is missing or invalid.
 [[nodiscard]] tl::expected<batch::JobSpec, std::string> decodeJob(const batch::JobId& id, const gateway::Route& route, std::string_view body);
 
-/// Writes results from a position on.
+/// Encodes results, starting at a position.
 [[nodiscard]] std::string encodeResults(const registry::ReadResultsReply& reply, std::uint64_t after);
 
 }
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -11,9 +11,9 @@
     constexpr std::string_view jobPath = "/-/lots/";
     constexpr std::string_view itemPath = "/-/items/";
     constexpr std::string_view waitField = "X-Wait-Ms";
-    // Calls of batch jobs that state no deadline are given up after this long.
+    // Timeout of calls for batch jobs that state no deadline.
     constexpr Duration defaultTimeout = std::chrono::milliseconds(2500);
-    // Their answer must arrive before the client stops waiting.
+    // The response must arrive before the deadline of the client.
     constexpr Duration responseMargin = std::chrono::milliseconds(100);
 
 }
@@ -29,21 +29,21 @@
     const http1::Request& request = exchange->request();
     const std::string_view path = http1::pathOf(request.target);
     if (!m_routes)
-        return exchange->respond(unavailable("no configuration is known yet"));
+        return exchange->respond(unavailable("no configuration has been received yet"));
     if (path.starts_with(jobPath)) {
         const batch::JobId job { std::string(path.substr(jobPath.size())) };
         if (request.method == "GET")
             return readResults(exchange, job);
         if (request.method == "DELETE")
             return endJob(exchange, job);
-        return exchange->respond(plain(405, "only GET and DELETE are known here"));
+        return exchange->respond(plain(405, "only GET and DELETE are supported"));
     }
     if (path.starts_with(itemPath) && request.method == "GET")
         return readItem(exchange, batch::JobId { std::string(path.substr(itemPath.size())) });
     const gateway::Route* route = m_routes->find(gateway::hostWithoutPort(request.fields.find("Host")), path);
     if (!route) {
         m_log.info("id={} target={} configuration={} status=404", EndpointProtocol::requestId(request), request.target, m_routes->version());
-        return exchange->respond(plain(404, "no route matches"));
+        return exchange->respond(plain(404, "no route matches the host and path"));
     }
     if (route->kind == gateway::RouteKind::Batch)
         return submit(exchange, *route);
@@ -60,7 +60,7 @@
     const batch::JobId id(EndpointProtocol::requestId(exchange->request()));
     auto spec = decodeJob(id, route, exchange->request().body);
     if (exchange->request().method != "POST" || id.empty() || !spec) {
-        const std::string reason = spec ? "a batch job is a POST with an identifier" : spec.error();
+        const std::string reason = spec ? "a batch job must be submitted with POST and an identifier" : spec.error();
         m_log.info("job id={} status=400 cause=\"{}\"", id, reason);
         return exchange->respond(plain(400, reason));
     }
@@ -71,7 +71,7 @@
     const TimePoint deadline = std::min(deadlineOf(*exchange), exchange->receivedAt() + defaultTimeout);
     m_leader.send(registry::SubmitJobRequest { std::move(*spec) }, deadline, [this, exchange, id](registry::LeaderResult<registry::SubmitJobReply> reply) {
         const http1::Response response = !reply ? noReply(reply.error()) : reply->isAccepted ? plain(202, "accepted")
-                                                                                             : unavailable("too many batch jobs are held");
+                                                                                             : unavailable("too many batch jobs are stored");
         m_log.info("job id={} status={} leader={}", id, response.status, m_leader.leader() ? formatAddress(*m_leader.leader()) : std::string());
         exchange->respond(response);
     });
@@ -85,7 +85,7 @@
     m_leader.send(registry::ReadResultsRequest { job, after, wait }, deadline, [this, exchange, job, after](const registry::LeaderResult<registry::ReadResultsReply>& reply) {
         if (!reply) {
             m_log.info("job id={} after={} status=503", job, after);
-            return exchange->respond(unavailable("no leader answered"));
+            return exchange->respond(unavailable("the leader did not respond"));
         }
         exchange->respond(reply->isKnown ? json(200, encodeResults(*reply, after)) : plain(404, "no such batch job"));
     });
@@ -97,7 +97,7 @@
     const TimePoint deadline = m_clock.now() + std::chrono::milliseconds(1000);
     m_leader.send(registry::ReadItemRequest { job, item }, deadline, [exchange](const registry::LeaderResult<registry::ReadItemReply>& reply) {
         if (!reply)
-            return exchange->respond(unavailable("no leader answered"));
+            return exchange->respond(unavailable("the leader did not respond"));
         exchange->respond(reply->isKnown ? bytes(200, reply->body) : plain(404, "no such item"));
     });
 }
--- a/src/azurepaddle/platform/caller_api.hpp
+++ b/src/azurepaddle/platform/caller_api.hpp
@@ -7,15 +7,15 @@
 
 namespace azurepaddle::platform {
 
-/// The calls of the platform's clients at an entry instance: plain requests go to the forwarder, calls of batch jobs to
-/// the leader.
+/// Handles the requests of the platform's clients at an entry instance: plain requests go to the forwarder, calls for
+/// batch jobs to the leader.
 class CallerApi {
 public:
     using Forwarder = gateway::Forwarder<EndpointProtocol>;
 
     CallerApi(Forwarder& forwarder, registry::LeaderClient& leader);
 
-    /// Replaces the configuration. Null until one is known.
+    /// Replaces the routes. Null until a configuration is received.
     void setRoutes(std::shared_ptr<const gateway::RouteTable> routes) { m_routes = std::move(routes); }
     void handle(const http1::ExchangePointer& exchange);
 
--- a/src/azurepaddle/platform/configuration.cpp
+++ b/src/azurepaddle/platform/configuration.cpp
@@ -87,7 +87,7 @@
     {
         const auto name = textOf(json, "name");
         if (!name)
-            return tl::unexpected(std::string("a service has no name"));
+            return tl::unexpected(std::string("a service lacks a name"));
         gateway::Service service;
         service.name = ServiceName(*name);
         service.healthPath = textOf(json, "health-path").value_or("/healthz");
@@ -124,7 +124,7 @@
 {
     const auto json = internal::parseJson(text);
     if (!json)
-        return tl::unexpected(std::string("the configuration is not JSON"));
+        return tl::unexpected(std::string("the configuration is not valid JSON"));
     const auto version = countOf(*json, "version");
     const Json* routes = listOf(*json, "routes");
     const Json* services = listOf(*json, "services");
--- a/src/azurepaddle/platform/configuration.hpp
+++ b/src/azurepaddle/platform/configuration.hpp
@@ -6,7 +6,8 @@
 
 namespace azurepaddle::platform {
 
-/// Reads an operator's configuration. A message says what cannot be read; whether it makes sense is for validate.
+/// Parses an operator's configuration. The error message names the part that is missing or invalid. Whether the parts
+/// are consistent is checked by `validate`.
 [[nodiscard]] tl::expected<gateway::RouteTable, std::string> decodeConfiguration(std::string_view text);
 
 }
--- a/src/azurepaddle/platform/control_api.cpp
+++ b/src/azurepaddle/platform/control_api.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-    // A caller asks another instance after a second without an answer.
+    // Callers try another instance after one second without a response.
     constexpr Duration callTimeout = std::chrono::milliseconds(900);
 
-    /// The part of a path between a prefix and a suffix, if it has both.
+    /// Returns the part of a path between a prefix and a suffix; empty if the path lacks either.
     std::optional<std::string_view> between(std::string_view path, std::string_view prefix, std::string_view suffix)
     {
         if (path.size() <= prefix.size() + suffix.size() || !path.starts_with(prefix) || !path.ends_with(suffix))
@@ -41,23 +41,23 @@
         return retire(exchange, *instance, true);
     if (const auto instance = between(path, "/-/retire/", "/read"); instance && request.method == "GET")
         return retire(exchange, *instance, false);
-    exchange->respond(plain(404, "no such call"));
+    exchange->respond(plain(404, "unknown path or method"));
 }
 
 void ControlApi::receiveHeartbeat(const http1::ExchangePointer& exchange, std::string_view id)
 {
     const auto beat = decodeBeat(id, exchange->request().body);
     if (!beat) {
-        m_log.warning("heartbeat id={} unreadable bytes={}", id, exchange->request().body.size());
-        return exchange->respond(plain(400, "the heartbeat cannot be read"));
+        m_log.warning("heartbeat id={} invalid bytes={}", id, exchange->request().body.size());
+        return exchange->respond(plain(400, "the heartbeat is invalid"));
     }
     if (m_local.acceptHeartbeat(*beat))
         return exchange->respond(json(200, "{}"));
     m_leader.send(registry::HeartbeatRequest { *beat }, m_clock.now() + callTimeout, [this, exchange, id = beat->record.id](const registry::LeaderResult<registry::Acknowledgement>& reply) {
         if (!reply)
-            return exchange->respond(unavailable("no leader took the heartbeat"));
+            return exchange->respond(unavailable("the leader did not accept the heartbeat"));
         const auto better = m_local.preferredInstanceFor(id);
-        // All control instances listen at the same port.
+        // All control instances listen on the same port.
         exchange->respond(json(200, better ? internal::Json({ { "heartbeat-addr", formatAddress({ better->ip, m_controlPort }) } }).dump() : "{}"));
     });
 }
@@ -65,7 +65,7 @@
 void ControlApi::deregister(const http1::ExchangePointer& exchange, std::string_view id)
 {
     m_leader.send(registry::DeregisterRequest { decodeLeave(id, exchange->request().body) }, m_clock.now() + callTimeout, [exchange](const registry::LeaderResult<registry::Acknowledgement>& reply) {
-        exchange->respond(reply ? plain(200, "gone") : unavailable("no leader took the message"));
+        exchange->respond(reply ? plain(200, "gone") : unavailable("the leader did not accept the deregistration"));
     });
 }
 
@@ -83,7 +83,7 @@
         if (!reply)
             return exchange->respond(noReply(reply.error()));
         const bool isConflict = reply->outcome == registry::ConfigurationOutcome::Conflict;
-        exchange->respond(isConflict ? plain(409, "other content is in force under this version") : plain(200, "accepted"));
+        exchange->respond(isConflict ? plain(409, "a configuration with this version and other content is active") : plain(200, "accepted"));
     });
 }
 
@@ -91,7 +91,7 @@
 {
     m_leader.send(registry::ReadConfigurationRequest {}, m_clock.now() + callTimeout, [exchange](const registry::LeaderResult<registry::ReadConfigurationReply>& reply) {
         if (!reply || reply->document.version == 0)
-            return exchange->respond(unavailable("the newest configuration is not known here"));
+            return exchange->respond(unavailable("this instance cannot determine the newest configuration"));
         exchange->respond(json(200, reply->document.text));
     });
 }
@@ -102,9 +102,9 @@
     const auto model = json ? internal::textOf(*json, "model") : std::nullopt;
     const auto version = json ? internal::countOf(*json, "version") : std::nullopt;
     if (!model || !version)
-        return exchange->respond(plain(400, "model or version is missing"));
+        return exchange->respond(plain(400, "the call lacks model or version"));
     m_leader.send(registry::PublishVersionRequest { { batch::ModelName(*model), *version } }, m_clock.now() + callTimeout, [exchange](const registry::LeaderResult<registry::Acknowledgement>& reply) {
-        exchange->respond(reply ? plain(200, "recorded") : unavailable("no leader recorded the version"));
+        exchange->respond(reply ? plain(200, "recorded") : unavailable("the leader did not record the version"));
     });
 }
 
@@ -112,12 +112,12 @@
 {
     m_leader.send(registry::RetireRequest { std::string(instance), isBegin }, m_clock.now() + callTimeout, [exchange, isBegin](const registry::LeaderResult<registry::RetireReply>& reply) {
         if (!reply)
-            return exchange->respond(unavailable("no leader took the request"));
+            return exchange->respond(unavailable("the leader did not accept the request"));
         switch (reply->state) {
         case registry::RetireState::Unknown:
             return exchange->respond(isBegin ? plain(404, "no such instance") : json(200, R"({"state":"active"})"));
         case registry::RetireState::TooFewRemaining:
-            return exchange->respond(plain(409, "too few instances would be left"));
+            return exchange->respond(plain(409, "too few instances would remain"));
         case registry::RetireState::Active:
             return exchange->respond(json(200, R"({"state":"active"})"));
         case registry::RetireState::Completed:
--- a/src/azurepaddle/platform/control_api.hpp
+++ b/src/azurepaddle/platform/control_api.hpp
@@ -8,11 +8,11 @@
 
 namespace azurepaddle::platform {
 
-/// The calls of endpoints, operators and trainers at a control instance. The leader answers them, except heartbeats that
-/// change nothing.
+/// Handles the calls of endpoints, operators and trainers at a control instance. They are passed to the leader, except
+/// heartbeats that change nothing.
 class ControlApi {
 public:
-    /// All instances serve these calls at the same port.
+    /// `controlPort` is the port at which all instances serve these calls.
     ControlApi(registry::LocalService& local, registry::LeaderClient& leader, std::uint16_t controlPort)
         : m_local(local)
         , m_leader(leader)
--- a/src/azurepaddle/platform/endpoint_protocol.cpp
+++ b/src/azurepaddle/platform/endpoint_protocol.cpp
@@ -17,11 +17,11 @@
     constexpr std::string_view versionField = "X-Weight-Versions";
     constexpr std::string_view eventVersionField = "x-weight-versions";
     constexpr std::string_view lastEventField = "Last-Event-Id";
-    constexpr std::string_view leavingField = "Server-Leaving"; // "1" in all answers of an endpoint that leaves.
-    constexpr std::string_view signatureField = "X-Server-Stamp"; // An endpoint's proof that it ran the request.
+    constexpr std::string_view leavingField = "Server-Leaving"; // "1" in all responses of an endpoint that is draining.
+    constexpr std::string_view signatureField = "X-Server-Stamp"; // Signature by which an endpoint proves that it ran the request.
     constexpr unsigned misdirected = 421;
 
-    /// The number after blanks that a field or a part of one begins with.
+    /// Returns the number at the start of a text, after optional blanks; empty if there is none.
     std::optional<std::uint64_t> parseCount(std::string_view text)
     {
         while (!text.empty() && text.front() == ' ')
@@ -119,7 +119,8 @@
 
 http1::Request EndpointProtocol::loadRequest(const execution::LoadOrder& order)
 {
-    // Items that run go on under the new version: they are allowed to mix the versions of their bounds.
+    // "retain" continues running items under the new version, because a text may contain several versions within the
+    // bounds of its job.
     internal::Json body { { "operation", "version" }, { "model", order.model.value() }, { "version", order.version }, { "mode", "retain" }, { "holder", order.holder }, { "fence", order.fence } };
     if (order.expectedOrders)
         body["expect"] = *order.expectedOrders;
--- a/src/azurepaddle/platform/endpoint_protocol.hpp
+++ b/src/azurepaddle/platform/endpoint_protocol.hpp
@@ -4,7 +4,8 @@
 
 namespace azurepaddle::platform {
 
-/// How the platform's endpoints are spoken to: header names, order bodies and event fields.
+/// Encodes requests to the platform's endpoints and decodes their responses: header fields, bodies of orders and fields
+/// of events.
 struct EndpointProtocol {
     [[nodiscard]] static std::string requestId(const http1::Request& request);
     [[nodiscard]] static std::optional<Duration> clientTimeout(const http1::Request& request);
--- a/src/azurepaddle/platform/json.cpp
+++ b/src/azurepaddle/platform/json.cpp
@@ -64,7 +64,7 @@
     const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(decoded.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
     if (size < 0)
         return std::nullopt;
-    // OpenSSL counts the padding as zero bytes.
+    // OpenSSL decodes the padding as zero bytes.
     std::size_t padding = 0;
     while (padding < 2 && padding < text.size() && text[text.size() - 1 - padding] == '=')
         ++padding;
--- a/src/azurepaddle/platform/json.hpp
+++ b/src/azurepaddle/platform/json.hpp
@@ -9,18 +9,18 @@
 
 using Json = nlohmann::json;
 
-/// The text as JSON. Nothing if it is malformed.
+/// Parses JSON. Empty if the text is malformed.
 [[nodiscard]] std::optional<Json> parseJson(std::string_view text);
 
-/// A member of an object. Nothing if it is missing or of another type.
+/// Returns a member of an object; empty if it is missing or of another type.
 [[nodiscard]] std::optional<std::string> textOf(const Json& object, const char* name);
 [[nodiscard]] std::optional<std::uint64_t> countOf(const Json& object, const char* name);
 [[nodiscard]] std::optional<double> numberOf(const Json& object, const char* name);
 [[nodiscard]] std::optional<bool> flagOf(const Json& object, const char* name);
-/// An array member, or null.
+/// Returns an array member; null if it is missing or of another type.
 [[nodiscard]] const Json* listOf(const Json& object, const char* name);
 
-/// Nothing if the text is not base64.
+/// Empty if the text is not valid base64.
 [[nodiscard]] std::optional<std::string> decodeBase64(std::string_view text);
 
 }
--- a/src/azurepaddle/platform/leading_count.hpp
+++ b/src/azurepaddle/platform/leading_count.hpp
@@ -7,7 +7,7 @@
 
 namespace azurepaddle::platform::internal {
 
-/// The number that a text begins with, if it does.
+/// Parses the decimal number at the start of a text; empty if there is none.
 [[nodiscard]] inline std::optional<std::uint64_t> leadingCount(std::string_view text)
 {
     std::uint64_t value = 0;
--- a/src/azurepaddle/platform/registration.cpp
+++ b/src/azurepaddle/platform/registration.cpp
@@ -49,7 +49,7 @@
     const auto sequence = countOf(*json, "sequence");
     if (id.empty() || !service || service->empty() || !address || !zone || !slots || *slots == 0 || !state || !sequence)
         return std::nullopt;
-    // `born` is the start time of the process, `version` that of its software.
+    // `born` is the start time of the process, `version` the version of its software.
     const std::uint64_t startedMs = countOf(*json, "born").value_or(0);
     registry::EndpointRecord record { EndpointId(std::string(id)), startedMs, ServiceName(*service), address->ip, address->port,
         DataCentreName(*zone), static_cast<std::uint32_t>(*slots), *state, decodeVersions(*json) };
--- a/src/azurepaddle/platform/registration.hpp
+++ b/src/azurepaddle/platform/registration.hpp
@@ -7,11 +7,11 @@
 
 namespace azurepaddle::platform {
 
-/// Reads a heartbeat of the endpoint with this identifier. Nothing if it names no endpoint to use: a field is missing, of
-/// another type, or of an unknown value.
+/// Parses a heartbeat of the endpoint with this identifier. Empty if the endpoint cannot be used: a field is missing, has
+/// another type or an unknown value.
 [[nodiscard]] std::optional<registry::EndpointHeartbeat> decodeBeat(std::string_view id, std::string_view body);
 
-/// Reads the message of an endpoint that leaves.
+/// Parses the deregistration of an endpoint.
 [[nodiscard]] registry::EndpointIncarnation decodeLeave(std::string_view id, std::string_view body);
 
 }
--- a/src/azurepaddle/platform/replies.hpp
+++ b/src/azurepaddle/platform/replies.hpp
@@ -21,7 +21,7 @@
     return { status, {}, { { "Content-Type", "application/octet-stream" } }, std::move(body) };
 }
 
-/// Nothing was done; the caller may come back soon.
+/// A response for a request that was not executed; the caller may retry soon.
 [[nodiscard]] inline http1::Response unavailable(std::string reason)
 {
     http1::Response response = plain(503, std::move(reason));
@@ -29,7 +29,7 @@
     return response;
 }
 
-/// The response to a request that got no reply of a leader.
+/// The response for a request to which the leader did not reply.
 [[nodiscard]] inline http1::Response noReply(registry::LeaderErrorCode code)
 {
     return code == registry::LeaderErrorCode::NotRun ? unavailable("no leader took the request") : plain(504, "the leader's reply was lost");
