Log the expected times that decide a move of an item

An operator who asks why a step was late sees for each move of its items how long the item was expected to take at its endpoint and at the next one, with the cost of the move (stay-ms, move-ms). planMoves returns them with the placement; the two reasons for which an endpoint's items are looked at have names in place of a bool.

--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -110,14 +110,19 @@
         return item.sinceEvent <= maxEventAge || from.slowness >= stalledSlowness;
     }
 
-    /// Whether the item is expected to end earlier at the other endpoint by more than the required gain.
-    bool gainsByMove(const RunningItem& item, const EndpointLoad& from, const EndpointLoad& target, Duration tokenTime)
+    /// The move of an item to the other endpoint.
+    Move moveOf(const RunningItem& item, const EndpointLoad& from, const EndpointLoad& target, Duration tokenTime)
     {
         EndpointLoad others = from;
         others.longItems -= std::min(others.longItems, item.isLong ? 1U : 0U);
-        const Duration here = expectedTime(item.expectedTokens, others, others.running - std::min(others.running, 1U), tokenTime);
-        const Duration there = moveCost + expectedTime(item.expectedTokens, target, target.running, tokenTime);
-        return here - there > minGain + std::chrono::duration_cast<Duration>(here * minGainShare);
+        const Duration ifStaying = expectedTime(item.expectedTokens, others, others.running - std::min(others.running, 1U), tokenTime);
+        return { { item.index, target.id }, ifStaying, moveCost + expectedTime(item.expectedTokens, target, target.running, tokenTime) };
+    }
+
+    /// Whether the item is expected to end earlier by more than the required gain.
+    bool isWorthwhile(const Move& move)
+    {
+        return move.ifStaying - move.ifMoved > minGain + std::chrono::duration_cast<Duration>(move.ifStaying * minGainShare);
     }
 
 }
@@ -143,18 +148,22 @@
     return placements;
 }
 
-std::vector<Placement> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints, Duration tokenTime)
+std::vector<Move> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints, Duration tokenTime)
 {
     sortLongestFirst(running);
-    std::vector<Placement> moves;
+    std::vector<Move> moves;
     for (const RunningItem& item : running) {
         const EndpointLoad* from = findEndpoint(endpoints, item.endpoint);
         if (!from || !mayMove(item, *from) || moves.size() >= maxMoves)
             continue;
         EndpointLoad* target = cheapest(endpoints, item, [&](const EndpointLoad& endpoint) { return expectedTime(item.expectedTokens, endpoint, endpoint.running, tokenTime); });
-        if (!target || target == from || !gainsByMove(item, *from, *target, tokenTime))
+        if (!target || target == from)
             continue;
-        moves.push_back(assign(*target, item));
+        const Move move = moveOf(item, *from, *target, tokenTime);
+        if (!isWorthwhile(move))
+            continue;
+        assign(*target, item);
+        moves.push_back(move);
     }
     return moves;
 }
--- a/src/azurepaddle/batch/placement.hpp
+++ b/src/azurepaddle/batch/placement.hpp
@@ -72,10 +72,16 @@
     friend bool operator==(const RunningItem&, const RunningItem&) = default;
 };
 
+/// A move of a running item, with the expected times until its end that decide it.
+struct Move : Placement {
+    Duration ifStaying {};
+    Duration ifMoved {}; ///< Includes the cost of the move.
+};
+
 /// Plans moves of items to free slots of endpoints where they are expected to end earlier, with the cost of the move
 /// included, longest items first. A slowdown that has just begun is expected to pass soon. An item moves right after an
 /// event, when no generated output is lost, unless its endpoint has almost stalled. Items that end soon are not moved.
-[[nodiscard]] std::vector<Placement> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints, Duration tokenTime = defaultTokenTime);
+[[nodiscard]] std::vector<Move> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints, Duration tokenTime = defaultTokenTime);
 
 /// Plans moves of all these items from an endpoint that is about to pause to other usable endpoints; empty if there are
 /// not enough free slots for all of them.
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -72,6 +72,11 @@
         Recording, ///< The result is being proposed to the replicated log.
     };
 
+    enum class Slowness : std::uint8_t {
+        Current, ///< Much slower than others at the moment, or draining.
+        Lasting, ///< Slower than others, without a slowdown.
+    };
+
     /// One item of an open job.
     struct Run {
         batch::JobId job;
@@ -148,7 +153,7 @@
     void updateBalancerEndpoints();
     void stop(const RunPointer& run);
     void requeue(const RunPointer& run, std::string_view cause, Duration delay);
-    void move(const RunPointer& run, const EndpointId& target, std::string_view cause);
+    void move(const RunPointer& run, const EndpointId& target, std::string_view cause, const std::string& details = {});
     void finish(const RunPointer& run, batch::ItemResult result);
     void scheduleFlush(Duration delay = Duration::zero());
     void proposeResults();
@@ -159,7 +164,7 @@
     void evictTexts(TimePoint now);
     void requeueSilentItems(TimePoint now);
     void moveItemsFromSlowEndpoints(TimePoint now);
-    [[nodiscard]] std::map<EndpointId, bool> findSlowEndpoints(TimePoint now) const;
+    [[nodiscard]] std::map<EndpointId, Slowness> findSlowEndpoints(TimePoint now) const;
     [[nodiscard]] batch::RunningItem runningItemOf(const Run& run, std::size_t index, TimePoint now) const;
     [[nodiscard]] std::uint64_t remainingTokens(const Run& run) const;
     [[nodiscard]] Duration tokenTime(TimePoint now) const;
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -125,9 +125,9 @@
 }
 
 template <typename Protocol>
-void JobRunner<Protocol>::move(const RunPointer& run, const EndpointId& target, std::string_view cause)
+void JobRunner<Protocol>::move(const RunPointer& run, const EndpointId& target, std::string_view cause, const std::string& details)
 {
-    m_log.info("item id={} job={} endpoint={} target={} outcome=moved cause={} events={}", run->item, run->job, run->endpoint, target, cause, textOf(*run).eventCount());
+    m_log.info("item id={} job={} endpoint={} target={} outcome=moved cause={} events={}{}", run->item, run->job, run->endpoint, target, cause, textOf(*run).eventCount(), details);
     m_metrics.counter("items_moved_total").add();
     stop(run);
     start(run, target);
--- a/src/azurepaddle/execution/job_runner_watch.hpp
+++ b/src/azurepaddle/execution/job_runner_watch.hpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace azurepaddle::execution {
 
 namespace internal {
@@ -123,39 +125,42 @@
     return { index, run.endpoint, remainingTokens(run), run.isLong, run.minVersion, requiredVersion(run), now - run.startedAt, now - run.lastEventAt };
 }
 
-/// Returns the endpoints with items that are slow now (true), or that are lastingly slower than others (false).
+/// Returns the endpoints whose items may end earlier elsewhere.
 template <typename Protocol>
-std::map<EndpointId, bool> JobRunner<Protocol>::findSlowEndpoints(TimePoint now) const
+auto JobRunner<Protocol>::findSlowEndpoints(TimePoint now) const -> std::map<EndpointId, Slowness>
 {
-    std::map<EndpointId, bool> slow;
+    std::map<EndpointId, Slowness> slow;
     for (const auto& [id, counts] : m_running) {
         if (std::all_of(counts.begin(), counts.end(), [](const auto& count) { return count.second == 0; }))
             continue;
         const registry::EndpointRecord* record = m_machine.directory().find(id);
         const bool isDraining = record && record->state != registry::EndpointState::Gone && !m_liveness.isAcceptingWork(*record);
-        const bool isSlowNow = isDraining || m_speedMeter.slowness(id, now) >= batch::slownessThreshold;
-        if (isSlowNow || m_speedMeter.lastingSlowness(id, now) >= batch::lastingSlownessThreshold)
-            slow[id] = isSlowNow;
+        if (isDraining || m_speedMeter.slowness(id, now) >= batch::slownessThreshold)
+            slow[id] = Slowness::Current;
+        else if (m_speedMeter.lastingSlowness(id, now) >= batch::lastingSlownessThreshold)
+            slow[id] = Slowness::Lasting;
     }
     return slow;
 }
 
+/// Moves items away from slow endpoints where they are expected to end earlier elsewhere. From endpoints that are only
+/// lastingly slower, only long items gain enough.
 template <typename Protocol>
 void JobRunner<Protocol>::moveItemsFromSlowEndpoints(TimePoint now)
 {
-    const std::map<EndpointId, bool> slow = findSlowEndpoints(now);
+    const std::map<EndpointId, Slowness> slow = findSlowEndpoints(now);
     const auto affected = runsByPlacementKey([&slow](const Run& run) {
         if (run.stage != Stage::Running)
             return false;
         const auto found = slow.find(run.endpoint);
-        return found != slow.end() && (found->second || run.isLong);
+        return found != slow.end() && (found->second == Slowness::Current || run.isLong);
     });
     for (const auto& [key, runs] : affected) {
         std::vector<batch::RunningItem> items;
         for (std::size_t index = 0; index < runs.size(); ++index)
             items.push_back(runningItemOf(*runs[index], index, now));
-        for (const batch::Placement& placement : batch::planMoves(std::move(items), loadsOf(key.first, key.second, now), tokenTime(now)))
-            move(runs[placement.index], placement.endpoint, "slow");
+        for (const batch::Move& planned : batch::planMoves(std::move(items), loadsOf(key.first, key.second, now), tokenTime(now)))
+            move(runs[planned.index], planned.endpoint, "slow", fmt::format(" stay-ms={} move-ms={}", planned.ifStaying / std::chrono::milliseconds(1), planned.ifMoved / std::chrono::milliseconds(1)));
     }
 }
 
--- a/test/azurepaddle/execution/played_steps.cpp
+++ b/test/azurepaddle/execution/played_steps.cpp
@@ -210,7 +210,7 @@
         }
         for (const batch::Placement& placement : batch::placeItems(waiting, loads(), {}, tokenTime))
             start(m_items[placement.index], placement.endpoint);
-        for (const batch::Placement& placement : batch::planMoves(running, loads(), tokenTime)) {
+        for (const batch::Move& placement : batch::planMoves(running, loads(), tokenTime)) {
             leave(m_items[placement.index]);
             start(m_items[placement.index], placement.endpoint);
         }
