--- a/src/azurepaddle/platform/control_api.cpp
+++ b/src/azurepaddle/platform/control_api.cpp
@@ -46,14 +46,14 @@
 
 void ControlApi::receiveHeartbeat(const http1::ExchangePointer& exchange, std::string_view id)
 {
-    const auto beat = decodeBeat(id, exchange->request().body);
-    if (!beat) {
+    const auto heartbeat = decodeHeartbeat(id, exchange->request().body);
+    if (!heartbeat) {
         m_log.warning("heartbeat id={} invalid bytes={}", id, exchange->request().body.size());
         return exchange->respond(plain(400, "the heartbeat is invalid"));
     }
-    if (m_local.acceptHeartbeat(*beat))
+    if (m_local.acceptHeartbeat(*heartbeat))
         return exchange->respond(json(200, "{}"));
-    m_leader.send(registry::HeartbeatRequest { *beat }, m_clock.now() + callTimeout, [this, exchange, id = beat->record.id](const registry::LeaderResult<registry::Acknowledgement>& reply) {
+    m_leader.send(registry::HeartbeatRequest { *heartbeat }, m_clock.now() + callTimeout, [this, exchange, id = heartbeat->record.id](const registry::LeaderResult<registry::Acknowledgement>& reply) {
         if (!reply)
             return exchange->respond(unavailable("the leader did not accept the heartbeat"));
         const auto better = m_local.preferredInstanceFor(id);
--- a/src/azurepaddle/platform/registration.cpp
+++ b/src/azurepaddle/platform/registration.cpp
@@ -36,7 +36,7 @@
 
 }
 
-std::optional<registry::EndpointHeartbeat> decodeBeat(std::string_view id, std::string_view body)
+std::optional<registry::EndpointHeartbeat> decodeHeartbeat(std::string_view id, std::string_view body)
 {
     const auto json = internal::parseJson(body);
     if (!json || !json->is_object())
--- a/test/azurepaddle/http1/client.cpp
+++ b/test/azurepaddle/http1/client.cpp
@@ -38,7 +38,7 @@
     cr_assert(peer.accepted() == 1);
 }
 
-// Guards against the answer of an earlier request that is taken for that of the next one.
+// Guards against a late response to an earlier request that is treated as the response to the next one.
 Test(ClientPool, lateAnswerOfOther_received_isSkipped)
 {
     ClientFixture fixture;
@@ -49,7 +49,7 @@
     cr_assert(outcome.response.body == "new");
 }
 
-// Guards against a connection with extra bytes that is used again.
+// Guards against reusing a connection on which extra bytes were received.
 Test(ClientPool, extraBytes_behindAnswer_closeConnection)
 {
     ClientFixture fixture;
@@ -63,7 +63,7 @@
     cr_assert(peer.accepted() == 2);
 }
 
-// Guards against a request on a connection that its server is about to close.
+// Guards against sending a request on a connection that its server is about to close.
 Test(ClientPool, keepAliveOfOneSecond_nextRequest_opensConnection)
 {
     ClientFixture fixture;
@@ -76,7 +76,7 @@
     cr_assert(peer.accepted() == 2);
 }
 
-// Guards against a promise that a request did not run although its bytes had left.
+// Guards against reporting a request as not sent although bytes of it were sent.
 Test(ClientPool, connectionEnds_beforeAnswer_saysThatItWasSent)
 {
     ClientFixture fixture;
@@ -90,7 +90,7 @@
     cr_assert(outcome.end->isSent);
 }
 
-// Guards against a refused connection that counts as a sent request.
+// Guards against reporting a request as sent although the connection was refused.
 Test(ClientPool, nobodyListens_connecting_saysThatItWasNotSent)
 {
     ClientFixture fixture;
@@ -104,7 +104,7 @@
     cr_assert(!outcome.end->isSent);
 }
 
-// Guards against a silent endpoint that holds a request beyond its deadline.
+// Guards against a request that continues beyond its deadline because its endpoint does not respond.
 Test(ClientPool, silentServer_deadlinePasses_endsCall)
 {
     ClientFixture fixture;
@@ -117,7 +117,7 @@
     cr_assert(outcome.end->kind == CallEndKind::TimedOut);
 }
 
-// Guards against an endpoint that goes on with a cancelled request, and against events after a cancellation.
+// Guards against an endpoint that continues a cancelled request, and against callbacks after a cancellation.
 Test(ClientPool, callCancelled_inEvent_closesConnectionWithoutFurtherEvents)
 {
     ClientFixture fixture;
@@ -135,7 +135,7 @@
     cr_assert(fixture.pool.connections(peer.address()) == 0);
 }
 
-// Guards against more connections than an endpoint accepts, which it would reset.
+// Guards against opening more connections than an endpoint accepts. It would reset them.
 Test(ClientPool, connectionsInUse_furtherRequest_isRefusedUnsent)
 {
     ClientFixture fixture;
@@ -152,7 +152,7 @@
     one->cancel();
 }
 
-// Guards against an answer of one call that is larger than its caller expects.
+// Guards against a response body that exceeds the limit of its call.
 Test(ClientPool, answerLargerThanCallAllows_received_endsCall)
 {
     asio::io_context io;
--- a/test/azurepaddle/http1/fixture.hpp
+++ b/test/azurepaddle/http1/fixture.hpp
@@ -13,7 +13,7 @@
 
 constexpr auto generousBound = std::chrono::seconds(30);
 
-/// Runs a loop until a condition holds. False if it does not within the generous bound.
+/// Runs the event loop until a condition holds. Returns false on timeout.
 inline bool runUntil(asio::io_context& io, const std::function<bool()>& condition)
 {
     const SystemClock clock;
@@ -24,7 +24,7 @@
     return condition();
 }
 
-/// A peer that speaks raw bytes. It answers each connection with what its script returns for the bytes read so far.
+/// A peer that sends raw bytes: on each connection, those that its script returns for the bytes received so far.
 class RawPeer {
 public:
     using Script = std::function<std::string(const std::string&)>;
@@ -39,7 +39,7 @@
     [[nodiscard]] InstanceAddress address() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
     [[nodiscard]] int accepted() const { return m_accepted; }
     [[nodiscard]] int closed() const { return m_closed; }
-    /// Ends as a process does: nobody listens any more, and all connections end.
+    /// Simulates the end of the process: closes the listening socket and all connections.
     void crash()
     {
         m_acceptor.close();
@@ -95,7 +95,7 @@
     int m_closed = 0;
 };
 
-/// What became of one call.
+/// The outcome of one call.
 struct Received {
     std::optional<CallEnd> end;
     Response response;
--- a/test/azurepaddle/http1/messages.cpp
+++ b/test/azurepaddle/http1/messages.cpp
@@ -33,7 +33,7 @@
 
 }
 
-// Guards against fields that are lost because a client spells them in another case.
+// Guards against fields that are not found because a client writes their names in another case.
 Test(Fields, nameInOtherCase_found_givesValue)
 {
     const Fields fields { { "X-Thing", "7" } };
@@ -41,7 +41,7 @@
     cr_assert(!fields.contains("x-thin"));
 }
 
-// Guards against connection fields that reach an endpoint or client they do not concern.
+// Guards against forwarding hop-by-hop fields to an endpoint or a client.
 Test(Fields, hopByHop_erased_keepsOnlyEndToEndFields)
 {
     Fields fields { { "Connection", "close, X-Private" }, { "X-Private", "1" }, { "Keep-Alive", "timeout=3" }, { "Transfer-Encoding", "chunked" }, { "Content-Length", "3" }, { "X-Kept", "2" } };
@@ -49,7 +49,7 @@
     cr_assert(fields == Fields({ { "X-Kept", "2" } }));
 }
 
-// Guards against a query that is read from the path or from another parameter.
+// Guards against a query parameter that is read from the path or from another parameter.
 Test(Message, queryParameter_read_decodesItsValue)
 {
     cr_assert(queryParameter("/a?after=12&id=x%2Fy", "id") == "x/y");
@@ -58,7 +58,7 @@
     cr_assert(pathOf("/a/b?c=/d") == "/a/b");
 }
 
-// Guards against bodies that are cut or joined when a request arrives in pieces.
+// Guards against bodies that are truncated or joined when a request is received in several parts.
 Test(RequestParser, requestInSingleBytes_fed_isWhole)
 {
     const std::string bytes = "POST /a%20b?c HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
@@ -70,7 +70,7 @@
     cr_assert(parser.request().body == "hello");
 }
 
-// Guards against a second request that is swallowed with the body of the first.
+// Guards against a second request that is consumed with the body of the first one.
 Test(RequestParser, twoRequests_fed_stopsBehindTheFirst)
 {
     const std::string first = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi";
@@ -96,14 +96,14 @@
     cr_assert(refusalOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n") == ParseErrorCode::Malformed);
 }
 
-// Guards against a client that fills the memory of an instance.
+// Guards against a client that exhausts the memory of an instance with a large header or body.
 Test(RequestParser, tooLargeMessage_fed_isRefused)
 {
     cr_assert(refusalOf("GET / HTTP/1.1\r\nA: " + std::string(500, 'a') + "\r\n\r\n", { 100, 100 }) == ParseErrorCode::HeaderTooLarge);
     cr_assert(refusalOf("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'a'), { 100, 100 }) == ParseErrorCode::BodyTooLarge);
 }
 
-// Guards against a cut answer that is taken for a complete one.
+// Guards against a truncated response that is treated as complete.
 Test(ResponseParser, answerEndsEarly_fed_isTruncated)
 {
     ResponseParser parser({});
@@ -112,7 +112,7 @@
     cr_assert(parser.feedEnd().error().code() == ParseErrorCode::Truncated);
 }
 
-// Guards against answers without a length that are never taken for complete.
+// Guards against responses without a length that are never treated as complete.
 Test(ResponseParser, answerWithoutLength_connectionEnds_isComplete)
 {
     ResponseParser parser({});
@@ -123,7 +123,7 @@
     cr_assert(!parser.keepsAlive());
 }
 
-// Guards against a reused connection on which the extra bytes of the last answer would be read as the next one.
+// Guards against reusing a connection on which extra bytes of the last response would be parsed as the next response.
 Test(ResponseParser, bytesBehindAnswer_fed_areLeft)
 {
     const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
@@ -132,7 +132,7 @@
     cr_assert(parser.isDone());
 }
 
-// Guards against events that are cut where the network cuts the stream.
+// Guards against events that are split at the boundaries of received parts.
 Test(EventStreamParser, streamInPieces_fed_givesSameEvents)
 {
     const std::string stream = "id: 1\ndata: one\n\nx-weight-versions: 7\nid: 2\ndata: two\ndata: more\n\n: comment\n\nid: 3\ndata: cu";
@@ -141,7 +141,7 @@
     cr_assert(eventsOf(stream, stream.size()) == expected);
 }
 
-// Guards against an endpoint that fills the memory with one event.
+// Guards against an endpoint that exhausts the memory with one event.
 Test(EventStreamParser, endlessEvent_fed_isRefused)
 {
     EventStreamParser parser(16);
@@ -156,7 +156,7 @@
     cr_assert(serializeChunk("abc") == "3\r\nabc\r\n");
 }
 
-// Guards against a line before a chunk, or a trailer, that never ends and fills the memory.
+// Guards against a chunk line or a trailer without end, which would exhaust the memory.
 Test(ResponseParser, endlessLineInChunkedBody_fed_isRefused)
 {
     for (const std::string begin : { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" }) {
--- a/test/azurepaddle/http1/server.cpp
+++ b/test/azurepaddle/http1/server.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// A server that keeps its exchanges, and a raw client.
+/// A server that stores its exchanges, and a client that sends raw bytes.
 struct ServerFixture {
     asio::io_context io;
     std::vector<ExchangePointer> exchanges;
@@ -41,7 +41,7 @@
 
 }
 
-// Guards against answers that reach a client in another order than its requests.
+// Guards against responses that are sent in another order than the requests.
 Test(Server, pipelinedRequests_answered_oneAfterTheOther)
 {
     ServerFixture fixture;
@@ -55,7 +55,7 @@
     cr_assert(fixture.received.find("first") < fixture.received.find("second"));
 }
 
-// Guards against endpoints that go on working for a client that has left.
+// Guards against endpoints that continue to work after the client has closed its connection.
 Test(Server, clientLeaves_requestInProgress_isReported)
 {
     ServerFixture fixture;
@@ -68,7 +68,7 @@
     cr_assert(!fixture.exchanges[0]->isOpen());
 }
 
-// Guards against a request that nobody answers and whose client waits for good.
+// Guards against a client that waits forever because its exchange was dropped without a response.
 Test(Server, exchangeDropped_unanswered_closesConnection)
 {
     ServerFixture fixture;
@@ -79,7 +79,7 @@
     cr_assert(fixture.received.empty());
 }
 
-// Guards against a malformed request that is forwarded, or whose connection is used again.
+// Guards against a malformed request that is forwarded, or whose connection is reused.
 Test(Server, malformedRequest_received_isRefusedAndClosed)
 {
     ServerFixture fixture;
@@ -90,7 +90,7 @@
     cr_assert(fixture.exchanges.empty());
 }
 
-// Guards against clients that hold a connection with a header that never ends.
+// Guards against clients that occupy a connection with a header without end.
 Test(Server, headerUnfinished_timeoutPasses_isAnsweredAndClosed)
 {
     ServerFixture fixture;
@@ -102,7 +102,7 @@
     cr_assert(fixture.received.starts_with("HTTP/1.1 408 "));
 }
 
-// Guards against a planned stop that cuts off the answer of a request in progress.
+// Guards against a planned stop that interrupts the response to a request in progress.
 Test(Server, drainBegins_requestInProgress_isAnsweredWithClose)
 {
     ServerFixture fixture;
@@ -116,7 +116,7 @@
     cr_assert(fixture.received.find("Connection: close") != std::string::npos);
 }
 
-// Guards against a stream that ends early and looks complete.
+// Guards against a stream that ends early and appears complete.
 Test(Server, streamAborted_afterChunks_hasNoEnd)
 {
     ServerFixture fixture;
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -28,7 +28,7 @@
 
 }
 
-// Guards against fields of a configuration that are lost or mixed up.
+// Guards against fields of a configuration that are lost or assigned to the wrong member.
 Test(Configuration, whole_decoded_hasItsRoutesAndServices)
 {
     const auto table = decodeConfiguration(configuration().dump());
@@ -47,7 +47,7 @@
     cr_assert(!gateway::validate(*table));
 }
 
-// Guards against a configuration that is cut or lacks a field and comes in force in part.
+// Guards against a truncated or incomplete configuration of which a part is activated.
 Test(Configuration, cutOrIncomplete_decoded_isRefused)
 {
     const std::string text = configuration().dump();
@@ -63,10 +63,10 @@
     cr_assert(table && gateway::validate(*table));
 }
 
-// Guards against an endpoint whose start time is taken from the version of its software.
+// Guards against a start time that is read from the software version of the endpoint.
 Test(Registration, heartbeat_decoded_namesItsEndpoint)
 {
-    const auto decoded = decodeBeat("i-1", beat().dump());
+    const auto decoded = decodeHeartbeat("i-1", beat().dump());
     cr_assert(decoded.has_value());
     cr_assert(decoded->record.startedMs == 1700000000000U);
     cr_assert(decoded->record.address() == InstanceAddress({ "10.128.0.9", 8080 }));
@@ -74,25 +74,25 @@
     cr_assert(decoded->sequence == 4);
 }
 
-// Guards against heartbeats of another writer that name an endpoint to use.
+// Guards against endpoints that are used although their heartbeats have missing or invalid fields.
 Test(Registration, malformedHeartbeat_decoded_isRefused)
 {
-    cr_assert(!decodeBeat("i-1", "\xff\xfe"));
-    cr_assert(!decodeBeat("i-1", "[]"));
+    cr_assert(!decodeHeartbeat("i-1", "\xff\xfe"));
+    cr_assert(!decodeHeartbeat("i-1", "[]"));
     for (const char* field : { "service", "address", "zone", "slots", "state", "sequence" }) {
         json missing = beat();
         missing.erase(field);
-        cr_assert(!decodeBeat("i-1", missing.dump()));
+        cr_assert(!decodeHeartbeat("i-1", missing.dump()));
         json wrong = beat();
         wrong[field] = json::array();
-        cr_assert(!decodeBeat("i-1", wrong.dump()));
+        cr_assert(!decodeHeartbeat("i-1", wrong.dump()));
     }
     json unknown = beat();
     unknown["state"] = "sleeping";
-    cr_assert(!decodeBeat("i-1", unknown.dump()));
+    cr_assert(!decodeHeartbeat("i-1", unknown.dump()));
 }
 
-// Guards against items whose bytes or sizes change on their way.
+// Guards against items whose body or token counts are changed by the decoder.
 Test(BatchFormat, job_decoded_hasItsItems)
 {
     const auto table = decodeConfiguration(configuration().dump());
@@ -109,7 +109,7 @@
     cr_assert(!decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), R"({"requests":[]})"));
 }
 
-// Guards against results that a trainer cannot place: position, state or versions.
+// Guards against results with a wrong position, state or list of versions.
 Test(BatchFormat, results_encoded_countOnFromPosition)
 {
     const json encoded = json::parse(encodeResults({ true, 40, { { batch::ItemId("i"), batch::ResultState::Completed, "one\ntwo", { 6, 7 }, {} }, { batch::ItemId("k"), batch::ResultState::Abandoned, "", {}, {} }, { batch::ItemId("l"), batch::ResultState::Completed, "t", { 7 }, "s" } } }, 12));
@@ -120,7 +120,8 @@
     cr_assert(encoded["results"][2]["score"] == "s");
 }
 
-// Guards against a request that another endpoint at the same address would run, or that runs beyond its caller's time.
+// Guards against a request that a later endpoint at the same address executes, or that runs beyond the deadline of its
+// caller.
 Test(EndpointProtocol, request_forwarded_namesEndpointAndTimeLeft)
 {
     const http1::Request request { "POST", "/b/x", { { "Host", "h" }, { "X-Attempt-Id", "9c" }, { "X-Deadline-Ms", "1500" }, { "Connection", "keep-alive" } }, "b" };
@@ -129,7 +130,7 @@
     cr_assert(EndpointProtocol::clientTimeout(request) == std::chrono::milliseconds(1500));
 }
 
-// Guards against a refusal that is taken for an answer, and against answers of other requests.
+// Guards against a refusal that is treated as an answer, and against the response to another request.
 Test(EndpointProtocol, responses_classified_byTheirMarks)
 {
     using gateway::AnswerClass;
@@ -143,7 +144,7 @@
     cr_assert(!EndpointProtocol::loadOf({ 200, {}, { { "X-Replica-Load", "?" } }, {} }));
 }
 
-// Guards against an order that an endpoint carries out late, after a newer one.
+// Guards against an order that an endpoint executes late, after a newer one.
 Test(EndpointProtocol, order_encoded_namesHolderFenceAndExpectedOrders)
 {
     const auto request = EndpointProtocol::loadRequest({ EndpointId("i-1"), batch::ModelName("m"), 4, "node", 9, 2 });
@@ -182,7 +183,7 @@
     cr_assert(!decodeScored(nullptr)->items.front().needsScore());
 }
 
-// Guards against a request that is hidden in a header of an item.
+// Guards against a request that is smuggled in a header field of an item.
 Test(BatchFormat, headerWithLineBreak_decoded_refusesTheJob)
 {
     cr_assert(decodeScored(nullptr, { { "X-A", "b c" } }));
@@ -190,7 +191,7 @@
     cr_assert(!decodeScored(nullptr, { { "X-A: b\r\nX", "c" } }));
 }
 
-// Guards against a job whose reward calls no route can take, or only the route of batch jobs.
+// Guards against accepting a job whose reward calls match no route, or only the route of batch jobs.
 Test(RouteTable, rewardCallWithoutPlainRoute_itemIsNamed)
 {
     const auto table = decodeConfiguration(configuration().dump());
@@ -203,7 +204,7 @@
     }
 }
 
-// Guards against an endpoint that leaves and is not heard, and against a score that is taken from nowhere.
+// Guards against a draining announcement that is ignored, and against a score without a signature.
 Test(EndpointProtocol, marksOfLeavingAndScore_read)
 {
     cr_assert(EndpointProtocol::isLeaving({ 200, {}, { { "Server-Leaving", "1" } }, {} }));
