--- a/src/azurepaddle/storage/file_system.hpp
+++ b/src/azurepaddle/storage/file_system.hpp
@@ -12,11 +12,11 @@
 
 enum class StorageErrorCode : unsigned char {
     NotFound, ///< The file does not exist.
-    Io, ///< The system refused an operation. Its message is part of the error.
+    Io, ///< A system call failed. Its error text is part of the message.
     NoSpace, ///< The disk or the quota is full.
-    Corrupt, ///< Bytes that had been synced are missing or changed.
+    Corrupt, ///< Synced bytes are missing or changed.
     TooLarge, ///< A record exceeds maxRecordBytes.
-    Closed, ///< An earlier write or fsync failed. The store accepts nothing any more.
+    Closed, ///< An earlier write or fsync failed, after which the store rejects all operations.
     Crashed, ///< The simulated machine is down.
 };
 
@@ -25,15 +25,15 @@
 template <typename T>
 using StorageResult = tl::expected<T, StorageError>;
 
-/// An open file. Valid until closed.
+/// Handle of an open file. Valid until the file is closed.
 using FileHandle = int;
 
 enum class OpenMode : unsigned char {
-    Append, ///< Keeps the content and writes behind it.
-    Replace, ///< Empties the file.
+    Append, ///< Keeps the content and appends to it.
+    Replace, ///< Truncates the file to size 0.
 };
 
-/// The files of one data folder. Names are relative and have no separators. Written bytes survive a crash only after
+/// The files of one data folder. Names are relative and contain no separators. Written bytes survive a crash only after
 /// sync; created, renamed and removed names only after syncFolder.
 template <typename T>
 concept FileSystem = requires(T& files, const std::string& name, FileHandle file, std::string_view bytes, std::uint64_t size, OpenMode mode)
--- a/src/azurepaddle/storage/log_reader.cpp
+++ b/src/azurepaddle/storage/log_reader.cpp
@@ -55,7 +55,7 @@
         return {};
     }
 
-    /// Last index after the records read so far.
+    /// Returns the index of the last record parsed so far.
     std::uint64_t lastIndexOf(const Segment& segment)
     {
         return segment.records.empty() ? segment.firstIndex - 1 : segment.records.back().index;
--- a/src/azurepaddle/storage/log_store.hpp
+++ b/src/azurepaddle/storage/log_store.hpp
@@ -11,8 +11,8 @@
 namespace azurepaddle::storage {
 
 /// The durable state of one consensus participant in a data folder: log, term and vote, snapshot and identity.
-/// Any failed write or fsync closes the store permanently, because what reached the disk is then unknown; the
-/// process must stop. Not thread-safe. docs/storage.md describes the files.
+/// Any failed write or fsync closes the store permanently, because the content of the disk is then unknown; the process
+/// must stop. Not thread-safe. docs/storage.md describes the files.
 template <FileSystem Files>
 class LogStore {
 public:
@@ -26,17 +26,18 @@
     LogStore& operator=(const LogStore&) = delete;
     ~LogStore() { closeFile(); }
 
-    /// Reads everything, removes a torn tail and syncs what it returns. Must succeed before any other call. An empty
-    /// folder gets the fresh identity, which must never have been used before. Corrupt when synced data is missing.
+    /// Reads all files, removes a torn tail and syncs the returned state. Must succeed before any other call. An empty
+    /// folder gets the given identity, which must never have been used before. Returns Corrupt if synced data is missing.
     [[nodiscard]] StorageResult<LoadedState> load(const std::string& freshIdentity);
 
-    /// Buffers records until sync, or syncs earlier when more than maxBatchBytes are buffered. The first may replace the entries from its index on; the others are contiguous.
+    /// Buffers records until sync, and syncs if more than maxBatchBytes are buffered. The first record may replace the
+    /// entries from its index on; the others follow it without gaps.
     [[nodiscard]] StorageResult<void> append(std::span<const LogRecord> records);
-    /// Removes the entries from this index on, at the next sync.
+    /// Removes the entries from this index on. Takes effect at the next sync.
     [[nodiscard]] StorageResult<void> truncateSuffix(std::uint64_t index);
-    /// Makes everything buffered durable with one write and one fsync. Does nothing if nothing is buffered.
+    /// Makes all buffered records durable with one write and one fsync. Does nothing if none are buffered.
     [[nodiscard]] StorageResult<void> sync();
-    /// Makes term and vote durable, both or neither.
+    /// Makes term and vote durable atomically.
     [[nodiscard]] StorageResult<void> saveVote(const Vote& vote);
     /// Makes a snapshot of the local state durable and deletes the log files that it covers.
     [[nodiscard]] StorageResult<void> saveSnapshot(std::uint64_t index, std::uint64_t term, std::string_view bytes);
@@ -47,7 +48,7 @@
     [[nodiscard]] const std::string& identity() const noexcept { return m_identity; }
 
 private:
-    /// What is known of a log file without reading it again.
+    /// Properties of a log file that are kept in memory.
     struct File {
         std::uint64_t sequence = 0;
         std::uint64_t lastIndex = 0; ///< Highest index of its entries.
@@ -79,7 +80,7 @@
     std::vector<File> m_logFiles;
     std::optional<FileHandle> m_file;
     std::uint64_t m_fileSize = 0;
-    std::uint64_t m_batches = 0; ///< Written to the newest file.
+    std::uint64_t m_batches = 0; ///< Number of batches in the newest file.
     std::vector<internal::SegmentRecord> m_buffer;
     std::size_t m_bufferBytes = 0;
     std::uint64_t m_lastIndex = 0;
--- a/src/azurepaddle/storage/log_store_load.hpp
+++ b/src/azurepaddle/storage/log_store_load.hpp
@@ -11,7 +11,7 @@
 
 namespace internal {
 
-    /// The sequence number in the name of a log file, or nothing for any other file.
+    /// Returns the sequence number in the name of a log file; empty for other files.
     [[nodiscard]] inline std::optional<std::uint64_t> logFileSequence(std::string_view name)
     {
         if (!name.starts_with(logPrefix))
@@ -24,7 +24,7 @@
         return sequence;
     }
 
-    /// Reads a file that holds one framed value and was replaced atomically, so that any damage is corruption.
+    /// Reads a file that contains one framed value. The file is only replaced atomically, so any damage is corruption.
     template <typename T, FileSystem Files>
     [[nodiscard]] StorageResult<T> readFramed(Files& files, const std::string& name)
     {
@@ -84,8 +84,8 @@
     return {};
 }
 
-/// The identity is written last when a folder is set up, so without it the other files hold nothing that was ever
-/// promised to anyone, unless someone removed it.
+/// The identity is written last when a folder is set up. Without it, the other files contain nothing that was
+/// acknowledged, unless the identity file was removed from outside.
 template <FileSystem Files>
 StorageResult<void> LogStore<Files>::refuseUsedFolder()
 {
@@ -156,7 +156,7 @@
     std::sort(sequences.begin(), sequences.end());
     if (sequences.empty())
         return makeError(StorageErrorCode::Corrupt, "the log is missing");
-    // A crash can bring back some of the deleted files. Those before a gap are covered by the snapshot.
+    // Some deleted files may reappear after a crash. Those before a gap are covered by the snapshot.
     std::size_t first = sequences.size() - 1;
     while (first > 0 && sequences[first - 1] + 1 == sequences[first])
         --first;
@@ -190,7 +190,7 @@
         state.baseTerm = segment->baseTerm;
     }
     if (isFirst && segment->firstIndex <= segment->baseIndex && !segment->records.empty()) {
-        // The file replaced entries of a file that is deleted. Its first entry takes the place of the base.
+        // The file replaced entries of a deleted file. Its first entry then determines the base.
         state.baseIndex = segment->records.front().index;
         state.baseTerm = segment->records.front().term;
         segment->records.erase(segment->records.begin());
@@ -212,7 +212,7 @@
     m_lastIndex = state.baseIndex + state.records.size();
     m_lastTerm = state.records.empty() ? state.baseTerm : state.records.back().term;
     if (segment.validSize == 0) {
-        // The file was being created. Its predecessor is whole, because it was synced before.
+        // The file was being created. Its predecessor is complete, because it was synced before.
         if (m_logFiles.empty())
             return makeError(StorageErrorCode::Corrupt, "the only log file has no header");
         return startFile(m_lastIndex, *m_lastTerm, Continuation::Keep);
@@ -244,7 +244,7 @@
                                                           : state.records[offset - 1].term;
     if (isInLog && term == snapshot.term)
         return {};
-    // The machine crashed between installing a snapshot and starting the log anew behind it.
+    // The machine crashed after installing a snapshot and before starting the log that follows it.
     state.records.clear();
     state.baseIndex = snapshot.index;
     state.baseTerm = snapshot.term;
--- a/src/azurepaddle/storage/log_store_write.hpp
+++ b/src/azurepaddle/storage/log_store_write.hpp
@@ -24,7 +24,7 @@
         return fmt::format("{}{:020}", logPrefix, sequence);
     }
 
-    /// Upper bound of what the encoding adds to the data of a record. It also bounds the number of records of a batch.
+    /// Upper bound of the size that the encoding adds to the data of a record. It also limits the records of a batch.
     constexpr std::size_t recordOverheadBytes = 64;
 
     /// Written in its own frame before the bytes of a snapshot.
@@ -126,7 +126,7 @@
         return synced;
     m_fileSize += bytes.size();
     ++m_batches;
-    // Files are read whole at a start, so none grows without bound.
+    // Files are read completely at startup, so their size is limited.
     if (m_fileSize >= internal::maxFileBytes && m_lastTerm)
         return closeOnError(startFile(m_lastIndex, *m_lastTerm, Continuation::Keep));
     return {};
--- a/src/azurepaddle/storage/memory_file_system.hpp
+++ b/src/azurepaddle/storage/memory_file_system.hpp
@@ -9,9 +9,9 @@
 
 namespace azurepaddle::storage {
 
-/// A data folder in memory whose machine can crash. A crash loses an arbitrary part of what was not synced: unsynced
-/// bytes are cut at any point, pages of them may read as zeros, and unsynced changes of names are kept up to any
-/// point of their order. Equal seeds give equal behaviour. Not thread-safe.
+/// A data folder in memory on a simulated machine that can crash. A crash loses an arbitrary part of the unsynced state:
+/// unsynced bytes are truncated at any point, pages of them may read as zeros, and unsynced changes of names are kept up
+/// to any point of their order. Equal seeds give equal behaviour. Not thread-safe.
 class MemoryFileSystem {
 public:
     explicit MemoryFileSystem(std::uint64_t seed) noexcept
@@ -30,19 +30,19 @@
     [[nodiscard]] StorageResult<void> remove(const std::string& name);
     [[nodiscard]] StorageResult<void> syncFolder();
 
-    /// Stops the machine at once: every operation fails until restart.
+    /// Stops the machine immediately: every operation fails until restart.
     void crash() noexcept { m_crashed = true; }
-    /// Stops the machine during the changing operation after this many more of them. A write is cut at any point.
+    /// Stops the machine during the changing operation after this many more of them. A write is truncated at any point.
     void crashAfter(std::uint64_t operations) noexcept { m_operationsToCrash = operations; }
-    /// Starts the machine again with what survived, if it is down, and cancels planned faults except the capacity.
+    /// Restarts the machine with the surviving state if it is down, and cancels planned faults except the capacity.
     void restart();
     /// Cancels planned crashes and failures that have not happened yet.
     void cancelFaults() noexcept;
-    /// Bounds the sum of all file sizes. A write beyond it is cut and fails.
+    /// Limits the total size of all files. A write beyond it is truncated and fails.
     void setCapacity(std::uint64_t bytes) noexcept { m_capacity = bytes; }
     /// Makes the next fsync of a file fail. The unsynced bytes are lost, as Linux drops dirty pages after an error.
     void failNextSync() noexcept { m_failNextSync = true; }
-    /// Removes every file durably, like a replaced disk.
+    /// Removes all files durably, as a replaced disk does.
     void wipe();
     /// Replaces the durable content of a file, for tests of corruption.
     void overwrite(const std::string& name, std::string bytes);
@@ -57,7 +57,7 @@
     struct Content {
         std::string bytes;
         std::size_t syncedSize = 0;
-        std::optional<std::string> beforeTruncation; ///< Synced content, kept until a truncation is synced.
+        std::optional<std::string> beforeTruncation; ///< Synced content before a truncation that is not synced yet.
         bool isLost = false; ///< An fsync failed, so that later ones report success without effect.
     };
     using Names = std::map<std::string, std::shared_ptr<Content>>;
--- a/src/azurepaddle/storage/posix_file_system.hpp
+++ b/src/azurepaddle/storage/posix_file_system.hpp
@@ -16,7 +16,7 @@
     PosixFileSystem& operator=(PosixFileSystem&& other) noexcept;
     ~PosixFileSystem();
 
-    /// Names of the regular files, sorted.
+    /// Returns the names of the regular files, sorted.
     [[nodiscard]] StorageResult<std::vector<std::string>> list() const;
     [[nodiscard]] StorageResult<std::string> read(const std::string& name) const;
     /// Creates the file if it is missing.
--- a/src/azurepaddle/storage/records.hpp
+++ b/src/azurepaddle/storage/records.hpp
@@ -43,7 +43,7 @@
     friend bool operator==(const Snapshot&, const Snapshot&) = default;
 };
 
-/// What a store holds when it is opened.
+/// The content of a store when it is opened.
 struct LoadedState {
     std::string identity; ///< Stays the same for the lifetime of the folder.
     bool isFresh = false; ///< The folder was empty, so the identity is new.
@@ -52,14 +52,14 @@
     std::uint64_t baseIndex = 0; ///< The records continue after this index.
     std::uint64_t baseTerm = 0;
     std::vector<LogRecord> records;
-    std::uint64_t cutBytes = 0; ///< Size of the torn tail that was removed.
+    std::uint64_t cutBytes = 0; ///< Size in bytes of the torn tail that was removed.
 };
 
 namespace internal {
 
     enum class SegmentRecordKind : std::uint8_t {
         Header, ///< First record of a file. Index and term are those of the entry before it, data the identity.
-        ResetHeader, ///< The same, and everything in earlier files is void.
+        ResetHeader, ///< The same, and all entries of earlier files are invalid.
         Entry,
         Truncate, ///< Removes the entries from this index on.
     };
@@ -74,7 +74,7 @@
     };
 
     /// The records of one fsync, written as one frame. A batch is written only after the one before it has been
-    /// synced, so a whole batch behind a damaged one proves that the damaged one had been synced.
+    /// synced, so a complete batch after a damaged one proves that the damaged one was synced.
     struct SegmentBatch {
         std::uint64_t number = 0;
         std::vector<SegmentRecord> records;
--- a/src/azurepaddle/storage/scratch_store.cpp
+++ b/src/azurepaddle/storage/scratch_store.cpp
@@ -64,7 +64,7 @@
     m_segments.emplace(m_newest, std::move(segment));
 }
 
-/// Writes what is not written yet. Keeps it if the disk takes nothing.
+/// Writes the unwritten texts to the file. Keeps them in memory if the write fails.
 void ScratchStore::write(Segment& segment)
 {
     if (segment.file < 0 || !writeAll(segment.file, segment.unwritten, segment.written))
--- a/src/azurepaddle/storage/scratch_store.hpp
+++ b/src/azurepaddle/storage/scratch_store.hpp
@@ -7,7 +7,7 @@
 
 namespace azurepaddle::storage {
 
-/// Where a text is kept.
+/// Position of a stored text.
 struct ScratchRef {
     std::uint32_t segment = 0;
     std::uint64_t offset = 0;
@@ -16,9 +16,9 @@
     friend bool operator==(const ScratchRef&, const ScratchRef&) = default;
 };
 
-/// Keeps texts outside of memory, in files that are never synced and are emptied at the next start: whoever uses it can
-/// make the texts again, for example from a log. Texts are written many at a time, because each write waits for the disk;
-/// where a file cannot be written, they stay in memory. Not thread-safe.
+/// Stores texts outside of memory, in files that are never synced and are removed at the next start. Callers must be able
+/// to rebuild the texts, for example from a log. Texts are written in large blocks, because each write waits for the disk.
+/// If a file cannot be written, they are kept in memory. Not thread-safe.
 class ScratchStore {
 public:
     /// An empty folder name keeps everything in memory. Stores of one folder need different names, of letters.
@@ -28,19 +28,19 @@
     ~ScratchStore();
 
     [[nodiscard]] ScratchRef append(std::string_view text);
-    /// The text, or nothing of it if the file cannot be read any more.
+    /// Returns the text; empty if the file cannot be read.
     [[nodiscard]] std::string read(const ScratchRef& ref) const;
-    /// Gives up a text. A file without texts is removed.
+    /// Releases a text. A file without texts is removed.
     void release(const ScratchRef& ref);
     void clear();
 
 private:
     struct Segment {
         int file = -1; ///< -1: the texts are in memory.
-        std::string unwritten; ///< The last part of the texts.
+        std::string unwritten; ///< The last part of the texts, not in the file yet.
         std::uint64_t written = 0; ///< Bytes in the file.
         std::uint64_t size = 0;
-        std::uint64_t live = 0; ///< Bytes of texts that were not given up.
+        std::uint64_t live = 0; ///< Total size in bytes of the texts that were not released.
     };
 
     [[nodiscard]] std::string pathOf(std::uint32_t number) const;
--- a/test/azurepaddle/storage/log_reader.cpp
+++ b/test/azurepaddle/storage/log_reader.cpp
@@ -49,7 +49,7 @@
             bytes.insert(at, bytes.substr(random.below(bytes.size()), random.below(128)));
             break;
         default:
-            // A valid checksum over a changed payload reaches the decoding behind it.
+            // A valid checksum over a changed payload lets it pass to the decoder.
             bytes = codec::frame(bytes.substr(std::min(at, bytes.size())));
         }
     }
@@ -87,7 +87,7 @@
     }
 }
 
-// Guards against a torn last batch that makes the instance refuse to start, and against one that is half applied.
+// Guards against a torn last batch that prevents the instance from starting, and against one that is applied in part.
 Test(LogReader, logCutAnywhere_read_givesWholeBatches)
 {
     Random random(5);
--- a/test/azurepaddle/storage/log_store.cpp
+++ b/test/azurepaddle/storage/log_store.cpp
@@ -35,7 +35,7 @@
     return newest;
 }
 
-/// What the store must hold: everything synced, and possibly what was in progress.
+/// The expected content of the store: all synced changes, and possibly the one in progress.
 struct Expectation {
     std::uint64_t base = 0;
     std::vector<LogRecord> log;
@@ -50,7 +50,7 @@
     [[nodiscard]] std::uint64_t last() const { return base + log.size(); }
 };
 
-/// One random change of the store. Returns what it holds if the change succeeds.
+/// Makes one random change of the store. Returns its content if the change succeeds.
 Expectation change(MemoryStore& store, Random& random, Expectation state, bool& succeeded)
 {
     const std::uint64_t choice = random.below(10);
@@ -126,7 +126,7 @@
 
 }
 
-// Guards against synced records, votes or snapshots that a crash at any write, fsync or rename loses or mixes up.
+// Guards against synced records, votes or snapshots that are lost or mixed by a crash at any write, fsync or rename.
 Test(LogStore, randomChanges_crashedAnywhere_keepWhatWasSynced)
 {
     for (std::uint64_t seed = 1; seed <= 300; ++seed)
@@ -155,7 +155,7 @@
     std::filesystem::remove_all(folder);
 }
 
-// Guards against damage in the middle of the log that is cut off like a torn tail, which would lose synced records.
+// Guards against damage in the middle of the log that is removed like a torn tail, which would lose synced records.
 Test(LogStore, damagedByteBeforeTail_loaded_isCorrupt)
 {
     MemoryFileSystem files(1);
@@ -177,7 +177,7 @@
     }
 }
 
-// Guards against a log that is taken for complete although one of its files or its vote has vanished.
+// Guards against a log that is treated as complete although one of its files or its vote is missing.
 Test(LogStore, missingFile_loaded_isCorrupt)
 {
     MemoryFileSystem files(1);
@@ -192,7 +192,7 @@
     const auto names = files.list().value();
     for (const std::string& name : names) {
         if (name == newestLog(files))
-            continue; // Its loss looks like a crash right after the file before it.
+            continue; // Its loss is indistinguishable from a crash right after the file before it.
         const std::string bytes = files.read(name).value();
         cr_assert(files.remove(name).has_value());
         MemoryStore store(files);
@@ -213,7 +213,7 @@
     cr_assert(loaded.isFresh && loaded.identity == "new");
 }
 
-// Guards against a store that goes on after a failed fsync or write, when it cannot know what is on the disk.
+// Guards against a store that continues after a failed fsync or write, when the content of the disk is unknown.
 Test(LogStore, failedWriteOrSync_usedAgain_isClosed)
 {
     for (const bool isFull : { true, false }) {
@@ -233,7 +233,7 @@
     }
 }
 
-// Guards against one fsync for every record, which would bound the commit rate by the disk.
+// Guards against one fsync for every record, which would limit the commit rate to the sync rate of the disk.
 Test(LogStore, manyRecords_synced_takeOneFsync)
 {
     MemoryFileSystem files(1);
--- a/test/azurepaddle/storage/scratch_store.cpp
+++ b/test/azurepaddle/storage/scratch_store.cpp
@@ -24,7 +24,7 @@
 
 }
 
-// Guards against texts that are mixed up or lost between the files.
+// Guards against texts that are mixed or lost between the files.
 Test(ScratchStore, manyTexts_appended_areReadBack)
 {
     const Folder folder;
@@ -41,7 +41,7 @@
     cr_assert(folder.files() == 2);
 }
 
-// Guards against a disk that fills up with texts nobody needs.
+// Guards against a disk that is filled by released texts.
 Test(ScratchStore, textsReleased_fileIsRemoved)
 {
     const Folder folder;
@@ -55,7 +55,7 @@
     cr_assert(folder.files() == 1);
 }
 
-// Guards against files of an earlier process that stay for good.
+// Guards against files of an earlier process that are never removed.
 Test(ScratchStore, filesOfEarlierProcess_areRemovedAtStart)
 {
     const Folder folder;
@@ -64,7 +64,7 @@
     cr_assert(folder.files() == 0);
 }
 
-// Guards against a text that is lost because the disk takes nothing more.
+// Guards against a text that is lost because the disk is full.
 Test(ScratchStore, folderNotWritable_textsStayInMemory)
 {
     ScratchStore store("/nonexistent/folder");
