--- a/src/azurepaddle/batch/load_plan.cpp
+++ b/src/azurepaddle/batch/load_plan.cpp
@@ -15,7 +15,6 @@
         std::size_t servingCount = 0; ///< Endpoints that serve the model.
         std::size_t upToDate = 0; ///< Endpoints that hold or load the newest version.
         std::size_t required = 0;
-        bool hasLongItems = true; ///< Its items are about as long as those of any model, or longer.
         bool isExhausted = false; ///< No endpoint can load the model in this plan.
     };
 
@@ -25,59 +24,18 @@
         return version + 1 < demand.desired.version;
     }
 
-    // Models whose items have less than this share of the longest mean output count as short.
-    constexpr double shortOutputShare = 0.7;
-    // An endpoint counts as slow from this lasting slowness on.
-    constexpr double slowEndpoint = 1.12;
-
-    /// The steps of all models.
-    struct Work {
-        std::uint64_t tokens = 0;
-        double longestOutput = 0; ///< Highest mean output of the items of a model.
-        bool isKnown = true; ///< The steps of all models are known.
-    };
-
-    double meanOutput(const DesiredVersion& desired)
-    {
-        return static_cast<double>(desired.stepTokens) / static_cast<double>(std::max<std::uint64_t>(1, desired.stepItems));
-    }
-
-    Work workOf(const std::map<ModelName, DesiredVersion>& desired)
-    {
-        Work work;
-        for (const auto& [model, version] : desired) {
-            work.tokens += version.stepTokens;
-            work.longestOutput = std::max(work.longestOutput, meanOutput(version));
-            work.isKnown = work.isKnown && version.stepTokens > 0;
-        }
-        return work;
-    }
-
-    /// Number of endpoints that hold all items of a step together with as many that hold the previous version.
-    std::size_t endpointsForStep(const DesiredVersion& desired, std::uint64_t slots, std::size_t endpoints)
-    {
-        constexpr std::uint64_t versionsOfStep = 2;
-        const std::uint64_t slotsOfEndpoints = versionsOfStep * slots / std::max<std::size_t>(1, endpoints);
-        return static_cast<std::size_t>((desired.stepItems + slotsOfEndpoints - 1) / std::max<std::uint64_t>(1, slotsOfEndpoints));
-    }
-
-    Demand demandOf(const ModelName& model, const DesiredVersion& desired, std::size_t models, const Work& work, const std::vector<LoadTarget>& targets)
+    Demand demandOf(const ModelName& model, const DesiredVersion& desired, std::size_t models, const std::vector<LoadTarget>& targets)
     {
-        std::uint64_t slots = 0;
         Demand demand { model, desired };
         for (const LoadTarget& target : targets) {
             const auto found = target.models.find(model);
             if (found == target.models.end())
                 continue;
             ++demand.servingCount;
-            slots += target.slots;
             demand.upToDate += found->second.version >= desired.version || target.loading == model ? 1 : 0;
         }
-        const auto endpointsOf = [&](double share) { return static_cast<std::size_t>(std::lround(static_cast<double>(demand.servingCount) * share)); };
-        const double weight = work.isKnown ? static_cast<double>(desired.stepTokens) / static_cast<double>(work.tokens) : 1 / static_cast<double>(models);
-        const std::size_t required = std::max(endpointsOf(newestVersionShare * weight), endpointsForStep(desired, slots, demand.servingCount));
-        demand.required = std::clamp<std::size_t>(required, 1, std::max<std::size_t>(1, endpointsOf(maxModelShare)));
-        demand.hasLongItems = meanOutput(desired) >= work.longestOutput * shortOutputShare;
+        const double share = std::min(maxModelShare, newestVersionShare / static_cast<double>(models));
+        demand.required = std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(static_cast<double>(demand.servingCount) * share)));
         return demand;
     }
 
@@ -97,8 +55,7 @@
         LoadTarget* best = nullptr;
         const auto costOf = [&](const LoadTarget& target) {
             const HeldModel& held = target.models.at(demand.model);
-            const bool isSlow = target.lastingSlowness >= slowEndpoint;
-            return std::tuple(!isObsolete(held.version, demand), isSlow == demand.hasLongItems, held.running, countOtherUses(target, demand, demands));
+            return std::tuple(!isObsolete(held.version, demand), held.running, countOtherUses(target, demand, demands));
         };
         for (LoadTarget& target : targets) {
             const auto held = target.models.find(demand.model);
@@ -134,11 +91,10 @@
 {
     const auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(static_cast<double>(targets.size()) * maxLoadingShare)));
     auto loading = static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [](const LoadTarget& target) { return target.loading.has_value(); }));
-    const Work work = workOf(desired);
     std::vector<Demand> demands;
     demands.reserve(desired.size());
     for (const auto& [model, version] : desired)
-        demands.push_back(demandOf(model, version, desired.size(), work, targets));
+        demands.push_back(demandOf(model, version, desired.size(), targets));
     std::vector<Load> loads;
     while (loading < limit && loads.size() < maxPlannedLoads) {
         Demand* demand = mostUrgent(demands);
--- a/src/azurepaddle/batch/load_plan.hpp
+++ b/src/azurepaddle/batch/load_plan.hpp
@@ -22,8 +22,6 @@
     std::map<ModelName, HeldModel> models; ///< Models that the endpoint serves.
     std::optional<ModelName> loading; ///< The model of the order in progress. An endpoint executes one order at a time.
     bool isUsable = true; ///< Accepts orders.
-    std::uint32_t slots = 1;
-    double lastingSlowness = 1; ///< Time per event relative to the median of all endpoints.
 
     friend bool operator==(const LoadTarget&, const LoadTarget&) = default;
 };
@@ -32,8 +30,6 @@
 struct DesiredVersion {
     WeightVersion version = 0; ///< The newest published version.
     bool areItemsWaiting = false; ///< Items of the model are waiting for a slot.
-    std::uint64_t stepItems = 0; ///< Items of its newest step; 0 if none is known.
-    std::uint64_t stepTokens = 0; ///< Expected output tokens of these items.
 
     friend bool operator==(const DesiredVersion&, const DesiredVersion&) = default;
 };
@@ -54,18 +50,16 @@
 /// Maximum fraction of the endpoints that load concurrently. More loads slow each other down.
 constexpr double maxLoadingShare = 0.2;
 
-/// Fraction of the endpoints to bring to the newest version, divided among the models by the work of their steps: with a
-/// version every 4 s for each model and loads of 0.9 s, maxLoadingShare is just enough for this fraction.
+/// Fraction of the endpoints to bring to the newest version, divided among the models: with a version every 4 s for
+/// each model and loads of 0.9 s, maxLoadingShare is just enough for this fraction.
 constexpr double newestVersionShare = 0.85;
 /// Maximum fraction of the endpoints for the newest version of one model.
 constexpr double maxModelShare = 0.5;
 
 /// Chooses the endpoints that load now. A step usually allows the newest version and the previous one. Each version is
 /// therefore loaded on endpoints with an older version, so that successive versions alternate between endpoints and a
-/// running step keeps its own. The newest and the previous version together are loaded on enough endpoints for all items
-/// of a step at once. Versions of models with long outputs go to fast endpoints first, others to slow ones, because the
-/// longest items of a step determine when it ends. While items of a model wait and few endpoints load, endpoints with an
-/// obsolete version of it load beyond its share.
+/// running step keeps its own. While items of a model wait and few endpoints load, endpoints with an obsolete version
+/// of it load beyond its share.
 [[nodiscard]] std::vector<Load> planLoads(std::vector<LoadTarget> targets, const std::map<ModelName, DesiredVersion>& desired);
 
 }
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -49,16 +49,6 @@
     [[nodiscard]] std::uint32_t running(const EndpointId& endpoint, const batch::ModelName& model) const;
     /// Whether any item of a model is waiting for a slot.
     [[nodiscard]] bool areItemsWaiting(const batch::ModelName& model) const;
-    /// Number of items of a step, and their expected output.
-    struct StepSize {
-        std::uint64_t items = 0;
-        std::uint64_t tokens = 0;
-    };
-
-    /// The size of the newest step of a model under this leader.
-    [[nodiscard]] StepSize stepSize(const batch::ModelName& model) const;
-    /// The slowness of an endpoint without slowdowns that pass, relative to the median of all endpoints.
-    [[nodiscard]] double lastingSlowness(const EndpointId& endpoint) const { return m_speedMeter.lastingSlowness(endpoint, m_clock.now()); }
     /// Sets whether an endpoint is loading weights of a model, which pauses the items of that model there.
     void setLoading(const EndpointId& endpoint, const batch::ModelName& model, bool isLoading);
     /// Moves the items of a model to other endpoints. Returns false if they do not fit there.
@@ -190,7 +180,6 @@
     bool m_isLeading = false;
     std::uint64_t m_nextNumber = 1;
     std::map<batch::JobId, std::map<batch::ItemId, RunPointer>> m_runs;
-    std::map<batch::ModelName, StepSize> m_stepSizes; ///< Of the newest step of each model.
     std::map<batch::ItemId, CachedText> m_texts;
     std::map<EndpointId, std::map<batch::ModelName, std::uint32_t>> m_running;
     std::map<EndpointId, std::uint32_t> m_longItems; ///< Number of long items running at each endpoint.
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -13,13 +13,13 @@
     // A draining endpoint continues to serve for a while, so its items are moved as if the endpoint were very slow.
     constexpr double drainingSlowness = 100;
 
-    /// Returns the expected output of all items of the job.
-    inline std::uint64_t expectedTokensOf(const batch::JobSpec& job)
+    /// Returns the minimum output length of long items of the job.
+    inline std::uint64_t longTokensThresholdOf(const batch::JobSpec& job)
     {
         std::uint64_t sum = 0;
         for (const batch::ItemSpec& item : job.items)
             sum += item.expectedTokens > 0 ? item.expectedTokens : defaultExpectedTokens;
-        return sum;
+        return longFactor * sum / std::max<std::uint64_t>(1, job.items.size());
     }
 
 }
@@ -91,9 +91,7 @@
         if (job->isEnded || known != m_runs.end())
             continue;
         m_runs[job->spec.id];
-        const std::uint64_t tokens = internal::expectedTokensOf(job->spec);
-        const std::uint64_t longTokensThreshold = internal::longFactor * tokens / std::max<std::uint64_t>(1, job->spec.items.size());
-        m_stepSizes[job->spec.model] = { job->spec.items.size(), tokens };
+        const std::uint64_t longTokensThreshold = internal::longTokensThresholdOf(job->spec);
         for (const batch::ItemSpec& item : job->spec.items) {
             if (!m_machine.jobs().hasResult(job->spec.id, item.id))
                 addRun(*job, item, longTokensThreshold, jobs);
@@ -303,13 +301,6 @@
     return count == found->second.end() ? 0 : count->second;
 }
 
-template <typename Protocol>
-auto JobRunner<Protocol>::stepSize(const batch::ModelName& model) const -> StepSize
-{
-    const auto found = m_stepSizes.find(model);
-    return found == m_stepSizes.end() ? StepSize {} : found->second;
-}
-
 template <typename Protocol>
 bool JobRunner<Protocol>::areItemsWaiting(const batch::ModelName& model) const
 {
--- a/src/azurepaddle/execution/weight_loader_impl.hpp
+++ b/src/azurepaddle/execution/weight_loader_impl.hpp
@@ -147,8 +147,6 @@
             continue;
         batch::LoadTarget target;
         target.id = id;
-        target.slots = record.slots;
-        target.lastingSlowness = m_runner.lastingSlowness(id);
         for (const batch::ModelName& model : service->second.models)
             target.models[model] = { m_liveness.versionOf(record, model), m_runner.running(id, model) };
         if (const auto activeLoad = m_activeLoads.find(id); activeLoad != m_activeLoads.end())
@@ -165,7 +163,7 @@
 {
     std::map<batch::ModelName, batch::DesiredVersion> wanted;
     for (const auto& [model, published] : m_publishedAt)
-        wanted[model] = { published.first, m_runner.areItemsWaiting(model), m_runner.stepSize(model).items, m_runner.stepSize(model).tokens };
+        wanted[model] = { published.first, m_runner.areItemsWaiting(model) };
     const auto all = targets(now);
     const std::vector<batch::Load> loads = batch::planLoads(all, wanted);
     if (loads.empty())
