Move items that are not long only for a gain of 150 ms

Hypothesis: moves cause most new connections. Items that are not long end before the rest of their step in any case, so a disturbance of half a second is not worth a move of them.

Kept for the connections, which endpoints bound.

--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -14,6 +14,8 @@
     // A move must be expected to gain this much, and this share of the remaining time, because speeds are estimates.
     constexpr Duration minGain = std::chrono::milliseconds(40);
     constexpr double minGainShare = 0.02;
+    // The same for items that are not long. They hardly affect when a step ends, and each move costs connections.
+    constexpr Duration minGainOfOthers = std::chrono::milliseconds(150);
     // A slowdown is expected to last as long again as it has lasted, and at least this long.
     constexpr Duration minSlowdown = std::chrono::milliseconds(400);
     // Share by which each concurrent item slows an endpoint down.
@@ -120,9 +122,9 @@
     }
 
     /// Whether the item is expected to end earlier by more than the required gain.
-    bool isWorthwhile(const Move& move)
+    bool isWorthwhile(const Move& move, bool isLong)
     {
-        return move.ifStaying - move.ifMoved > minGain + std::chrono::duration_cast<Duration>(move.ifStaying * minGainShare);
+        return move.ifStaying - move.ifMoved > (isLong ? minGain : minGainOfOthers) + std::chrono::duration_cast<Duration>(move.ifStaying * minGainShare);
     }
 
 }
@@ -160,7 +162,7 @@
         if (!target || target == from)
             continue;
         const Move move = moveOf(item, *from, *target, tokenTime);
-        if (!isWorthwhile(move))
+        if (!isWorthwhile(move, item.isLong))
             continue;
         assign(*target, item);
         moves.push_back(move);
--- a/test/azurepaddle/batch/placement.cpp
+++ b/test/azurepaddle/batch/placement.cpp
@@ -208,6 +208,17 @@
     cr_assert(planMoves({ { 0, EndpointId("a"), 1000, true, 0, std::nullopt, longStay, {} } }, { older, endpoint("b") }).empty());
 }
 
+// Guards against connections spent on moves of short items, which end before the rest of their step in any case.
+Test(Moves, endpointDisturbed_longItemMoves_shortItemStays)
+{
+    EndpointLoad disturbed = endpoint("a", 2);
+    disturbed.slowness = 2.5;
+    const std::vector<RunningItem> running { { 0, EndpointId("a"), 900, false, 0, std::nullopt, longStay, {} }, { 1, EndpointId("a"), 900, true, 0, std::nullopt, longStay, {} } };
+    const auto moves = planMoves(running, { disturbed, endpoint("b") });
+    cr_assert(moves.size() == 1);
+    cr_assert(moves[0].index == 1);
+}
+
 // Guards against an item that waits for the end of a slowdown which has already lasted for seconds.
 Test(Moves, slowdownLasts_itemMovesToLastinglySlowerEndpoint)
 {
