--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -112,7 +112,7 @@
     m_stores.recordSuccess(store, reply.dataCentre);
     m_metrics.gauge("entry_has_store").set(1);
     if (!std::exchange(m_isInContact, true))
-        m_log.info("dependency=store state=found address={} data-centre={}", formatAddress(store), reply.dataCentre);
+        m_log.info("dependency=store state=found address={} data-centre={} failed-polls=\"{}\"", formatAddress(store), reply.dataCentre, m_failedPolls.takeSummary());
     takeMembers(reply);
     takeConfiguration(reply);
     takeEndpoints(reply);
@@ -125,11 +125,13 @@
 {
     const TimePoint now = m_clock.now();
     m_stores.recordFailure(asked, now);
+    m_failedPolls.record(asked);
     m_metrics.gauge("entry_has_store").set(0);
+    m_metrics.counter("entry_failed_polls_total").add();
     const bool wasInContact = std::exchange(m_isInContact, false);
     if (wasInContact || now >= m_nextMissingNote) {
         m_nextMissingNote = now + missingNoteInterval;
-        m_log.warning("dependency=store state={} asked={} named={} configuration={}", wasInContact ? "lost" : "missing", formatAddress(asked), named ? formatAddress(*named) : std::string(), m_known.configurationVersion);
+        m_log.warning("dependency=store state={} asked={} named={} configuration={} failed-polls=\"{}\"", wasInContact ? "lost" : "missing", formatAddress(asked), named ? formatAddress(*named) : std::string(), m_known.configurationVersion, m_failedPolls.takeSummary());
     }
     if (now - m_lastContact > seedFallbackTime) {
         for (const InstanceAddress& seed : m_seeds)
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -4,6 +4,7 @@
 #include "azurepaddle/gateway/balancer.hpp"
 #include "azurepaddle/platform/caller_api.hpp"
 #include "azurepaddle/registry/leader_client.hpp"
+#include "azurepaddle/registry/failed_polls.hpp"
 #include "azurepaddle/registry/nearest_store.hpp"
 #include "azurepaddle/registry/suspect_reporter.hpp"
 
@@ -59,6 +60,7 @@
     asio::steady_timer m_pollTimer;
     asio::steady_timer m_drainTimer;
     registry::PollRequest m_known;
+    registry::FailedPolls m_failedPolls; ///< Since the last log line about them.
     TimePoint m_lastContact {};
     TimePoint m_nextMissingNote {}; ///< When to log again that no store node answers.
     bool m_hasConfiguration = false;
