Show that an entry polls one refusing store alone when it is listed twice

What callers saw: entries of one data centre answered 404 for routes that had been added up to 20 s before, until the store node of their data centre had caught up with the log.

Two store nodes lose their disks at 49.0 s. From 49.68 s to 71 s six entries of data centre a poll in vain; each line names the store node of their data centre that came back empty, which refuses because it catches up. The other entries of that data centre are answered by the second store node meanwhile, and those of other data centres by the leader. While a store node catches up, the participants list it twice at the same address: the silent voter and the learner that replaces it.

The test fails on this code: the store that has just refused is chosen again.

--- a/test/azurepaddle/registry/nearest_store.cpp
+++ b/test/azurepaddle/registry/nearest_store.cpp
@@ -87,3 +87,14 @@
     fixture.stores.add(store(7));
     cr_assert(*fixture.stores.choose(start) == store(7));
 }
+
+// Guards against an entry instance that polls only one store instance, because the participants list it twice: as the
+// voter that lost its disk and as the learner that replaces it.
+Test(NearestStore, addressListedTwiceAndRefusing_othersArePolled)
+{
+    StoresFixture fixture;
+    fixture.poll(3);
+    fixture.stores.setMembers({ store(0), store(1), store(2), store(1) });
+    fixture.stores.recordFailure(store(1), start);
+    cr_assert(*fixture.stores.choose(start) != store(1));
+}
