Keep each address once among the stores that an entry polls

What callers saw: 404 for routes added long before, from entries of one data centre.

Cause: NearestStore keeps what it knows of a store by address, but kept one record for each entry of the member list. While a store that lost its disk catches up, the group lists it twice at one address. A failed poll marked the first record to be avoided; the second, of the entry's own data centre, was chosen again 100 ms later, and so on until the store had caught up. No other store was polled, so the member list was not replaced either.

Change: setMembers takes an address once.

--- a/src/azurepaddle/registry/nearest_store.cpp
+++ b/src/azurepaddle/registry/nearest_store.cpp
@@ -16,6 +16,9 @@
         return;
     std::vector<Member> updated;
     for (const InstanceAddress& address : members) {
+        // A store that lost its disk is listed twice: as its silent voter and as the learner that replaces it.
+        if (std::any_of(updated.begin(), updated.end(), [&](const Member& other) { return other.address == address; }))
+            continue;
         const Member* member = find(address);
         updated.push_back(member ? *member : Member { address, std::nullopt });
     }
