Poll each store once before any is polled again while none answers

Cause, found in review beside the duplicate address: members in their cooldown of 2 s come last, but a poll of a silent store takes 1.5 s. With three silent stores the first is out of its cooldown before the fourth has had its turn, so the fourth is never polled. And an entry that a store of another data centre answers leaves it every 2 s for a silent one of its own, 1.5 s without an answer each time.

Change: while no store answers, those that failed least often come first, whatever their cooldown. The cooldown of a store doubles, up to 16 s, with each retry that fails while another one answers.

--- a/src/azurepaddle/registry/nearest_store.cpp
+++ b/src/azurepaddle/registry/nearest_store.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    constexpr Duration failureCooldown = std::chrono::seconds(2);
+    constexpr Duration minCooldown = std::chrono::seconds(2);
+    constexpr unsigned maxCooldownDoublings = 3;
 
 }
 
@@ -37,26 +38,36 @@
     return found == m_members.end() ? nullptr : &*found;
 }
 
-/// The member with the lowest rank is polled first.
-int NearestStore::rankOf(const Member& member, TimePoint now) const
+/// Order of preference by data centre. The member with the lowest rank is polled first.
+int NearestStore::rankOf(const Member& member) const
 {
-    const bool isLocal = member.dataCentre == m_ownDataCentre;
     const bool isCurrent = m_current == member.address;
-    if (now < member.avoidUntil)
-        return 5;
-    if (isLocal)
+    if (member.dataCentre == m_ownDataCentre)
         return isCurrent ? 0 : 1;
     if (!member.dataCentre)
         return 2;
     return isCurrent ? 3 : 4;
 }
 
+/// Whether the first member is polled rather than the second. While a member answers, one that failed is not polled
+/// within its cooldown. While none answers, those that failed least often come first, whatever their cooldown.
+bool NearestStore::isBefore(const Member& first, const Member& second, TimePoint now) const
+{
+    const bool isFirstAvoided = now < first.avoidUntil;
+    const bool isSecondAvoided = now < second.avoidUntil;
+    if (m_current && isFirstAvoided != isSecondAvoided)
+        return isSecondAvoided;
+    if (!m_current && first.consecutiveFailures != second.consecutiveFailures)
+        return first.consecutiveFailures < second.consecutiveFailures;
+    return rankOf(first) < rankOf(second);
+}
+
 std::optional<InstanceAddress> NearestStore::choose(TimePoint now)
 {
     const Member* best = nullptr;
     for (std::size_t index = 0; index < m_members.size(); ++index) {
         const Member& member = m_members[(m_startIndex + index) % m_members.size()];
-        if (!best || rankOf(member, now) < rankOf(*best, now))
+        if (!best || isBefore(member, *best, now))
             best = &member;
     }
     return best ? std::optional(best->address) : std::nullopt;
@@ -67,14 +78,22 @@
     m_current = address;
     if (Member* member = find(address)) {
         member->dataCentre = dataCentre;
+        member->consecutiveFailures = 0;
+        member->failedRetries = 0;
         member->avoidUntil = {};
     }
 }
 
 void NearestStore::recordFailure(const InstanceAddress& address, TimePoint now)
 {
-    if (Member* member = find(address))
-        member->avoidUntil = now + failureCooldown;
+    if (m_current == address)
+        m_current.reset();
+    Member* member = find(address);
+    if (!member)
+        return;
+    ++member->consecutiveFailures;
+    member->failedRetries += m_current ? 1 : 0;
+    member->avoidUntil = now + minCooldown * (1U << std::min(member->failedRetries, maxCooldownDoublings));
 }
 
 }
--- a/test/azurepaddle/registry/nearest_store.cpp
+++ b/test/azurepaddle/registry/nearest_store.cpp
@@ -1,6 +1,7 @@
 #include "azurepaddle/registry/nearest_store.hpp"
 
 #include <criterion/criterion.h>
+#include <set>
 
 using namespace azurepaddle;
 using namespace azurepaddle::registry;
@@ -98,3 +99,39 @@
     fixture.stores.recordFailure(store(1), start);
     cr_assert(*fixture.stores.choose(start) != store(1));
 }
+
+// Guards against a store that is never polled, because the ones before it fail again before it is its turn.
+Test(NearestStore, allButOneSilent_polledOneAfterTheOther_lastOneIsReached)
+{
+    StoresFixture fixture;
+    fixture.dataCentres = { "b", "b", "a", "a", "a" };
+    fixture.stores.setMembers({ store(0), store(1), store(2), store(3), store(4) });
+    constexpr Duration pollTimeout = std::chrono::milliseconds(1500);
+    TimePoint now = start;
+    std::set<InstanceAddress> asked;
+    for (int polls = 0; polls < 5; ++polls) {
+        const InstanceAddress store = *fixture.stores.choose(now);
+        asked.insert(store);
+        now += pollTimeout;
+        fixture.stores.recordFailure(store, now);
+    }
+    cr_assert(asked.size() == 5, "%zu of 5 stores were polled", asked.size());
+}
+
+// Guards against an instance that leaves a store that answers every two seconds for one that stays silent.
+Test(NearestStore, localStoreKeepsFailing_retries_becomeRarer)
+{
+    StoresFixture fixture;
+    fixture.poll(3);
+    int failures = 0;
+    for (Duration passed {}; passed < std::chrono::seconds(60); passed += std::chrono::milliseconds(100)) {
+        const InstanceAddress asked = *fixture.stores.choose(start + passed);
+        if (asked == store(1)) {
+            fixture.stores.recordFailure(asked, start + passed);
+            ++failures;
+        } else {
+            fixture.stores.recordSuccess(asked, DataCentreName("a"));
+        }
+    }
+    cr_assert(failures <= 8, "the silent store was polled %d times in a minute", failures);
+}
