Keep the state of a follower recent while it applies what it received

Cause: Group::hasRecentState compared the applied index with the commit index of the last message. Between the receipt of a message and the step that applies its entries they differ, and LocalService refuses all polls that wait at that moment.

Change: the group records, after each step, until when its applied state is complete, and judges that time alone.

Evidence: Group/followerAppliesSeveralCommands_stateStaysRecent fails without the change.

--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -102,6 +102,8 @@
     /// Whether the state machine includes every command acknowledged until `maxStaleness` ago: this instance has the
     /// current state, or has applied the commit index from a recent message of the leader.
     [[nodiscard]] bool hasRecentState() const;
+    /// The state machine includes every command acknowledged until this time.
+    [[nodiscard]] TimePoint stateTime() const { return hasCurrentState() ? m_clock.now() : m_stateTime; }
     [[nodiscard]] bool isLeader() const { return m_node->role() == consensus::RaftRole::Leader; }
     [[nodiscard]] consensus::RaftStatus status() const { return m_node->status(); }
     [[nodiscard]] std::uint64_t term() const noexcept { return m_node->term(); }
@@ -186,6 +188,7 @@
     bool m_wasLeading = false;
     std::uint64_t m_appliedIndex = 0;
     std::uint64_t m_appliedTerm = 0;
+    TimePoint m_stateTime {}; ///< Send time of the last message of a leader whose commit index is applied.
     std::size_t m_bytesSinceSnapshot = 0;
     std::multimap<std::uint64_t, PendingProposal> m_pendingProposals; ///< By log index.
     std::map<InstanceId, SendQueue> m_sendQueues;
--- a/src/azurepaddle/cluster/group_drive.hpp
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -151,6 +151,8 @@
         for (const auto& entry : ready->committed)
             apply(entry);
     }
+    if (m_appliedIndex >= m_node->commitIndex())
+        m_stateTime = m_node->caughtUpAt();
     failStaleProposals();
     notifyLeadershipChange();
     takeSnapshotIfDue();
@@ -236,7 +238,7 @@
 {
     if (isLeader())
         return hasCurrentState();
-    return m_appliedIndex >= m_node->commitIndex() && m_clock.now() - m_node->caughtUpAt() < internal::maxStaleness;
+    return m_clock.now() - m_stateTime < internal::maxStaleness;
 }
 
 template <typename Machine>
--- a/test/azurepaddle/cluster/group.cpp
+++ b/test/azurepaddle/cluster/group.cpp
@@ -13,9 +13,12 @@
 /// A state machine that records the applied commands.
 struct ListMachine {
     std::vector<std::string> commands;
+    std::function<void()> onApply; ///< Called before each command is applied.
 
     std::string apply(const std::string& command)
     {
+        if (onApply)
+            onApply();
         commands.push_back(command);
         return "applied " + command;
     }
@@ -190,6 +193,28 @@
     cr_assert(fixture.isAppliedByAll("a"));
 }
 
+// Detects a follower that reports its state as too old while it applies the commands of a message it just received, so
+// that all polls that wait at it are refused.
+Test(Group, followerAppliesSeveralCommands_stateStaysRecent)
+{
+    GroupFixture fixture;
+    cr_assert(fixture.apply("a"));
+    cr_assert(fixture.isAppliedByAll("a"));
+    const std::size_t leader = *fixture.leader();
+    int applied = 0;
+    int refused = 0;
+    for (const auto& participant : fixture.participants) {
+        participant->machine.onApply = [&, group = &participant->group] {
+            applied += group->isLeader() ? 0 : 1;
+            refused += group->isLeader() || group->hasRecentState() ? 0 : 1;
+        };
+    }
+    for (const std::string command : { "b", "c", "d", "e", "f", "g", "h", "i" })
+        fixture.participants[leader]->group.propose(command, [](const ProposalResult&) {});
+    cr_assert(fixture.isAppliedByAll("i"));
+    cr_assert(applied == 16 && refused == 0, "%d of %d commands were applied in a state reported as too old", refused, applied);
+}
+
 // Detects an instance that restarts with an empty disk and votes under its previous identity, or bootstraps a second
 // group.
 Test(Group, diskLost_instanceRestarted_joinsAsNewMember)
