Answer that a route does not exist only on a state that is known to be recent

What callers saw: 404 for routes that had been added, from an entry that no store node had answered for up to 20 s. Whatever keeps an entry from its stores, it went on with the configuration it had and could not know that a newer one was in force: it recorded when a reply came, not of when its content was, and readiness alone looked at it.

Class: an entry that goes on with old state and cannot know it. What entries hold besides comes with the same poll (endpoints, refused requests, members); refusals carry their own end, and an endpoint that is gone or another one answers 421.

Change: replies to polls say how long they were held and how old their state may be; registry::StateAge keeps the time until which everything acknowledged is included, counted from the sending of the poll and over suspension. Past configuration_delay (the platform's bound) a request that matches no route, or a batch job whose reward calls match none, gets 503 with Retry-After in place of 404 or 400. Requests of known routes are served on: without a majority of the stores no newer configuration can be accepted. Readiness follows the same age. The log lines name the age.

--- a/src/azurepaddle/config/node_settings.cpp
+++ b/src/azurepaddle/config/node_settings.cpp
@@ -69,6 +69,7 @@
             { "order_lease", &S::orderLease, range(0.1, 60), false, "Two nodes never give orders to endpoints within this time." },
             { "result_lifetime", &S::resultLifetime, range(1, 24 * hour), false, "How long results of a batch job can be read after its submission." },
             { "stop_timeout", &S::stopTimeout, range(0.5, hour), false, "Time from SIGTERM until the process is killed." },
+            { "configuration_delay", &S::configurationDelay, range(0.1, hour), false, "An accepted configuration takes effect on all nodes within this time. An entry whose state may be older does not answer that a route does not exist." },
             { "max_connections", &S::maxConnections, range(8, 65536), false, "Open connections of callers beyond which new ones are closed." },
             { "max_job_bytes", &S::maxJobBytes, { Form::Bytes, mebi, 1024 * mebi, {} }, false, "Bodies and outputs of batch jobs held in memory; beyond it new jobs are refused." },
             { "memory", &S::memory, { Form::Bytes, 64 * mebi, 1024 * 1024 * mebi, {} }, false, "Memory that the process may use. A state larger than a sixth of it is not written as a snapshot: batch jobs are refused until it shrinks." },
--- a/src/azurepaddle/config/node_settings.hpp
+++ b/src/azurepaddle/config/node_settings.hpp
@@ -51,6 +51,7 @@
     Duration orderLease = std::chrono::seconds(3);
     Duration resultLifetime = std::chrono::seconds(120);
     Duration stopTimeout = std::chrono::seconds(8);
+    Duration configurationDelay = std::chrono::seconds(2);
     std::uint64_t maxConnections = 3000;
     std::uint64_t maxJobBytes = 96U * 1024U * 1024U;
     std::uint64_t memory = 1024U * 1024U * 1024U;
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -18,9 +18,10 @@
 
 }
 
-CallerApi::CallerApi(Forwarder& forwarder, registry::LeaderClient& leader)
+CallerApi::CallerApi(Forwarder& forwarder, registry::LeaderClient& leader, const registry::StateAge& stateAge)
     : m_forwarder(forwarder)
     , m_leader(leader)
+    , m_stateAge(stateAge)
 {
 }
 
@@ -41,15 +42,24 @@
     if (path.starts_with(itemPath) && request.method == "GET")
         return readItem(exchange, batch::JobId { std::string(path.substr(itemPath.size())) });
     const gateway::Route* route = m_routes->find(gateway::hostWithoutPort(request.fields.find("Host")), path);
-    if (!route) {
-        m_log.info("id={} target={} configuration={} status=404", EndpointProtocol::requestId(request), request.target, m_routes->version());
-        return exchange->respond(plain(404, "no route matches the host and path"));
-    }
+    if (!route)
+        return refuseUnroutable(exchange, plain(404, "no route matches the host and path"));
     if (route->kind == gateway::RouteKind::Batch)
         return submit(exchange, *route);
     m_forwarder.forward(exchange, m_routes, *route);
 }
 
+/// Responds that a request matches no route, which is final. While a newer configuration may add the route, responds
+/// that the request may be retried instead.
+void CallerApi::refuseUnroutable(const http1::ExchangePointer& exchange, const http1::Response& refusal) const
+{
+    const TimePoint now = m_clock.now();
+    const http1::Request& request = exchange->request();
+    const http1::Response response = m_stateAge.isCurrent(now) ? refusal : unavailable("the newest configuration is not known at present");
+    m_log.info("id={} target={} configuration={} age-ms={} status={}", EndpointProtocol::requestId(request), request.target, m_routes->version(), m_stateAge.age(now) / std::chrono::milliseconds(1), response.status);
+    exchange->respond(response);
+}
+
 TimePoint CallerApi::deadlineOf(const http1::Exchange& exchange) const
 {
     return exchange.receivedAt() + EndpointProtocol::clientTimeout(exchange.request()).value_or(defaultTimeout) - responseMargin;
@@ -65,8 +75,8 @@
         return exchange->respond(plain(400, reason));
     }
     if (const auto unroutable = gateway::findUnroutableItem(*m_routes, *spec)) {
-        m_log.info("job id={} item={} configuration={} status=400 cause=\"no plain route for its reward call\"", id, *unroutable, m_routes->version());
-        return exchange->respond(plain(400, "the reward call of an item matches no plain route"));
+        m_log.info("job id={} item={} cause=\"no plain route for its reward call\"", id, *unroutable);
+        return refuseUnroutable(exchange, plain(400, "the reward call of an item matches no plain route"));
     }
     const TimePoint deadline = std::min(deadlineOf(*exchange), exchange->receivedAt() + defaultTimeout);
     m_leader.send(registry::SubmitJobRequest { std::move(*spec) }, deadline, [this, exchange, id](registry::LeaderResult<registry::SubmitJobReply> reply) {
--- a/src/azurepaddle/platform/caller_api.hpp
+++ b/src/azurepaddle/platform/caller_api.hpp
@@ -3,7 +3,7 @@
 #include "azurepaddle/gateway/forwarder.hpp"
 #include "azurepaddle/platform/endpoint_protocol.hpp"
 #include "azurepaddle/registry/leader_client.hpp"
-#include "azurepaddle/registry/requests.hpp"
+#include "azurepaddle/registry/state_age.hpp"
 
 namespace azurepaddle::platform {
 
@@ -13,7 +13,8 @@
 public:
     using Forwarder = gateway::Forwarder<EndpointProtocol>;
 
-    CallerApi(Forwarder& forwarder, registry::LeaderClient& leader);
+    /// Requests that match no route are answered as such only while the state's age allows it.
+    CallerApi(Forwarder& forwarder, registry::LeaderClient& leader, const registry::StateAge& stateAge);
 
     /// Replaces the routes. Null until a configuration is received.
     void setRoutes(std::shared_ptr<const gateway::RouteTable> routes) { m_routes = std::move(routes); }
@@ -24,10 +25,12 @@
     void readResults(const http1::ExchangePointer& exchange, const batch::JobId& job);
     void readItem(const http1::ExchangePointer& exchange, const batch::JobId& job);
     void endJob(const http1::ExchangePointer& exchange, const batch::JobId& job);
+    void refuseUnroutable(const http1::ExchangePointer& exchange, const http1::Response& refusal) const;
     [[nodiscard]] TimePoint deadlineOf(const http1::Exchange& exchange) const;
 
     Forwarder& m_forwarder;
     registry::LeaderClient& m_leader;
+    const registry::StateAge& m_stateAge;
     std::shared_ptr<const gateway::RouteTable> m_routes;
     const Log m_log { "calls" };
     const SystemClock m_clock {};
--- a/src/azurepaddle/registry/local_service.cpp
+++ b/src/azurepaddle/registry/local_service.cpp
@@ -12,6 +12,12 @@
     constexpr Duration reportInterval = std::chrono::milliseconds(400);
     constexpr Duration reportTimeout = std::chrono::milliseconds(900);
 
+    /// A duration in whole milliseconds, at least 0.
+    std::uint64_t toMilliseconds(std::chrono::milliseconds duration)
+    {
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(duration.count(), 0));
+    }
+
 }
 
 LocalService::LocalService(asio::io_context& io, ServiceGroup& group, const StateMachine& machine, LeaderClient& leader, DataCentreName dataCentre)
@@ -35,7 +41,7 @@
     if (!m_group.hasRecentState())
         return responder.notLeader();
     const TimePoint now = m_clock.now();
-    WaitingPoll poll { request, responder, now + longPollTimeout };
+    WaitingPoll poll { request, responder, now };
     if (!replyIfDue(poll, now))
         m_waitingPolls.push_back(std::move(poll));
 }
@@ -54,13 +60,13 @@
 bool LocalService::replyIfDue(WaitingPoll& poll, TimePoint now) const
 {
     PollRequest& request = poll.request;
-    const bool isExpired = now >= poll.deadline;
+    const bool isExpired = now - poll.receivedAt >= longPollTimeout;
     const bool hasConfiguration = m_machine.configuration().version > request.configurationVersion;
     const bool mayHaveEndpointChanges = m_machine.directory().revision() > request.directoryRevision;
     const bool hasSuspectChanges = m_machine.suspects().revision() > request.suspectsRevision;
     if (!areServicesCurrent() || !(isExpired || hasConfiguration || mayHaveEndpointChanges || hasSuspectChanges))
         return false;
-    const PollReply reply = replyTo(request);
+    const PollReply reply = replyTo(poll, now);
     const bool hasEndpointChanges = reply.isFullUpdate || !reply.endpoints.empty() || !reply.removed.empty();
     if (!isExpired && !hasConfiguration && !hasEndpointChanges && !hasSuspectChanges) {
         request.directoryRevision = reply.directoryRevision;
@@ -70,9 +76,13 @@
     return true;
 }
 
-PollReply LocalService::replyTo(const PollRequest& request) const
+PollReply LocalService::replyTo(const WaitingPoll& poll, TimePoint now) const
 {
+    const PollRequest& request = poll.request;
     PollReply reply;
+    // Rounded so that the sender never takes the state for more recent than it is.
+    reply.heldMs = toMilliseconds(std::chrono::floor<std::chrono::milliseconds>(now - poll.receivedAt));
+    reply.stateAgeMs = toMilliseconds(std::chrono::ceil<std::chrono::milliseconds>(now - m_group.stateTime()));
     reply.dataCentre = m_dataCentre;
     if (const auto leader = m_group.leaderAddress())
         reply.leader = formatAddress(*leader);
--- a/src/azurepaddle/registry/local_service.hpp
+++ b/src/azurepaddle/registry/local_service.hpp
@@ -33,14 +33,14 @@
     struct WaitingPoll {
         PollRequest request;
         Responder<PollReply> responder;
-        TimePoint deadline;
+        TimePoint receivedAt;
     };
 
     void handle(const PollRequest& request, const Responder<PollReply>& responder);
     [[nodiscard]] std::string redirectTarget() const;
     [[nodiscard]] bool areServicesCurrent() const { return m_servicesVersion == m_machine.configuration().version; }
     [[nodiscard]] bool replyIfDue(WaitingPoll& poll, TimePoint now) const;
-    [[nodiscard]] PollReply replyTo(const PollRequest& request) const;
+    [[nodiscard]] PollReply replyTo(const WaitingPoll& poll, TimePoint now) const;
     void addEndpoints(PollReply& reply, const PollRequest& request) const;
     void addSuspects(PollReply& reply, const PollRequest& request) const;
     void replyToPolls(TimePoint now);
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -30,7 +30,9 @@
     std::uint64_t suspectsRevision = 0;
     bool areSuspectsChanged = false; ///< If false, the suspects of the requester's revision are current and not repeated.
     std::vector<SuspectEntry> suspects; ///< The complete list, if it changed.
-    MSGPACK_DEFINE(configurationVersion, configuration, directoryRevision, isFullUpdate, endpoints, removed, members, leader, dataCentre, suspectsRevision, areSuspectsChanged, suspects)
+    std::uint64_t heldMs = 0; ///< Time that the replying instance held the poll.
+    std::uint64_t stateAgeMs = 0; ///< The reply includes everything acknowledged until this long before it was sent.
+    MSGPACK_DEFINE(configurationVersion, configuration, directoryRevision, isFullUpdate, endpoints, removed, members, leader, dataCentre, suspectsRevision, areSuspectsChanged, suspects, heldMs, stateAgeMs)
 };
 
 /// Requests the changes since the requester's last poll (long poll). Any store instance replies, once there are changes
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -18,8 +18,8 @@
     constexpr Duration pollPause = std::chrono::milliseconds(60);
     constexpr Duration pollRetryDelay = std::chrono::milliseconds(100);
     constexpr Duration leavingPatience = std::chrono::milliseconds(2000);
-    // Without a store node that knows the present state for this long a node asks not to be chosen: others may still reach one.
-    constexpr Duration contactLimit = std::chrono::seconds(4);
+    // With a state that may be older than this a node asks not to be chosen: others may still reach a store node.
+    constexpr Duration maxReadyAge = std::chrono::seconds(4);
     // An entry that finds no store node says so this often.
     constexpr Duration missingNoteInterval = std::chrono::seconds(2);
     // Without any answer for this long the seeds are asked again: all members that were known may be gone.
@@ -48,11 +48,12 @@
     , m_leader(io, m_peerClient)
     , m_reporter(io, m_leader)
     , m_stores(DataCentreName(m_settings.node.dataCentre), static_cast<std::size_t>(m_random.next()))
+    , m_stateAge(m_settings.bounds.configurationDelay)
     , m_pool(io, endpointMessageLimits())
     , m_balancer(DataCentreName(m_settings.node.dataCentre))
     , m_guard(endpointProbe(io), m_metrics)
     , m_forwarder(io, m_pool, m_balancer, m_guard, m_random, m_metrics, maxAnswerBytes(m_settings))
-    , m_callers(m_forwarder, m_leader)
+    , m_callers(m_forwarder, m_leader, m_stateAge)
     , m_callerServer(io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); })
     , m_readyServer(
           io, [this](const http1::ExchangePointer& exchange) { answerReady(exchange); }, smallServer())
@@ -94,21 +95,22 @@
     const auto store = m_stores.choose(now);
     if (!store)
         return pollAfter(pollRetryDelay);
-    m_peerClient.send(*store, std::string(registry::PollRequest::method), codec::encode(m_known), now + pollTimeout, [this, store = *store](transport::CallResult result) {
-        asio::post(m_io, [this, store, result = std::move(result)] {
+    m_peerClient.send(*store, std::string(registry::PollRequest::method), codec::encode(m_known), now + pollTimeout, [this, store = *store, sentAt = now](transport::CallResult result) {
+        asio::post(m_io, [this, store, sentAt, result = std::move(result)] {
             const auto answer = result ? registry::decodeReplyOrRedirect<registry::PollReply>(*result) : registry::ReplyOrRedirect<registry::PollReply>();
             if (answer.redirect)
                 m_stores.add(*answer.redirect);
             if (!answer.reply)
                 return onNoStore(store, answer.redirect);
-            onPoll(store, *answer.reply);
+            onPoll(store, sentAt, *answer.reply);
         });
     });
 }
 
-void EntryNode::onPoll(const InstanceAddress& store, const registry::PollReply& reply)
+void EntryNode::onPoll(const InstanceAddress& store, TimePoint sentAt, const registry::PollReply& reply)
 {
     m_lastContact = m_clock.now();
+    m_stateAge.recordReply(sentAt, reply);
     m_stores.recordSuccess(store, reply.dataCentre);
     m_metrics.gauge("entry_has_store").set(1);
     if (!std::exchange(m_isInContact, true))
@@ -205,7 +207,7 @@
 
 bool EntryNode::isReady() const
 {
-    return m_hasConfiguration && !m_isDraining && m_clock.now() - m_lastContact < contactLimit;
+    return m_hasConfiguration && !m_isDraining && m_stateAge.age(m_clock.now()) < maxReadyAge;
 }
 
 void EntryNode::answerReady(const http1::ExchangePointer& exchange) const
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -6,6 +6,7 @@
 #include "azurepaddle/registry/leader_client.hpp"
 #include "azurepaddle/registry/failed_polls.hpp"
 #include "azurepaddle/registry/nearest_store.hpp"
+#include "azurepaddle/registry/state_age.hpp"
 #include "azurepaddle/registry/suspect_reporter.hpp"
 
 namespace azurepaddle::node {
@@ -26,7 +27,7 @@
 
 private:
     void poll();
-    void onPoll(const InstanceAddress& store, const registry::PollReply& reply);
+    void onPoll(const InstanceAddress& store, TimePoint sentAt, const registry::PollReply& reply);
     void onNoStore(const InstanceAddress& asked, const std::optional<InstanceAddress>& named);
     void pollAfter(Duration delay);
     void takeConfiguration(const registry::PollReply& reply);
@@ -49,6 +50,7 @@
     registry::LeaderClient m_leader;
     registry::SuspectReporter m_reporter;
     registry::NearestStore m_stores;
+    registry::StateAge m_stateAge;
     http1::ClientPool m_pool;
     gateway::Balancer m_balancer;
     gateway::CrashGuard m_guard;
--- a/test/processes/test_node.py
+++ b/test/processes/test_node.py
@@ -35,6 +35,21 @@
         self.assertTrue(wait_until(answered))
         self.assertEqual(call(self.nodes.entry_ports[0], "GET", "/nowhere", None, {"Host": HOST})[0], 404)
 
+    # Guards against an entry that answers that a route does not exist although a newer configuration may have added it.
+    def test_entry_without_store_unknown_route_refused_as_unavailable_known_route_served(self):
+        entry = self.nodes.entry_ports[0]
+        def plain_status():
+            return call(entry, "POST", "/plain/x", b"hello", {"Host": HOST, "X-Attempt-Id": "1"})[0]
+        self.assertTrue(wait_until(lambda: plain_status() == 200))
+        self.assertEqual(call(entry, "GET", "/nowhere", None, {"Host": HOST})[0], 404)
+        for process in self.nodes.stores.values():
+            process.send_signal(signal.SIGSTOP)
+        self.assertTrue(wait_until(lambda: call(entry, "GET", "/nowhere", None, {"Host": HOST})[0] == 503))
+        self.assertEqual(plain_status(), 200)
+        for process in self.nodes.stores.values():
+            process.send_signal(signal.SIGCONT)
+        self.assertTrue(wait_until(lambda: call(entry, "GET", "/nowhere", None, {"Host": HOST})[0] == 404))
+
     # Guards against an accepted batch job or a listed result that is lost with the leader.
     def test_leader_killed_during_job_results_come_whole(self):
         self.models.close()
