Keep the limits that endpoints name, over all instances together

What endpoints saw: one that names in its answers that it takes 1 request a second from all instances together (Server-Limit) got up to 32 in 4 s, because no instance read the field.

Change: EndpointProtocol reads the limit; SendLimiter (gateway) keeps it for each incarnation as long as its answers name it; each request to such an endpoint, retries and moves of items included, needs a permit, which the leader grants from a bucket that fills at the rate of the limit (registry::PermitTable). So instances may come, go and freeze without shares to move. A new leader's buckets are empty, because the permits of the one before may just have been used. While no leader answers, an instance takes turns of its own: one request in the time in which all instances together may send one each, at a random moment that is not saved up.

What exceeds the limit goes to an endpoint without one that has a free slot; hedges use no permits. If there is none, a request waits for the next permit if it can then still be answered within its target latency, or is refused at once with the time of that permit as Retry-After. Items wait or go elsewhere; the leader, which sends them, takes permits from its own table.

Ruled out: shares of equal size (65 first requests at once where 11 are allowed, and callers are not spread evenly over instances), and a share lease (a frozen holder's share is lost).

--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -31,8 +31,9 @@
 template <typename Protocol>
 class JobRunner {
 public:
-    /// Reward calls are sent through the forwarder, which selects endpoints with this balancer.
-    JobRunner(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, gateway::Forwarder<Protocol>& forwarder, gateway::Balancer& balancer, metrics::Registry& metrics);
+    /// Reward calls are sent through the forwarder, which selects endpoints with this balancer. The limiter must decide
+    /// about a permit before `acquire` returns.
+    JobRunner(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, gateway::Forwarder<Protocol>& forwarder, gateway::Balancer& balancer, gateway::SendLimiter& limiter, metrics::Registry& metrics);
 
     /// Sets the function called with the job after results were appended to it.
     void setOnResultsRecorded(std::function<void(const batch::JobId&)> onResultsRecorded) { m_onResultsRecorded = std::move(onResultsRecorded); }
@@ -124,7 +125,10 @@
     void placeWaitingItems();
     [[nodiscard]] std::vector<batch::EndpointLoad> loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const;
     [[nodiscard]] const ServiceName& serviceOf(Run& run, const batch::ItemSpec& spec) const;
+    [[nodiscard]] bool acquirePermit(const EndpointId& endpoint);
+    void startIfPermitted(const RunPointer& run, const EndpointId& endpoint);
     void start(const RunPointer& run, const EndpointId& endpoint);
+    void recordLimit(const Run& run, const http1::Response& head);
     [[nodiscard]] bool onHead(const RunPointer& run, const http1::Response& head);
     void onBody(const RunPointer& run, const std::string& bytes);
     void onEvent(const RunPointer& run, http1::StreamEvent event);
@@ -172,6 +176,7 @@
     registry::Liveness& m_liveness;
     gateway::Forwarder<Protocol>& m_forwarder;
     gateway::Balancer& m_balancer;
+    gateway::SendLimiter& m_limiter;
     metrics::Registry& m_metrics;
     const Log m_log { "items" };
     const SystemClock m_clock {};
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -25,7 +25,7 @@
 }
 
 template <typename Protocol>
-JobRunner<Protocol>::JobRunner(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, gateway::Forwarder<Protocol>& forwarder, gateway::Balancer& balancer, metrics::Registry& metrics)
+JobRunner<Protocol>::JobRunner(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, gateway::Forwarder<Protocol>& forwarder, gateway::Balancer& balancer, gateway::SendLimiter& limiter, metrics::Registry& metrics)
     : m_io(io)
     , m_pool(pool)
     , m_group(group)
@@ -33,6 +33,7 @@
     , m_liveness(liveness)
     , m_forwarder(forwarder)
     , m_balancer(balancer)
+    , m_limiter(limiter)
     , m_metrics(metrics)
 {
     static_assert(ItemProtocol<Protocol>);
@@ -193,6 +194,7 @@
 std::vector<batch::EndpointLoad> JobRunner<Protocol>::loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const
 {
     std::vector<batch::EndpointLoad> loads;
+    const auto blocked = m_limiter.blocked(now);
     for (const auto& [id, record] : m_machine.directory().records()) {
         if (record.service != service || record.state == registry::EndpointState::Gone)
             continue;
@@ -209,7 +211,7 @@
         const auto loading = m_loadingModels.find(id);
         const auto avoided = m_avoidUntil.find(id);
         const bool isDraining = !m_liveness.isAcceptingWork(record);
-        load.isUsable = !isDraining && (loading == m_loadingModels.end() || !loading->second.contains(model)) && (avoided == m_avoidUntil.end() || now >= avoided->second);
+        load.isUsable = !isDraining && !blocked.contains(id) && (loading == m_loadingModels.end() || !loading->second.contains(model)) && (avoided == m_avoidUntil.end() || now >= avoided->second);
         load.lastingSlowness = isDraining ? internal::drainingSlowness : m_speedMeter.lastingSlowness(id, now);
         load.slowness = isDraining ? internal::drainingSlowness : m_speedMeter.slowness(id, now);
         load.slowFor = m_speedMeter.slowFor(id, now);
@@ -283,7 +285,7 @@
         }
         for (const batch::Placement& placement : batch::placeItems(std::move(items), loadsOf(key.first, key.second, now), m_lastEndpointOfGroup, tokenTime(now))) {
             m_lastEndpointOfGroup[specOf(*runs[placement.index])->group] = placement.endpoint;
-            start(runs[placement.index], placement.endpoint);
+            startIfPermitted(runs[placement.index], placement.endpoint);
         }
     }
     constexpr std::size_t maxGroups = 4096;
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -20,6 +20,27 @@
 
 }
 
+/// Whether an item may be sent to the endpoint within the limit that it names, if it names one.
+template <typename Protocol>
+bool JobRunner<Protocol>::acquirePermit(const EndpointId& endpoint)
+{
+    const registry::EndpointRecord* record = m_machine.directory().find(endpoint);
+    if (!record || !m_limiter.isLimited(*record))
+        return record != nullptr;
+    const TimePoint now = m_clock.now();
+    bool isPermitted = false;
+    m_limiter.acquire({ endpoint, record->startedMs }, now, now, [&isPermitted](bool isGranted) { isPermitted = isGranted; });
+    return isPermitted;
+}
+
+/// Starts an item, which otherwise keeps waiting for a permit or for another endpoint.
+template <typename Protocol>
+void JobRunner<Protocol>::startIfPermitted(const RunPointer& run, const EndpointId& endpoint)
+{
+    if (acquirePermit(endpoint))
+        start(run, endpoint);
+}
+
 template <typename Protocol>
 void JobRunner<Protocol>::start(const RunPointer& run, const EndpointId& endpoint)
 {
@@ -127,12 +148,28 @@
 template <typename Protocol>
 void JobRunner<Protocol>::move(const RunPointer& run, const EndpointId& target, std::string_view cause, const std::string& details)
 {
+    if (!acquirePermit(target))
+        return;
     m_log.info("item id={} job={} endpoint={} target={} outcome=moved cause={} events={}{}", run->item, run->job, run->endpoint, target, cause, textOf(*run).eventCount(), details);
     m_metrics.counter("items_moved_total").add();
     stop(run);
     start(run, target);
 }
 
+/// Records the limit that a response names. A refusal without a limit does not end one.
+template <typename Protocol>
+void JobRunner<Protocol>::recordLimit(const Run& run, const http1::Response& head)
+{
+    const registry::EndpointRecord* record = m_machine.directory().find(run.endpoint);
+    const auto limit = Protocol::limitOf(head);
+    if (!record || (!limit && run.answerClass != gateway::AnswerClass::Answer))
+        return;
+    const bool wasLimited = m_limiter.isLimited(*record);
+    m_limiter.recordAnswer({ run.endpoint, record->startedMs }, limit, run.startedAt, m_clock.now());
+    if (m_limiter.isLimited(*record) != wasLimited)
+        m_log.info("endpoint id={} started={} outcome={} requests-per-second={}", run.endpoint, record->startedMs, wasLimited ? "unlimited" : "limited", limit.value_or(0));
+}
+
 /// Returns false if the response belongs to another request.
 template <typename Protocol>
 bool JobRunner<Protocol>::onHead(const RunPointer& run, const http1::Response& head)
@@ -143,6 +180,8 @@
     run->status = head.status;
     if (run->answerClass != gateway::AnswerClass::WrongEndpoint && Protocol::isLeaving(head))
         markDraining(run->endpoint);
+    if (run->answerClass != gateway::AnswerClass::WrongEndpoint)
+        recordLimit(*run, head);
     if (const auto load = Protocol::loadOf(head))
         m_speedMeter.recordReportedSlowness(run->endpoint, load->slowness, m_clock.now());
     if (run->answerClass != gateway::AnswerClass::Answer || head.status != 200)
--- a/src/azurepaddle/gateway/balancer.cpp
+++ b/src/azurepaddle/gateway/balancer.cpp
@@ -89,19 +89,38 @@
     return preferred.empty() ? avoided : preferred;
 }
 
+/// Weight of the last load report of an endpoint, from 1 down to 0.
+double Balancer::freshnessOfReport(const Entry& entry, TimePoint now)
+{
+    if (!entry.lastReport || now - entry.reportedAt >= loadReportLifetime)
+        return 0;
+    return 1 - std::chrono::duration<double>(now - entry.reportedAt) / std::chrono::duration<double>(loadReportLifetime);
+}
+
+double Balancer::occupiedSlots(const Entry& entry, TimePoint now)
+{
+    const double reported = entry.lastReport ? entry.lastReport->running + entry.lastReport->waiting : 0;
+    return std::max<double>(entry.inProgress, freshnessOfReport(entry, now) * reported);
+}
+
+bool Balancer::hasFreeSlot(const EndpointId& id, TimePoint now) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && now >= found->second.avoidedUntil && occupiedSlots(found->second, now) < found->second.record.slots;
+}
+
+bool Balancer::serves(const EndpointId& id, const ServiceName& service) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && found->second.record.service == service && isUsable(found->second);
+}
+
 double Balancer::estimateCost(const Entry& entry, TimePoint now) const
 {
     const double slots = std::max<double>(1, entry.record.slots);
-    double occupiedSlots = entry.inProgress;
-    double slowness = 1;
-    if (entry.lastReport && now - entry.reportedAt < loadReportLifetime) {
-        const double freshness = 1 - std::chrono::duration<double>(now - entry.reportedAt) / std::chrono::duration<double>(loadReportLifetime);
-        const double reported = entry.lastReport->running + entry.lastReport->waiting;
-        occupiedSlots = std::max(occupiedSlots, freshness * reported);
-        slowness += freshness * (entry.lastReport->slowness - 1);
-    }
+    const double slowness = entry.lastReport ? 1 + freshnessOfReport(entry, now) * (entry.lastReport->slowness - 1) : 1;
     const double answerMs = (entry.averageAnswerMs > 0 ? entry.averageAnswerMs : defaultAnswerMs) * slowness;
-    const double utilization = occupiedSlots / slots;
+    const double utilization = occupiedSlots(entry, now) / slots;
     const double penalty = entry.record.dataCentre == m_ownDataCentre ? 0 : remotePenalty;
     // Endpoints slow down when nearly all slots are occupied, and requests beyond the number of slots are queued.
     return answerMs * (1 + penalty + utilization * utilization + std::max(0.0, utilization - 1) * slots);
--- a/src/azurepaddle/gateway/balancer.hpp
+++ b/src/azurepaddle/gateway/balancer.hpp
@@ -61,6 +61,10 @@
         return &best->record;
     }
 
+    /// Whether the endpoint has a free slot, as far as this instance can tell, and is not being avoided.
+    [[nodiscard]] bool hasFreeSlot(const EndpointId& id, TimePoint now) const;
+    /// Whether the endpoint is listed under the service.
+    [[nodiscard]] bool serves(const EndpointId& id, const ServiceName& service) const;
     void onRequestStarted(const EndpointId& id);
     /// Records the end of a request. The elapsed time updates the average if the request was answered, or if it was
     /// cancelled after more than the average.
@@ -93,6 +97,8 @@
     };
 
     [[nodiscard]] std::vector<Entry*> findCandidates(const ServiceName& service, const std::set<EndpointId>& excluded, TimePoint now);
+    [[nodiscard]] static double freshnessOfReport(const Entry& entry, TimePoint now);
+    [[nodiscard]] static double occupiedSlots(const Entry& entry, TimePoint now);
     [[nodiscard]] double estimateCost(const Entry& entry, TimePoint now) const;
     [[nodiscard]] bool isUsable(const Entry& entry) const;
     [[nodiscard]] Entry makeEntry(const registry::EndpointRecord& record) const;
--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -6,6 +6,7 @@
 #include "azurepaddle/gateway/crash_guard.hpp"
 #include "azurepaddle/gateway/retry_policy.hpp"
 #include "azurepaddle/gateway/route_table.hpp"
+#include "azurepaddle/gateway/send_limiter.hpp"
 #include "azurepaddle/http1/client.hpp"
 #include "azurepaddle/http1/server.hpp"
 #include "azurepaddle/metrics/registry.hpp"
@@ -45,6 +46,9 @@
     {
         T::isLeaving(response)
         } -> std::same_as<bool>; ///< Whether the endpoint announces its leave.
+    {
+        T::limitOf(response)
+        } -> std::same_as<std::optional<double>>; ///< Requests per second that the endpoint takes from all instances together; empty if unlimited.
 };
 
 /// A request to forward.
@@ -77,11 +81,12 @@
 
 /// Forwards requests of plain routes to endpoints. A request that is not idempotent is run at most once; idempotent
 /// ones are retried or hedged within the maximum attempts of their route. A request that crashes endpoints is refused.
+/// Endpoints that name a limit get requests only with permits, and only if no other endpoint has a free slot.
 template <typename Protocol>
 class Forwarder {
 public:
     /// All answers that are being received together take at most `maxAnswerBytes` of memory.
-    Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashGuard& guard, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes);
+    Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashGuard& guard, SendLimiter& limiter, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes);
 
     /// Called once for each endpoint incarnation that announces its leave with an answer.
     void setOnLeaving(std::function<void(const registry::EndpointIncarnation&)> onLeaving) { m_onLeaving = std::move(onLeaving); }
@@ -117,9 +122,11 @@
         unsigned refusals = 0;
         unsigned internalErrors = 0; ///< Endpoints that answered 500.
         bool isDone = false;
+        bool isAwaitingPermit = false; ///< A permit was requested, or the time of the next one is awaited.
         std::optional<http1::Response> endpointFailure; ///< Last 5xx answer of an endpoint, forwarded if no endpoint succeeds.
         std::unique_ptr<asio::steady_timer> deadlineTimer;
         std::unique_ptr<asio::steady_timer> hedgeTimer;
+        std::unique_ptr<asio::steady_timer> permitTimer;
     };
     using PendingPointer = std::shared_ptr<PendingRequest>;
 
@@ -127,12 +134,20 @@
     [[nodiscard]] static const registry::RequestFingerprint& fingerprintOf(PendingRequest& pending);
     [[nodiscard]] bool isSuspect(PendingRequest& pending) const;
     [[nodiscard]] std::optional<Duration> remainingRefusal(PendingRequest& pending) const;
+    [[nodiscard]] const registry::EndpointRecord* chooseUnlimited(const PendingRequest& pending, TimePoint now);
+    [[nodiscard]] const registry::EndpointRecord* chooseWithinLimits(const PendingRequest& pending, TimePoint now);
+    [[nodiscard]] std::optional<TimePoint> nextPermit(const PendingRequest& pending, TimePoint now) const;
+    [[nodiscard]] bool maySendNow(PendingRequest& pending, TimePoint now) const;
     [[nodiscard]] bool sendToNextEndpoint(const PendingPointer& pending);
+    void sendTo(const PendingPointer& pending, const registry::EndpointRecord& endpoint);
+    void sendWithPermit(const PendingPointer& pending, const registry::EndpointRecord& endpoint);
+    [[nodiscard]] bool waitForPermit(const PendingPointer& pending);
     void sendNextOrFail(const PendingPointer& pending);
     void startDeadlineTimer(const PendingPointer& pending);
     void startHedgeTimer(const PendingPointer& pending);
     [[nodiscard]] http1::CallEvents makeCallEvents(const PendingPointer& pending, std::uint64_t number);
     [[nodiscard]] bool onHead(const PendingPointer& pending, std::uint64_t number, const http1::Response& head);
+    void recordLimit(const Attempt& attempt, AnswerClass answerClass, const http1::Response& head);
     void onBody(const PendingPointer& pending, std::uint64_t number, const std::string& bytes);
     void onEnd(const PendingPointer& pending, std::uint64_t number, const http1::CallEnd& end);
     void onAnswer(const PendingPointer& pending, Attempt attempt);
@@ -145,6 +160,7 @@
     http1::ClientPool& m_pool;
     Balancer& m_balancer;
     CrashGuard& m_guard;
+    SendLimiter& m_limiter;
     Random& m_random;
     metrics::Registry& m_metrics;
     const Log m_log { "forward" };
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -19,11 +19,12 @@
 }
 
 template <typename Protocol>
-Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashGuard& guard, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes)
+Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashGuard& guard, SendLimiter& limiter, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes)
     : m_io(io)
     , m_pool(pool)
     , m_balancer(balancer)
     , m_guard(guard)
+    , m_limiter(limiter)
     , m_random(random)
     , m_metrics(metrics)
     , m_budget(maxAnswerBytes)
@@ -90,9 +91,12 @@
         const auto delayed = weak.lock();
         if (error || !delayed || delayed->isDone || delayed->attempts.empty())
             return;
-        // A hedge of a suspected request could crash a second endpoint.
-        if (maySendAgain(*delayed->task.route, makeRetryState(*delayed)) && !isSuspect(*delayed))
-            static_cast<void>(sendToNextEndpoint(delayed));
+        // A hedge of a suspected request could crash a second endpoint. Permits are not spent on hedges.
+        const TimePoint now = m_clock.now();
+        if (!maySendAgain(*delayed->task.route, makeRetryState(*delayed)) || isSuspect(*delayed) || delayed->isAwaitingPermit || now >= delayed->deadline)
+            return;
+        if (const registry::EndpointRecord* endpoint = chooseUnlimited(*delayed, now))
+            sendTo(delayed, *endpoint);
     });
 }
 
@@ -127,31 +131,120 @@
     return isSuspect(pending) ? m_guard.remainingRefusal(fingerprintOf(pending), m_clock.now()) : std::nullopt;
 }
 
-/// Sends the request to one more endpoint. False if none is available, if the deadline has passed, or if the request is
-/// refused because it crashes endpoints.
+/// Whether the request may be sent to one more endpoint at this time.
+template <typename Protocol>
+bool Forwarder<Protocol>::maySendNow(PendingRequest& pending, TimePoint now) const
+{
+    return now < pending.deadline && maySendAgain(*pending.task.route, makeRetryState(pending)) && !remainingRefusal(pending);
+}
+
+/// The best endpoint for which no permit is needed, or null.
+template <typename Protocol>
+const registry::EndpointRecord* Forwarder<Protocol>::chooseUnlimited(const PendingRequest& pending, TimePoint now)
+{
+    std::set<EndpointId> excluded = m_limiter.limited();
+    excluded.insert(pending.excluded.begin(), pending.excluded.end());
+    return m_balancer.choose(pending.service->name, excluded, now, m_random);
+}
+
+/// The best endpoint, or null. Endpoints that name a limit are in need, so they are chosen only if none of the others has
+/// a free slot, and not before their next permit.
+template <typename Protocol>
+const registry::EndpointRecord* Forwarder<Protocol>::chooseWithinLimits(const PendingRequest& pending, TimePoint now)
+{
+    const registry::EndpointRecord* unlimited = chooseUnlimited(pending, now);
+    if (unlimited && m_balancer.hasFreeSlot(unlimited->id, now))
+        return unlimited;
+    std::set<EndpointId> excluded = pending.excluded;
+    for (const auto& [id, until] : m_limiter.blocked(now))
+        excluded.insert(id);
+    return m_balancer.choose(pending.service->name, excluded, now, m_random);
+}
+
+/// Sends the request to one more endpoint, or requests a permit to do so. False if no endpoint is available.
 template <typename Protocol>
 bool Forwarder<Protocol>::sendToNextEndpoint(const PendingPointer& pending)
 {
-    if (remainingRefusal(*pending))
+    const TimePoint now = m_clock.now();
+    const registry::EndpointRecord* endpoint = maySendNow(*pending, now) ? chooseWithinLimits(*pending, now) : nullptr;
+    if (!endpoint)
         return false;
+    if (m_limiter.isLimited(*endpoint))
+        sendWithPermit(pending, *endpoint);
+    else
+        sendTo(pending, *endpoint);
+    return true;
+}
+
+/// Requests a permit for a limited endpoint. Without one, the request goes to another endpoint, waits or fails.
+template <typename Protocol>
+void Forwarder<Protocol>::sendWithPermit(const PendingPointer& pending, const registry::EndpointRecord& endpoint)
+{
+    pending->isAwaitingPermit = true;
+    // Without an attempt in progress, only this callback keeps the request.
+    m_limiter.acquire({ endpoint.id, endpoint.startedMs }, m_clock.now(), pending->deadline, [this, pending, endpoint](bool isGranted) {
+        if (pending->isDone)
+            return;
+        pending->isAwaitingPermit = false;
+        const bool isUsable = !pending->excluded.contains(endpoint.id) && !m_balancer.isLeaving(endpoint);
+        if (isGranted && isUsable && maySendNow(*pending, m_clock.now()))
+            return sendTo(pending, endpoint);
+        m_metrics.counter("gateway_permits_refused_total").add(isGranted ? 0 : 1);
+        sendNextOrFail(pending);
+    });
+}
+
+/// The time of the earliest permit of an endpoint to which the request may be sent; empty if there is none.
+template <typename Protocol>
+std::optional<TimePoint> Forwarder<Protocol>::nextPermit(const PendingRequest& pending, TimePoint now) const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto& [id, until] : m_limiter.blocked(now)) {
+        if (m_balancer.serves(id, pending.service->name) && !pending.excluded.contains(id))
+            earliest = std::min(until, earliest.value_or(until));
+    }
+    return earliest;
+}
+
+/// Tries again at the time of the next permit, if the request can then still be answered within its target latency.
+template <typename Protocol>
+bool Forwarder<Protocol>::waitForPermit(const PendingPointer& pending)
+{
     const TimePoint now = m_clock.now();
-    const registry::EndpointRecord* endpoint = m_balancer.choose(pending->service->name, pending->excluded, now, m_random);
-    if (!endpoint || now >= pending->deadline)
+    const auto permitAt = maySendNow(*pending, now) ? nextPermit(*pending, now) : std::nullopt;
+    if (!permitAt || decideAtLimit(*pending->task.route, now - pending->task.receivedAt, *permitAt - now, m_balancer.medianAnswerTime(pending->service->name)) == LimitDecision::Refuse)
         return false;
-    pending->excluded.insert(endpoint->id);
+    pending->isAwaitingPermit = true;
+    pending->permitTimer = std::make_unique<asio::steady_timer>(m_io, *permitAt - now);
+    // Without an attempt in progress, only this callback keeps the request.
+    pending->permitTimer->async_wait([this, pending](std::error_code error) {
+        if (error || pending->isDone)
+            return;
+        pending->isAwaitingPermit = false;
+        sendNextOrFail(pending);
+    });
+    return true;
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::sendTo(const PendingPointer& pending, const registry::EndpointRecord& record)
+{
+    // The balancer may replace its record while the request is being sent.
+    const registry::EndpointRecord endpoint = record;
+    const TimePoint now = m_clock.now();
+    pending->excluded.insert(endpoint.id);
     const std::uint64_t number = m_nextAttempt++;
     m_attempts[number] = pending;
     Attempt& attempt = pending->attempts[number];
-    attempt.endpoint = *endpoint;
+    attempt.endpoint = endpoint;
     attempt.startedAt = now;
-    m_balancer.onRequestStarted(endpoint->id);
-    const http1::Request request = Protocol::forEndpoint(*pending->task.request, endpoint->id, pending->deadline - now);
+    m_balancer.onRequestStarted(endpoint.id);
+    const http1::Request request = Protocol::forEndpoint(*pending->task.request, endpoint.id, pending->deadline - now);
     http1::CallOptions options;
     options.deadline = pending->deadline;
     options.connectTimeout = internal::connectTimeout;
     options.maxConnections = pending->service->maxConnections;
-    attempt.call = m_pool.send(endpoint->address(), request, options, makeCallEvents(pending, number));
-    return true;
+    attempt.call = m_pool.send(endpoint.address(), request, options, makeCallEvents(pending, number));
 }
 
 template <typename Protocol>
@@ -180,6 +273,8 @@
         m_log.warning("id={} endpoint={} outcome=foreign-answer", pending->id, attempt.endpoint.id);
         return false;
     }
+    if (isFromChosenEndpoint)
+        recordLimit(attempt, answerClass, head);
     attempt.answerClass = answerClass;
     attempt.response = head;
     if (const auto load = Protocol::loadOf(head))
@@ -187,6 +282,18 @@
     return true;
 }
 
+/// Records the limit that an answer names. A refusal without a limit does not end one.
+template <typename Protocol>
+void Forwarder<Protocol>::recordLimit(const Attempt& attempt, AnswerClass answerClass, const http1::Response& head)
+{
+    const auto limit = Protocol::limitOf(head);
+    const bool wasLimited = m_limiter.isLimited(attempt.endpoint);
+    if (limit || answerClass == AnswerClass::Answer)
+        m_limiter.recordAnswer({ attempt.endpoint.id, attempt.endpoint.startedMs }, limit, attempt.startedAt, m_clock.now());
+    if (m_limiter.isLimited(attempt.endpoint) != wasLimited)
+        m_log.info("endpoint={} started={} outcome={} requests-per-second={}", attempt.endpoint.id, attempt.endpoint.startedMs, wasLimited ? "unlimited" : "limited", limit.value_or(0));
+}
+
 template <typename Protocol>
 void Forwarder<Protocol>::onBody(const PendingPointer& pending, std::uint64_t number, const std::string& bytes)
 {
@@ -205,9 +312,9 @@
 template <typename Protocol>
 void Forwarder<Protocol>::sendNextOrFail(const PendingPointer& pending)
 {
-    if (maySendAgain(*pending->task.route, makeRetryState(*pending)) && sendToNextEndpoint(pending))
+    if (pending->isAwaitingPermit || sendToNextEndpoint(pending))
         return;
-    if (pending->attempts.empty())
+    if (pending->attempts.empty() && !waitForPermit(pending))
         failRequest(pending, pending->runs == 0 ? "no endpoint takes the request" : "no endpoint answered");
 }
 
@@ -267,6 +374,9 @@
         m_metrics.counter("gateway_crash_refusals_total").add();
         return finish(pending, makeCrashRefusal(makeRetryState(*pending), *retryAfter), crashRefusalReason, {});
     }
+    const TimePoint now = m_clock.now();
+    if (const auto permitAt = nextPermit(*pending, now); permitAt && pending->runs == 0)
+        return finish(pending, makeLimitRefusal(makeRetryState(*pending), *permitAt - now), limitRefusalReason, {});
     finish(pending, makeRefusal({ pending->runs, pending->refusals }, false, reason), reason, {});
 }
 
@@ -313,6 +423,8 @@
     pending->deadlineTimer->cancel();
     if (pending->hedgeTimer)
         pending->hedgeTimer->cancel();
+    if (pending->permitTimer)
+        pending->permitTimer->cancel();
 }
 
 }
--- a/src/azurepaddle/gateway/fwd.hpp
+++ b/src/azurepaddle/gateway/fwd.hpp
@@ -9,6 +9,7 @@
 class CrashGuard;
 class CrashWatch;
 class ForwardCall;
+class SendLimiter;
 template <typename Protocol>
 class Forwarder;
 
--- a/src/azurepaddle/gateway/retry_policy.cpp
+++ b/src/azurepaddle/gateway/retry_policy.cpp
@@ -1,6 +1,7 @@
 #include "azurepaddle/gateway/retry_policy.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <string>
 
 namespace azurepaddle::gateway {
@@ -32,6 +33,11 @@
     return std::clamp<Duration>(typicalTime * hedgeDelayFactor, minHedgeDelay, latest);
 }
 
+LimitDecision decideAtLimit(const Route& route, Duration elapsed, Duration untilPermit, Duration typicalTime) noexcept
+{
+    return elapsed + untilPermit + typicalTime <= route.targetLatency ? LimitDecision::Wait : LimitDecision::Refuse;
+}
+
 http1::Response makeRefusal(const RetryState& state, bool isTimeout, std::string_view reason)
 {
     http1::Response response;
@@ -44,6 +50,14 @@
     return response;
 }
 
+http1::Response makeLimitRefusal(const RetryState& state, Duration untilPermit)
+{
+    http1::Response response = makeRefusal(state, false, limitRefusalReason);
+    if (response.fields.contains("Retry-After"))
+        response.fields.set("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(untilPermit).count()));
+    return response;
+}
+
 http1::Response makeCrashRefusal(const RetryState& state, Duration retryAfter)
 {
     http1::Response response = makeRefusal(state, false, crashRefusalReason);
--- a/src/azurepaddle/platform/endpoint_protocol.cpp
+++ b/src/azurepaddle/platform/endpoint_protocol.cpp
@@ -4,6 +4,8 @@
 #include "azurepaddle/platform/leading_count.hpp"
 
 #include <array>
+#include <charconv>
+#include <cmath>
 
 namespace azurepaddle::platform {
 
@@ -18,6 +20,7 @@
     constexpr std::string_view eventVersionField = "x-weight-versions";
     constexpr std::string_view lastEventField = "Last-Event-Id";
     constexpr std::string_view leavingField = "Server-Leaving"; // "1" in all responses of an endpoint that is draining.
+    constexpr std::string_view limitField = "Server-Limit"; // Requests per second that the endpoint takes from all machines together.
     constexpr std::string_view signatureField = "X-Server-Stamp"; // Signature by which an endpoint proves that it ran the request.
     constexpr unsigned misdirected = 421;
 
@@ -82,6 +85,15 @@
     return head.fields.find(leavingField) == "1";
 }
 
+std::optional<double> EndpointProtocol::limitOf(const http1::Response& head)
+{
+    const std::string_view text = head.fields.find(limitField);
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isRead = error == std::errc() && end == text.data() + text.size() && std::isfinite(value) && value >= 0;
+    return isRead ? std::optional(value) : std::nullopt;
+}
+
 http1::Request EndpointProtocol::rewardRequest(const batch::RewardCall& reward)
 {
     return { "POST", reward.path, { { "Host", reward.host }, { std::string(requestIdField), reward.id } }, reward.body };
--- a/src/azurepaddle/platform/endpoint_protocol.hpp
+++ b/src/azurepaddle/platform/endpoint_protocol.hpp
@@ -13,6 +13,8 @@
     [[nodiscard]] static gateway::AnswerClass classify(const http1::Response& head, std::string_view requestId);
     [[nodiscard]] static std::optional<gateway::LoadReport> loadOf(const http1::Response& head);
     [[nodiscard]] static bool isLeaving(const http1::Response& head);
+    /// Requests per second that the endpoint takes from all instances together; empty if it names no valid limit.
+    [[nodiscard]] static std::optional<double> limitOf(const http1::Response& head);
     [[nodiscard]] static http1::Request rewardRequest(const batch::RewardCall& reward);
     [[nodiscard]] static std::string scoreOf(const http1::Response& head);
     [[nodiscard]] static http1::Request itemRequest(const batch::ItemSpec& item, const std::string& host, const EndpointId& endpoint, std::uint64_t eventsHeld);
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -41,6 +41,7 @@
     registerHandler<DrainingReportRequest>(server);
     registerHandler<SuspectsRequest>(server);
     registerHandler<HeartbeatRequest>(server);
+    registerHandler<PermitRequest>(server);
     registerHandler<DeregisterRequest>(server);
     registerHandler<PutConfigurationRequest>(server);
     registerHandler<ReadConfigurationRequest>(server);
@@ -85,6 +86,18 @@
     responder.ok({});
 }
 
+void LeaderService::handle(const PermitRequest& request, const Responder<PermitReply>& responder)
+{
+    responder.ok(m_permits.request(request, m_clock.now()));
+}
+
+std::optional<PermitReply> LeaderService::requestPermit(const PermitRequest& request)
+{
+    if (!m_group.hasCurrentState())
+        return std::nullopt;
+    return m_permits.request(request, m_clock.now());
+}
+
 std::uint64_t LeaderService::unixMs() const
 {
     return static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count());
@@ -327,6 +340,7 @@
     m_removing.clear();
     m_draining.clear();
     m_liveness.clear();
+    m_permits.clear();
     if (isLeading)
         m_liveness.startTracking(m_machine.directory(), m_clock.now());
 }
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/cluster/group.hpp"
+#include "azurepaddle/registry/permit_table.hpp"
 #include "azurepaddle/registry/requests.hpp"
 #include "azurepaddle/registry/state_machine.hpp"
 
@@ -68,6 +69,8 @@
     void registerHandlers(transport::PeerServer& server);
     /// Sets the callback for changes of jobs, published versions, endpoints or the configuration.
     void setOnChange(std::function<void()> onChange) { m_onChange = std::move(onChange); }
+    /// Grants or refuses a permit for a request that this instance sends itself; nothing unless it is the leader.
+    [[nodiscard]] std::optional<PermitReply> requestPermit(const PermitRequest& request);
     /// Replies to all reads that wait for results of a job.
     void answerPendingReads(const batch::JobId& job);
     /// Replies to reads whose wait has expired, and removes endpoints without heartbeats, expired jobs and old crashes.
@@ -87,6 +90,7 @@
     void handle(const DrainingReportRequest& request, const Responder<Acknowledgement>& responder);
     void handle(const SuspectsRequest& request, const Responder<Acknowledgement>& responder);
     void handle(const HeartbeatRequest& request, const Responder<Acknowledgement>& responder);
+    void handle(const PermitRequest& request, const Responder<PermitReply>& responder);
     void handle(const DeregisterRequest& request, const Responder<Acknowledgement>& responder);
     void handle(PutConfigurationRequest request, const Responder<PutConfigurationReply>& responder);
     void handle(const ReadConfigurationRequest& request, const Responder<ReadConfigurationReply>& responder);
@@ -124,6 +128,7 @@
     const SystemClock m_clock {};
     std::function<void()> m_onChange;
     std::vector<PendingRead> m_pendingReads;
+    PermitTable m_permits;
     std::map<batch::JobId, TimePoint> m_jobFirstSeen;
     std::set<EndpointId> m_removing; ///< Removal proposed, not yet applied.
     std::set<EndpointId> m_draining; ///< Draining state proposed, not yet applied.
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -83,6 +83,23 @@
     MSGPACK_DEFINE(crashes, cleared)
 };
 
+struct PermitReply {
+    bool isGranted = false;
+    std::uint64_t retryAfterMs = 0; ///< Time until the next permit, if none was granted.
+    std::uint32_t instances = 1; ///< Instances that lately requested permits.
+    MSGPACK_DEFINE(isGranted, retryAfterMs, instances)
+};
+
+/// Requests a permit for one request to an endpoint that limits the requests per second of all instances together.
+struct PermitRequest {
+    static constexpr std::string_view method = "permit";
+    using Reply = PermitReply;
+    EndpointIncarnation endpoint;
+    double requestsPerSecond = 0; ///< The limit that the endpoint named last.
+    std::string instance; ///< Name of the requesting instance.
+    MSGPACK_DEFINE(endpoint, requestsPerSecond, instance)
+};
+
 struct DeregisterRequest {
     static constexpr std::string_view method = "leave";
     using Reply = Acknowledgement;
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -52,7 +52,9 @@
     , m_pool(io, endpointMessageLimits())
     , m_balancer(DataCentreName(m_settings.node.dataCentre))
     , m_guard(endpointProbe(io), m_metrics)
-    , m_forwarder(io, m_pool, m_balancer, m_guard, m_random, m_metrics, maxAnswerBytes(m_settings))
+    , m_limiter(
+          m_settings.node.name, [this](const registry::PermitRequest& request, TimePoint deadline, const gateway::PermitCallback& onReply) { requestPermit(request, deadline, onReply); }, m_random)
+    , m_forwarder(io, m_pool, m_balancer, m_guard, m_limiter, m_random, m_metrics, maxAnswerBytes(m_settings))
     , m_callers(m_forwarder, m_leader, m_stateAge)
     , m_callerServer(io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); })
     , m_readyServer(
@@ -178,6 +180,14 @@
     m_log.info("suspects={} refused={} revision={}", reply.suspects.size(), refused, reply.suspectsRevision);
 }
 
+/// Requests from the leader a permit for one request to an endpoint that names a limit.
+void EntryNode::requestPermit(const registry::PermitRequest& request, TimePoint deadline, const gateway::PermitCallback& onReply)
+{
+    m_leader.send(request, deadline, [this, onReply](const registry::LeaderResult<registry::PermitReply>& reply) {
+        onReply(reply ? std::optional(*reply) : std::nullopt, m_clock.now());
+    });
+}
+
 /// Tells the leader that an endpoint said that it leaves, so that other nodes stop as well.
 void EntryNode::tellLeaving(const registry::EndpointIncarnation& leave)
 {
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -3,8 +3,8 @@
 #include "azurepaddle/config/node_settings.hpp"
 #include "azurepaddle/gateway/balancer.hpp"
 #include "azurepaddle/platform/caller_api.hpp"
-#include "azurepaddle/registry/leader_client.hpp"
 #include "azurepaddle/registry/failed_polls.hpp"
+#include "azurepaddle/registry/leader_client.hpp"
 #include "azurepaddle/registry/nearest_store.hpp"
 #include "azurepaddle/registry/state_age.hpp"
 #include "azurepaddle/registry/suspect_reporter.hpp"
@@ -34,6 +34,7 @@
     void takeEndpoints(const registry::PollReply& reply);
     void takeMembers(const registry::PollReply& reply);
     void takeSuspects(const registry::PollReply& reply);
+    void requestPermit(const registry::PermitRequest& request, TimePoint deadline, const gateway::PermitCallback& onReply);
     void tellLeaving(const registry::EndpointIncarnation& leave);
     void answerReady(const http1::ExchangePointer& exchange) const;
     [[nodiscard]] bool isReady() const;
@@ -54,6 +55,7 @@
     http1::ClientPool m_pool;
     gateway::Balancer m_balancer;
     gateway::CrashGuard m_guard;
+    gateway::SendLimiter m_limiter;
     platform::CallerApi::Forwarder m_forwarder;
     platform::CallerApi m_callers;
     http1::Server m_callerServer;
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -46,6 +46,7 @@
     Random m_random;
     gateway::Balancer m_balancer;
     gateway::CrashGuard m_guard;
+    gateway::SendLimiter m_limiter;
     gateway::Forwarder<platform::EndpointProtocol> m_forwarder;
     Runner m_runner;
     Loader m_loader;
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -32,6 +32,7 @@
     }
     static std::optional<gateway::LoadReport> loadOf(const http1::Response&) { return std::nullopt; }
     static bool isLeaving(const http1::Response& head) { return head.fields.contains("Leaving"); }
+    static std::optional<double> limitOf(const http1::Response& head) { return head.fields.contains("Limit") ? std::optional(std::stod(std::string(head.fields.find("Limit")))) : std::nullopt; }
     static http1::Request rewardRequest(const batch::RewardCall& reward)
     {
         return { "POST", reward.path, { { "Host", reward.host }, { "Id", reward.id } }, reward.body };
@@ -73,6 +74,7 @@
     Unprocessable, ///< Responds with status 422.
     SilentAfterThree,
     CompletesWhileDraining, ///< Completes the item and reports in the response that it is draining.
+    CompletesWithLimit, ///< Completes the item and names a limit of two requests per second in the response.
     Scores, ///< A reward service that returns scores.
     AnswersWithoutScore, ///< A reward service whose responses carry no score.
 };
@@ -140,7 +142,9 @@
         http1::Response head { 200, {}, { { "Version", std::to_string(version) } }, {} };
         if (behaviour == Behaviour::CompletesWhileDraining)
             head.fields.add("Leaving", "1");
-        const bool isCompleted = behaviour == Behaviour::Completes || behaviour == Behaviour::CompletesWhileDraining;
+        if (behaviour == Behaviour::CompletesWithLimit)
+            head.fields.add("Limit", "2");
+        const bool isCompleted = behaviour == Behaviour::Completes || behaviour == Behaviour::CompletesWhileDraining || behaviour == Behaviour::CompletesWithLimit;
         exchange->beginStream(std::move(head));
         const std::uint64_t last = isCompleted ? eventsOfItem : 3;
         for (std::uint64_t number = held + 1; number <= last; ++number)
@@ -175,17 +179,19 @@
 
 /// A leader with its own log and registered endpoints.
 struct RunnerFixture : fixture::StoreGroup {
+    const SystemClock clock {};
     registry::Liveness liveness;
     metrics::Registry metrics;
     http1::ClientPool pool { io, {} };
     Random random { 3 };
     gateway::Balancer balancer { DataCentreName("a") };
     gateway::CrashGuard guard { [](const InstanceAddress&, const http1::ProbeCallback&) {}, metrics };
-    gateway::Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, random, metrics, 1024U * 1024U };
-    JobRunner<TestProtocol> runner { io, pool, group, machine, liveness, forwarder, balancer, metrics };
+    registry::PermitTable permits;
+    gateway::SendLimiter limiter { "store", [this](const registry::PermitRequest& request, TimePoint, const gateway::PermitCallback& onReply) { onReply(permits.request(request, clock.now()), clock.now()); }, random };
+    gateway::Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, limiter, random, metrics, 1024U * 1024U };
+    JobRunner<TestProtocol> runner { io, pool, group, machine, liveness, forwarder, balancer, limiter, metrics };
     WeightLoader<TestProtocol> loader { io, pool, group, machine, liveness, runner, metrics, { "store", 200ms } };
     std::vector<std::unique_ptr<Endpoint>> endpoints;
-    const SystemClock clock {};
 
     RunnerFixture()
     {
@@ -241,7 +247,7 @@
         return endpoint;
     }
 
-    void submit(WeightVersion minVersion = 1, std::uint32_t maxAttempts = 3, const batch::RewardCall& reward = {})
+    void submit(WeightVersion minVersion = 1, std::uint32_t maxAttempts = 3, const batch::RewardCall& reward = {}, int items = 1)
     {
         batch::JobSpec job;
         job.id = jobId;
@@ -250,7 +256,8 @@
         job.minVersion = minVersion;
         job.maxAttempts = maxAttempts;
         job.retentionMs = 60'000;
-        job.items.push_back({ batch::ItemId("item"), "/items/1", {}, "body", GroupId("g"), 10, 400, reward });
+        for (int item = 0; item < items; ++item)
+            job.items.push_back({ batch::ItemId(item == 0 ? "item" : "item" + std::to_string(item)), "/items/1", {}, "body", GroupId("g"), 10, 400, reward });
         apply(registry::AcceptJob { job });
     }
 
@@ -288,6 +295,21 @@
     cr_assert(healthy.resumePositions == std::vector<std::uint64_t> { 3 });
 }
 
+// Guards against items that are sent to an endpoint beyond the limit that it names.
+Test(JobRunner, endpointNamesLimit_itemsWaitForPermits)
+{
+    RunnerFixture fixture;
+    const Endpoint& limited = fixture.add("a", Behaviour::CompletesWithLimit);
+    fixture.submit(1, 3, {}, 20);
+    cr_assert(fixture.runUntil([&] { return !limited.resumePositions.empty(); }));
+    static_cast<void>(fixture.runUntil([] { return false; }, 4s));
+    // The first 4 were sent to the 4 slots before an answer named the limit.
+    cr_assert(limited.resumePositions.size() >= 4 + 6 && limited.resumePositions.size() <= 4 + 9, "%zu items were sent", limited.resumePositions.size());
+    fixture.add("b", Behaviour::Completes);
+    cr_assert(fixture.runUntil([&] { return fixture.machine.jobs().find(jobId)->results.size() == 20; }));
+    cr_assert(limited.resumePositions.size() <= 4 + 13, "the items did not go to the endpoint without a limit");
+}
+
 // Guards against an item that remains at an endpoint which has stopped sending events.
 Test(JobRunner, endpointStopsSending_itemContinuesElsewhere)
 {
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -1,4 +1,5 @@
 #include "azurepaddle/gateway/forwarder.hpp"
+#include "azurepaddle/registry/permit_table.hpp"
 
 #include "../http1/fixture.hpp"
 
@@ -25,6 +26,7 @@
     }
     static std::optional<LoadReport> loadOf(const Response&) { return std::nullopt; }
     static bool isLeaving(const Response& response) { return response.fields.contains("X-Leaving"); }
+    static std::optional<double> limitOf(const Response& response) { return response.fields.contains("X-Limit") ? std::optional(std::stod(std::string(response.fields.find("X-Limit")))) : std::nullopt; }
 };
 
 std::string answer(unsigned status, const std::string& body, const std::string& fields = {})
@@ -36,6 +38,7 @@
 
 /// A forwarder behind a server, scripted endpoints, and a caller.
 struct ForwarderFixture {
+    const SystemClock clock {};
     asio::io_context io;
     ClientPool pool { io, {} };
     ClientPool caller { io, {} };
@@ -43,7 +46,10 @@
     Random random { 3 };
     metrics::Registry metrics;
     CrashGuard guard { [this](const InstanceAddress& address, ProbeCallback onOutcome) { probeConnection(io, address, std::chrono::seconds(1), std::move(onOutcome)); }, metrics };
-    Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, random, metrics, maxAnswerBytes };
+    registry::PermitTable permits;
+    bool hasLeader = true;
+    SendLimiter limiter { "entry", [this](const registry::PermitRequest& request, TimePoint, const PermitCallback& onReply) { onReply(hasLeader ? std::optional(permits.request(request, clock.now())) : std::nullopt, clock.now()); }, random };
+    Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, limiter, random, metrics, maxAnswerBytes };
     std::shared_ptr<const RouteTable> table;
     Server server { io, [this](const ExchangePointer& exchange) { forwarder.forward(exchange, table, table->routes().front()); } };
     std::vector<std::unique_ptr<RawPeer>> endpoints;
@@ -81,6 +87,7 @@
         Received outcome;
         const auto call = caller.send(server.address(), { "POST", "/x", { { "Host", "h" }, { "X-Id", "7" } }, "body" }, {}, outcome.events());
         cr_assert(runUntil(io, [&] { return outcome.end.has_value(); }));
+        cr_assert(outcome.end->kind == CallEndKind::Complete, "the caller got no answer: %s", outcome.end->message.c_str());
         return outcome;
     }
 };
@@ -277,3 +284,101 @@
     cr_assert(reports.front().crashes.front().endpoint == EndpointId("e1"));
     cr_assert(reports.front().crashes.front().requests.size() == 1);
 }
+
+namespace {
+
+/// An endpoint that names a limit of two requests per second and counts its requests.
+RawPeer::Script limitedScript(int& requests)
+{
+    return [&requests](const std::string&) {
+        ++requests;
+        return answer(200, "limited", "X-Limit: 2\r\n");
+    };
+}
+
+}
+
+// Guards against requests beyond the limit of an endpoint while another one has free slots.
+Test(Forwarder, endpointNamesLimit_requestsGoToOtherEndpoint)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    int limited = 0;
+    fixture.addEndpoint(limitedScript(limited));
+    fixture.addEndpoint(succeed);
+    cr_assert(fixture.request().response.body == "limited");
+    for (int i = 0; i < 20; ++i)
+        cr_assert(fixture.request().response.body == "good");
+    cr_assert(limited == 1);
+}
+
+// Guards against a request beyond the limit that is refused although it can wait for the next permit within its target
+// latency.
+Test(Forwarder, onlyEndpointNamesLimit_requestWaitsWithinTargetLatency)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    int limited = 0;
+    fixture.addEndpoint(limitedScript(limited));
+    static_cast<void>(fixture.request());
+    const TimePoint first = fixture.clock.now();
+    static_cast<void>(fixture.request()); // Refused: the first permit is due after 500 ms.
+    cr_assert(runUntil(fixture.io, [&] { return fixture.clock.now() - first > std::chrono::milliseconds(250); }));
+    cr_assert(fixture.request().response.status == 200);
+    cr_assert(fixture.clock.now() - first >= std::chrono::milliseconds(499));
+    cr_assert(limited == 2);
+}
+
+// Guards against a request that is held although no permit is due within its target latency, and against a time to come
+// back at which there is none.
+Test(Forwarder, onlyEndpointNamesLimit_laterRequestRefusedAtOnce_withTimeOfNextPermit)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    int limited = 0;
+    fixture.addEndpoint(limitedScript(limited));
+    static_cast<void>(fixture.request());
+    const TimePoint before = fixture.clock.now();
+    const Received outcome = fixture.request();
+    const Duration elapsed = fixture.clock.now() - before;
+    cr_assert(outcome.response.status == 503);
+    cr_assert(elapsed < std::chrono::milliseconds(100));
+    const double retryAfter = std::stod(std::string(outcome.response.fields.find("Retry-After")));
+    cr_assert(retryAfter > 0.3 && retryAfter <= 0.5, "Retry-After of %f s", retryAfter);
+    cr_assert(runUntil(fixture.io, [&] { return fixture.clock.now() - before >= elapsed + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(retryAfter)); }));
+    cr_assert(fixture.request().response.status == 200);
+    cr_assert(limited == 2);
+}
+
+// Guards against hedges and retries that are sent without a permit.
+Test(Forwarder, otherEndpointSilent_hedgeIsNotSentToLimitedEndpoint)
+{
+    ForwarderFixture fixture(RouteKind::Idempotent);
+    int limited = 0;
+    fixture.addEndpoint(limitedScript(limited));
+    static_cast<void>(fixture.request());
+    fixture.addEndpoint(silent);
+    static_cast<void>(fixture.request());
+    cr_assert(limited == 1, "%d requests were sent to the limited endpoint", limited);
+}
+
+// Guards against a limit that holds after the endpoint no longer names it.
+Test(Forwarder, endpointNoLongerNamesLimit_requestsGoThereAgain)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    int requests = 0;
+    fixture.addEndpoint([&requests](const std::string&) { return answer(200, "good", requests++ == 0 ? "X-Limit: 50\r\n" : ""); });
+    for (int i = 0; i < 10; ++i)
+        cr_assert(fixture.request().response.status == 200);
+    cr_assert(fixture.limiter.limited().empty());
+}
+
+// Guards against a lost leader that leaves requests to limited endpoints without an answer.
+Test(Forwarder, noLeader_requestBeyondLimitIsStillAnswered)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent);
+    int limited = 0;
+    fixture.addEndpoint(limitedScript(limited));
+    static_cast<void>(fixture.request());
+    fixture.hasLeader = false;
+    const Received outcome = fixture.request();
+    cr_assert(outcome.response.status == 200 || outcome.response.status == 503);
+    cr_assert(fixture.forwarder.inProgress() == 0);
+}
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -204,6 +204,16 @@
     }
 }
 
+// Guards against a limit that is ignored or misread, and against one that no number of requests can be derived from.
+Test(EndpointProtocol, limit_read_ifItIsADecimalNumber)
+{
+    const auto limitOf = [](const char* text) { return EndpointProtocol::limitOf({ 200, {}, { { "Server-Limit", text } }, {} }); };
+    cr_assert(limitOf("1.5") == 1.5 && limitOf("12") == 12 && limitOf("0") == 0);
+    for (const char* text : { "", "x", "-1", "nan", "inf", "1e999", "2 per second" })
+        cr_assert(!limitOf(text), "%s", text);
+    cr_assert(!EndpointProtocol::limitOf({ 200, {}, {}, {} }));
+}
+
 // Guards against a draining announcement that is ignored, and against a score without a signature.
 Test(EndpointProtocol, marksOfLeavingAndScore_read)
 {
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -103,6 +103,8 @@
         self.plain_pause = 0  # Seconds that a plain request takes.
         self.crashed_under = []  # Identifiers of the requests under which it ended.
         self.is_leaving = False  # Says in its answers that it leaves.
+        self.limit = None  # Requests per second that it says to take from all nodes together.
+        self.run_times = []  # When each run began, in seconds of the monotonic clock.
         self.address = None  # Where callers reach it, if not at its own port.
         self.lock = threading.Lock()
         endpoint = self
@@ -133,6 +135,7 @@
                     return self.reply(202, b"")
                 with endpoint.lock:
                     endpoint.runs.append(self.headers["X-Attempt-Id"])
+                    endpoint.run_times.append(time.monotonic())
                 if endpoint.crashes_on and endpoint.crashes_on in body:
                     endpoint.crashed_under.append(self.headers["X-Attempt-Id"])
                     self.close_connection = True
@@ -152,6 +155,8 @@
                 self.send_header("X-Server-Stamp", f"{endpoint.identity} ran {self.headers.get('X-Attempt-Id', '')}")
                 if endpoint.is_leaving:
                     self.send_header("Server-Leaving", "1")
+                if endpoint.limit is not None:
+                    self.send_header("Server-Limit", str(endpoint.limit))
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
