Show that answers that break off are never completed by errors or by nothing

Reports of other operators: an error of the next endpoint in the middle of a stream that had begun, and a 200 with an empty body from an endpoint that stopped within its head. Neither happens here, which tests now show.

An attempt of a request has a response of its own, and callers get one response as a whole; an item's text takes events only from answers with status 200; the end of a connection completes an answer only after its whole head and only if that states no length.

Evidence: answers cut after each byte, with a length, in chunks and without either, in the parser; five cut answers at an entry, for requests that may be repeated (the next endpoint's error alone) and that may not (502); an item whose second endpoint answers 500 with a body that reads like events. All pass without a change of the code.

--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -71,6 +71,7 @@
     Crashes, ///< Closes its server and all connections when an item or reward call arrives, as a crashed process does.
     RefusesItems, ///< Refuses each item as not run, as a full endpoint does.
     Fails, ///< Responds with status 500.
+    FailsWithEvents, ///< Responds with status 500 and a body that reads like further events.
     Unprocessable, ///< Responds with status 422.
     SilentAfterThree,
     CompletesWhileDraining, ///< Completes the item and reports in the response that it is draining.
@@ -113,6 +114,8 @@
             return exchange->respond({ 503, {}, { { "Not-Run", "1" } }, {} });
         if (behaviour == Behaviour::Fails || behaviour == Behaviour::Unprocessable)
             return exchange->respond({ behaviour == Behaviour::Fails ? 500U : 422U, {}, {}, {} });
+        if (behaviour == Behaviour::FailsWithEvents)
+            return exchange->respond({ 500, {}, {}, "id: 4\ndata: error text\n\n" });
         stream(exchange, resumePositions.back());
     }
 
@@ -295,6 +298,21 @@
     cr_assert(healthy.resumePositions == std::vector<std::uint64_t> { 3 });
 }
 
+// Guards against the error of the endpoint at which an item resumes in the middle of the item's text.
+Test(JobRunner, connectionEndsMidway_nextEndpointFails_textHasNoErrorInIt)
+{
+    RunnerFixture fixture;
+    Endpoint& endpoint = fixture.add("a", Behaviour::AbortsAfterThree);
+    fixture.submit(1, 9);
+    cr_assert(fixture.runUntil([&] { return endpoint.resumePositions.size() == 1; }));
+    endpoint.behaviour = Behaviour::FailsWithEvents;
+    cr_assert(fixture.runUntil([&] { return endpoint.resumePositions.size() >= 3; }));
+    endpoint.behaviour = Behaviour::Completes;
+    const auto result = fixture.result();
+    cr_assert(result && result->output == expectedOutput());
+    cr_assert(endpoint.resumePositions.back() == 3);
+}
+
 // Guards against items that are sent to an endpoint beyond the limit that it names.
 Test(JobRunner, endpointNamesLimit_itemsWaitForPermits)
 {
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -382,3 +382,55 @@
     cr_assert(outcome.response.status == 200 || outcome.response.status == 503);
     cr_assert(fixture.forwarder.inProgress() == 0);
 }
+
+namespace {
+
+/// Sends a request to endpoints of which the first sends these bytes and then closes the connection.
+Received requestCutAfter(ForwarderFixture& fixture, const std::string& bytes)
+{
+    bool isSent = false;
+    fixture.addEndpoint([&](const std::string&) {
+        isSent = true;
+        return bytes;
+    });
+    fixture.addEndpoint([](const std::string&) { return answer(500, "error text", "X-Id: 7\r\n"); });
+    Received outcome;
+    const auto call = fixture.caller.send(fixture.server.address(), { "POST", "/x", { { "Host", "h" }, { "X-Id", "7" } }, "body" }, {}, outcome.events());
+    cr_assert(runUntil(fixture.io, [&] { return isSent; }));
+    fixture.io.run_for(std::chrono::milliseconds(20));
+    fixture.endpoints.front()->closeAll();
+    cr_assert(runUntil(fixture.io, [&] { return outcome.end.has_value(); }));
+    cr_assert(outcome.end->kind == CallEndKind::Complete);
+    return outcome;
+}
+
+const std::vector<std::string> cutAnswers {
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Sta",
+    "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n",
+    "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\nbo",
+    "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid: 1\ndata: a\n\r\n",
+};
+
+}
+
+// Guards against an endpoint that ends its answer within the head or the body, and a caller that gets it as complete.
+Test(Forwarder, answerCutAnywhere_nonIdempotentRequest_callerGets502)
+{
+    for (const std::string& bytes : cutAnswers) {
+        ForwarderFixture fixture(RouteKind::NonIdempotent);
+        const Received outcome = requestCutAfter(fixture, bytes);
+        cr_assert(outcome.response.status == 502, "status %u after \"%s\"", outcome.response.status, bytes.c_str());
+        cr_assert(outcome.response.body == "no endpoint answered\n" && !outcome.response.fields.contains("X-Id"));
+    }
+}
+
+// Guards against the error of a second endpoint in the middle of the answer that the first one began.
+Test(Forwarder, answerCutAnywhere_nextEndpointFails_callerGetsItsFailureAlone)
+{
+    for (const std::string& bytes : cutAnswers) {
+        ForwarderFixture fixture(RouteKind::Idempotent);
+        const Received outcome = requestCutAfter(fixture, bytes);
+        cr_assert(outcome.response.status == 500 && outcome.response.body == "error text", "status %u after \"%s\"", outcome.response.status, bytes.c_str());
+    }
+}
--- a/test/azurepaddle/http1/messages.cpp
+++ b/test/azurepaddle/http1/messages.cpp
@@ -112,6 +112,24 @@
     cr_assert(parser.feedEnd().error().code() == ParseErrorCode::Truncated);
 }
 
+// Guards against an answer that ends within its head, or before its stated length, and is taken for a complete one.
+Test(ResponseParser, answerEndsAnywhereWithin_fed_isNeverComplete)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Stamp: s\r\n";
+    for (const std::string& answer : { head + "Content-Length: 4\r\n\r\nbody", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", head + "Content-Length: 0\r\n\r\n" }) {
+        for (std::size_t size = 1; size < answer.size(); ++size) {
+            ResponseParser parser({});
+            cr_assert(parser.feed(std::string_view(answer).substr(0, size)).has_value());
+            cr_assert(!parser.isDone() && !parser.feedEnd(), "the first %zu bytes are taken for the answer", size);
+        }
+    }
+    for (std::size_t size = 1; size <= head.size() + 1; ++size) {
+        ResponseParser parser({});
+        cr_assert(parser.feed((head + "\r\nbody").substr(0, size)).has_value());
+        cr_assert(!parser.feedEnd(), "the first %zu bytes are taken for an answer without a length", size);
+    }
+}
+
 // Guards against responses without a length that are never treated as complete.
 Test(ResponseParser, answerWithoutLength_connectionEnds_isComplete)
 {
