Refuse heartbeats that no endpoint can have sent

What happened here: a port out of range was refused. 65,537 slots and more were accepted, and 4,294,967,296 became 0; the greatest sequence and start time were accepted, after which the heartbeats of the endpoint itself count as late; an address without a numeric IP was listed. 8 million nested arrays were parsed, of which each level takes memory; the test took 1.9 s.

Change: JSON nested more than 64 levels is refused before it is parsed, for all messages. Heartbeats with slots above 65,536, counts above 2^53 - 1, a start time that is no whole number or an address that is no IP address are refused with 400.

Evidence: heartbeatWithNumberOutOfRange and heartbeatNestedDeeply failed before.

--- a/src/azurepaddle/platform/json.cpp
+++ b/src/azurepaddle/platform/json.cpp
@@ -4,8 +4,41 @@
 
 namespace azurepaddle::platform::internal {
 
+namespace {
+
+    // Messages of the platform nest less than ten levels. Each level takes memory, however few bytes it has.
+    constexpr std::size_t maxNesting = 64;
+
+    /// Whether arrays and objects are nested more deeply than allowed. Brackets within strings do not count.
+    bool isNestedTooDeeply(std::string_view text)
+    {
+        std::size_t depth = 0;
+        bool isInString = false;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            const char character = text[i];
+            if (isInString) {
+                if (character == '\\')
+                    ++i; // An escaped character does not end the string.
+                else
+                    isInString = character != '"';
+            } else if (character == '"') {
+                isInString = true;
+            } else if (character == '[' || character == '{') {
+                if (++depth > maxNesting)
+                    return true;
+            } else if ((character == ']' || character == '}') && depth > 0) {
+                --depth;
+            }
+        }
+        return false;
+    }
+
+}
+
 std::optional<Json> parseJson(std::string_view text)
 {
+    if (isNestedTooDeeply(text))
+        return std::nullopt;
     Json json = Json::parse(text, nullptr, false);
     if (json.is_discarded())
         return std::nullopt;
--- a/src/azurepaddle/platform/json.hpp
+++ b/src/azurepaddle/platform/json.hpp
@@ -9,7 +9,7 @@
 
 using Json = nlohmann::json;
 
-/// Parses JSON. Empty if the text is malformed.
+/// Parses JSON. Empty if the text is malformed, or nested so deeply that no message of the platform is.
 [[nodiscard]] std::optional<Json> parseJson(std::string_view text);
 
 /// Returns a member of an object; empty if it is missing or of another type.
--- a/src/azurepaddle/platform/registration.cpp
+++ b/src/azurepaddle/platform/registration.cpp
@@ -2,6 +2,8 @@
 
 #include "azurepaddle/platform/json.hpp"
 
+#include <asio/ip/address.hpp>
+
 namespace azurepaddle::platform {
 
 namespace {
@@ -20,20 +22,50 @@
         return std::nullopt;
     }
 
-    std::map<std::string, WeightVersion> decodeVersions(const Json& json)
+    // Greatest whole number that all implementations of JSON represent exactly.
+    constexpr std::uint64_t maxCount = (1ULL << 53U) - 1;
+    // More than any endpoint runs at once.
+    constexpr std::uint64_t maxSlots = 65'536;
+
+    /// Returns a member that is a whole number up to a maximum; empty if it is missing or anything else.
+    std::optional<std::uint64_t> countUpTo(std::uint64_t maximum, const Json& json, const char* name)
+    {
+        const auto count = countOf(json, name);
+        return count && *count <= maximum ? count : std::nullopt;
+    }
+
+    /// Returns the address of an endpoint; empty unless it is a numeric IP address with a port.
+    std::optional<InstanceAddress> decodeAddress(const Json& json)
+    {
+        const auto address = parseAddress(textOf(json, "address").value_or(std::string()));
+        std::error_code error;
+        if (address)
+            static_cast<void>(asio::ip::make_address(address->ip, error));
+        return error ? std::nullopt : address;
+    }
+
+    /// Returns the versions by model; empty if a version is out of range.
+    std::optional<std::map<std::string, WeightVersion>> decodeVersions(const Json& json)
     {
         std::map<std::string, WeightVersion> versions;
-        if (const Json* models = listOf(json, "models")) {
-            for (const Json& model : *models) {
-                const auto name = textOf(model, "name");
-                const auto version = countOf(model, "version");
-                if (name && version)
-                    versions[*name] = *version;
-            }
+        const Json* models = listOf(json, "models");
+        for (const Json& model : models ? *models : Json::array()) {
+            const auto name = textOf(model, "name");
+            const auto version = countOf(model, "version");
+            if (version && *version > maxCount)
+                return std::nullopt;
+            if (name && version)
+                versions[*name] = *version;
         }
         return versions;
     }
 
+    /// Returns the start time of an endpoint, 0 if it names none; empty if that is anything else than a whole number.
+    std::optional<std::uint64_t> decodeStart(const Json& json)
+    {
+        return json.contains("born") ? countUpTo(maxCount, json, "born") : std::optional<std::uint64_t>(0);
+    }
+
 }
 
 std::optional<registry::EndpointHeartbeat> decodeHeartbeat(std::string_view id, std::string_view body)
@@ -42,17 +74,18 @@
     if (!json || !json->is_object())
         return std::nullopt;
     const auto service = textOf(*json, "service");
-    const auto address = parseAddress(textOf(*json, "address").value_or(std::string()));
+    const auto address = decodeAddress(*json);
     const auto zone = textOf(*json, "zone");
-    const auto slots = countOf(*json, "slots");
+    const auto slots = countUpTo(maxSlots, *json, "slots");
     const auto state = decodeState(textOf(*json, "state").value_or(std::string()));
-    const auto sequence = countOf(*json, "sequence");
-    if (id.empty() || !service || service->empty() || !address || !zone || !slots || *slots == 0 || !state || !sequence)
-        return std::nullopt;
+    const auto sequence = countUpTo(maxCount, *json, "sequence");
     // `born` is the start time of the process, `version` the version of its software.
-    const std::uint64_t startedMs = countOf(*json, "born").value_or(0);
-    registry::EndpointRecord record { EndpointId(std::string(id)), startedMs, ServiceName(*service), address->ip, address->port,
-        DataCentreName(*zone), static_cast<std::uint32_t>(*slots), *state, decodeVersions(*json) };
+    const auto startedMs = decodeStart(*json);
+    const auto versions = decodeVersions(*json);
+    if (id.empty() || !service || service->empty() || !address || !zone || !slots || *slots == 0 || !state || !sequence || !startedMs || !versions)
+        return std::nullopt;
+    registry::EndpointRecord record { EndpointId(std::string(id)), *startedMs, ServiceName(*service), address->ip, address->port,
+        DataCentreName(*zone), static_cast<std::uint32_t>(*slots), *state, *versions };
     return registry::EndpointHeartbeat { std::move(record), *sequence };
 }
 
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -92,6 +92,54 @@
     cr_assert(!decodeHeartbeat("i-1", unknown.dump()));
 }
 
+// Guards against an entry of another writer that names an endpoint which cannot exist, or more slots than any has.
+Test(Registration, heartbeatWithNumberOutOfRange_decoded_isRefused)
+{
+    const std::vector<std::pair<const char*, const char*>> oddFields {
+        { "slots", "0" },
+        { "slots", "65537" },
+        { "slots", "4294967296" },
+        { "slots", "1e3" },
+        { "slots", "1e999" },
+        { "slots", "-1" },
+        { "sequence", "18446744073709551615" },
+        { "sequence", "99999999999999999999999" },
+        { "born", "18446744073709551615" },
+        { "born", "-5" },
+        { "born", "1.5" },
+        { "born", "\"x\"" },
+        { "address", "\"10.0.0.1:65536\"" },
+        { "address", "\"10.0.0.1:0\"" },
+        { "address", "\"10.0.0.1:-1\"" },
+        { "address", "\"10.0.0.1\"" },
+        { "address", "\"10.0.0.999:80\"" },
+        { "address", "\"name:80\"" },
+        { "models", "[{\"name\":\"m\",\"version\":18446744073709551615}]" },
+    };
+    for (const auto& [field, value] : oddFields) {
+        json odd = beat();
+        odd.erase(field);
+        std::string text = odd.dump();
+        text.insert(1, "\"" + std::string(field) + "\":" + value + ",");
+        cr_assert(!decodeHeartbeat("i-1", text), "%s of %s", field, value);
+    }
+}
+
+// Guards against an entry of another writer under which the process ends or takes all its memory.
+Test(Registration, heartbeatNestedDeeply_decoded_isRefused)
+{
+    constexpr std::size_t levels = 8'000'000;
+    const std::string text = beat().dump();
+    const std::string arrays = "{\"x\":" + std::string(levels, '[') + std::string(levels, ']') + "," + text.substr(1);
+    cr_assert(!decodeHeartbeat("i-1", arrays));
+    cr_assert(!decodeHeartbeat("i-1", std::string(levels, '[')));
+    std::string objects;
+    for (std::size_t level = 0; level < levels / 8; ++level)
+        objects += "{\"a\":";
+    cr_assert(!decodeHeartbeat("i-1", objects));
+    cr_assert(decodeHeartbeat("i-1", "{\"x\":\"[[[ \\\" ]\"," + text.substr(1)).has_value());
+}
+
 // Guards against items whose body or token counts are changed by the decoder.
 Test(BatchFormat, job_decoded_hasItsItems)
 {
