Read times that are too large as long times

Found beside the odd entries: a deadline of a client above 9,223,372,036,854 ms, a wait of a read or a time in a configuration beyond the range overflowed when it was converted, so that a request had passed its deadline at its arrival and was refused.

Evidence: timeOutOfRange_decoded_isALongTime failed before.

--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -4,6 +4,8 @@
 #include "azurepaddle/platform/leading_count.hpp"
 #include "azurepaddle/platform/replies.hpp"
 
+#include <algorithm>
+
 namespace azurepaddle::platform {
 
 namespace {
@@ -11,6 +13,8 @@
     constexpr std::string_view jobPath = "/-/lots/";
     constexpr std::string_view itemPath = "/-/items/";
     constexpr std::string_view waitField = "X-Wait-Ms";
+    // Longest wait of a read for results.
+    constexpr std::uint64_t maxWaitMs = 1000;
     // Timeout of calls for batch jobs that state no deadline.
     constexpr Duration defaultTimeout = std::chrono::milliseconds(2500);
     // The response must arrive before the deadline of the client.
@@ -90,7 +94,7 @@
 void CallerApi::readResults(const http1::ExchangePointer& exchange, const batch::JobId& job)
 {
     const std::uint64_t after = internal::leadingCount(http1::queryParameter(exchange->request().target, "after").value_or("0")).value_or(0);
-    const std::uint64_t wait = internal::leadingCount(exchange->request().fields.find(waitField)).value_or(0);
+    const std::uint64_t wait = std::min(internal::leadingCount(exchange->request().fields.find(waitField)).value_or(0), maxWaitMs);
     const TimePoint deadline = m_clock.now() + std::chrono::milliseconds(wait) + std::chrono::milliseconds(1000);
     m_leader.send(registry::ReadResultsRequest { job, after, wait }, deadline, [this, exchange, job, after](const registry::LeaderResult<registry::ReadResultsReply>& reply) {
         if (!reply) {
--- a/src/azurepaddle/platform/configuration.cpp
+++ b/src/azurepaddle/platform/configuration.cpp
@@ -2,6 +2,7 @@
 
 #include "azurepaddle/platform/json.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace azurepaddle::platform {
@@ -31,8 +32,11 @@
         return std::nullopt;
     }
 
+    /// Times beyond a year are read as a year, so that they can be added to points in time.
     Duration fromMs(double ms)
     {
+        constexpr double maxMs = 365.0 * 24 * 3600 * 1000;
+        ms = std::clamp(ms, -maxMs, maxMs);
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
     }
 
--- a/src/azurepaddle/platform/endpoint_protocol.cpp
+++ b/src/azurepaddle/platform/endpoint_protocol.cpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/platform/json.hpp"
 #include "azurepaddle/platform/leading_count.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -41,8 +42,10 @@
 
 std::optional<Duration> EndpointProtocol::clientTimeout(const http1::Request& request)
 {
+    // No client waits longer, and a greater number could not be added to a point in time.
+    constexpr std::uint64_t maxMs = 24ULL * 3600 * 1000;
     const auto ms = parseCount(request.fields.find(deadlineField));
-    return ms ? std::optional<Duration>(std::chrono::milliseconds(*ms)) : std::nullopt;
+    return ms ? std::optional<Duration>(std::chrono::milliseconds(std::min(*ms, maxMs))) : std::nullopt;
 }
 
 http1::Request EndpointProtocol::forEndpoint(const http1::Request& request, const EndpointId& endpoint, Duration left)
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -63,6 +63,19 @@
     cr_assert(table && gateway::validate(*table));
 }
 
+// Guards against times whose number is so large that they end before they begin.
+Test(Configuration, timeOutOfRange_decoded_isALongTime)
+{
+    json endless = configuration();
+    endless["routes"][0]["timeout-ms"] = 1e300;
+    const auto table = decodeConfiguration(endless.dump());
+    cr_assert(table && table->routes().front().timeout > std::chrono::hours(24 * 300));
+    for (const char* text : { "18446744073709551615", "9223372036854775807", "99999999999999" }) {
+        const auto timeout = EndpointProtocol::clientTimeout({ "POST", "/", { { "X-Deadline-Ms", text } }, {} });
+        cr_assert(timeout && *timeout > std::chrono::hours(1), "%s", text);
+    }
+}
+
 // Guards against a start time that is read from the software version of the endpoint.
 Test(Registration, heartbeat_decoded_namesItsEndpoint)
 {
