Record limits of endpoints in one place

Forwarder and JobRunner each compared the state of a limit before and after an answer to log its change, and the least rate stood in two files. SendLimiter logs changes itself, and the constant stands beside the request for a permit.

--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -162,12 +162,8 @@
 {
     const registry::EndpointRecord* record = m_machine.directory().find(run.endpoint);
     const auto limit = Protocol::limitOf(head);
-    if (!record || (!limit && run.answerClass != gateway::AnswerClass::Answer))
-        return;
-    const bool wasLimited = m_limiter.isLimited(*record);
-    m_limiter.recordAnswer({ run.endpoint, record->startedMs }, limit, run.startedAt, m_clock.now());
-    if (m_limiter.isLimited(*record) != wasLimited)
-        m_log.info("endpoint id={} started={} outcome={} requests-per-second={}", run.endpoint, record->startedMs, wasLimited ? "unlimited" : "limited", limit.value_or(0));
+    if (record && (limit || run.answerClass == gateway::AnswerClass::Answer))
+        m_limiter.recordAnswer({ run.endpoint, record->startedMs }, limit, run.startedAt, m_clock.now());
 }
 
 /// Returns false if the response belongs to another request.
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -287,11 +287,8 @@
 void Forwarder<Protocol>::recordLimit(const Attempt& attempt, AnswerClass answerClass, const http1::Response& head)
 {
     const auto limit = Protocol::limitOf(head);
-    const bool wasLimited = m_limiter.isLimited(attempt.endpoint);
     if (limit || answerClass == AnswerClass::Answer)
         m_limiter.recordAnswer({ attempt.endpoint.id, attempt.endpoint.startedMs }, limit, attempt.startedAt, m_clock.now());
-    if (m_limiter.isLimited(attempt.endpoint) != wasLimited)
-        m_log.info("endpoint={} started={} outcome={} requests-per-second={}", attempt.endpoint.id, attempt.endpoint.startedMs, wasLimited ? "unlimited" : "limited", limit.value_or(0));
 }
 
 template <typename Protocol>
--- a/src/azurepaddle/gateway/send_limiter.cpp
+++ b/src/azurepaddle/gateway/send_limiter.cpp
@@ -8,7 +8,6 @@
 
     // Assumed until the leader has said how many instances send to limited endpoints.
     constexpr std::uint32_t defaultInstances = 64;
-    constexpr double minRequestsPerSecond = 0.1;
     // The leader answers within a few milliseconds; an election takes about a second.
     constexpr Duration permitTimeout = std::chrono::milliseconds(250);
     // After a request for a permit without a reply, requests use this instance's own turns without waiting again.
@@ -42,18 +41,21 @@
 {
     Limit* limit = find(endpoint);
     if (!requestsPerSecond) {
-        if (limit && sentAt >= limit->namedAt)
+        if (limit && sentAt >= limit->namedAt) {
+            m_log.info("endpoint={} started={} outcome=unlimited", endpoint.id, endpoint.startedMs);
             m_limits.erase(endpoint.id);
+        }
         return;
     }
     if (!limit) {
+        m_log.info("endpoint={} started={} outcome=limited requests-per-second={}", endpoint.id, endpoint.startedMs, *requestsPerSecond);
         if (m_limits.size() >= maxLimits)
             m_limits.erase(std::min_element(m_limits.begin(), m_limits.end(), [](const auto& a, const auto& b) { return a.second.namedAt < b.second.namedAt; }));
         limit = &(m_limits[endpoint.id] = Limit {});
         limit->startedMs = endpoint.startedMs;
         limit->namedAt = now;
     }
-    limit->requestsPerSecond = std::max(*requestsPerSecond, minRequestsPerSecond);
+    limit->requestsPerSecond = std::max(*requestsPerSecond, registry::minPermitsPerSecond);
 }
 
 bool SendLimiter::isLimited(const registry::EndpointRecord& endpoint) const
--- a/src/azurepaddle/gateway/send_limiter.hpp
+++ b/src/azurepaddle/gateway/send_limiter.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/core/clock.hpp"
+#include "azurepaddle/core/log.hpp"
 #include "azurepaddle/core/random.hpp"
 #include "azurepaddle/registry/requests.hpp"
 
@@ -48,6 +49,7 @@
     [[nodiscard]] bool takeOwnTurn(Limit& limit, TimePoint now);
     [[nodiscard]] Limit* find(const registry::EndpointIncarnation& endpoint);
 
+    const Log m_log { "limits" };
     std::string m_instance;
     PermitRequester m_requester;
     Random& m_random;
--- a/src/azurepaddle/registry/permit_table.cpp
+++ b/src/azurepaddle/registry/permit_table.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    // An endpoint that names less still gets a request now and then, which shows when its limit ends.
-    constexpr double minRequestsPerSecond = 0.1;
     // Permits are kept for this long, so that requests that come unevenly can use them.
     constexpr double keptSeconds = 0.5;
     // An instance without a request for a permit for this long does not count as a sender.
@@ -21,7 +19,7 @@
 {
     removeUnused(now);
     m_instances[request.instance] = now;
-    const double rate = std::max(request.requestsPerSecond, minRequestsPerSecond);
+    const double rate = std::max(request.requestsPerSecond, minPermitsPerSecond);
     Bucket& bucket = refill(request, rate, now);
     PermitReply reply;
     reply.instances = static_cast<std::uint32_t>(m_instances.size());
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -90,6 +90,9 @@
     MSGPACK_DEFINE(isGranted, retryAfterMs, instances)
 };
 
+/// An endpoint that names a lower limit still gets a request now and then, which shows when its limit ends.
+constexpr double minPermitsPerSecond = 0.1;
+
 /// Requests a permit for one request to an endpoint that limits the requests per second of all instances together.
 struct PermitRequest {
     static constexpr std::string_view method = "permit";
