Reword comments, messages and names of azurepaddle-node in plain technical English

Functions that take a part of a poll's reply are named update..., what an entry reports to the leader is a draining endpoint, and time limits are named for what they bound.

--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -12,25 +12,25 @@
 
 namespace {
 
-    // A store node holds a poll without news for a while.
+    // Longer than a store node holds a poll without changes.
     constexpr Duration pollTimeout = std::chrono::milliseconds(1500);
-    // Changes that follow each other come with one reply.
+    // Changes that follow each other within this time are sent in one reply.
     constexpr Duration pollPause = std::chrono::milliseconds(60);
     constexpr Duration pollRetryDelay = std::chrono::milliseconds(100);
-    constexpr Duration leavingPatience = std::chrono::milliseconds(2000);
-    // With a state that may be older than this a node asks not to be chosen: others may still reach a store node.
+    constexpr Duration drainingReportTimeout = std::chrono::milliseconds(2000);
+    // A node whose state may be older than this reports that it is not ready: others may still reach a store node.
     constexpr Duration maxReadyAge = std::chrono::seconds(4);
-    // An entry that finds no store node says so this often.
-    constexpr Duration missingNoteInterval = std::chrono::seconds(2);
-    // Without any answer for this long the seeds are asked again: all members that were known may be gone.
-    constexpr Duration seedFallbackTime = std::chrono::seconds(2);
+    // Interval of the log lines of an entry while no store node answers.
+    constexpr Duration missingStoreLogInterval = std::chrono::seconds(2);
+    // After this time without an answer the seeds are polled again, because all known members may have been replaced.
+    constexpr Duration seedFallbackDelay = std::chrono::seconds(2);
     constexpr Duration drainPoll = std::chrono::milliseconds(50);
-    // The load balancer notices within this time that the node is not ready.
+    // A load balancer detects within this time that the node is not ready.
     constexpr Duration minimumDrain = std::chrono::milliseconds(2500);
-    // Left for closing before the process is killed.
+    // Time for closing connections before the process is killed.
     constexpr Duration killMargin = std::chrono::milliseconds(1200);
 
-    http1::ServerLimits smallServer()
+    http1::ServerLimits readinessServerLimits()
     {
         http1::ServerLimits limits;
         limits.maxConnections = 64;
@@ -58,16 +58,16 @@
     , m_callers(m_forwarder, m_leader, m_stateAge)
     , m_callerServer(io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); })
     , m_readyServer(
-          io, [this](const http1::ExchangePointer& exchange) { answerReady(exchange); }, smallServer())
+          io, [this](const http1::ExchangePointer& exchange) { answerReady(exchange); }, readinessServerLimits())
     , m_metricsServer(
-          io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); }, smallServer())
+          io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); }, readinessServerLimits())
     , m_pollTimer(io)
     , m_drainTimer(io)
 {
     m_leader.setMembers(m_seeds);
     m_stores.setMembers(m_seeds);
     m_guard.setOnReport([this](const registry::SuspectsRequest& report) { m_reporter.add(report); });
-    m_forwarder.setOnLeaving([this](const registry::EndpointIncarnation& leave) { tellLeaving(leave); });
+    m_forwarder.setOnLeaving([this](const registry::EndpointIncarnation& leave) { reportDraining(leave); });
 }
 
 bool EntryNode::start()
@@ -97,13 +97,13 @@
     const auto store = m_stores.choose(now);
     if (!store)
         return pollAfter(pollRetryDelay);
-    m_peerClient.send(*store, std::string(registry::PollRequest::method), codec::encode(m_known), now + pollTimeout, [this, store = *store, sentAt = now](transport::CallResult result) {
+    m_peerClient.send(*store, std::string(registry::PollRequest::method), codec::encode(m_received), now + pollTimeout, [this, store = *store, sentAt = now](transport::CallResult result) {
         asio::post(m_io, [this, store, sentAt, result = std::move(result)] {
             const auto answer = result ? registry::decodeReplyOrRedirect<registry::PollReply>(*result) : registry::ReplyOrRedirect<registry::PollReply>();
             if (answer.redirect)
                 m_stores.add(*answer.redirect);
             if (!answer.reply)
-                return onNoStore(store, answer.redirect);
+                return onPollFailed(store, answer.redirect);
             onPoll(store, sentAt, *answer.reply);
         });
     });
@@ -117,15 +117,15 @@
     m_metrics.gauge("entry_has_store").set(1);
     if (!std::exchange(m_isInContact, true))
         m_log.info("dependency=store state=found address={} data-centre={} failed-polls=\"{}\"", formatAddress(store), reply.dataCentre, m_failedPolls.takeSummary());
-    takeMembers(reply);
-    takeConfiguration(reply);
-    takeEndpoints(reply);
-    takeSuspects(reply);
+    updateMembers(reply);
+    updateConfiguration(reply);
+    updateEndpoints(reply);
+    updateSuspects(reply);
     pollAfter(pollPause);
 }
 
-/// Goes on to the next store node. The one that was asked may have named another.
-void EntryNode::onNoStore(const InstanceAddress& asked, const std::optional<InstanceAddress>& named)
+/// Continues with the next store node. The one that was polled may have named another.
+void EntryNode::onPollFailed(const InstanceAddress& asked, const std::optional<InstanceAddress>& named)
 {
     const TimePoint now = m_clock.now();
     m_stores.recordFailure(asked, now);
@@ -133,18 +133,18 @@
     m_metrics.gauge("entry_has_store").set(0);
     m_metrics.counter("entry_failed_polls_total").add();
     const bool wasInContact = std::exchange(m_isInContact, false);
-    if (wasInContact || now >= m_nextMissingNote) {
-        m_nextMissingNote = now + missingNoteInterval;
-        m_log.warning("dependency=store state={} asked={} named={} configuration={} failed-polls=\"{}\"", wasInContact ? "lost" : "missing", formatAddress(asked), named ? formatAddress(*named) : std::string(), m_known.configurationVersion, m_failedPolls.takeSummary());
+    if (wasInContact || now >= m_nextMissingStoreLog) {
+        m_nextMissingStoreLog = now + missingStoreLogInterval;
+        m_log.warning("dependency=store state={} asked={} named={} configuration={} failed-polls=\"{}\"", wasInContact ? "lost" : "missing", formatAddress(asked), named ? formatAddress(*named) : std::string(), m_received.configurationVersion, m_failedPolls.takeSummary());
     }
-    if (now - m_lastContact > seedFallbackTime) {
+    if (now - m_lastContact > seedFallbackDelay) {
         for (const InstanceAddress& seed : m_seeds)
             m_stores.add(seed);
     }
     pollAfter(pollRetryDelay);
 }
 
-void EntryNode::takeMembers(const registry::PollReply& reply)
+void EntryNode::updateMembers(const registry::PollReply& reply)
 {
     std::vector<InstanceAddress> members;
     for (const std::string& member : reply.members) {
@@ -157,9 +157,9 @@
         m_leader.setLeader(parseAddress(reply.leader));
 }
 
-void EntryNode::takeEndpoints(const registry::PollReply& reply)
+void EntryNode::updateEndpoints(const registry::PollReply& reply)
 {
-    m_known.directoryRevision = reply.directoryRevision;
+    m_received.directoryRevision = reply.directoryRevision;
     if (reply.isFullUpdate)
         m_balancer.setEndpoints(reply.endpoints);
     else
@@ -168,12 +168,12 @@
         m_log.debug("endpoints changed={} removed={} are-all={} revision={}", reply.endpoints.size(), reply.removed.size(), reply.isFullUpdate, reply.directoryRevision);
 }
 
-void EntryNode::takeSuspects(const registry::PollReply& reply)
+void EntryNode::updateSuspects(const registry::PollReply& reply)
 {
     m_guard.expireLocalSuspects();
     if (!reply.areSuspectsChanged)
         return;
-    m_known.suspectsRevision = reply.suspectsRevision;
+    m_received.suspectsRevision = reply.suspectsRevision;
     m_guard.setAgreedSuspects(reply.suspects, m_clock.now());
     const auto refused = std::count_if(reply.suspects.begin(), reply.suspects.end(), [](const registry::SuspectEntry& suspect) { return suspect.refusedForMs > 0; });
     m_metrics.gauge("gateway_refused_requests").set(static_cast<double>(refused));
@@ -188,30 +188,30 @@
     });
 }
 
-/// Tells the leader that an endpoint said that it leaves, so that other nodes stop as well.
-void EntryNode::tellLeaving(const registry::EndpointIncarnation& leave)
+/// Reports to the leader an endpoint whose answer announced that it leaves, so that other nodes stop sending to it.
+void EntryNode::reportDraining(const registry::EndpointIncarnation& leave)
 {
-    m_leader.send(registry::DrainingReportRequest { { leave } }, m_clock.now() + leavingPatience, [this, leave](const registry::LeaderResult<registry::Acknowledgement>& reply) {
+    m_leader.send(registry::DrainingReportRequest { { leave } }, m_clock.now() + drainingReportTimeout, [this, leave](const registry::LeaderResult<registry::Acknowledgement>& reply) {
         if (!reply)
-            m_log.warning("endpoint id={} started={} leaves, the leader was not told", leave.id, leave.startedMs);
+            m_log.warning("endpoint id={} started={} is draining, and the report to the leader failed", leave.id, leave.startedMs);
     });
 }
 
-void EntryNode::takeConfiguration(const registry::PollReply& reply)
+void EntryNode::updateConfiguration(const registry::PollReply& reply)
 {
-    if (reply.configuration.empty() || reply.configurationVersion <= m_known.configurationVersion)
+    if (reply.configuration.empty() || reply.configurationVersion <= m_received.configurationVersion)
         return;
     auto table = platform::decodeConfiguration(reply.configuration);
     if (!table) {
         m_log.error("configuration version={} cannot be read: {}", reply.configurationVersion, table.error());
         return;
     }
-    m_log.info("configuration version={} before={} routes={}", reply.configurationVersion, m_known.configurationVersion, table->routes().size());
+    m_log.info("configuration version={} before={} routes={}", reply.configurationVersion, m_received.configurationVersion, table->routes().size());
     http1::ServerLimits limits = table->limits();
     limits.maxConnections = m_settings.bounds.maxConnections;
     m_callerServer.setLimits(limits);
     m_callers.setRoutes(std::make_shared<const gateway::RouteTable>(std::move(*table)));
-    m_known.configurationVersion = reply.configurationVersion;
+    m_received.configurationVersion = reply.configurationVersion;
     m_hasConfiguration = true;
 }
 
@@ -236,7 +236,7 @@
     watchDrain();
 }
 
-/// Ends once nobody can be cut off, or shortly before the process is killed.
+/// Completes the drain once no request can be cut off, or shortly before the process is killed.
 void EntryNode::watchDrain()
 {
     const Duration waited = m_clock.now() - m_drainSince;
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -11,31 +11,31 @@
 
 namespace azurepaddle::node {
 
-/// A node that serves callers. It keeps nothing: configuration and endpoints come from a store node, in its own data
-/// centre if there is one, and what it has stays in use while none answers.
+/// A node that serves callers. It stores nothing on disk: configuration and endpoints are polled from a store node, in
+/// its own data centre if there is one, and stay in use while no store node answers.
 class EntryNode {
 public:
     EntryNode(asio::io_context& io, config::NodeSettings settings);
 
-    /// False with a logged reason if an address is in use.
+    /// Logs the reason and returns false if an address is in use.
     [[nodiscard]] bool start();
-    /// Refuses to be chosen for new connections, finishes what is in progress and calls back.
+    /// Reports that the node is not ready, completes the requests in progress and calls back.
     void drain(std::function<void()> onDrained);
-    /// Takes over the seeds of changed settings; everything else holds for the lifetime of the process.
+    /// Applies the seeds of changed settings. All other settings apply from the next start.
     void reload(const config::NodeSettings& settings);
     void stop();
 
 private:
     void poll();
     void onPoll(const InstanceAddress& store, TimePoint sentAt, const registry::PollReply& reply);
-    void onNoStore(const InstanceAddress& asked, const std::optional<InstanceAddress>& named);
+    void onPollFailed(const InstanceAddress& asked, const std::optional<InstanceAddress>& named);
     void pollAfter(Duration delay);
-    void takeConfiguration(const registry::PollReply& reply);
-    void takeEndpoints(const registry::PollReply& reply);
-    void takeMembers(const registry::PollReply& reply);
-    void takeSuspects(const registry::PollReply& reply);
+    void updateConfiguration(const registry::PollReply& reply);
+    void updateEndpoints(const registry::PollReply& reply);
+    void updateMembers(const registry::PollReply& reply);
+    void updateSuspects(const registry::PollReply& reply);
     void requestPermit(const registry::PermitRequest& request, TimePoint deadline, const gateway::PermitCallback& onReply);
-    void tellLeaving(const registry::EndpointIncarnation& leave);
+    void reportDraining(const registry::EndpointIncarnation& leave);
     void answerReady(const http1::ExchangePointer& exchange) const;
     [[nodiscard]] bool isReady() const;
     void watchDrain();
@@ -45,7 +45,7 @@
     const Log m_log { "entry" };
     const SystemClock m_clock {};
     metrics::Registry m_metrics;
-    std::vector<InstanceAddress> m_seeds; ///< Of the newest settings.
+    std::vector<InstanceAddress> m_seeds; ///< From the newest settings.
     Random m_random;
     transport::PeerClient m_peerClient;
     registry::LeaderClient m_leader;
@@ -63,10 +63,10 @@
     http1::Server m_metricsServer;
     asio::steady_timer m_pollTimer;
     asio::steady_timer m_drainTimer;
-    registry::PollRequest m_known;
+    registry::PollRequest m_received; ///< Version and revisions received so far, for the next poll.
     registry::FailedPolls m_failedPolls; ///< Since the last log line about them.
     TimePoint m_lastContact {};
-    TimePoint m_nextMissingNote {}; ///< When to log again that no store node answers.
+    TimePoint m_nextMissingStoreLog {}; ///< Time of the next log line while no store node answers.
     bool m_hasConfiguration = false;
     bool m_isInContact = false;
     bool m_isDraining = false;
--- a/src/programs/azurepaddle-node/http_options.hpp
+++ b/src/programs/azurepaddle-node/http_options.hpp
@@ -7,13 +7,13 @@
 
 namespace azurepaddle::node {
 
-/// Largest responses that a node takes from endpoints.
+/// Maximum sizes of the responses of endpoints.
 [[nodiscard]] inline http1::MessageLimits endpointMessageLimits()
 {
     return { 32U * 1024U, 64U * 1024U * 1024U };
 }
 
-/// Finds out whether endpoints still run.
+/// A probe that detects whether an endpoint still accepts connections.
 [[nodiscard]] inline gateway::CrashWatch::Probe endpointProbe(asio::io_context& io)
 {
     constexpr Duration timeout = std::chrono::milliseconds(300);
@@ -22,15 +22,15 @@
     };
 }
 
-/// Memory for answers of endpoints that are being received, in bytes. An answer is copied while it is handed on.
+/// Memory for answers of endpoints that are being received, in bytes. An answer is copied while it is forwarded.
 [[nodiscard]] inline std::size_t maxAnswerBytes(const config::NodeSettings& settings)
 {
     constexpr std::uint64_t memoryShare = 8;
     return settings.bounds.memory / memoryShare;
 }
 
-/// Listens on an address of the settings; an empty one means that nothing listens. False with a logged reason if the
-/// address is in use.
+/// Listens on an address of the settings; does nothing if it is empty. Logs the reason and returns false if the address
+/// is in use.
 [[nodiscard]] inline bool listenOn(http1::Server& server, const std::string& setting, const Log& log)
 {
     const auto address = parseAddress(setting);
--- a/src/programs/azurepaddle-node/main.cpp
+++ b/src/programs/azurepaddle-node/main.cpp
@@ -15,15 +15,15 @@
 using program::exitCannotStart;
 using program::exitOk;
 
-/// Makes the C library hand freed memory back at once: messages and log files of many KiB come and go, and a process that
-/// exceeds the memory of its machine is killed.
-void keepMemorySmall()
+/// Configures the C library to return freed memory to the system at once. Messages and log segments take many KiB for a
+/// short time, and a process that exceeds the memory of its machine is killed.
+void configureAllocator()
 {
-    constexpr int mappedFrom = 64 * 1024;
-    constexpr int trimAbove = 256 * 1024;
+    constexpr int mmapThresholdBytes = 64 * 1024;
+    constexpr int trimThresholdBytes = 256 * 1024;
     constexpr int arenas = 1;
-    mallopt(M_MMAP_THRESHOLD, mappedFrom);
-    mallopt(M_TRIM_THRESHOLD, trimAbove);
+    mallopt(M_MMAP_THRESHOLD, mmapThresholdBytes);
+    mallopt(M_TRIM_THRESHOLD, trimThresholdBytes);
     mallopt(M_ARENA_MAX, arenas);
 }
 
@@ -56,7 +56,7 @@
     io.run();
     Log("main").info("stopped");
     stopLogging();
-    // The state is on disk and connections end with the process; unwinding would only delay its end.
+    // The state is on disk, and connections are closed with the process. Destructors would only delay its end.
     std::_Exit(exitOk);
 }
 
@@ -68,7 +68,7 @@
     if (!loaded)
         return loaded.error();
     const config::NodeSettings& settings = loaded->settings;
-    keepMemorySmall();
+    configureAllocator();
     std::signal(SIGPIPE, SIG_IGN);
     startStructuredLogging(settings.logLevel());
     try {
--- a/src/programs/azurepaddle-node/metrics_page.hpp
+++ b/src/programs/azurepaddle-node/metrics_page.hpp
@@ -5,7 +5,7 @@
 
 namespace azurepaddle::node {
 
-/// Answers GET /metrics with all counters and histograms of the process.
+/// Responds to GET /metrics with all counters and histograms of the process.
 inline void serveMetrics(const http1::ExchangePointer& exchange, const metrics::Registry& registry)
 {
     if (http1::pathOf(exchange->request().target) != "/metrics")
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -16,12 +16,12 @@
 
     constexpr Duration tickInterval = std::chrono::milliseconds(25);
     constexpr Duration drainPoll = std::chrono::milliseconds(20);
-    // The next leader is elected and known to others within this time.
+    // Time within which the next leader is elected and the other nodes know its address.
     constexpr Duration handOverTime = std::chrono::milliseconds(800);
 
-    constexpr Duration memoryNoteInterval = std::chrono::seconds(1);
+    constexpr Duration memoryLogInterval = std::chrono::seconds(1);
 
-    /// Memory that the process occupies, in bytes; 0 if the system does not say.
+    /// Resident memory of the process, in bytes; 0 if it cannot be read.
     std::size_t residentBytes()
     {
         std::ifstream file("/proc/self/statm");
@@ -31,7 +31,7 @@
         return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
     }
 
-    // A snapshot is held several times while it is encoded and written.
+    // Several copies of a snapshot are in memory while it is encoded and written.
     constexpr std::uint64_t snapshotMemoryShare = 6;
 
     cluster::GroupOptions groupOptions(const config::NodeSettings& settings)
@@ -113,7 +113,7 @@
 
 void StoreNode::tick()
 {
-    // What a node without the log was told of the leader may be older than what the leader client has found.
+    // On a node that is not a participant, the reported leader may be older than the one that the leader client found.
     if (const auto leader = m_group.leaderAddress(); leader && m_group.isParticipant())
         m_leader.setLeader(leader);
     std::vector<InstanceAddress> members;
@@ -121,7 +121,7 @@
         members.push_back(member.address);
     m_leader.setMembers(std::move(members));
     updateRoutes();
-    noteMemory();
+    logMemory();
     m_local.tick();
     m_service.tick();
     m_runner.tick();
@@ -133,12 +133,12 @@
     });
 }
 
-void StoreNode::noteMemory()
+void StoreNode::logMemory()
 {
     const TimePoint now = m_clock.now();
-    if (now < m_nextMemoryNote)
+    if (now < m_nextMemoryLog)
         return;
-    m_nextMemoryNote = now + memoryNoteInterval;
+    m_nextMemoryLog = now + memoryLogInterval;
     malloc_trim(0);
     const auto status = m_group.status();
     const std::size_t resident = residentBytes();
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -7,14 +7,15 @@
 
 namespace azurepaddle::node {
 
-/// A node that takes part in the log. The one that leads runs batch jobs, orders weight loads and answers all others.
+/// A node that stores the replicated log or stands by to do so. The leader runs batch jobs, orders weight loads, and
+/// answers the requests of the other nodes.
 class StoreNode {
 public:
     StoreNode(asio::io_context& io, config::NodeSettings settings);
 
-    /// False with a logged reason if an address is in use.
+    /// Logs the reason and returns false if an address is in use.
     [[nodiscard]] bool start();
-    /// Hands the leadership over and calls back.
+    /// Transfers the leadership and calls back.
     void drain(std::function<void()> onDrained);
     void reload(const config::NodeSettings& settings);
     void stop();
@@ -27,7 +28,7 @@
     void onChange();
     void onLeadership(bool isLeading);
     void updateRoutes();
-    void noteMemory();
+    void logMemory();
     void watchDrain(TimePoint since);
 
     const config::NodeSettings m_settings;
@@ -56,7 +57,7 @@
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_drainTimer;
     std::uint64_t m_routesVersion = 0;
-    TimePoint m_nextMemoryNote {};
+    TimePoint m_nextMemoryLog {};
     std::function<void()> m_onDrained;
 };
 
--- a/src/programs/azurepaddle-node/transport_options.hpp
+++ b/src/programs/azurepaddle-node/transport_options.hpp
@@ -7,7 +7,7 @@
 namespace azurepaddle::node {
 
 /// Options of connections between nodes. A silent connection is replaced within a second, so that the loss of a node or
-/// link is noticed before the bounds of the deployment pass.
+/// link is detected before the bounds of the deployment are exceeded.
 [[nodiscard]] inline transport::ClientOptions peerClientOptions(const config::NodeSettings& settings)
 {
     transport::ClientOptions options;
