--- a/src/azurepaddle/codec/codec.hpp
+++ b/src/azurepaddle/codec/codec.hpp
@@ -13,7 +13,7 @@
 enum class CodecErrorCode : unsigned char {
     TooLarge, ///< The message exceeds a limit.
     Truncated, ///< The message ends early.
-    Malformed, ///< The bytes are not of the expected type, are followed by others, or the checksum differs.
+    Malformed, ///< The bytes are not of the expected type, are followed by further bytes, or do not match the checksum.
 };
 
 using CodecError = LayerError<CodecErrorCode>;
@@ -57,10 +57,10 @@
 /// Size in bytes of the length and checksum that precede a framed payload.
 constexpr std::size_t frameHeaderSize = 16;
 
-/// Length and checksum of a payload, for writing a large payload behind them without copying it.
+/// The length and checksum of a payload, so that a large payload can be written after them without copying it.
 [[nodiscard]] std::string frameHeader(std::string_view payload);
 
-/// Puts length and checksum before the payload, for files whose tail may be torn.
+/// Prepends length and checksum to a payload, for files whose last write may be incomplete.
 [[nodiscard]] std::string frame(std::string_view payload);
 
 /// One payload and the number of bytes that its frame takes.
@@ -69,7 +69,7 @@
     std::size_t size = 0;
 };
 
-/// Reads the frame at the start of the bytes. Truncated if more bytes are needed, malformed if the checksum differs.
+/// Decodes the frame at the start of the bytes. Truncated if more bytes are needed, malformed if the checksum differs.
 [[nodiscard]] tl::expected<Framed, CodecError> unframe(std::string_view bytes, std::size_t maxPayload = Limits {}.bytes);
 
 }
--- a/src/azurepaddle/core/clock.hpp
+++ b/src/azurepaddle/core/clock.hpp
@@ -36,14 +36,14 @@
     noexcept->std::same_as<WallTime>;
 };
 
-/// The clocks of the machine. Monotonic time counts suspension (CLOCK_BOOTTIME), so that leases end while asleep.
+/// The clocks of the machine. Monotonic time counts suspension (CLOCK_BOOTTIME), so that leases expire during it.
 class SystemClock {
 public:
     [[nodiscard]] TimePoint now() const noexcept;
     [[nodiscard]] WallTime wallNow() const noexcept;
 };
 
-/// A clock that moves only when told to, for tests and simulations. Not thread-safe.
+/// A clock that advances only on request, for tests and simulations. Not thread-safe.
 class ManualClock {
 public:
     [[nodiscard]] TimePoint now() const noexcept { return m_now; }
--- a/src/azurepaddle/core/error.hpp
+++ b/src/azurepaddle/core/error.hpp
@@ -7,7 +7,7 @@
 
 namespace azurepaddle {
 
-/// What is known about a request that got no regular answer.
+/// Whether a request without a regular answer has run.
 enum class Outcome : unsigned char {
     NotRun, ///< No byte of it reached an endpoint, or the endpoint attests that it did not run.
     Unknown, ///< It may have run.
@@ -28,7 +28,7 @@
     return "unknown";
 }
 
-/// The error of one layer: an enumeration of that layer and a message for people. A layer translates the errors of
+/// The error of one layer: an enumeration of that layer and a readable message. A layer translates the errors of
 /// the layers below into its own.
 template <typename Code>
 class LayerError {
--- a/src/azurepaddle/core/ident.hpp
+++ b/src/azurepaddle/core/ident.hpp
@@ -22,7 +22,7 @@
     [[nodiscard]] const std::string& value() const noexcept { return m_value; }
     [[nodiscard]] bool empty() const noexcept { return m_value.empty(); }
 
-    // clang-tidy 14 takes the 0 that a rewritten comparison compares with for a null pointer.
+    // clang-tidy 14 mistakes the 0 in a rewritten comparison for a null pointer.
     friend auto operator<=>(const Identifier&, const Identifier&) = default; // NOLINT(modernize-use-nullptr)
     friend bool operator==(const Identifier&, const Identifier&) = default;
 
@@ -34,7 +34,7 @@
 using TenantName = Identifier<struct TenantTag>;
 /// One replica of a model engine or of a plain service.
 using EndpointId = Identifier<struct EndpointTag>;
-/// One process of ours. An instance that lost its disk gets a new identifier.
+/// One azurepaddle process. An instance that lost its disk gets a new identifier.
 using InstanceId = Identifier<struct InstanceTag>;
 /// The data centre that an instance or endpoint is in.
 using DataCentreName = Identifier<struct DataCentreTag>;
@@ -47,7 +47,7 @@
 /// The samples generated for one prompt of a run.
 using GroupId = Identifier<struct GroupTag>;
 
-/// Version of a model's weights, counted up by its trainer.
+/// Version of a model's weights, incremented by its trainer.
 using WeightVersion = std::uint64_t;
 
 }
--- a/src/azurepaddle/core/invariant.hpp
+++ b/src/azurepaddle/core/invariant.hpp
@@ -9,7 +9,7 @@
 
 }
 
-/// Stops the process with one clear line when a guarantee of the service is broken. Stays on in release builds.
+/// Stops the process with one line on standard error when a guarantee of the service is broken, also in release builds.
 /// The message is evaluated only on failure.
 #define AZUREPADDLE_INVARIANT(condition, message)                                            \
     do {                                                                                     \
--- a/src/azurepaddle/core/log.hpp
+++ b/src/azurepaddle/core/log.hpp
@@ -15,18 +15,18 @@
     Error,
 };
 
-/// Sets up logging to standard error for the process, one line a record: time, level, component, message.
+/// Sets up logging to standard error for the process, one line per record: time, level, component, message.
 /// Call it once from the main function.
 void startLogging(LogLevel level);
 
-/// Sets up logging of decisions to standard output. Lines wait in a bounded queue for a thread of their own; when it is
+/// Sets up logging of decisions to standard output. A separate thread writes the lines from a bounded queue; when that is
 /// full, lines are dropped and counted instead of delaying the caller. Call it once from the main function.
 void startStructuredLogging(LogLevel level);
 
-/// Writes what still waits. No line may be logged after it.
+/// Writes the lines that are still queued. No line may be logged afterwards.
 void stopLogging();
 
-/// Writes log lines of one component. Copies share the component. Never pass secrets.
+/// Writes log lines of one component. Copies share the component. Secrets must not be logged.
 class Log {
 public:
     explicit Log(std::string_view component);
--- a/src/azurepaddle/core/run_after.hpp
+++ b/src/azurepaddle/core/run_after.hpp
@@ -7,7 +7,7 @@
 
 namespace azurepaddle {
 
-/// Runs an action on the loop once, after a delay. It cannot be cancelled: the action checks whether it is still wanted.
+/// Runs an action on the loop once, after a delay. It cannot be cancelled: the action must check whether it still applies.
 template <typename Action>
 void runAfter(asio::io_context& io, Duration delay, Action action)
 {
--- a/src/azurepaddle/metrics/histogram.cpp
+++ b/src/azurepaddle/metrics/histogram.cpp
@@ -13,7 +13,7 @@
 
     constexpr double lowestSeconds = 1e-5;
     constexpr double highestSeconds = 1e4;
-    constexpr std::size_t binsPerDecade = 24; // A bin is 10 % wide, well below the ratios that the targets compare.
+    constexpr std::size_t binsPerDecade = 24; // A bin is 10 % wide, which is less than the ratios between compared latencies.
     constexpr std::size_t decades = 9;
     constexpr std::size_t binCount = binsPerDecade * decades;
     constexpr std::size_t entryCount = binCount + 2;
--- a/src/azurepaddle/metrics/histogram.hpp
+++ b/src/azurepaddle/metrics/histogram.hpp
@@ -10,7 +10,7 @@
 
 namespace azurepaddle::metrics {
 
-/// One bar of a histogram drawn as text.
+/// One bar of a histogram that is drawn as text.
 struct Bar {
     double lowerSeconds = 0;
     double upperSeconds = 0;
@@ -19,7 +19,7 @@
     friend bool operator==(const Bar&, const Bar&) = default;
 };
 
-/// The contents of a latency histogram at one moment. Bins are equal on every instance, so snapshots add up.
+/// A snapshot of a latency histogram. All instances have the same bins, so that snapshots can be added.
 struct HistogramSnapshot {
     std::vector<std::uint64_t> counts; ///< Underflow, the bins in rising order, overflow.
     std::uint64_t count = 0;
--- a/src/azurepaddle/metrics/registry.hpp
+++ b/src/azurepaddle/metrics/registry.hpp
@@ -22,11 +22,11 @@
     TenantName tenant;
     std::optional<WorkClass> workClass;
 
-    friend auto operator<=>(const Labels&, const Labels&) = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 misreads it
+    friend auto operator<=>(const Labels&, const Labels&) = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 reports a false positive
     friend bool operator==(const Labels&, const Labels&) = default;
 };
 
-/// A count that only rises.
+/// A counter that only increases.
 class Counter {
 public:
     void add(std::uint64_t amount = 1) noexcept { m_value.fetch_add(amount, std::memory_order_relaxed); }
@@ -36,7 +36,7 @@
     std::atomic<std::uint64_t> m_value { 0 };
 };
 
-/// A value that rises and falls.
+/// A value that can increase and decrease.
 class Gauge {
 public:
     void set(double value) noexcept { m_value.store(value, std::memory_order_relaxed); }
@@ -46,7 +46,7 @@
     std::atomic<double> m_value { 0 };
 };
 
-/// All series at one moment, by metric name and labels.
+/// A snapshot of all series, by metric name and labels.
 struct Snapshot {
     std::map<std::string, std::map<Labels, std::uint64_t>> counters;
     std::map<std::string, std::map<Labels, double>> gauges;
--- a/test/azurepaddle/codec/codec.cpp
+++ b/test/azurepaddle/codec/codec.cpp
@@ -41,14 +41,14 @@
     cr_assert(decode<std::vector<int>>(bytes).error().code() == CodecErrorCode::TooLarge);
 }
 
-// Guards against smuggled bytes behind a valid message, and against a value of another type.
+// Guards against bytes that follow a valid message and are ignored, and against a value of another type.
 Test(Codec, trailingBytesOrOtherType_decoded_isMalformed)
 {
     cr_assert(decode<Message>(encode(sampleMessage()) + "x").error().code() == CodecErrorCode::Malformed);
     cr_assert(decode<Message>(encode(std::string("text"))).error().code() == CodecErrorCode::Malformed);
 }
 
-// Guards against a torn or changed record that is taken for a whole one.
+// Guards against accepting a record that was written partially or changed.
 Test(Frame, changedOrTornFrame_read_isRefused)
 {
     const std::string bytes = frame("payload");
--- a/test/azurepaddle/core/core.cpp
+++ b/test/azurepaddle/core/core.cpp
@@ -23,7 +23,7 @@
     cr_assert(!equalSecrets("secret", "secreT"));
 }
 
-// Guards against simulations whose verdict changes from run to run.
+// Guards against simulations with equal seeds whose results differ.
 Test(Random, equalSeeds_drawn_giveEqualSequences)
 {
     Random left(7);
--- a/test/azurepaddle/metrics/metrics.cpp
+++ b/test/azurepaddle/metrics/metrics.cpp
@@ -22,7 +22,7 @@
     cr_assert(LatencyHistogram().snapshot().quantile(0.99) == 0);
 }
 
-// Guards against values outside the bins that vanish from the counts.
+// Guards against values outside the bins that are not counted.
 Test(LatencyHistogram, valuesOutsideRange_recorded_areCounted)
 {
     LatencyHistogram histogram;
@@ -54,7 +54,7 @@
     cr_assert(merged.total("wait_seconds").count == 100);
 }
 
-// Guards against unbounded memory when callers invent tenant names.
+// Guards against memory use that grows with the number of tenant names that callers send.
 Test(Registry, moreTenantsThanBound_counted_shareOneSeries)
 {
     Registry registry(4);
@@ -93,7 +93,7 @@
     cr_assert(text.find("requests_total 3\n") != std::string::npos);
 }
 
-// Guards against bars that drop values at the edges.
+// Guards against bars that omit the lowest or highest values.
 Test(LatencyHistogram, values_drawnAsBars_keepTotal)
 {
     LatencyHistogram histogram;
