Record the software version that endpoints run

Change: EndpointRecord carries a SoftwareVersion, decoded from the heartbeat and replicated with the record; the leader logs it. A heartbeat without one, with an empty or an oversized one names no endpoint to use, like one that lacks any other of its fields. Records from before have an empty version.

--- a/src/azurepaddle/core/ident.hpp
+++ b/src/azurepaddle/core/ident.hpp
@@ -47,6 +47,9 @@
 /// The samples generated for one prompt of a run.
 using GroupId = Identifier<struct GroupTag>;
 
+/// Version of the software that an endpoint runs, as it names it. Not ordered: two versions are equal or different.
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
+
 /// Version of a model's weights, incremented by its trainer.
 using WeightVersion = std::uint64_t;
 
--- a/src/azurepaddle/platform/registration.cpp
+++ b/src/azurepaddle/platform/registration.cpp
@@ -26,6 +26,8 @@
     constexpr std::uint64_t maxCount = (1ULL << 53U) - 1;
     // More than any endpoint runs at once.
     constexpr std::uint64_t maxSlots = 65'536;
+    // Longer than any name of a release.
+    constexpr std::size_t maxSoftwareVersionBytes = 256;
 
     /// Returns a member that is a whole number up to a maximum; empty if it is missing or anything else.
     std::optional<std::uint64_t> countUpTo(std::uint64_t maximum, const Json& json, const char* name)
@@ -60,6 +62,15 @@
         return versions;
     }
 
+    /// Returns the version of the endpoint's software; empty if it is missing, empty or too long.
+    std::optional<SoftwareVersion> decodeSoftware(const Json& json)
+    {
+        auto name = textOf(json, "version");
+        if (!name || name->empty() || name->size() > maxSoftwareVersionBytes)
+            return std::nullopt;
+        return SoftwareVersion(std::move(*name));
+    }
+
     /// Returns the start time of an endpoint, 0 if it names none; empty if that is anything else than a whole number.
     std::optional<std::uint64_t> decodeStart(const Json& json)
     {
@@ -79,13 +90,14 @@
     const auto slots = countUpTo(maxSlots, *json, "slots");
     const auto state = decodeState(textOf(*json, "state").value_or(std::string()));
     const auto sequence = countUpTo(maxCount, *json, "sequence");
-    // `born` is the start time of the process, `version` the version of its software.
+    // `version` is the version of the software; those of the weights are listed by model.
+    const auto software = decodeSoftware(*json);
     const auto startedMs = decodeStart(*json);
     const auto versions = decodeVersions(*json);
-    if (id.empty() || !service || service->empty() || !address || !zone || !slots || *slots == 0 || !state || !sequence || !startedMs || !versions)
+    if (id.empty() || !service || service->empty() || !address || !zone || !slots || *slots == 0 || !state || !sequence || !startedMs || !versions || !software)
         return std::nullopt;
     registry::EndpointRecord record { EndpointId(std::string(id)), *startedMs, ServiceName(*service), address->ip, address->port,
-        DataCentreName(*zone), static_cast<std::uint32_t>(*slots), *state, *versions };
+        DataCentreName(*zone), static_cast<std::uint32_t>(*slots), *state, *versions, *software };
     return registry::EndpointHeartbeat { std::move(record), *sequence };
 }
 
--- a/src/azurepaddle/registry/endpoint.hpp
+++ b/src/azurepaddle/registry/endpoint.hpp
@@ -27,6 +27,7 @@
     std::uint32_t slots = 1;
     EndpointState state = EndpointState::Ready;
     std::map<std::string, WeightVersion> versions; ///< By model, as of the last replicated change.
+    SoftwareVersion software {}; ///< Empty in records from before it was recorded.
 
     [[nodiscard]] InstanceAddress address() const { return { ip, port }; }
     [[nodiscard]] WeightVersion versionOf(const batch::ModelName& model) const
@@ -36,7 +37,7 @@
     }
 
     friend bool operator==(const EndpointRecord&, const EndpointRecord&) = default;
-    MSGPACK_DEFINE(id, startedMs, service, ip, port, dataCentre, slots, state, versions)
+    MSGPACK_DEFINE(id, startedMs, service, ip, port, dataCentre, slots, state, versions, software)
 };
 
 /// The part of a heartbeat that is not replicated.
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -145,7 +145,7 @@
     const auto change = m_machine.directory().recordUpdateFrom(request.heartbeat.record);
     if (!change)
         return responder.ok({});
-    m_log.info("endpoint id={} started={} service={} address={} state={} version-count={}", change->id, change->startedMs, change->service, formatAddress(change->address()), static_cast<int>(change->state), change->versions.size());
+    m_log.info("endpoint id={} started={} service={} address={} state={} version-count={} software={}", change->id, change->startedMs, change->service, formatAddress(change->address()), static_cast<int>(change->state), change->versions.size(), change->software);
     propose(SetEndpoint { *change }, responder, [this, responder](const std::string&) {
         responder.ok({});
         notifyChange();
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -82,6 +82,7 @@
     const auto decoded = decodeHeartbeat("i-1", beat().dump());
     cr_assert(decoded.has_value());
     cr_assert(decoded->record.startedMs == 1700000000000U);
+    cr_assert(decoded->record.software == SoftwareVersion("v1"));
     cr_assert(decoded->record.address() == InstanceAddress({ "10.128.0.9", 8080 }));
     cr_assert(decoded->record.versionOf(batch::ModelName("m")) == 4);
     cr_assert(decoded->sequence == 4);
@@ -92,7 +93,7 @@
 {
     cr_assert(!decodeHeartbeat("i-1", "\xff\xfe"));
     cr_assert(!decodeHeartbeat("i-1", "[]"));
-    for (const char* field : { "service", "address", "zone", "slots", "state", "sequence" }) {
+    for (const char* field : { "service", "address", "zone", "version", "slots", "state", "sequence" }) {
         json missing = beat();
         missing.erase(field);
         cr_assert(!decodeHeartbeat("i-1", missing.dump()));
@@ -128,6 +129,7 @@
         { "address", "\"10.0.0.999:80\"" },
         { "address", "\"name:80\"" },
         { "models", "[{\"name\":\"m\",\"version\":18446744073709551615}]" },
+        { "version", "\"\"" },
     };
     for (const auto& [field, value] : oddFields) {
         json odd = beat();
