Hold each item to the software that began its text

What callers saw: while two software versions of a model service were in use, the text of an item could begin on one and end on the other, with nothing in the result to show it.

Cause: nothing beside the events of a text named the software that generated them, neither in memory nor in the log, and any endpoint with fitting weights was allowed to continue them: after a failure, a move, an evacuation, a change of the leader, or in a later job with the same items.

Change: ItemText, TextPart and TextStore carry the software version. JobRunner::start is the one place where a text is continued; it discards a text of other or unknown software there. The placement and the planned moves keep to endpoints with that software, so that little is discarded: an item waits for one of them as long as generating its text again would take, and starts again at once when all have left. The same rule now also ends the wait of an item on a single-version route whose weights are gone.

--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -36,10 +36,22 @@
         return std::chrono::duration<double, std::milli>(duration).count();
     }
 
+    bool canContinue(const EndpointLoad& endpoint, const HeldText& held)
+    {
+        return !held.software.empty() && held.software == endpoint.software && (!held.requiredVersion || *held.requiredVersion == endpoint.version);
+    }
+
     template <typename Item>
     bool canTake(const EndpointLoad& endpoint, const Item& item)
     {
-        return endpoint.isUsable && endpoint.running < endpoint.slots && endpoint.version >= item.minVersion && (!item.requiredVersion || *item.requiredVersion == endpoint.version);
+        return endpoint.isUsable && endpoint.running < endpoint.slots && endpoint.version >= item.minVersion && (!item.held || canContinue(endpoint, *item.held));
+    }
+
+    /// Whether an item that no endpoint can continue at present starts again rather than waiting for one.
+    bool shouldRestart(const WaitingItem& item, const std::vector<EndpointLoad>& endpoints, Duration tokenTime)
+    {
+        const bool isServed = std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointLoad& endpoint) { return !endpoint.isLeaving && endpoint.software == item.held->software; });
+        return !isServed || item.waitingFor >= tokenTime * item.held->tokens;
     }
 
     // A long item counts as this many items, because each concurrent item and each prompt processed on its endpoint
@@ -97,7 +109,7 @@
     {
         ++endpoint.running;
         endpoint.longItems += item.isLong ? 1 : 0;
-        return { item.index, endpoint.id };
+        return { item.index, endpoint.id, false };
     }
 
     void sortLongestFirst(std::vector<RunningItem>& running)
@@ -118,7 +130,7 @@
         EndpointLoad others = from;
         others.longItems -= std::min(others.longItems, item.isLong ? 1U : 0U);
         const Duration ifStaying = expectedTime(item.expectedTokens, others, others.running - std::min(others.running, 1U), tokenTime);
-        return { { item.index, target.id }, ifStaying, moveCost + expectedTime(item.expectedTokens, target, target.running, tokenTime) };
+        return { { item.index, target.id, false }, ifStaying, moveCost + expectedTime(item.expectedTokens, target, target.running, tokenTime) };
     }
 
     /// Whether the item is expected to end earlier by more than the required gain.
@@ -136,8 +148,14 @@
     });
     std::map<GroupId, EndpointId> endpointOfGroup = lastEndpointOfGroup;
     std::vector<Placement> placements;
-    for (const WaitingItem& item : waiting) {
+    for (WaitingItem& item : waiting) {
         EndpointLoad* best = bestEndpoint(endpoints, item, tokenTime);
+        const bool isRestart = !best && item.held && shouldRestart(item, endpoints, tokenTime);
+        if (isRestart) {
+            item.expectedTokens += item.held->tokens;
+            item.held.reset();
+            best = bestEndpoint(endpoints, item, tokenTime);
+        }
         if (!best)
             continue;
         const auto found = endpointOfGroup.find(item.group);
@@ -146,6 +164,7 @@
             best = groupEndpoint;
         endpointOfGroup[item.group] = best->id;
         placements.push_back(assign(*best, item));
+        placements.back().isRestart = isRestart;
     }
     return placements;
 }
--- a/src/azurepaddle/batch/placement.hpp
+++ b/src/azurepaddle/batch/placement.hpp
@@ -23,6 +23,8 @@
     std::uint32_t running = 0; ///< Items of all models, as counted by this instance.
     std::uint32_t longItems = 0; ///< Running items that determine when their steps end.
     WeightVersion version = 0; ///< Weight version of the model.
+    SoftwareVersion software {};
+    bool isLeaving = false; ///< Takes no new items until its end.
     bool isUsable = true; ///< Accepts new items of the model.
     double slowness = 1; ///< Current time per event relative to the median of all endpoints.
     double lastingSlowness = 1; ///< The same without slowdowns that pass, for example because its hardware is older.
@@ -31,6 +33,16 @@
     friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
 };
 
+/// The output that an item has generated so far. Only endpoints with the same version of their software may continue it,
+/// and on routes with a single weight version only those with the same weights.
+struct HeldText {
+    std::uint64_t tokens = 0;
+    SoftwareVersion software;
+    std::optional<WeightVersion> requiredVersion; ///< Version of its first tokens, if no other one may continue it.
+
+    friend bool operator==(const HeldText&, const HeldText&) = default;
+};
+
 /// An item that is waiting for an endpoint.
 struct WaitingItem {
     std::size_t index = 0; ///< Assigned by the caller and returned in the placement.
@@ -39,7 +51,8 @@
     std::uint64_t expectedTokens = 0; ///< Still to generate.
     bool isLong = false; ///< Much longer than the others of its job.
     WeightVersion minVersion = 0;
-    std::optional<WeightVersion> requiredVersion; ///< Version of its first tokens, if no other one may continue it.
+    std::optional<HeldText> held; ///< Empty if it has generated nothing.
+    Duration waitingFor {}; ///< Time since it last ran.
 
     friend bool operator==(const WaitingItem&, const WaitingItem&) = default;
 };
@@ -47,6 +60,7 @@
 struct Placement {
     std::size_t index = 0;
     EndpointId endpoint;
+    bool isRestart = false; ///< The endpoint cannot continue the output of the item, which starts again.
 
     friend bool operator==(const Placement&, const Placement&) = default;
 };
@@ -56,6 +70,9 @@
 /// loaded one. Items of a group share an endpoint where that costs little, so that their common prompt is processed
 /// once. Endpoints with long items get few others. Items without a free slot are left out. `tokenTime` is the time to
 /// generate a token at the median endpoint.
+///
+/// An item with output waits for an endpoint that can continue it for as long as it takes to generate that output again,
+/// and then starts again elsewhere. It starts again at once if all endpoints with its version of the software have left.
 [[nodiscard]] std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup, Duration tokenTime = defaultTokenTime);
 
 /// A running item that may be moved to another endpoint.
@@ -65,7 +82,7 @@
     std::uint64_t expectedTokens = 0; ///< Still to generate.
     bool isLong = false; ///< Much longer than the others of its job.
     WeightVersion minVersion = 0;
-    std::optional<WeightVersion> requiredVersion;
+    std::optional<HeldText> held; ///< Empty if it has generated nothing.
     Duration sinceStart {}; ///< Time since it started on its current endpoint.
     Duration sinceEvent {}; ///< Time since its last event.
 
@@ -78,8 +95,8 @@
     Duration ifMoved {}; ///< Includes the cost of the move.
 };
 
-/// Plans moves of items to free slots of endpoints where they are expected to end earlier, with the cost of the move
-/// included, longest items first. A slowdown that has just begun is expected to pass soon. An item moves right after an
+/// Plans moves of items to free slots of endpoints that can continue their output and where they are expected to end earlier,
+/// with the cost of the move included, longest items first. A slowdown that has just begun is expected to pass soon. An item moves right after an
 /// event, when no generated output is lost, unless its endpoint has almost stalled. Items that end soon are not moved.
 [[nodiscard]] std::vector<Move> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints, Duration tokenTime = defaultTokenTime);
 
--- a/src/azurepaddle/batch/text_store.cpp
+++ b/src/azurepaddle/batch/text_store.cpp
@@ -41,8 +41,8 @@
 {
     Text& text = m_texts[part.item];
     if (part.firstEvent == 1)
-        text = {};
-    if (part.firstEvent != text.events.size() + 1)
+        text = { {}, false, part.software };
+    if (part.firstEvent != text.events.size() + 1 || part.software != text.software)
         return;
     text.events.insert(text.events.end(), part.events.begin(), part.events.end());
     text.isComplete = part.isLast;
@@ -53,16 +53,13 @@
     m_texts.erase(item);
 }
 
-std::vector<TextEvent> TextStore::find(const ItemId& item) const
+TextPart TextStore::find(const ItemId& item) const
 {
     const auto found = m_texts.find(item);
-    return found == m_texts.end() ? std::vector<TextEvent>() : found->second.events;
-}
-
-bool TextStore::isComplete(const ItemId& item) const
-{
-    const auto found = m_texts.find(item);
-    return found != m_texts.end() && found->second.isComplete;
+    if (found == m_texts.end())
+        return { item, 1, {} };
+    const Text& text = found->second;
+    return { item, 1, text.events, text.isComplete, text.software };
 }
 
 std::optional<ItemResult> TextStore::resultOf(const ScoredItem& scored) const
@@ -80,7 +77,7 @@
 {
     std::vector<TextPart> parts;
     for (const auto& [item, text] : m_texts)
-        parts.push_back({ item, 1, text.events, text.isComplete });
+        parts.push_back(find(item));
     return parts;
 }
 
--- a/src/azurepaddle/execution/item_text.cpp
+++ b/src/azurepaddle/execution/item_text.cpp
@@ -4,15 +4,25 @@
 
 namespace azurepaddle::execution {
 
-ItemText::ItemText(std::vector<batch::TextEvent> events, bool isComplete) noexcept
-    : m_events(std::move(events))
+ItemText::ItemText(batch::TextPart recorded) noexcept
+    : m_events(std::move(recorded.events))
+    , m_software(std::move(recorded.software))
     , m_recordedEvents(m_events.size())
-    , m_isEndRecorded(isComplete)
+    , m_isEndRecorded(recorded.isLast)
 {
     for (const batch::TextEvent& event : m_events)
         m_bytes += event.data.size();
 }
 
+bool ItemText::continueWith(const SoftwareVersion& software)
+{
+    const bool fits = m_events.empty() || (!m_software.empty() && m_software == software);
+    if (!fits)
+        clear();
+    m_software = software;
+    return fits;
+}
+
 bool ItemText::append(std::uint64_t number, std::string data, WeightVersion version)
 {
     if (number != m_events.size() + 1)
@@ -24,7 +34,7 @@
 
 batch::TextPart ItemText::takeUnrecordedPart(const batch::ItemId& item)
 {
-    batch::TextPart part { item, m_recordedEvents + 1, { m_events.begin() + static_cast<std::ptrdiff_t>(m_recordedEvents), m_events.end() } };
+    batch::TextPart part { item, m_recordedEvents + 1, { m_events.begin() + static_cast<std::ptrdiff_t>(m_recordedEvents), m_events.end() }, false, m_software };
     m_recordedEvents = m_events.size();
     return part;
 }
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -93,6 +93,7 @@
         TimePoint startedAt;
         TimePoint lastEventAt;
         TimePoint notBefore;
+        TimePoint waitingSince; ///< Time of its acceptance, or of the end of its last run.
         unsigned eventsFromEndpoint = 0; ///< Number of events received from the current endpoint.
         batch::ItemFailures failures; ///< Counted under this leader and earlier ones.
         std::shared_ptr<gateway::ForwardCall> rewardCall; ///< Null while the call is waiting to be sent.
@@ -163,6 +164,7 @@
     [[nodiscard]] std::uint64_t remainingTokens(const Run& run) const;
     [[nodiscard]] Duration tokenTime(TimePoint now) const;
     [[nodiscard]] std::optional<WeightVersion> requiredVersion(const Run& run) const;
+    [[nodiscard]] std::optional<batch::HeldText> heldTextOf(const Run& run) const;
     [[nodiscard]] const batch::ItemSpec* specOf(const Run& run) const { return m_machine.jobs().findItem(run.job, run.item); }
     [[nodiscard]] ItemText& textOf(const Run& run) { return m_texts[run.item].text; }
     void scheduleUpdate();
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -129,6 +129,7 @@
     run->maxAttempts = spec.maxAttempts;
     run->retention = std::chrono::milliseconds(spec.retentionMs);
     run->acceptedAt = m_clock.now();
+    run->waitingSince = run->acceptedAt;
     run->longTokensThreshold = longTokensThreshold;
     run->isLong = item.expectedTokens >= longTokensThreshold;
     for (const batch::Job* earlier : jobs)
@@ -154,7 +155,7 @@
     CachedText& known = m_texts[run->item];
     known.lastUsedAt = m_clock.now();
     if (known.text.eventCount() == 0)
-        known.text = ItemText(m_machine.texts().find(run->item), m_machine.texts().isComplete(run->item));
+        known.text = ItemText(m_machine.texts().find(run->item));
     if (!satisfiesVersionBounds(known.text.versions(), run->minVersion, run->isSingleVersion))
         known.text.clear();
     if (known.text.eventCount() == 0)
@@ -208,9 +209,11 @@
         if (const auto found = m_longItems.find(id); found != m_longItems.end())
             load.longItems = found->second;
         load.version = m_liveness.versionOf(record, model);
+        load.software = record.software;
         const auto loading = m_loadingModels.find(id);
         const auto avoided = m_avoidUntil.find(id);
         const bool isDraining = !m_liveness.isAcceptingWork(record);
+        load.isLeaving = isDraining;
         load.isUsable = !isDraining && !blocked.contains(id) && (loading == m_loadingModels.end() || !loading->second.contains(model)) && (avoided == m_avoidUntil.end() || now >= avoided->second);
         load.lastingSlowness = isDraining ? internal::drainingSlowness : m_speedMeter.lastingSlowness(id, now);
         load.slowness = isDraining ? internal::drainingSlowness : m_speedMeter.slowness(id, now);
@@ -248,6 +251,17 @@
     return versions.empty() ? std::nullopt : std::optional(versions.back());
 }
 
+/// The output that an item holds, and which endpoints may continue it.
+template <typename Protocol>
+std::optional<batch::HeldText> JobRunner<Protocol>::heldTextOf(const Run& run) const
+{
+    const auto known = m_texts.find(run.item);
+    if (known == m_texts.end() || known->second.text.eventCount() == 0)
+        return std::nullopt;
+    const ItemText& text = known->second.text;
+    return batch::HeldText { text.eventCount() * internal::tokensPerEvent, text.software(), requiredVersion(run) };
+}
+
 template <typename Protocol>
 template <typename Condition>
 auto JobRunner<Protocol>::runsByPlacementKey(Condition condition) const -> std::map<PlacementKey, std::vector<RunPointer>>
@@ -281,7 +295,7 @@
         std::vector<batch::WaitingItem> items;
         for (std::size_t index = 0; index < runs.size(); ++index) {
             const Run& run = *runs[index];
-            items.push_back({ index, specOf(run)->group, run.isCarriedOver, remainingTokens(run), run.isLong, run.minVersion, requiredVersion(run) });
+            items.push_back({ index, specOf(run)->group, run.isCarriedOver, remainingTokens(run), run.isLong, run.minVersion, heldTextOf(run), now - run.waitingSince });
         }
         for (const batch::Placement& placement : batch::placeItems(std::move(items), loadsOf(key.first, key.second, now), m_lastEndpointOfGroup, tokenTime(now))) {
             m_lastEndpointOfGroup[specOf(*runs[placement.index])->group] = placement.endpoint;
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -51,6 +51,11 @@
     const TimePoint now = m_clock.now();
     CachedText& known = m_texts[run->item];
     known.lastUsedAt = now;
+    const std::uint64_t eventsHeld = known.text.eventCount();
+    if (!known.text.continueWith(record->software)) {
+        m_log.info("item id={} job={} endpoint={} software={} outcome=starts-again events={}", run->item, run->job, endpoint, record->software, eventsHeld);
+        m_metrics.counter("items_restarted_for_software_total").add();
+    }
     run->stage = Stage::Running;
     run->number = m_nextNumber++;
     run->endpoint = endpoint;
@@ -84,7 +89,7 @@
     options.connectTimeout = internal::itemConnectTimeout;
     options.maxConnections = record->slots + internal::spareConnections;
     run->call = m_pool.send(record->address(), request, options, std::move(events));
-    m_log.info("item id={} job={} model={} min-version={} endpoint={} resumes-after={} outcome=sent", run->item, run->job, run->model, run->minVersion, endpoint, known.text.eventCount());
+    m_log.info("item id={} job={} model={} min-version={} endpoint={} software={} resumes-after={} outcome=sent", run->item, run->job, run->model, run->minVersion, endpoint, record->software, known.text.eventCount());
     m_metrics.counter("items_sent_total").add();
 }
 
@@ -98,6 +103,7 @@
         return;
     run->stage = Stage::Waiting;
     run->number = 0;
+    run->waitingSince = m_clock.now();
     if (const auto call = std::exchange(run->call, nullptr))
         call->cancel();
     std::uint32_t& count = m_running[run->endpoint][run->model];
--- a/src/azurepaddle/execution/job_runner_watch.hpp
+++ b/src/azurepaddle/execution/job_runner_watch.hpp
@@ -122,7 +122,7 @@
 template <typename Protocol>
 batch::RunningItem JobRunner<Protocol>::runningItemOf(const Run& run, std::size_t index, TimePoint now) const
 {
-    return { index, run.endpoint, remainingTokens(run), run.isLong, run.minVersion, requiredVersion(run), now - run.startedAt, now - run.lastEventAt };
+    return { index, run.endpoint, remainingTokens(run), run.isLong, run.minVersion, heldTextOf(run), now - run.startedAt, now - run.lastEventAt };
 }
 
 /// Returns the endpoints whose items may end earlier elsewhere.
--- a/test/azurepaddle/batch/placement.cpp
+++ b/test/azurepaddle/batch/placement.cpp
@@ -14,6 +14,7 @@
     load.slots = 4;
     load.running = running;
     load.version = version;
+    load.software = SoftwareVersion("v1");
     return load;
 }
 
@@ -26,6 +27,21 @@
     return item;
 }
 
+/// An item that has generated a text with software v1.
+WaitingItem begun(std::uint64_t heldTokens)
+{
+    WaitingItem item = waiting(0, 500);
+    item.held = HeldText { heldTokens, SoftwareVersion("v1"), std::nullopt };
+    return item;
+}
+
+EndpointLoad endpointWithSoftware(const std::string& id, const std::string& software, std::uint32_t running = 0)
+{
+    EndpointLoad load = endpoint(id, running);
+    load.software = SoftwareVersion(software);
+    return load;
+}
+
 std::map<EndpointId, std::size_t> countByEndpoint(const std::vector<Placement>& placements)
 {
     std::map<EndpointId, std::size_t> counts;
@@ -79,11 +95,53 @@
 Test(Placement, singleVersionItem_placed_keepsItsVersion)
 {
     WaitingItem item = waiting(0, 1);
-    item.requiredVersion = 2;
+    item.held = HeldText { 1000, SoftwareVersion("v1"), 2 };
     cr_assert(placeItems({ item }, { endpoint("a", 0, 3) }, {}).empty());
     cr_assert(placeItems({ item }, { endpoint("a", 0, 3), endpoint("b", 0, 2) }, {})[0].endpoint == EndpointId("b"));
 }
 
+// Guards against an item that continues at an endpoint with other software although one with its own has room.
+Test(Placement, begunItem_twoSoftwareVersions_keepsItsOwn)
+{
+    const auto placements = placeItems({ begun(500) }, { endpointWithSoftware("a", "v2"), endpointWithSoftware("b", "v1", 3) }, {});
+    cr_assert(placements == std::vector<Placement>({ { 0, EndpointId("b"), false } }));
+}
+
+// Guards against an item that waits for software which no endpoint runs any more.
+Test(Placement, begunItem_softwareHasLeft_startsAgain)
+{
+    EndpointLoad leaving = endpointWithSoftware("b", "v1");
+    leaving.isLeaving = true;
+    leaving.isUsable = false;
+    const auto placements = placeItems({ begun(5000) }, { endpointWithSoftware("a", "v2"), leaving }, {});
+    cr_assert(placements == std::vector<Placement>({ { 0, EndpointId("a"), true } }));
+}
+
+// Guards against an item that waits for the last endpoint with its software longer than its output is worth.
+Test(Placement, begunItem_softwareIsBusy_waitsAsLongAsItsTextIsWorth)
+{
+    const std::vector<EndpointLoad> endpoints { endpointWithSoftware("a", "v2"), endpointWithSoftware("b", "v1", 4) };
+    WaitingItem item = begun(1000);
+    item.waitingFor = defaultTokenTime * 999;
+    cr_assert(placeItems({ item }, endpoints, {}).empty());
+    item.waitingFor = defaultTokenTime * 1000;
+    cr_assert(placeItems({ item }, endpoints, {}) == std::vector<Placement>({ { 0, EndpointId("a"), true } }));
+}
+
+// Guards against a move that discards output: the other endpoint is faster but runs other software.
+Test(Moves, fasterEndpointRunsOtherSoftware_itemStays)
+{
+    EndpointLoad slow = endpointWithSoftware("a", "v1", 1);
+    slow.slowness = slow.lastingSlowness = 5;
+    RunningItem item;
+    item.endpoint = EndpointId("a");
+    item.expectedTokens = 5000;
+    item.sinceStart = longStay;
+    item.held = HeldText { 100, SoftwareVersion("v1"), std::nullopt };
+    cr_assert(planMoves({ item }, { slow, endpointWithSoftware("b", "v2") }).empty());
+    cr_assert(planMoves({ item }, { slow, endpointWithSoftware("b", "v1") }).size() == 1);
+}
+
 // Guards against a step that ends late because short items share the endpoint of its longest item.
 Test(Placement, longAndShortItems_placed_onDifferentEndpoints)
 {
--- a/test/azurepaddle/batch/text_store.cpp
+++ b/test/azurepaddle/batch/text_store.cpp
@@ -32,7 +32,7 @@
     store.add(part(1, { { "one", 3 } }));
     store.add(part(3, { { "three", 3 } }));
     store.add(part(2, { { "two", 4 } }));
-    cr_assert(store.find(item) == std::vector<TextEvent>({ { "one", 3 }, { "two", 4 } }));
+    cr_assert(store.find(item).events == std::vector<TextEvent>({ { "one", 3 }, { "two", 4 } }));
 }
 
 // Guards against events of the previous attempt in the text of an item that was restarted.
@@ -41,9 +41,9 @@
     TextStore store;
     store.add(part(1, { { "one", 3 }, { "two", 3 } }));
     store.add(part(1, { { "uno", 4 } }));
-    cr_assert(store.find(item) == std::vector<TextEvent>({ { "uno", 4 } }));
+    cr_assert(store.find(item).events == std::vector<TextEvent>({ { "uno", 4 } }));
     store.remove(item);
-    cr_assert(store.find(item).empty());
+    cr_assert(store.find(item).events.empty());
     cr_assert(store.size() == 0);
 }
 
@@ -91,3 +91,22 @@
     cr_assert(!fixture.store.resultOf({ item, "s", digestOf({ { "one", 4 } }) }));
     cr_assert(!fixture.store.resultOf({ item, "s", digestOf({ { "other", 3 } }) }));
 }
+
+// Guards against a text of two software versions after a change of the leader: their output does not fit together.
+Test(TextStore, partOfOtherSoftware_added_isIgnored)
+{
+    StoreFixture fixture;
+    fixture.store.add({ item, 1, { { "one", 3 } }, false, SoftwareVersion("v1") });
+    fixture.store.add({ item, 2, { { "two", 3 } }, false, SoftwareVersion("v2") });
+    cr_assert(fixture.store.find(item) == TextPart({ item, 1, { { "one", 3 } }, false, SoftwareVersion("v1") }));
+}
+
+// Guards against a snapshot after which nobody knows which software generated a text.
+Test(TextStore, snapshot_restored_namesSoftware)
+{
+    StoreFixture fixture;
+    fixture.store.add({ item, 1, { { "one", 3 } }, false, SoftwareVersion("v1") });
+    TextStore restored;
+    restored.restore(fixture.store.snapshot());
+    cr_assert(restored.find(item).software == SoftwareVersion("v1"));
+}
--- a/test/azurepaddle/execution/parts.cpp
+++ b/test/azurepaddle/execution/parts.cpp
@@ -80,11 +80,35 @@
 Test(ItemText, recordedEventsTakenOver_onlyNewOnesAreRecorded)
 {
     const batch::ItemId item("i");
-    ItemText text({ { "one", 1 }, { "two", 1 } }, false);
+    ItemText text({ item, 1, { { "one", 1 }, { "two", 1 } } });
     cr_assert(text.append(3, "three", 1));
     cr_assert(text.takeUnrecorded(item, 1, 1) == batch::TextPart({ item, 3, { { "three", 1 } } }));
 }
 
+// Guards against a text whose beginning and end come from endpoints with different software.
+Test(ItemText, softwareDiffers_textStartsAgain)
+{
+    ItemText text;
+    cr_assert(text.continueWith(SoftwareVersion("v1")));
+    cr_assert(text.append(1, "one", 1));
+    cr_assert(text.continueWith(SoftwareVersion("v1")));
+    cr_assert(text.eventCount() == 1);
+    cr_assert(!text.continueWith(SoftwareVersion("v2")));
+    cr_assert(text.eventCount() == 0);
+    cr_assert(text.append(1, "uno", 1));
+    cr_assert(text.takeRest(batch::ItemId("i")).software == SoftwareVersion("v2"));
+}
+
+// Guards against a text of unknown software, recorded by an earlier release, that any endpoint continues.
+Test(ItemText, softwareUnknown_textStartsAgain)
+{
+    ItemText text({ batch::ItemId("i"), 1, { { "one", 1 } } });
+    cr_assert(!text.continueWith(SoftwareVersion("v1")));
+    ItemText again({ batch::ItemId("i"), 1, { { "one", 1 } } });
+    cr_assert(!again.continueWith({}));
+    cr_assert(again.eventCount() == 0);
+}
+
 // Guards against a slow endpoint that is not distinguished from the others.
 Test(SpeedMeter, oneEndpointSlowed_exceedsTheMedian)
 {
--- a/test/azurepaddle/execution/played_steps.cpp
+++ b/test/azurepaddle/execution/played_steps.cpp
@@ -204,7 +204,7 @@
             if (item.done >= item.events)
                 continue;
             if (!item.endpoint)
-                waiting.push_back({ index, GroupId(std::to_string(index)), false, remainingTokens(item), item.isLong, 0, std::nullopt });
+                waiting.push_back({ index, GroupId(std::to_string(index)), false, remainingTokens(item), item.isLong, 0, std::nullopt, {} });
             else
                 running.push_back({ index, m_endpoints[*item.endpoint].id, remainingTokens(item), item.isLong, 0, std::nullopt, m_now - item.startedAt, m_now - item.lastEventAt });
         }
