Continue callers' streams only with the software that began them

What callers saw: a stream that broke off and was taken up with Last-Event-Id was answered 200 and ran to its end, with the first part from one software version of the service and the rest from another.

Cause: entries sent a request with Last-Event-Id to any endpoint of the service, and nothing read `Resumes`. What began a stream was known to nobody.

Ruled out: deriving the version from the endpoints alive now, which is the fault itself; encoding it in what the caller echoes, as it echoes only identifiers that are not ours; asking all entries, which does not survive their end.

Change: before a stream leaves an entry, its origin (service and software) is recorded in the log of the stores, in one message for all streams that begin at the same time, so no event costs a round trip. A take-up is looked up at the leader and sent only to endpoints of that service and software. If the origin is unknown, cannot be looked up or no longer serves, the caller gets 503, which says that nothing ran; a request that holds no event starts anew. Malformed fields and routes that cannot be resumed get 400.

--- a/src/azurepaddle/gateway/balancer.cpp
+++ b/src/azurepaddle/gateway/balancer.cpp
@@ -115,6 +115,16 @@
     return found != m_entries.end() && found->second.record.service == service && isUsable(found->second);
 }
 
+std::set<EndpointId> Balancer::endpointsWithOtherSoftware(const ServiceName& service, const SoftwareVersion& software) const
+{
+    std::set<EndpointId> others;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.record.service == service && entry.record.software != software)
+            others.insert(id);
+    }
+    return others;
+}
+
 double Balancer::estimateCost(const Entry& entry, TimePoint now) const
 {
     const double slots = std::max<double>(1, entry.record.slots);
@@ -173,6 +183,13 @@
     }));
 }
 
+std::size_t Balancer::endpointCount(const registry::StreamOrigin& origin) const
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) {
+        return entry.second.record.service == origin.service && entry.second.record.software == origin.software && isUsable(entry.second);
+    }));
+}
+
 std::size_t Balancer::slotCount(const ServiceName& service) const
 {
     std::size_t slots = 0;
--- a/src/azurepaddle/gateway/balancer.hpp
+++ b/src/azurepaddle/gateway/balancer.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/core/clock.hpp"
 #include "azurepaddle/core/random.hpp"
 #include "azurepaddle/registry/endpoint.hpp"
+#include "azurepaddle/registry/streams.hpp"
 
 #include <map>
 #include <optional>
@@ -65,6 +66,8 @@
     [[nodiscard]] bool hasFreeSlot(const EndpointId& id, TimePoint now) const;
     /// Whether the endpoint is listed under the service.
     [[nodiscard]] bool serves(const EndpointId& id, const ServiceName& service) const;
+    /// The endpoints of a service that run other software than this version.
+    [[nodiscard]] std::set<EndpointId> endpointsWithOtherSoftware(const ServiceName& service, const SoftwareVersion& software) const;
     void onRequestStarted(const EndpointId& id);
     /// Records the end of a request. The elapsed time updates the average if the request was answered, or if it was
     /// cancelled after more than the average.
@@ -79,6 +82,8 @@
     [[nodiscard]] bool isLeaving(const registry::EndpointRecord& record) const;
     /// Number of usable endpoints of a service.
     [[nodiscard]] std::size_t endpointCount(const ServiceName& service) const;
+    /// Number of usable endpoints of a service that run this software.
+    [[nodiscard]] std::size_t endpointCount(const registry::StreamOrigin& origin) const;
     /// Total slots of the usable endpoints of a service.
     [[nodiscard]] std::size_t slotCount(const ServiceName& service) const;
     /// Median over the service's endpoints of the average answer time that this instance observed; a default if there
--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -60,6 +60,8 @@
     /// False for a call on behalf of a batch item. Such a call is never treated as a crash suspect, because the item
     /// must be completed even if endpoints crash.
     bool isCallerRequest = true;
+    /// What began the stream that the request continues, which must be continued there; empty for any other request.
+    std::optional<registry::StreamOrigin> origin {};
 };
 
 /// How a forwarded request ended.
@@ -67,6 +69,7 @@
     http1::Response response; ///< From an endpoint, or a refusal by this instance.
     EndpointId endpoint; ///< The endpoint whose answer ended the request; empty otherwise.
     unsigned internalErrors = 0; ///< Endpoints that answered 500.
+    registry::StreamOrigin origin {}; ///< Service and software of that endpoint.
 };
 
 using ForwardCallback = std::function<void(ForwardResult)>;
@@ -134,6 +137,7 @@
     [[nodiscard]] static const registry::RequestFingerprint& fingerprintOf(PendingRequest& pending);
     [[nodiscard]] bool isSuspect(PendingRequest& pending) const;
     [[nodiscard]] std::optional<Duration> remainingRefusal(PendingRequest& pending) const;
+    [[nodiscard]] std::set<EndpointId> excludedFor(const PendingRequest& pending) const;
     [[nodiscard]] const registry::EndpointRecord* chooseUnlimited(const PendingRequest& pending, TimePoint now);
     [[nodiscard]] const registry::EndpointRecord* chooseWithinLimits(const PendingRequest& pending, TimePoint now);
     [[nodiscard]] std::optional<TimePoint> nextPermit(const PendingRequest& pending, TimePoint now) const;
@@ -152,7 +156,7 @@
     void onEnd(const PendingPointer& pending, std::uint64_t number, const http1::CallEnd& end);
     void onAnswer(const PendingPointer& pending, Attempt attempt);
     void failRequest(const PendingPointer& pending, std::string_view reason);
-    void finish(const PendingPointer& pending, http1::Response response, std::string_view outcome, const EndpointId& endpoint);
+    void finish(const PendingPointer& pending, http1::Response response, std::string_view outcome, const registry::EndpointRecord& endpoint = {});
     void abandon(const PendingPointer& pending);
     void cancelAttempts(const PendingPointer& pending, RequestOutcome outcome);
 
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -56,7 +56,7 @@
     pending->id = Protocol::requestId(*request.request);
     const Duration clientTimeout = Protocol::clientTimeout(*request.request).value_or(request.route->timeout);
     pending->deadline = request.receivedAt + std::min(clientTimeout, request.route->timeout);
-    pending->service = request.table->findService(chooseService(*request.route, m_random.uniform()));
+    pending->service = request.table->findService(request.origin ? request.origin->service : chooseService(*request.route, m_random.uniform()));
     pending->task = request;
     pending->onResult = onResult;
     ++m_inProgress;
@@ -76,7 +76,7 @@
             return;
         const RetryState state = makeRetryState(*expired);
         cancelAttempts(expired, RequestOutcome::Failed);
-        finish(expired, makeRefusal(state, true, "no answer in time"), "timeout", {});
+        finish(expired, makeRefusal(state, true, "no answer in time"), "timeout");
     });
 }
 
@@ -277,34 +277,34 @@
         pending->endpointFailure = std::move(attempt.response);
         return sendNextOrFail(pending);
     }
-    finish(pending, std::move(attempt.response), "answered", attempt.endpoint.id);
+    finish(pending, std::move(attempt.response), "answered", attempt.endpoint);
 }
 
 template <typename Protocol>
 void Forwarder<Protocol>::failRequest(const PendingPointer& pending, std::string_view reason)
 {
     if (pending->endpointFailure)
-        return finish(pending, std::move(*pending->endpointFailure), "endpoint-failure", {});
+        return finish(pending, std::move(*pending->endpointFailure), "endpoint-failure");
     if (const auto retryAfter = remainingRefusal(*pending)) {
         m_metrics.counter("gateway_crash_refusals_total").add();
-        return finish(pending, makeCrashRefusal(makeRetryState(*pending), *retryAfter), crashRefusalReason, {});
+        return finish(pending, makeCrashRefusal(makeRetryState(*pending), *retryAfter), crashRefusalReason);
     }
     const TimePoint now = m_clock.now();
     if (const auto permitAt = nextPermit(*pending, now); permitAt && pending->runs == 0)
-        return finish(pending, makeLimitRefusal(makeRetryState(*pending), *permitAt - now), limitRefusalReason, {});
-    finish(pending, makeRefusal({ pending->runs, pending->refusals }, false, reason), reason, {});
+        return finish(pending, makeLimitRefusal(makeRetryState(*pending), *permitAt - now), limitRefusalReason);
+    finish(pending, makeRefusal({ pending->runs, pending->refusals }, false, reason), reason);
 }
 
 template <typename Protocol>
-void Forwarder<Protocol>::finish(const PendingPointer& pending, http1::Response response, std::string_view outcome, const EndpointId& endpoint)
+void Forwarder<Protocol>::finish(const PendingPointer& pending, http1::Response response, std::string_view outcome, const registry::EndpointRecord& endpoint)
 {
     const Duration elapsed = m_clock.now() - pending->task.receivedAt;
-    m_log.info("id={} request={} route={} configuration={} service={} endpoint={} status={} outcome=\"{}\" runs={} refusals={} took-ms={}", pending->id, pending->fingerprint, pending->task.route->name, pending->task.table->version(), pending->service->name, endpoint, response.status, outcome, pending->runs, pending->refusals, internal::milliseconds(elapsed));
+    m_log.info("id={} request={} route={} configuration={} service={} endpoint={} software={} status={} outcome=\"{}\" runs={} refusals={} took-ms={}", pending->id, pending->fingerprint, pending->task.route->name, pending->task.table->version(), pending->service->name, endpoint.id, endpoint.software, response.status, outcome, pending->runs, pending->refusals, internal::milliseconds(elapsed));
     m_metrics.counter(response.status < 400 ? "gateway_answered_total" : "gateway_refused_total").add();
     m_metrics.histogram("gateway_request_seconds").record(elapsed);
     cancelAttempts(pending, RequestOutcome::Cancelled);
     if (const auto onResult = std::exchange(pending->onResult, nullptr))
-        onResult({ std::move(response), endpoint, pending->internalErrors });
+        onResult({ std::move(response), endpoint.id, pending->internalErrors, { endpoint.service, endpoint.software } });
 }
 
 /// Ends a request that its caller cancelled.
--- a/src/azurepaddle/gateway/forwarder_limits.hpp
+++ b/src/azurepaddle/gateway/forwarder_limits.hpp
@@ -6,12 +6,22 @@
 
 namespace azurepaddle::gateway {
 
+/// The endpoints to which the request must not be sent: those that had it, and those that cannot continue its stream.
+template <typename Protocol>
+std::set<EndpointId> Forwarder<Protocol>::excludedFor(const PendingRequest& pending) const
+{
+    std::set<EndpointId> excluded = pending.excluded;
+    if (pending.task.origin)
+        excluded.merge(m_balancer.endpointsWithOtherSoftware(pending.task.origin->service, pending.task.origin->software));
+    return excluded;
+}
+
 /// The best endpoint for which no permit is needed, or null.
 template <typename Protocol>
 const registry::EndpointRecord* Forwarder<Protocol>::chooseUnlimited(const PendingRequest& pending, TimePoint now)
 {
-    std::set<EndpointId> excluded = m_limiter.limited();
-    excluded.insert(pending.excluded.begin(), pending.excluded.end());
+    std::set<EndpointId> excluded = excludedFor(pending);
+    excluded.merge(m_limiter.limited());
     return m_balancer.choose(pending.service->name, excluded, now, m_random);
 }
 
@@ -23,7 +33,7 @@
     const registry::EndpointRecord* unlimited = chooseUnlimited(pending, now);
     if (unlimited && m_balancer.hasFreeSlot(unlimited->id, now))
         return unlimited;
-    std::set<EndpointId> excluded = pending.excluded;
+    std::set<EndpointId> excluded = excludedFor(pending);
     for (const auto& [id, until] : m_limiter.blocked(now))
         excluded.insert(id);
     return m_balancer.choose(pending.service->name, excluded, now, m_random);
@@ -39,7 +49,7 @@
         if (pending->isDone)
             return;
         pending->isAwaitingPermit = false;
-        const bool isUsable = !pending->excluded.contains(endpoint.id) && !m_balancer.isLeaving(endpoint);
+        const bool isUsable = !excludedFor(*pending).contains(endpoint.id) && !m_balancer.isLeaving(endpoint);
         if (isGranted && isUsable && maySendNow(*pending, m_clock.now()))
             return sendTo(pending, endpoint);
         m_metrics.counter("gateway_permits_refused_total").add(isGranted ? 0 : 1);
@@ -51,9 +61,10 @@
 template <typename Protocol>
 std::optional<TimePoint> Forwarder<Protocol>::nextPermit(const PendingRequest& pending, TimePoint now) const
 {
+    const std::set<EndpointId> excluded = excludedFor(pending);
     std::optional<TimePoint> earliest;
     for (const auto& [id, until] : m_limiter.blocked(now)) {
-        if (m_balancer.serves(id, pending.service->name) && !pending.excluded.contains(id))
+        if (m_balancer.serves(id, pending.service->name) && !excluded.contains(id))
             earliest = std::min(until, earliest.value_or(until));
     }
     return earliest;
--- a/src/azurepaddle/gateway/fwd.hpp
+++ b/src/azurepaddle/gateway/fwd.hpp
@@ -12,5 +12,7 @@
 class SendLimiter;
 template <typename Protocol>
 class Forwarder;
+template <typename Protocol>
+class StreamForwarder;
 
 }
--- /dev/null
+++ b/src/azurepaddle/gateway/take_up.cpp
@@ -0,0 +1,47 @@
+#include "azurepaddle/gateway/take_up.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace azurepaddle::gateway {
+
+namespace {
+
+    constexpr unsigned badRequest = 400;
+    constexpr unsigned unavailable = 503;
+    // Endpoints register within this time after a restart.
+    constexpr std::string_view retryAfterSeconds = "1";
+
+    /// Whether requests of the route may be sent to the service.
+    bool allows(const Route& route, const ServiceName& service)
+    {
+        return std::any_of(route.services.begin(), route.services.end(), [&](const WeightedService& weighted) { return weighted.service == service && weighted.weight > 0; });
+    }
+
+}
+
+TakeUpDecision decideTakeUp(const Route& route, const TakeUp& takeUp) noexcept
+{
+    if (takeUp.lastEvent == 0)
+        return TakeUpDecision::Start;
+    return route.isResumable && !takeUp.stream.empty() ? TakeUpDecision::LookUp : TakeUpDecision::RefuseForGood;
+}
+
+TakeUpDecision decideTakeUp(const Route& route, OriginState state, const registry::StreamOrigin& origin, std::size_t endpoints) noexcept
+{
+    const bool canContinue = state == OriginState::Known && allows(route, origin.service) && endpoints > 0;
+    return canContinue ? TakeUpDecision::Continue : TakeUpDecision::RefuseForNow;
+}
+
+http1::Response makeTakeUpRefusal(TakeUpDecision decision, std::string_view reason)
+{
+    http1::Response response;
+    response.status = decision == TakeUpDecision::RefuseForGood ? badRequest : unavailable;
+    response.fields.add("Content-Type", "text/plain");
+    if (response.status == unavailable)
+        response.fields.add("Retry-After", std::string(retryAfterSeconds));
+    response.body = std::string(reason) + "\n";
+    return response;
+}
+
+}
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -22,8 +22,9 @@
 
 }
 
-CallerApi::CallerApi(Forwarder& forwarder, registry::LeaderClient& leader, const registry::StateAge& stateAge)
+CallerApi::CallerApi(Forwarder& forwarder, StreamForwarder& streams, registry::LeaderClient& leader, const registry::StateAge& stateAge)
     : m_forwarder(forwarder)
+    , m_streams(streams)
     , m_leader(leader)
     , m_stateAge(stateAge)
 {
@@ -50,6 +51,8 @@
         return refuseUnroutable(exchange, plain(404, "no route matches the host and path"));
     if (route->kind == gateway::RouteKind::Batch)
         return submit(exchange, *route);
+    if (route->kind == gateway::RouteKind::Streaming)
+        return m_streams.forward(exchange, m_routes, *route);
     m_forwarder.forward(exchange, m_routes, *route);
 }
 
--- a/src/azurepaddle/platform/caller_api.hpp
+++ b/src/azurepaddle/platform/caller_api.hpp
@@ -1,20 +1,21 @@
 #pragma once
 
-#include "azurepaddle/gateway/forwarder.hpp"
+#include "azurepaddle/gateway/stream_forwarder.hpp"
 #include "azurepaddle/platform/endpoint_protocol.hpp"
 #include "azurepaddle/registry/leader_client.hpp"
 #include "azurepaddle/registry/state_age.hpp"
 
 namespace azurepaddle::platform {
 
-/// Handles the requests of the platform's clients at an entry instance: plain requests go to the forwarder, calls for
-/// batch jobs to the leader.
+/// Handles the requests of the platform's clients at an entry instance: plain requests and those for streams go to their
+/// forwarders, calls for batch jobs to the leader.
 class CallerApi {
 public:
     using Forwarder = gateway::Forwarder<EndpointProtocol>;
+    using StreamForwarder = gateway::StreamForwarder<EndpointProtocol>;
 
     /// Requests that match no route are answered as such only while the state's age allows it.
-    CallerApi(Forwarder& forwarder, registry::LeaderClient& leader, const registry::StateAge& stateAge);
+    CallerApi(Forwarder& forwarder, StreamForwarder& streams, registry::LeaderClient& leader, const registry::StateAge& stateAge);
 
     /// Replaces the routes. Null until a configuration is received.
     void setRoutes(std::shared_ptr<const gateway::RouteTable> routes) { m_routes = std::move(routes); }
@@ -29,6 +30,7 @@
     [[nodiscard]] TimePoint deadlineOf(const http1::Exchange& exchange) const;
 
     Forwarder& m_forwarder;
+    StreamForwarder& m_streams;
     registry::LeaderClient& m_leader;
     const registry::StateAge& m_stateAge;
     std::shared_ptr<const gateway::RouteTable> m_routes;
--- a/src/azurepaddle/platform/endpoint_protocol.cpp
+++ b/src/azurepaddle/platform/endpoint_protocol.cpp
@@ -20,6 +20,7 @@
     constexpr std::string_view versionField = "X-Weight-Versions";
     constexpr std::string_view eventVersionField = "x-weight-versions";
     constexpr std::string_view lastEventField = "Last-Event-Id";
+    constexpr std::string_view resumedRequestField = "Resumes"; // The X-Attempt-Id of the request that brought the stream's first event.
     constexpr std::string_view leavingField = "Server-Leaving"; // "1" in all responses of an endpoint that is draining.
     constexpr std::string_view limitField = "Server-Limit"; // Requests per second that the endpoint takes from all machines together.
     constexpr std::string_view signatureField = "X-Server-Stamp"; // Signature by which an endpoint proves that it ran the request.
@@ -97,6 +98,17 @@
     return isRead ? std::optional(value) : std::nullopt;
 }
 
+tl::expected<gateway::TakeUp, std::string> EndpointProtocol::takeUpOf(const http1::Request& request)
+{
+    const std::string_view text = request.fields.find(lastEventField);
+    std::uint64_t lastEvent = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), lastEvent);
+    const bool isRead = text.empty() || (error == std::errc() && end == text.data() + text.size());
+    if (!isRead)
+        return tl::unexpected(std::string(lastEventField) + " is not a whole number");
+    return gateway::TakeUp { registry::StreamId(std::string(request.fields.find(resumedRequestField))), lastEvent };
+}
+
 http1::Request EndpointProtocol::rewardRequest(const batch::RewardCall& reward)
 {
     return { "POST", reward.path, { { "Host", reward.host }, { std::string(requestIdField), reward.id } }, reward.body };
--- a/src/azurepaddle/platform/endpoint_protocol.hpp
+++ b/src/azurepaddle/platform/endpoint_protocol.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/execution/protocol.hpp"
+#include "azurepaddle/gateway/take_up.hpp"
 
 namespace azurepaddle::platform {
 
@@ -15,6 +16,8 @@
     [[nodiscard]] static bool isLeaving(const http1::Response& head);
     /// Requests per second that the endpoint takes from all instances together; empty if it names no valid limit.
     [[nodiscard]] static std::optional<double> limitOf(const http1::Response& head);
+    /// The stream that a caller continues and the last event that it holds. An error message if a field is malformed.
+    [[nodiscard]] static tl::expected<gateway::TakeUp, std::string> takeUpOf(const http1::Request& request);
     [[nodiscard]] static http1::Request rewardRequest(const batch::RewardCall& reward);
     [[nodiscard]] static std::string scoreOf(const http1::Response& head);
     [[nodiscard]] static http1::Request itemRequest(const batch::ItemSpec& item, const std::string& host, const EndpointId& endpoint, std::uint64_t eventsHeld);
--- a/src/azurepaddle/registry/commands.hpp
+++ b/src/azurepaddle/registry/commands.hpp
@@ -4,6 +4,7 @@
 #include "azurepaddle/batch/text_store.hpp"
 #include "azurepaddle/registry/crash.hpp"
 #include "azurepaddle/registry/endpoint.hpp"
+#include "azurepaddle/registry/streams.hpp"
 
 #include <optional>
 #include <set>
@@ -140,7 +141,13 @@
     MSGPACK_DEFINE(incarnation, model, version)
 };
 
-using Command = std::variant<PutConfiguration, PublishVersion, SetEndpoint, DeregisterEndpoint, RemoveEndpoint, AcceptJob, RecordResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, AppendTexts, SetOrderWindow, ReportSuspects, ExpireCrashes, RecordItemFailures, RecordLoadedVersion>;
+/// Records what began streams.
+struct RecordStreams {
+    std::vector<StreamRecord> streams;
+    MSGPACK_DEFINE(streams)
+};
+
+using Command = std::variant<PutConfiguration, PublishVersion, SetEndpoint, DeregisterEndpoint, RemoveEndpoint, AcceptJob, RecordResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, AppendTexts, SetOrderWindow, ReportSuspects, ExpireCrashes, RecordItemFailures, RecordLoadedVersion, RecordStreams>;
 
 [[nodiscard]] std::string encodeCommand(const Command& command);
 /// Empty if the bytes do not encode a command that this version supports.
--- a/src/azurepaddle/registry/fwd.hpp
+++ b/src/azurepaddle/registry/fwd.hpp
@@ -6,6 +6,9 @@
 struct EndpointHeartbeat;
 class Directory;
 class StateMachine;
+struct StreamOrigin;
+class StreamRecorder;
+class Streams;
 class Suspects;
 class SuspectReporter;
 
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -41,6 +41,8 @@
     registerHandler<DrainingReportRequest>(server);
     registerHandler<SuspectsRequest>(server);
     registerHandler<HeartbeatRequest>(server);
+    registerHandler<RecordStreamsRequest>(server);
+    registerHandler<FindStreamRequest>(server);
     registerHandler<PermitRequest>(server);
     registerHandler<DeregisterRequest>(server);
     registerHandler<PutConfigurationRequest>(server);
@@ -86,6 +88,17 @@
     responder.ok({});
 }
 
+void LeaderService::handle(RecordStreamsRequest request, const Responder<Acknowledgement>& responder)
+{
+    propose(RecordStreams { std::move(request.streams) }, responder, [responder](const std::string&) { responder.ok({}); });
+}
+
+void LeaderService::handle(const FindStreamRequest& request, const Responder<FindStreamReply>& responder)
+{
+    const auto origin = m_machine.streams().find(request.id);
+    responder.ok({ origin.has_value(), origin.value_or(StreamOrigin {}) });
+}
+
 void LeaderService::handle(const PermitRequest& request, const Responder<PermitReply>& responder)
 {
     responder.ok(m_permits.request(request, m_clock.now()));
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -90,6 +90,8 @@
     void handle(const DrainingReportRequest& request, const Responder<Acknowledgement>& responder);
     void handle(const SuspectsRequest& request, const Responder<Acknowledgement>& responder);
     void handle(const HeartbeatRequest& request, const Responder<Acknowledgement>& responder);
+    void handle(RecordStreamsRequest request, const Responder<Acknowledgement>& responder);
+    void handle(const FindStreamRequest& request, const Responder<FindStreamReply>& responder);
     void handle(const PermitRequest& request, const Responder<PermitReply>& responder);
     void handle(const DeregisterRequest& request, const Responder<Acknowledgement>& responder);
     void handle(PutConfigurationRequest request, const Responder<PutConfigurationReply>& responder);
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -83,6 +83,28 @@
     MSGPACK_DEFINE(crashes, cleared)
 };
 
+/// Records what began streams, before their first events are passed on.
+struct RecordStreamsRequest {
+    static constexpr std::string_view method = "record-streams";
+    using Reply = Acknowledgement;
+    std::vector<StreamRecord> streams;
+    MSGPACK_DEFINE(streams)
+};
+
+struct FindStreamReply {
+    bool isKnown = false;
+    StreamOrigin origin;
+    MSGPACK_DEFINE(isKnown, origin)
+};
+
+/// Looks up what began a stream.
+struct FindStreamRequest {
+    static constexpr std::string_view method = "find-stream";
+    using Reply = FindStreamReply;
+    StreamId id;
+    MSGPACK_DEFINE(id)
+};
+
 struct PermitReply {
     bool isGranted = false;
     std::uint64_t retryAfterMs = 0; ///< Time until the next permit, if none was granted.
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -19,7 +19,8 @@
         std::vector<batch::TextPart> texts;
         std::vector<CrashRecord> crashes;
         std::uint64_t suspectsRevision = 0;
-        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts, crashes, suspectsRevision)
+        std::vector<StreamRecord> streams;
+        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts, crashes, suspectsRevision, streams)
     };
 
     // A snapshot contains all jobs, which may exceed the size limit of messages between instances.
@@ -161,6 +162,13 @@
     return {};
 }
 
+std::string StateMachine::execute(const RecordStreams& command)
+{
+    for (const StreamRecord& stream : command.streams)
+        m_streams.record(stream);
+    return {};
+}
+
 std::optional<WeightVersion> StateMachine::publishedVersion(const batch::ModelName& model) const
 {
     const auto found = m_versions.find(model.value());
@@ -169,7 +177,7 @@
 
 std::string StateMachine::snapshot() const
 {
-    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot(), m_suspects.crashes(), m_suspects.revision() };
+    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot(), m_suspects.crashes(), m_suspects.revision(), m_streams.snapshot() };
     for (const auto& [id, record] : m_directory.records())
         state.endpoints.push_back(record);
     return codec::encode(state);
@@ -188,6 +196,7 @@
     m_retiring = std::move(state->retiring);
     m_texts.restore(state->texts);
     m_suspects.restore(std::move(state->crashes), state->suspectsRevision);
+    m_streams.restore(state->streams);
     return true;
 }
 
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -7,7 +7,7 @@
 namespace azurepaddle::registry {
 
 /// The replicated state: the configuration, published weight versions, endpoints, batch jobs, the holder of the order
-/// right, retiring instances, and requests during which endpoints crashed. Deterministic.
+/// right, retiring instances, requests during which endpoints crashed, and what began streams. Deterministic.
 class StateMachine {
 public:
     /// Outputs of batch jobs are kept in files of the folder, or in memory if the path is empty.
@@ -33,6 +33,7 @@
     [[nodiscard]] const OrderRecord& orders() const noexcept { return m_orders; }
     [[nodiscard]] const std::set<std::string>& retiring() const noexcept { return m_retiring; }
     [[nodiscard]] const Suspects& suspects() const noexcept { return m_suspects; }
+    [[nodiscard]] const Streams& streams() const noexcept { return m_streams; }
 
 private:
     std::string execute(PutConfiguration command);
@@ -52,6 +53,7 @@
     std::string execute(const ExpireCrashes& command);
     std::string execute(const RecordItemFailures& command);
     std::string execute(const RecordLoadedVersion& command);
+    std::string execute(const RecordStreams& command);
 
     ConfigurationDocument m_configuration;
     std::map<std::string, WeightVersion> m_versions; ///< Newest published version by model.
@@ -61,6 +63,7 @@
     OrderRecord m_orders;
     std::set<std::string> m_retiring;
     Suspects m_suspects;
+    Streams m_streams;
 };
 
 }
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -7,6 +7,7 @@
 #include "azurepaddle/registry/leader_client.hpp"
 #include "azurepaddle/registry/nearest_store.hpp"
 #include "azurepaddle/registry/state_age.hpp"
+#include "azurepaddle/registry/stream_recorder.hpp"
 #include "azurepaddle/registry/suspect_reporter.hpp"
 
 namespace azurepaddle::node {
@@ -50,6 +51,7 @@
     transport::PeerClient m_peerClient;
     registry::LeaderClient m_leader;
     registry::SuspectReporter m_reporter;
+    registry::StreamRecorder m_streamRecorder;
     registry::NearestStore m_stores;
     registry::StateAge m_stateAge;
     http1::ClientPool m_pool;
@@ -57,6 +59,7 @@
     gateway::CrashGuard m_guard;
     gateway::SendLimiter m_limiter;
     platform::CallerApi::Forwarder m_forwarder;
+    platform::CallerApi::StreamForwarder m_streams;
     platform::CallerApi m_callers;
     http1::Server m_callerServer;
     http1::Server m_readyServer;
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -287,3 +287,15 @@
     const auto request = EndpointProtocol::rewardRequest({ "r", "h", "/b/1", "body" });
     cr_assert(request == http1::Request({ "POST", "/b/1", { { "Host", "h" }, { "X-Attempt-Id", "r" } }, "body" }));
 }
+
+// Guards against a take-up whose stream or last event is read wrongly, so that it continues elsewhere or in another place.
+Test(EndpointProtocol, takeUp_decoded_namesItsStreamAndLastEvent)
+{
+    http1::Request request { "POST", "/x", { { "Last-Event-Id", "7" }, { "Resumes", "a1" } }, {} };
+    cr_assert(EndpointProtocol::takeUpOf(request) == gateway::TakeUp({ registry::StreamId("a1"), 7 }));
+    cr_assert(EndpointProtocol::takeUpOf({ "POST", "/x", {}, {} }) == gateway::TakeUp());
+    for (const char* malformed : { "x", "-1", "1.5", "7 ", "18446744073709551616" }) {
+        request.fields.set("Last-Event-Id", malformed);
+        cr_assert(!EndpointProtocol::takeUpOf(request), "%s", malformed);
+    }
+}
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -94,8 +94,10 @@
 class Endpoint:
     """A model endpoint that generates events for each item, slowly, and answers plain requests and reward calls at once."""
 
-    def __init__(self, service, pause=0.02, events=3, names_versions=False):
+    def __init__(self, service, pause=0.02, events=3, names_versions=False, software="v1", marks_software=False):
         self.runs = []
+        self.software = software
+        self.resumed_after = []  # Last-Event-Id of each run, 0 for one from the beginning.
         self.orders = []  # (time, holder) of each accepted order.
         self.version = 1
         self.trouble = None  # One of TROUBLES, in place of any answer.
@@ -163,7 +165,8 @@
 
             def stream(self):
                 version = endpoint.version
-                mark = f"@{version}" if names_versions else ""
+                mark = f"@{version}" if names_versions else f"@{endpoint.software}" if marks_software else ""
+                endpoint.resumed_after.append(int(self.headers.get("Last-Event-Id", 0)))
                 self.send_response(200)
                 self.send_header("X-Attempt-Id", self.headers["X-Attempt-Id"])
                 self.send_header("X-Weight-Versions", str(version))
@@ -202,7 +205,7 @@
 
     def beat(self, control_ports, state="ready"):
         self.sequence += 1
-        body = {"service": self.service, "address": self.address or f"127.0.0.1:{self.port}", "zone": "a", "version": "v1", "slots": 4, "state": state,
+        body = {"service": self.service, "address": self.address or f"127.0.0.1:{self.port}", "zone": "a", "version": self.software, "slots": 4, "state": state,
                 "models": [{"name": "m", "version": self.version, "adapters": []}], "sequence": self.sequence, "born": self.born}
         return any(call(port, "POST", f"/-/replicas/{self.identity}/heartbeat", json.dumps(body))[0] == 200 for port in control_ports)
 
@@ -306,6 +309,7 @@
 def configuration(version, service="plain", timeout_ms=3000):
     routes = [{"name": "p", "host": HOST, "path-prefix": "/plain/", "route-type": "idempotent", "timeout-ms": timeout_ms, "service": service, "max-attempts": 2},
               {"name": "o", "host": HOST, "path-prefix": "/once/", "route-type": "non_idempotent", "timeout-ms": timeout_ms, "service": service, "max-attempts": 2},
+              {"name": "s", "host": HOST, "path-prefix": "/stream/", "route-type": "streaming", "timeout-ms": timeout_ms, "service": "models", "max-attempts": 2, "resumable": True},
               {"name": "b", "host": HOST, "path-prefix": "/batch/", "route-type": "rollout", "timeout-ms": 9000, "due-ms": 7000, "retention-s": 300, "service": "models", "max-attempts": 3}]
     services = [{"name": "plain"}, {"name": "models", "engine": {"models": [{"name": "m"}]}}]
     return {"version": version, "routes": routes, "services": services}
