Detect silent connections to endpoints within about two seconds

What callers saw: after the links of an entry to the endpoints had been cut silently, requests were sent on kept connections of which nobody knew that they were dead, and waited for an answer until their deadline.

Cause: idle connections had no keep-alive probes, so only a request could find out, and TCP_USER_TIMEOUT was 3 s. With that option set, it alone decides when probes give up.

Change: keep-alive probes after 1 s of silence, a user timeout of 2 s, and an observer of a pool's links that is told when a connection is established or bytes arrive, and when one cannot be established or breaks, also an idle one.

--- a/src/azurepaddle/http1/client.cpp
+++ b/src/azurepaddle/http1/client.cpp
@@ -14,8 +14,11 @@
 
     namespace {
 
-        // A connection is closed if the peer acknowledges no bytes for this long, even without a reset.
-        constexpr unsigned userTimeoutMs = 3000;
+        // A connection breaks if the peer acknowledges neither bytes nor keep-alive probes for this long. Keep-alive
+        // probes that start later than this would never be sent in time.
+        constexpr unsigned userTimeoutMs = 2000;
+        constexpr int keepAliveIdleSeconds = 1;
+        constexpr int keepAliveIntervalSeconds = 1;
         // The server may close a connection this much before the timeout that it states.
         constexpr Duration keepAliveMargin = std::chrono::milliseconds(1000);
 
@@ -81,8 +84,10 @@
         m_timer.async_wait([self = shared_from_this(), call = m_call](std::error_code error) {
             if (error || self->m_call != call || self->m_isClosed)
                 return;
-            if (!self->m_isConnected)
+            if (!self->m_isConnected) {
+                self->m_shared->observeLink(false);
                 return self->finish(CallEndKind::ConnectFailed, "connecting took too long");
+            }
             self->finish(CallEndKind::TimedOut, "deadline exceeded");
         });
     }
@@ -98,18 +103,29 @@
         m_socket.async_connect({ ip, m_address.port }, [self = shared_from_this()](std::error_code connectError) {
             if (self->m_isClosed)
                 return;
+            self->m_shared->observeLink(!connectError);
             if (connectError)
                 return self->finish(CallEndKind::ConnectFailed, connectError.message());
             self->m_isConnected = true;
-            std::error_code ignored;
-            self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-            self->m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(userTimeoutMs), ignored);
+            self->setOptions();
             self->armTimer(self->m_options.deadline);
             self->writeRequest();
             self->read();
         });
     }
 
+    /// Lets the system detect a silent peer, also while the connection is idle.
+    void ClientConnection::setOptions()
+    {
+        using asio::detail::socket_option::integer;
+        std::error_code ignored;
+        m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+        m_socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(keepAliveIdleSeconds), ignored);
+        m_socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(keepAliveIntervalSeconds), ignored);
+        m_socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(userTimeoutMs), ignored);
+    }
+
     void ClientConnection::writeRequest()
     {
         m_isWriting = true;
@@ -130,6 +146,8 @@
     {
         if (m_isClosed)
             return;
+        if (error != asio::error::eof)
+            m_shared->observeLink(!error);
         if (m_call == 0)
             return close(); // The server closed an idle connection, or sent bytes without a request.
         if (error == asio::error::eof && m_parser.hasStarted() && m_parser.feedEnd()) {
@@ -263,6 +281,7 @@
             if (const auto connection = std::exchange(m_connection, nullptr))
                 connection->cancel(m_call);
         }
+        [[nodiscard]] bool isSent() const override { return !m_connection || m_connection->isSent(m_call); }
 
     private:
         std::shared_ptr<internal::ClientConnection> m_connection;
@@ -273,6 +292,7 @@
     class RefusedCall final : public ClientCall {
     public:
         void cancel() override { isCancelled = true; }
+        [[nodiscard]] bool isSent() const override { return false; }
         bool isCancelled = false;
     };
 
@@ -283,6 +303,11 @@
 {
 }
 
+void ClientPool::setLinkObserver(std::function<void(bool isReachable)> observer)
+{
+    m_shared->linkObserver = std::move(observer);
+}
+
 ClientPool::~ClientPool()
 {
     std::vector<std::shared_ptr<internal::ClientConnection>> idle;
--- a/src/azurepaddle/http1/client.hpp
+++ b/src/azurepaddle/http1/client.hpp
@@ -61,6 +61,8 @@
     virtual ~ClientCall() = default;
     /// Closes the connection, so that the server stops processing the request. No callback follows.
     virtual void cancel() = 0;
+    /// Whether bytes of the request may have reached the server.
+    [[nodiscard]] virtual bool isSent() const = 0;
 };
 
 using ClientCallPointer = std::shared_ptr<ClientCall>;
@@ -73,6 +75,9 @@
     ClientPool(const ClientPool&) = delete;
     ClientPool& operator=(const ClientPool&) = delete;
 
+    /// Sets the function called with each sign of a link: true when a connection is established or bytes arrive, false
+    /// when a connection cannot be established or breaks, also an idle one. It must not use the pool.
+    void setLinkObserver(std::function<void(bool isReachable)> observer);
     /// Sends a request. No callback is called before this returns.
     [[nodiscard]] ClientCallPointer send(const InstanceAddress& address, const Request& request, const CallOptions& options, CallEvents events);
     /// Returns the number of connections to an address, including idle ones.
--- a/src/azurepaddle/http1/client_connection.hpp
+++ b/src/azurepaddle/http1/client_connection.hpp
@@ -19,7 +19,14 @@
     asio::io_context& io;
     MessageLimits limits;
     std::map<InstanceAddress, AddressConnections> addresses {};
+    std::function<void(bool isReachable)> linkObserver {};
     SystemClock clock {};
+
+    void observeLink(bool isReachable) const
+    {
+        if (linkObserver)
+            linkObserver(isReachable);
+    }
 };
 
 /// One connection. It carries one call at a time.
@@ -32,10 +39,13 @@
     /// Ends the call with this number, if it is in progress.
     void cancel(std::uint64_t call);
     void close();
+    /// Whether bytes of the request of this call may have reached the server.
+    [[nodiscard]] bool isSent(std::uint64_t call) const noexcept { return m_call != call || m_isSent; }
     [[nodiscard]] bool isUsable(TimePoint now) const noexcept { return !m_isClosed && now < m_usableUntil; }
 
 private:
     void connect();
+    void setOptions();
     void writeRequest();
     void read();
     void onRead(const std::error_code& error, std::size_t size);
