--- a/src/azurepaddle/gateway/balancer.cpp
+++ b/src/azurepaddle/gateway/balancer.cpp
@@ -176,6 +176,26 @@
     }
 }
 
+std::optional<registry::EndpointIncarnation> Balancer::incarnationAt(const InstanceAddress& address) const
+{
+    std::optional<registry::EndpointIncarnation> newest;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.record.address() == address && (!newest || entry.record.startedMs > newest->startedMs))
+            newest = { id, entry.record.startedMs };
+    }
+    return newest;
+}
+
+std::vector<registry::EndpointRecord> Balancer::records() const
+{
+    std::vector<registry::EndpointRecord> records;
+    for (const auto& [id, entry] : m_entries) {
+        if (isUsable(entry))
+            records.push_back(entry.record);
+    }
+    return records;
+}
+
 std::size_t Balancer::endpointCount(const ServiceName& service) const
 {
     return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) {
--- a/src/azurepaddle/gateway/balancer.hpp
+++ b/src/azurepaddle/gateway/balancer.hpp
@@ -80,6 +80,10 @@
 
     /// Whether the endpoint is draining, announced its leave or is no longer listed, so that it is expected to end.
     [[nodiscard]] bool isLeaving(const registry::EndpointRecord& record) const;
+    /// The endpoint that is listed at an address; the one that started last if there are several.
+    [[nodiscard]] std::optional<registry::EndpointIncarnation> incarnationAt(const InstanceAddress& address) const;
+    /// The records of all usable endpoints.
+    [[nodiscard]] std::vector<registry::EndpointRecord> records() const;
     /// Number of usable endpoints of a service.
     [[nodiscard]] std::size_t endpointCount(const ServiceName& service) const;
     /// Number of usable endpoints of a service that run this software.
--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -62,6 +62,8 @@
     bool isCallerRequest = true;
     /// What began the stream that the request continues, which must be continued there; empty for any other request.
     std::optional<registry::StreamOrigin> origin {};
+    RetryState earlier {}; ///< Attempts by another instance, or before the request was withdrawn.
+    TimePoint deadline = TimePoint::max(); ///< Ends the request earlier than its fields and route do.
 };
 
 /// How a forwarded request ended.
@@ -70,10 +72,20 @@
     EndpointId endpoint; ///< The endpoint whose answer ended the request; empty otherwise.
     unsigned internalErrors = 0; ///< Endpoints that answered 500.
     registry::StreamOrigin origin {}; ///< Service and software of that endpoint.
+    bool isUnreached = false; ///< No endpoint got the request, because connections to them could not be established.
 };
 
 using ForwardCallback = std::function<void(ForwardResult)>;
 
+/// The time until which a request must be answered.
+template <typename Protocol>
+[[nodiscard]] TimePoint deadlineOf(const ForwardRequest& request)
+{
+    const Duration timeout = request.route->timeout;
+    const Duration clientTimeout = Protocol::clientTimeout(*request.request).value_or(timeout);
+    return std::min(request.deadline, request.receivedAt + std::min(clientTimeout, timeout));
+}
+
 /// A request that is being forwarded.
 class ForwardCall {
 public:
@@ -82,6 +94,42 @@
     virtual void cancel() = 0;
 };
 
+/// Forwards requests and calls back with their results, perhaps before `send` returns.
+template <typename T>
+concept RequestSender = requires(T& sender, const ForwardRequest& request, const ForwardCallback& onResult)
+{
+    {
+        sender.send(request, onResult)
+        } -> std::same_as<std::shared_ptr<ForwardCall>>;
+};
+
+/// Forwards a caller's request, responds to it, and cancels it if the caller leaves. Keeps a reference to the table until
+/// then.
+template <RequestSender Sender>
+void forwardExchange(Sender& sender, const http1::ExchangePointer& exchange, const ForwardRequest& request, const ForwardCallback& onResult)
+{
+    const auto call = sender.send(request, onResult);
+    if (!exchange->isOpen())
+        return;
+    exchange->setOnClosed([weak = std::weak_ptr(call)] {
+        if (const auto activeCall = weak.lock())
+            activeCall->cancel();
+    });
+}
+
+/// The request of an exchange, which is kept as long as the request.
+[[nodiscard]] inline ForwardRequest requestOf(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route)
+{
+    return { { exchange, &exchange->request() }, exchange->receivedAt(), table, { table, &route } };
+}
+
+/// Sends the response of an endpoint, or a refusal, to the caller.
+inline void respond(const http1::ExchangePointer& exchange, http1::Response response)
+{
+    response.fields.eraseHopByHop();
+    exchange->respond(std::move(response));
+}
+
 /// Forwards requests of plain routes to endpoints. A request that is not idempotent is run at most once; idempotent
 /// ones are retried or hedged within the maximum attempts of their route. A request that crashes endpoints is refused.
 /// Endpoints that name a limit get requests only with permits, and only if no other endpoint has a free slot.
@@ -93,10 +141,13 @@
 
     /// Called once for each endpoint incarnation that announces its leave with an answer.
     void setOnLeaving(std::function<void(const registry::EndpointIncarnation&)> onLeaving) { m_onLeaving = std::move(onLeaving); }
-    /// Forwards a caller's request and responds to it. Keeps a reference to the table until then.
-    void forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route);
     /// Forwards a request. The callback may be called before this function returns.
     std::shared_ptr<ForwardCall> send(const ForwardRequest& request, const ForwardCallback& onResult);
+    /// Cancels a request whose result is outstanding, if it may be sent again, and returns its attempts so far. The
+    /// callback is then not called.
+    [[nodiscard]] std::optional<RetryState> withdraw(ForwardCall& call);
+    /// Excludes an endpoint that announced its leave in an answer that another instance forwarded.
+    void recordLeaving(const EndpointId& endpoint, std::string_view requestId);
     [[nodiscard]] std::size_t inProgress() const noexcept { return m_inProgress; }
 
 private:
@@ -124,6 +175,7 @@
         unsigned runs = 0; ///< Endpoints that may have run the request.
         unsigned refusals = 0;
         unsigned internalErrors = 0; ///< Endpoints that answered 500.
+        unsigned failedConnections = 0; ///< Endpoints to which no connection could be established.
         bool isDone = false;
         bool isAwaitingPermit = false; ///< A permit was requested, or the time of the next one is awaited.
         std::optional<http1::Response> endpointFailure; ///< Last 5xx answer of an endpoint, forwarded if no endpoint succeeds.
@@ -157,6 +209,7 @@
     void onAnswer(const PendingPointer& pending, Attempt attempt);
     void failRequest(const PendingPointer& pending, std::string_view reason);
     void finish(const PendingPointer& pending, http1::Response response, std::string_view outcome, const registry::EndpointRecord& endpoint = {});
+    [[nodiscard]] static bool isUnreached(const PendingRequest& pending) { return pending.runs == 0 && pending.refusals == 0 && pending.failedConnections > 0; }
     void abandon(const PendingPointer& pending);
     void cancelAttempts(const PendingPointer& pending, RequestOutcome outcome);
 
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -32,30 +32,15 @@
     static_assert(EndpointProtocol<Protocol>);
 }
 
-template <typename Protocol>
-void Forwarder<Protocol>::forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route)
-{
-    const ForwardRequest task { { exchange, &exchange->request() }, exchange->receivedAt(), table, { table, &route } };
-    const auto call = send(task, [exchange](ForwardResult result) {
-        result.response.fields.eraseHopByHop();
-        exchange->respond(std::move(result.response));
-    });
-    if (!exchange->isOpen())
-        return;
-    exchange->setOnClosed([weak = std::weak_ptr(call)] {
-        if (const auto activeCall = weak.lock())
-            activeCall->cancel();
-    });
-}
-
 template <typename Protocol>
 std::shared_ptr<ForwardCall> Forwarder<Protocol>::send(const ForwardRequest& request, const ForwardCallback& onResult)
 {
     const auto pending = std::make_shared<PendingRequest>();
     pending->forwarder = this;
     pending->id = Protocol::requestId(*request.request);
-    const Duration clientTimeout = Protocol::clientTimeout(*request.request).value_or(request.route->timeout);
-    pending->deadline = request.receivedAt + std::min(clientTimeout, request.route->timeout);
+    pending->deadline = deadlineOf<Protocol>(request);
+    pending->runs = request.earlier.runs;
+    pending->refusals = request.earlier.refusals;
     pending->service = request.table->findService(request.origin ? request.origin->service : chooseService(*request.route, m_random.uniform()));
     pending->task = request;
     pending->onResult = onResult;
@@ -184,6 +169,17 @@
     return events;
 }
 
+template <typename Protocol>
+void Forwarder<Protocol>::recordLeaving(const EndpointId& endpoint, std::string_view requestId)
+{
+    const auto leaving = m_balancer.markLeaving(endpoint);
+    if (!leaving)
+        return;
+    m_log.info("id={} endpoint={} started={} outcome=leaving", requestId, leaving->id, leaving->startedMs);
+    if (m_onLeaving)
+        m_onLeaving(*leaving);
+}
+
 /// False if the response belongs to another request.
 template <typename Protocol>
 bool Forwarder<Protocol>::onHead(const PendingPointer& pending, std::uint64_t number, const http1::Response& head)
@@ -191,11 +187,8 @@
     Attempt& attempt = pending->attempts.at(number);
     const AnswerClass answerClass = Protocol::classify(head, pending->id);
     const bool isFromChosenEndpoint = answerClass != AnswerClass::OtherRequest && answerClass != AnswerClass::WrongEndpoint;
-    if (const auto leaving = isFromChosenEndpoint && Protocol::isLeaving(head) ? m_balancer.markLeaving(attempt.endpoint.id) : std::nullopt) {
-        m_log.info("id={} endpoint={} started={} outcome=leaving", pending->id, leaving->id, leaving->startedMs);
-        if (m_onLeaving)
-            m_onLeaving(*leaving);
-    }
+    if (isFromChosenEndpoint && Protocol::isLeaving(head))
+        recordLeaving(attempt.endpoint.id, pending->id);
     if (answerClass == AnswerClass::OtherRequest) {
         m_log.warning("id={} endpoint={} outcome=foreign-answer", pending->id, attempt.endpoint.id);
         return false;
@@ -253,6 +246,7 @@
         m_guard.recordLostRequest(attempt.endpoint, fingerprintOf(*pending));
     if (end.isSent)
         ++pending->runs;
+    pending->failedConnections += end.kind == http1::CallEndKind::ConnectFailed ? 1 : 0;
     sendNextOrFail(pending);
 }
 
@@ -304,7 +298,21 @@
     m_metrics.histogram("gateway_request_seconds").record(elapsed);
     cancelAttempts(pending, RequestOutcome::Cancelled);
     if (const auto onResult = std::exchange(pending->onResult, nullptr))
-        onResult({ std::move(response), endpoint.id, pending->internalErrors, { endpoint.service, endpoint.software } });
+        onResult({ std::move(response), endpoint.id, pending->internalErrors, { endpoint.service, endpoint.software }, isUnreached(*pending) });
+}
+
+template <typename Protocol>
+std::optional<RetryState> Forwarder<Protocol>::withdraw(ForwardCall& call)
+{
+    const PendingPointer pending = static_cast<PendingRequest&>(call).shared_from_this();
+    const auto sent = std::count_if(pending->attempts.begin(), pending->attempts.end(), [](const auto& attempt) { return attempt.second.call->isSent(); });
+    const RetryState state { pending->runs + static_cast<unsigned>(sent), pending->refusals };
+    if (pending->isDone || !maySendAgain(*pending->task.route, state))
+        return std::nullopt;
+    m_log.info("id={} route={} outcome=withdrawn runs={} took-ms={}", pending->id, pending->task.route->name, state.runs, internal::milliseconds(m_clock.now() - pending->task.receivedAt));
+    pending->onResult = nullptr;
+    cancelAttempts(pending, RequestOutcome::Failed);
+    return state;
 }
 
 /// Ends a request that its caller cancelled.
--- a/src/azurepaddle/gateway/fwd.hpp
+++ b/src/azurepaddle/gateway/fwd.hpp
@@ -7,12 +7,20 @@
 class AnswerBudget;
 class Balancer;
 class CrashGuard;
+class CrashProbe;
 class CrashWatch;
 class ForwardCall;
+class LinkMonitor;
+class LinkProber;
+class RelayPeers;
 class SendLimiter;
 template <typename Protocol>
 class Forwarder;
 template <typename Protocol>
+class RelayForwarder;
+template <typename Protocol>
+class RelayServer;
+template <typename Protocol, typename Sender>
 class StreamForwarder;
 
 }
--- /dev/null
+++ b/src/azurepaddle/gateway/link_monitor.cpp
@@ -0,0 +1,88 @@
+#include "azurepaddle/gateway/link_monitor.hpp"
+
+#include <algorithm>
+
+namespace azurepaddle::gateway {
+
+namespace {
+
+    constexpr std::size_t maxProbes = 4;
+    // A single endpoint that cannot be reached may have crashed.
+    constexpr std::size_t minProbes = 2;
+    // Failures of many requests at once start one round.
+    constexpr Duration minRoundInterval = std::chrono::milliseconds(300);
+
+}
+
+void LinkMonitor::setEndpoints(std::vector<registry::EndpointRecord> endpoints)
+{
+    m_endpoints = std::move(endpoints);
+}
+
+void LinkMonitor::recordContact()
+{
+    m_wasReachable = true;
+}
+
+void LinkMonitor::recordFailure(TimePoint now)
+{
+    if (!m_isSuspected && !isRoundInProgress() && m_state == LinkState::Up)
+        m_nextRound = std::max(m_nextRound, now);
+    m_isSuspected = true;
+}
+
+std::vector<registry::EndpointRecord> LinkMonitor::beginRoundIfDue(TimePoint now)
+{
+    const bool isWanted = m_isSuspected || m_state == LinkState::Cut;
+    if (!isWanted || isRoundInProgress() || now < m_nextRound)
+        return {};
+    m_nextRound = now + minRoundInterval;
+    m_isSuspected = false;
+    m_wasReachable = false;
+    std::vector<registry::EndpointRecord> probes = chooseProbes();
+    m_pendingProbes = m_probedEndpoints = probes.size();
+    return probes;
+}
+
+/// Chooses endpoints of all data centres in turn.
+std::vector<registry::EndpointRecord> LinkMonitor::chooseProbes()
+{
+    std::map<DataCentreName, std::vector<const registry::EndpointRecord*>> byDataCentre;
+    for (const registry::EndpointRecord& endpoint : m_endpoints) {
+        if (endpoint.state == registry::EndpointState::Ready)
+            byDataCentre[endpoint.dataCentre].push_back(&endpoint);
+    }
+    std::size_t available = 0;
+    for (const auto& [dataCentre, endpoints] : byDataCentre)
+        available += endpoints.size();
+    const std::size_t wanted = std::min(maxProbes, available);
+    const std::size_t first = m_rotation++;
+    std::vector<registry::EndpointRecord> probes;
+    for (std::size_t turn = 0; probes.size() < wanted; ++turn) {
+        for (const auto& [dataCentre, endpoints] : byDataCentre) {
+            if (turn < endpoints.size() && probes.size() < wanted)
+                probes.push_back(*endpoints[(first + turn) % endpoints.size()]);
+        }
+    }
+    return probes;
+}
+
+std::optional<LinkState> LinkMonitor::recordProbe(bool isReachable)
+{
+    m_wasReachable = m_wasReachable || isReachable;
+    if (m_pendingProbes == 0 || --m_pendingProbes > 0)
+        return std::nullopt;
+    return endRound();
+}
+
+std::optional<LinkState> LinkMonitor::endRound()
+{
+    if (m_probedEndpoints < minProbes && !m_wasReachable)
+        return std::nullopt;
+    const LinkState state = m_wasReachable ? LinkState::Up : LinkState::Cut;
+    if (std::exchange(m_state, state) == state)
+        return std::nullopt;
+    return state;
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/gateway/link_monitor.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "azurepaddle/core/clock.hpp"
+#include "azurepaddle/registry/endpoint.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace azurepaddle::gateway {
+
+enum class LinkState : std::uint8_t {
+    Up,
+    Cut, ///< This instance reaches no endpoint, although the endpoints send heartbeats.
+};
+
+/// Decides from the links of an instance as a whole whether it is cut off from the endpoints. One endpoint that cannot be
+/// reached says little, because it may have crashed. A failure therefore starts a round of probes of several endpoints,
+/// in as many data centres as possible; the links are cut if none of them can be reached. While they are cut, further
+/// rounds detect the end of the cut. The endpoints are those with recent heartbeats. Uses no network.
+class LinkMonitor {
+public:
+    /// Replaces the endpoints that must be reachable.
+    void setEndpoints(std::vector<registry::EndpointRecord> endpoints);
+
+    /// Records that a connection to an endpoint was established, or that bytes of an endpoint arrived.
+    void recordContact();
+    /// Records that a connection could not be established or broke.
+    void recordFailure(TimePoint now);
+    /// The endpoints to probe now; empty if no round is due. Each one must be followed by a call of `recordProbe`.
+    [[nodiscard]] std::vector<registry::EndpointRecord> beginRoundIfDue(TimePoint now);
+    /// Records the outcome of one probe of the current round. Returns the state if it changed.
+    [[nodiscard]] std::optional<LinkState> recordProbe(bool isReachable);
+
+    [[nodiscard]] LinkState state() const noexcept { return m_state; }
+    [[nodiscard]] bool isRoundInProgress() const noexcept { return m_pendingProbes > 0; }
+    /// Time of the next round while the links are cut.
+    [[nodiscard]] TimePoint nextRound() const noexcept { return m_nextRound; }
+
+private:
+    [[nodiscard]] std::vector<registry::EndpointRecord> chooseProbes();
+    [[nodiscard]] std::optional<LinkState> endRound();
+
+    std::vector<registry::EndpointRecord> m_endpoints;
+    LinkState m_state = LinkState::Up;
+    bool m_isSuspected = false; ///< A failure was recorded since the last round.
+    TimePoint m_nextRound {};
+    std::size_t m_rotation = 0; ///< Changes with each round, so that rounds probe different endpoints.
+    std::size_t m_pendingProbes = 0;
+    std::size_t m_probedEndpoints = 0;
+    bool m_wasReachable = false; ///< An endpoint was reached since the current round began.
+};
+
+}
--- a/src/azurepaddle/gateway/stream_forwarder.hpp
+++ b/src/azurepaddle/gateway/stream_forwarder.hpp
@@ -15,20 +15,20 @@
         } -> std::same_as<tl::expected<TakeUp, std::string>>; ///< An error message if its fields cannot be read.
 };
 
-/// Forwards callers' requests for event streams. A stream that broke off is continued only by the software that began it,
+/// Forwards callers' requests for event streams through a sender. A stream that broke off is continued only by the software that began it,
 /// because the output of two versions does not fit together and endpoints do not check this. What began a stream is
 /// recorded at the leader before its first event is passed on, so that any instance can continue the stream, also after
 /// all of them have restarted.
-template <typename Protocol>
+template <typename Protocol, typename Sender>
 class StreamForwarder {
 public:
-    StreamForwarder(Forwarder<Protocol>& forwarder, const Balancer& balancer, registry::StreamRecorder& recorder, metrics::Registry& metrics)
-        : m_forwarder(forwarder)
+    StreamForwarder(Sender& sender, const Balancer& balancer, registry::StreamRecorder& recorder, metrics::Registry& metrics)
+        : m_sender(sender)
         , m_balancer(balancer)
         , m_recorder(recorder)
         , m_metrics(metrics)
     {
-        static_assert(StreamProtocol<Protocol>);
+        static_assert(StreamProtocol<Protocol> && RequestSender<Sender>);
     }
 
     /// Forwards a caller's request for a stream and responds to it. Keeps a reference to the table until then.
@@ -38,10 +38,9 @@
     void lookUp(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp);
     void onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::StreamOrigin& origin);
     void start(const http1::ExchangePointer& exchange, const ForwardRequest& task);
-    void send(const http1::ExchangePointer& exchange, const ForwardRequest& task, const ForwardCallback& onResult);
     void refuse(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp, TakeUpDecision decision, std::string_view reason);
 
-    Forwarder<Protocol>& m_forwarder;
+    Sender& m_sender;
     const Balancer& m_balancer;
     registry::StreamRecorder& m_recorder;
     metrics::Registry& m_metrics;
@@ -54,18 +53,12 @@
     // A caller that takes a stream up waits at most this long for the look-up of its origin.
     constexpr Duration lookUpTimeout = std::chrono::seconds(1);
 
-    inline void respond(const http1::ExchangePointer& exchange, http1::Response response)
-    {
-        response.fields.eraseHopByHop();
-        exchange->respond(std::move(response));
-    }
-
 }
 
-template <typename Protocol>
-void StreamForwarder<Protocol>::forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route)
+template <typename Protocol, typename Sender>
+void StreamForwarder<Protocol, Sender>::forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route)
 {
-    const ForwardRequest task { { exchange, &exchange->request() }, exchange->receivedAt(), table, { table, &route } };
+    const ForwardRequest task = requestOf(exchange, table, route);
     const auto takeUp = Protocol::takeUpOf(exchange->request());
     if (!takeUp)
         return refuse(exchange, task, {}, TakeUpDecision::RefuseForGood, takeUp.error());
@@ -78,24 +71,24 @@
 }
 
 /// Forwards a new stream, whose origin is recorded before its first event is passed on.
-template <typename Protocol>
-void StreamForwarder<Protocol>::start(const http1::ExchangePointer& exchange, const ForwardRequest& task)
+template <typename Protocol, typename Sender>
+void StreamForwarder<Protocol, Sender>::start(const http1::ExchangePointer& exchange, const ForwardRequest& task)
 {
-    send(exchange, task, [this, exchange, task](ForwardResult result) {
+    forwardExchange(m_sender, exchange, task, [this, exchange, task](ForwardResult result) {
         constexpr unsigned ok = 200;
         if (result.endpoint.empty() || result.response.status != ok || !task.route->isResumable)
-            return internal::respond(exchange, std::move(result.response));
+            return respond(exchange, std::move(result.response));
         const registry::StreamRecord record { registry::StreamId(Protocol::requestId(exchange->request())), result.origin };
         m_recorder.record(record, [this, exchange, record, response = std::move(result.response)](bool isRecorded) {
             m_metrics.counter(isRecorded ? "gateway_streams_recorded_total" : "gateway_streams_unrecorded_total").add();
             m_log.info("stream={} service={} software={} outcome={}", record.id, record.origin.service, record.origin.software, isRecorded ? "recorded" : "not-recorded");
-            internal::respond(exchange, response);
+            respond(exchange, response);
         });
     });
 }
 
-template <typename Protocol>
-void StreamForwarder<Protocol>::lookUp(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp)
+template <typename Protocol, typename Sender>
+void StreamForwarder<Protocol, Sender>::lookUp(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp)
 {
     const Duration clientTimeout = Protocol::clientTimeout(exchange->request()).value_or(task.route->timeout);
     const TimePoint deadline = std::min(task.receivedAt + clientTimeout, m_clock.now() + internal::lookUpTimeout);
@@ -106,8 +99,8 @@
     });
 }
 
-template <typename Protocol>
-void StreamForwarder<Protocol>::onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::StreamOrigin& origin)
+template <typename Protocol, typename Sender>
+void StreamForwarder<Protocol, Sender>::onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::StreamOrigin& origin)
 {
     if (!exchange->isOpen())
         return;
@@ -120,23 +113,11 @@
     task.origin = origin;
     m_metrics.counter("gateway_streams_continued_total").add();
     m_log.info("id={} stream={} last-event={} service={} software={} outcome=taken-up", Protocol::requestId(exchange->request()), takeUp.stream, takeUp.lastEvent, origin.service, origin.software);
-    send(exchange, task, [exchange](ForwardResult result) { internal::respond(exchange, std::move(result.response)); });
-}
-
-template <typename Protocol>
-void StreamForwarder<Protocol>::send(const http1::ExchangePointer& exchange, const ForwardRequest& task, const ForwardCallback& onResult)
-{
-    const auto call = m_forwarder.send(task, onResult);
-    if (!exchange->isOpen())
-        return;
-    exchange->setOnClosed([weak = std::weak_ptr(call)] {
-        if (const auto activeCall = weak.lock())
-            activeCall->cancel();
-    });
+    forwardExchange(m_sender, exchange, task, [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); });
 }
 
-template <typename Protocol>
-void StreamForwarder<Protocol>::refuse(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp, TakeUpDecision decision, std::string_view reason)
+template <typename Protocol, typename Sender>
+void StreamForwarder<Protocol, Sender>::refuse(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp, TakeUpDecision decision, std::string_view reason)
 {
     m_metrics.counter("gateway_take_ups_refused_total").add();
     m_log.info("id={} route={} stream={} last-event={} outcome=refused cause=\"{}\"", Protocol::requestId(exchange->request()), task.route->name, takeUp.stream, takeUp.lastEvent, reason);
--- a/src/azurepaddle/platform/caller_api.hpp
+++ b/src/azurepaddle/platform/caller_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurepaddle/gateway/relay_forwarder.hpp"
 #include "azurepaddle/gateway/stream_forwarder.hpp"
 #include "azurepaddle/platform/endpoint_protocol.hpp"
 #include "azurepaddle/registry/leader_client.hpp"
@@ -11,8 +12,8 @@
 /// forwarders, calls for batch jobs to the leader.
 class CallerApi {
 public:
-    using Forwarder = gateway::Forwarder<EndpointProtocol>;
-    using StreamForwarder = gateway::StreamForwarder<EndpointProtocol>;
+    using Forwarder = gateway::RelayForwarder<EndpointProtocol>;
+    using StreamForwarder = gateway::StreamForwarder<EndpointProtocol, Forwarder>;
 
     /// Requests that match no route are answered as such only while the state's age allows it.
     CallerApi(Forwarder& forwarder, StreamForwarder& streams, registry::LeaderClient& leader, const registry::StateAge& stateAge);
--- a/src/azurepaddle/registry/fwd.hpp
+++ b/src/azurepaddle/registry/fwd.hpp
@@ -5,6 +5,8 @@
 struct EndpointRecord;
 struct EndpointHeartbeat;
 class Directory;
+class EntryFinder;
+class EntryList;
 class StateMachine;
 struct StreamOrigin;
 class StreamRecorder;
--- a/src/azurepaddle/registry/local_service.cpp
+++ b/src/azurepaddle/registry/local_service.cpp
@@ -34,18 +34,28 @@
     handleRequests<PollRequest>(server, m_io, [this](const PollRequest& request, const transport::PeerResponder& respond) {
         handle(request, Responder<PollReply>(respond, redirectTarget()));
     });
+    handleRequests<FindEntriesRequest>(server, m_io, [this](const FindEntriesRequest& request, const transport::PeerResponder& respond) {
+        handle(request, Responder<FindEntriesReply>(respond, {}));
+    });
 }
 
 void LocalService::handle(const PollRequest& request, const Responder<PollReply>& responder)
 {
+    const TimePoint now = m_clock.now();
+    m_entries.record(request.entry, now);
     if (!m_group.hasRecentState())
         return responder.notLeader();
-    const TimePoint now = m_clock.now();
     WaitingPoll poll { request, responder, now };
     if (!replyIfDue(poll, now))
         m_waitingPolls.push_back(std::move(poll));
 }
 
+/// Needs no recent state, because entries poll this instance itself.
+void LocalService::handle(const FindEntriesRequest&, const Responder<FindEntriesReply>& responder)
+{
+    responder.ok({ m_entries.takingRequests(m_clock.now()) });
+}
+
 /// Peer address of an instance that may have more recent state: the leader or any participant; empty if none is known.
 std::string LocalService::redirectTarget() const
 {
--- a/src/azurepaddle/registry/local_service.hpp
+++ b/src/azurepaddle/registry/local_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurepaddle/registry/entry_list.hpp"
 #include "azurepaddle/registry/leader_client.hpp"
 #include "azurepaddle/registry/leader_service.hpp"
 
@@ -13,7 +14,7 @@
 public:
     LocalService(asio::io_context& io, ServiceGroup& group, const StateMachine& machine, LeaderClient& leader, DataCentreName dataCentre);
 
-    /// Registers the poll method. Must be called before the server starts.
+    /// Registers the methods of entry instances. Must be called before the server starts.
     void registerHandlers(transport::PeerServer& server);
     /// Sets the services whose endpoints entry instances need under a version of the configuration.
     void setServices(std::uint64_t configurationVersion, std::set<ServiceName> services)
@@ -37,6 +38,7 @@
     };
 
     void handle(const PollRequest& request, const Responder<PollReply>& responder);
+    void handle(const FindEntriesRequest& request, const Responder<FindEntriesReply>& responder);
     [[nodiscard]] std::string redirectTarget() const;
     [[nodiscard]] bool areServicesCurrent() const { return m_servicesVersion == m_machine.configuration().version; }
     [[nodiscard]] bool replyIfDue(WaitingPoll& poll, TimePoint now) const;
@@ -55,6 +57,7 @@
     std::uint64_t m_servicesVersion = 0;
     std::set<ServiceName> m_services;
     std::vector<WaitingPoll> m_waitingPolls;
+    EntryList m_entries;
     std::map<EndpointId, HeartbeatStatus> m_unreported; ///< Heartbeats accepted since the last report to the leader.
     bool m_isReporting = false;
     TimePoint m_nextReport {};
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/registry/commands.hpp"
+#include "azurepaddle/registry/entry_list.hpp"
 
 #include <string_view>
 
@@ -43,7 +44,21 @@
     std::uint64_t configurationVersion = 0;
     std::uint64_t directoryRevision = 0;
     std::uint64_t suspectsRevision = 0;
-    MSGPACK_DEFINE(configurationVersion, directoryRevision, suspectsRevision)
+    EntryStatus entry {}; ///< The requester.
+    MSGPACK_DEFINE(configurationVersion, directoryRevision, suspectsRevision, entry)
+};
+
+struct FindEntriesReply {
+    std::vector<EntryStatus> entries;
+    MSGPACK_DEFINE(entries)
+};
+
+/// Asks a store instance for the entries that poll it and take requests of other entries.
+struct FindEntriesRequest {
+    static constexpr std::string_view method = "find-entries";
+    using Reply = FindEntriesReply;
+    bool isRequired = true;
+    MSGPACK_DEFINE(isRequired)
 };
 
 struct Acknowledgement {
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -45,6 +45,7 @@
     , m_seeds(m_settings.seedPeers())
     , m_random(std::random_device {}())
     , m_peerClient(peerClientOptions(m_settings))
+    , m_peerServer(entryServerOptions(m_settings))
     , m_leader(io, m_peerClient)
     , m_reporter(io, m_leader)
     , m_streamRecorder(io, m_leader)
@@ -52,10 +53,17 @@
     , m_stateAge(m_settings.bounds.configurationDelay)
     , m_pool(io, endpointMessageLimits())
     , m_balancer(DataCentreName(m_settings.node.dataCentre))
-    , m_guard(endpointProbe(io), m_metrics)
+    , m_links(io, endpointProbe(io), m_metrics)
+    , m_crashProbe(io, endpointProbe(io), m_links, m_balancer)
+    , m_guard([this](const InstanceAddress& address, const http1::ProbeCallback& onOutcome) { m_crashProbe.probe(address, onOutcome); }, m_metrics)
     , m_limiter(
           m_settings.node.name, [this](const registry::PermitRequest& request, TimePoint deadline, const gateway::PermitCallback& onReply) { requestPermit(request, deadline, onReply); }, m_random)
-    , m_forwarder(io, m_pool, m_balancer, m_guard, m_limiter, m_random, m_metrics, maxAnswerBytes(m_settings))
+    , m_localForwarder(io, m_pool, m_balancer, m_guard, m_limiter, m_random, m_metrics, maxAnswerBytes(m_settings))
+    , m_relayServer(
+          io, m_localForwarder, [this] { return takesRequestsOfOthers(); }, m_metrics)
+    , m_entryFinder(m_peerClient, m_leader, io, formatAddress(m_settings.peerAddress()))
+    , m_relayPeers(DataCentreName(m_settings.node.dataCentre), m_random)
+    , m_forwarder(io, m_localForwarder, m_links, m_relayPeers, m_entryFinder, m_peerClient, formatAddress(m_settings.peerAddress()), m_metrics)
     , m_streams(m_forwarder, m_balancer, m_streamRecorder, m_metrics)
     , m_callers(m_forwarder, m_streams, m_leader, m_stateAge)
     , m_callerServer(io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); })
@@ -69,15 +77,23 @@
     m_leader.setMembers(m_seeds);
     m_stores.setMembers(m_seeds);
     m_guard.setOnReport([this](const registry::SuspectsRequest& report) { m_reporter.add(report); });
-    m_forwarder.setOnLeaving([this](const registry::EndpointIncarnation& leave) { reportDraining(leave); });
+    m_pool.setLinkObserver([this](bool isReachable) { isReachable ? m_links.recordContact() : m_links.recordFailure(); });
+    m_links.setOnChange([this](gateway::LinkState state) {
+        if (state == gateway::LinkState::Cut)
+            m_forwarder.onLinksCut();
+    });
+    m_entryFinder.setOnFound([this](const std::vector<registry::EntryStatus>& entries) { m_relayPeers.add(entries, m_clock.now()); });
+    m_relayServer.registerHandlers(m_peerServer);
+    m_localForwarder.setOnLeaving([this](const registry::EndpointIncarnation& leave) { reportDraining(leave); });
 }
 
 bool EntryNode::start()
 {
-    const auto peers = m_peerClient.start();
-    if (!peers)
-        m_log.error("{}", peers.error().message());
-    if (!peers || !listenOn(m_callerServer, m_settings.listen.callers, m_log) || !listenOn(m_readyServer, m_settings.listen.ready, m_log) || !listenOn(m_metricsServer, m_settings.listen.metrics, m_log))
+    const auto client = m_peerClient.start();
+    const auto server = m_peerServer.start();
+    if (!client || !server)
+        m_log.error("{}", client ? server.error().message() : client.error().message());
+    if (!client || !server || !listenOn(m_callerServer, m_settings.listen.callers, m_log) || !listenOn(m_readyServer, m_settings.listen.ready, m_log) || !listenOn(m_metricsServer, m_settings.listen.metrics, m_log))
         return false;
     m_log.info("start name={} data-centre={} callers={}", m_settings.node.name, m_settings.node.dataCentre, m_settings.listen.callers);
     poll();
@@ -93,9 +109,15 @@
     });
 }
 
+registry::EntryStatus EntryNode::status() const
+{
+    return { formatAddress(m_settings.peerAddress()), DataCentreName(m_settings.node.dataCentre), takesRequestsOfOthers() };
+}
+
 void EntryNode::poll()
 {
     const TimePoint now = m_clock.now();
+    m_received.entry = status();
     const auto store = m_stores.choose(now);
     if (!store)
         return pollAfter(pollRetryDelay);
@@ -166,6 +188,7 @@
         m_balancer.setEndpoints(reply.endpoints);
     else
         m_balancer.changeEndpoints(reply.endpoints, reply.removed);
+    m_links.setEndpoints(m_balancer.records());
     if (reply.isFullUpdate || !reply.endpoints.empty() || !reply.removed.empty())
         m_log.debug("endpoints changed={} removed={} are-all={} revision={}", reply.endpoints.size(), reply.removed.size(), reply.isFullUpdate, reply.directoryRevision);
 }
@@ -212,7 +235,9 @@
     http1::ServerLimits limits = table->limits();
     limits.maxConnections = m_settings.bounds.maxConnections;
     m_callerServer.setLimits(limits);
-    m_callers.setRoutes(std::make_shared<const gateway::RouteTable>(std::move(*table)));
+    const auto routes = std::make_shared<const gateway::RouteTable>(std::move(*table));
+    m_callers.setRoutes(routes);
+    m_relayServer.setRoutes(routes);
     m_received.configurationVersion = reply.configurationVersion;
     m_hasConfiguration = true;
 }
@@ -246,7 +271,7 @@
     const bool isLate = waited >= longest;
     if (isLate)
         m_callerServer.closeIdle();
-    const bool isEmpty = m_callerServer.connections() == 0 || (isLate && m_callerServer.requestsInProgress() == 0);
+    const bool isEmpty = (m_callerServer.connections() == 0 && m_relayServer.inProgress() == 0) || (isLate && m_callerServer.requestsInProgress() == 0);
     if ((waited >= minimumDrain && isEmpty) || waited >= longest + killMargin / 2) {
         m_log.info("stop connections={} waited-ms={}", m_callerServer.connections(), std::chrono::duration_cast<std::chrono::milliseconds>(waited).count());
         return m_onDrained();
@@ -270,6 +295,7 @@
 
 void EntryNode::stop()
 {
+    m_peerServer.stop();
     m_peerClient.stop();
 }
 
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -2,13 +2,17 @@
 
 #include "azurepaddle/config/node_settings.hpp"
 #include "azurepaddle/gateway/balancer.hpp"
+#include "azurepaddle/gateway/crash_probe.hpp"
+#include "azurepaddle/gateway/relay_server.hpp"
 #include "azurepaddle/platform/caller_api.hpp"
+#include "azurepaddle/registry/entry_finder.hpp"
 #include "azurepaddle/registry/failed_polls.hpp"
 #include "azurepaddle/registry/leader_client.hpp"
 #include "azurepaddle/registry/nearest_store.hpp"
 #include "azurepaddle/registry/state_age.hpp"
 #include "azurepaddle/registry/stream_recorder.hpp"
 #include "azurepaddle/registry/suspect_reporter.hpp"
+#include "azurepaddle/transport/peer_server.hpp"
 
 namespace azurepaddle::node {
 
@@ -27,6 +31,8 @@
     void stop();
 
 private:
+    [[nodiscard]] registry::EntryStatus status() const;
+    [[nodiscard]] bool takesRequestsOfOthers() const { return m_hasConfiguration && !m_isDraining && !m_links.areCut(); }
     void poll();
     void onPoll(const InstanceAddress& store, TimePoint sentAt, const registry::PollReply& reply);
     void onPollFailed(const InstanceAddress& asked, const std::optional<InstanceAddress>& named);
@@ -49,6 +55,7 @@
     std::vector<InstanceAddress> m_seeds; ///< From the newest settings.
     Random m_random;
     transport::PeerClient m_peerClient;
+    transport::PeerServer m_peerServer;
     registry::LeaderClient m_leader;
     registry::SuspectReporter m_reporter;
     registry::StreamRecorder m_streamRecorder;
@@ -56,8 +63,14 @@
     registry::StateAge m_stateAge;
     http1::ClientPool m_pool;
     gateway::Balancer m_balancer;
+    gateway::LinkProber m_links;
+    gateway::CrashProbe m_crashProbe;
     gateway::CrashGuard m_guard;
     gateway::SendLimiter m_limiter;
+    gateway::Forwarder<platform::EndpointProtocol> m_localForwarder;
+    gateway::RelayServer<platform::EndpointProtocol> m_relayServer;
+    registry::EntryFinder m_entryFinder;
+    gateway::RelayPeers m_relayPeers;
     platform::CallerApi::Forwarder m_forwarder;
     platform::CallerApi::StreamForwarder m_streams;
     platform::CallerApi m_callers;
--- a/src/programs/azurepaddle-node/transport_options.hpp
+++ b/src/programs/azurepaddle-node/transport_options.hpp
@@ -28,4 +28,13 @@
     return options;
 }
 
+/// Options of the server on which an entry accepts requests of others, whose memory is small.
+[[nodiscard]] inline transport::ServerOptions entryServerOptions(const config::NodeSettings& settings)
+{
+    constexpr std::uint64_t memoryShare = 8;
+    transport::ServerOptions options = peerServerOptions(settings);
+    options.maxBufferedBytes = std::min<std::size_t>(options.maxBufferedBytes, settings.bounds.memory / memoryShare);
+    return options;
+}
+
 }
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -1,39 +1,13 @@
 #include "azurepaddle/gateway/forwarder.hpp"
 #include "azurepaddle/registry/permit_table.hpp"
 
-#include "../http1/fixture.hpp"
+#include "test_protocol.hpp"
 
 using namespace azurepaddle::gateway;
 using namespace fixture;
 
 namespace {
 
-/// A protocol with simple header fields for tests.
-struct TestProtocol {
-    static std::string requestId(const Request& request) { return std::string(request.fields.find("X-Id")); }
-    static std::optional<Duration> clientTimeout(const Request&) { return std::nullopt; }
-    static Request forEndpoint(const Request& request, const EndpointId& id, Duration)
-    {
-        Request forwarded = request;
-        forwarded.fields.set("X-Endpoint", id.value());
-        return forwarded;
-    }
-    static AnswerClass classify(const Response& response, std::string_view id)
-    {
-        if (response.fields.contains("X-Id") && response.fields.find("X-Id") != id)
-            return AnswerClass::OtherRequest;
-        return response.fields.contains("X-Not-Run") ? AnswerClass::NotRun : AnswerClass::Answer;
-    }
-    static std::optional<LoadReport> loadOf(const Response&) { return std::nullopt; }
-    static bool isLeaving(const Response& response) { return response.fields.contains("X-Leaving"); }
-    static std::optional<double> limitOf(const Response& response) { return response.fields.contains("X-Limit") ? std::optional(std::stod(std::string(response.fields.find("X-Limit")))) : std::nullopt; }
-};
-
-std::string answer(unsigned status, const std::string& body, const std::string& fields = {})
-{
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 constexpr std::size_t maxAnswerBytes = 64U * 1024U;
 
 /// A forwarder behind a server, scripted endpoints, and a caller.
@@ -51,7 +25,7 @@
     SendLimiter limiter { "entry", [this](const registry::PermitRequest& request, TimePoint, const PermitCallback& onReply) { onReply(hasLeader ? std::optional(permits.request(request, clock.now())) : std::nullopt, clock.now()); }, random };
     Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, limiter, random, metrics, maxAnswerBytes };
     std::shared_ptr<const RouteTable> table;
-    Server server { io, [this](const ExchangePointer& exchange) { forwarder.forward(exchange, table, table->routes().front()); } };
+    Server server { io, [this](const ExchangePointer& exchange) { forwardExchange(forwarder, exchange, requestOf(exchange, table, table->routes().front()), [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); }); } };
     std::vector<std::unique_ptr<RawPeer>> endpoints;
     std::vector<registry::EndpointRecord> records;
 
--- /dev/null
+++ b/test/azurepaddle/gateway/relay.cpp
@@ -0,0 +1,276 @@
+#include "azurepaddle/gateway/crash_probe.hpp"
+#include "azurepaddle/gateway/relay_forwarder.hpp"
+#include "azurepaddle/gateway/relay_server.hpp"
+
+#include "test_protocol.hpp"
+
+using namespace fixture;
+
+namespace {
+
+constexpr std::size_t maxAnswerBytes = 64U * 1024U;
+constexpr auto probeTimeout = std::chrono::milliseconds(200);
+const RawPeer::Script silent = [](const std::string&) { return std::string(); };
+const RawPeer::Script succeed = [](const std::string&) { return answer(200, "good", "X-Id: 7\r\nX-Stamp: s\r\n"); };
+
+CrashWatch::Probe probeOf(asio::io_context& io)
+{
+    return [&io](const InstanceAddress& address, ProbeCallback onOutcome) { probeConnection(io, address, probeTimeout, std::move(onOutcome)); };
+}
+
+/// One entry instance with its own view of the endpoints.
+struct Entry {
+    asio::io_context& io;
+    ClientPool pool { io, {} };
+    Balancer balancer { DataCentreName("a") };
+    Random random { 3 };
+    metrics::Registry metrics;
+    LinkProber links { io, probeOf(io), metrics };
+    CrashProbe crashProbe { io, probeOf(io), links, balancer };
+    CrashGuard guard { [this](const InstanceAddress& address, const ProbeCallback& onOutcome) { crashProbe.probe(address, onOutcome); }, metrics };
+    SendLimiter limiter { "entry", [](const registry::PermitRequest&, TimePoint, const PermitCallback& onReply) { onReply(std::nullopt, SystemClock().now()); }, random };
+    Forwarder<TestProtocol> local { io, pool, balancer, guard, limiter, random, metrics, maxAnswerBytes };
+    std::vector<registry::EndpointRecord> records;
+
+    explicit Entry(asio::io_context& loop)
+        : io(loop)
+    {
+        pool.setLinkObserver([this](bool isReachable) { isReachable ? links.recordContact() : links.recordFailure(); });
+    }
+
+    void add(const InstanceAddress& address, const std::string& dataCentre)
+    {
+        records.push_back({ EndpointId("e" + std::to_string(records.size() + 1)), 1, ServiceName("s"), address.ip, address.port, DataCentreName(dataCentre), 4, registry::EndpointState::Ready, {} });
+        balancer.setEndpoints(records);
+        links.setEndpoints(balancer.records());
+    }
+};
+
+/// An entry with a caller in front of it, and another entry to which it can hand requests over.
+struct RelayFixture {
+    asio::io_context io;
+    Entry cut { io };
+    Entry other { io };
+    bool mayTake = true;
+    transport::PeerClient client { { "secret", std::nullopt } };
+    transport::PeerServer peerServer { { { "127.0.0.1", 0 }, "secret", std::nullopt } };
+    registry::LeaderClient leader { io, client };
+    registry::EntryFinder finder { client, leader, io, "127.0.0.1:1" };
+    RelayPeers peers { DataCentreName("a"), cut.random };
+    RelayForwarder<TestProtocol> relay { io, cut.local, cut.links, peers, finder, client, "cut", cut.metrics };
+    RelayServer<TestProtocol> relayServer { io, other.local, [this] { return mayTake; }, other.metrics };
+    std::shared_ptr<const RouteTable> table;
+    ClientPool caller { io, {} };
+    Server server { io, [this](const ExchangePointer& exchange) {
+                       forwardExchange(relay, exchange, requestOf(exchange, table, table->routes().front()), [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); });
+                   } };
+    std::vector<std::unique_ptr<RawPeer>> endpoints;
+    ClientCallPointer call;
+
+    explicit RelayFixture(RouteKind kind)
+    {
+        Route route;
+        route.name = "r";
+        route.host = "h";
+        route.pathPrefix = "/";
+        route.kind = kind;
+        route.services = { { ServiceName("s"), 1 } };
+        route.timeout = std::chrono::milliseconds(1500);
+        route.maxAttempts = 2;
+        Service service;
+        service.name = ServiceName("s");
+        table = std::make_shared<const RouteTable>(1, std::vector<Route> { route }, std::vector<Service> { service }, ServerLimits {});
+        relayServer.setRoutes(table);
+        relayServer.registerHandlers(peerServer);
+        cr_assert(client.start().has_value() && peerServer.start().has_value());
+        cr_assert(server.listen({ "127.0.0.1", 0 }).has_value());
+        cut.links.setOnChange([this](LinkState state) {
+            if (state == LinkState::Cut)
+                relay.onLinksCut();
+        });
+        peers.add({ { formatAddress(peerServer.address()), DataCentreName("a"), true } }, SystemClock().now());
+    }
+    ~RelayFixture()
+    {
+        peerServer.stop();
+        client.stop();
+    }
+
+    /// Cuts the first entry off from all endpoints: their addresses refuse its connections.
+    void cutLinks()
+    {
+        for (const char* dataCentre : { "a", "b", "c" }) {
+            const RawPeer closed(io, silent);
+            cut.add(closed.address(), dataCentre);
+        }
+    }
+
+    RawPeer& addEndpoint(Entry& entry, const RawPeer::Script& script, const std::string& dataCentre = "a")
+    {
+        endpoints.push_back(std::make_unique<RawPeer>(io, script));
+        entry.add(endpoints.back()->address(), dataCentre);
+        return *endpoints.back();
+    }
+
+    Received request()
+    {
+        Received outcome;
+        begin(outcome);
+        cr_assert(runUntil(io, [&] { return outcome.end.has_value(); }));
+        cr_assert(outcome.end->kind == CallEndKind::Complete, "the caller got no answer: %s", outcome.end->message.c_str());
+        return outcome;
+    }
+
+    void begin(Received& outcome)
+    {
+        call = caller.send(server.address(), { "POST", "/x", { { "Host", "h" }, { "X-Id", "7" } }, "body" }, {}, outcome.events());
+    }
+};
+
+}
+
+// Guards against callers of an entry without links to the endpoints who are served worse than those of other entries.
+Test(Relay, allLinksCut_request_isAnsweredThroughOtherEntry)
+{
+    RelayFixture fixture(RouteKind::NonIdempotent);
+    fixture.cutLinks();
+    const RawPeer& endpoint = fixture.addEndpoint(fixture.other, succeed);
+    const Received outcome = fixture.request();
+    cr_assert(outcome.response.status == 200 && outcome.response.body == "good");
+    cr_assert(outcome.response.fields.find("X-Stamp") == "s");
+    cr_assert(endpoint.accepted() == 1);
+    cr_assert(runUntil(fixture.io, [&] { return fixture.cut.links.areCut(); }));
+}
+
+// Guards against a cut that each request detects anew by failed connections.
+Test(Relay, linksKnownToBeCut_requests_openNoConnections)
+{
+    RelayFixture fixture(RouteKind::NonIdempotent);
+    fixture.cutLinks();
+    fixture.addEndpoint(fixture.other, succeed);
+    static_cast<void>(fixture.request());
+    cr_assert(runUntil(fixture.io, [&] { return fixture.cut.links.areCut(); }));
+    Received outcome;
+    const TimePoint begin = SystemClock().now();
+    fixture.begin(outcome);
+    cr_assert(runUntil(fixture.io, [&] { return outcome.end.has_value(); }));
+    cr_assert(outcome.response.status == 200);
+    cr_assert(fixture.cut.local.inProgress() == 0);
+    cr_assert(SystemClock().now() - begin < std::chrono::seconds(1));
+}
+
+// Guards against a request that waits for its deadline although nothing can serve it.
+Test(Relay, noOtherEntry_request_isRefusedAtOnce_asNotRun)
+{
+    RelayFixture fixture(RouteKind::NonIdempotent);
+    fixture.cutLinks();
+    fixture.mayTake = false;
+    const Received outcome = fixture.request();
+    cr_assert(outcome.response.status == 503);
+    cr_assert(outcome.response.fields.contains("Retry-After"));
+}
+
+// Guards against requests that entries hand to each other without end: the other entry has no links either.
+Test(Relay, otherEntryCutToo_request_isHandedOverOnce)
+{
+    RelayFixture fixture(RouteKind::NonIdempotent);
+    fixture.cutLinks();
+    fixture.other.add({ "127.0.0.1", 1 }, "a");
+    const Received outcome = fixture.request();
+    cr_assert(outcome.response.status == 503);
+}
+
+// Guards against a request that may have run and is run again through another entry.
+Test(Relay, connectionBreaksAfterSending_nonIdempotentRequest_isNotHandedOver)
+{
+    RelayFixture fixture(RouteKind::NonIdempotent);
+    std::vector<RawPeer*> hanging { &fixture.addEndpoint(fixture.cut, silent, "a"), &fixture.addEndpoint(fixture.cut, silent, "b") };
+    const RawPeer& endpoint = fixture.addEndpoint(fixture.other, succeed);
+    Received outcome;
+    fixture.begin(outcome);
+    cr_assert(runUntil(fixture.io, [&] { return hanging[0]->accepted() + hanging[1]->accepted() == 1; }));
+    for (RawPeer* peer : hanging)
+        peer->crash();
+    cr_assert(runUntil(fixture.io, [&] { return outcome.end.has_value(); }));
+    cr_assert(outcome.response.status == 502);
+    cr_assert(endpoint.accepted() == 0);
+}
+
+// Guards against a run that is not counted because another entry sent the request: it must not exceed the attempts.
+Test(Relay, runBeforeHandOver_isCounted)
+{
+    RelayFixture fixture(RouteKind::Idempotent);
+    RawPeer& hanging = fixture.addEndpoint(fixture.cut, silent, "a");
+    fixture.cutLinks();
+    const auto failing = [](const std::string&) { return answer(500, "bad", "X-Id: 7\r\n"); };
+    const RawPeer& first = fixture.addEndpoint(fixture.other, failing, "a");
+    const RawPeer& second = fixture.addEndpoint(fixture.other, failing, "b");
+    Received outcome;
+    fixture.begin(outcome);
+    cr_assert(runUntil(fixture.io, [&] { return hanging.accepted() == 1 || outcome.end; }));
+    hanging.crash();
+    cr_assert(runUntil(fixture.io, [&] { return outcome.end.has_value(); }));
+    cr_assert(hanging.accepted() + first.accepted() + second.accepted() <= 2);
+}
+
+// Guards against an endpoint that works on for a caller who has left.
+Test(Relay, callerLeaves_endpointOfOtherEntry_isCancelled)
+{
+    RelayFixture fixture(RouteKind::NonIdempotent);
+    fixture.cutLinks();
+    const RawPeer& endpoint = fixture.addEndpoint(fixture.other, silent);
+    Received outcome;
+    fixture.begin(outcome);
+    cr_assert(runUntil(fixture.io, [&] { return endpoint.accepted() == 1 && fixture.relayServer.inProgress() == 1; }));
+    fixture.call->cancel();
+    cr_assert(runUntil(fixture.io, [&] { return endpoint.closed() == 1; }));
+    cr_assert(fixture.relayServer.inProgress() == 0);
+}
+
+// Guards against an entry that stays without links after they have returned.
+Test(Relay, linksReturn_requests_areForwardedAgain)
+{
+    RelayFixture fixture(RouteKind::NonIdempotent);
+    fixture.cutLinks();
+    const RawPeer& remote = fixture.addEndpoint(fixture.other, succeed);
+    static_cast<void>(fixture.request());
+    cr_assert(runUntil(fixture.io, [&] { return fixture.cut.links.areCut(); }));
+    const int handedOver = remote.accepted();
+    fixture.cut.records.clear();
+    const RawPeer& endpoint = fixture.addEndpoint(fixture.cut, succeed);
+    cr_assert(runUntil(fixture.io, [&] { return !fixture.cut.links.areCut(); }));
+    cr_assert(fixture.request().response.status == 200);
+    cr_assert(endpoint.accepted() >= 1);
+    cr_assert(remote.accepted() == handedOver);
+}
+
+// Guards against harmless requests that are suspected of crashing endpoints because the links of an entry refuse
+// connections.
+Test(CrashProbe, linksRefuseConnections_endpointsAreNotTakenForCrashed)
+{
+    RelayFixture fixture(RouteKind::NonIdempotent);
+    fixture.cutLinks();
+    fixture.cut.links.recordFailure();
+    std::optional<ProbeOutcome> outcome;
+    fixture.cut.crashProbe.probe(fixture.cut.records.front().address(), [&](ProbeOutcome probed) { outcome = probed; });
+    cr_assert(runUntil(fixture.io, [&] { return fixture.cut.links.areCut(); }));
+    cr_assert(!outcome);
+    fixture.addEndpoint(fixture.cut, succeed, "d");
+    cr_assert(runUntil(fixture.io, [&] { return !fixture.cut.links.areCut(); }));
+    cr_assert(runUntil(fixture.io, [&] { return outcome.has_value(); }));
+}
+
+// Guards against a crash that is overlooked because all endpoints crashed at about the same time.
+Test(CrashProbe, endpointRestartsDuringCut_isTakenForCrashed)
+{
+    RelayFixture fixture(RouteKind::NonIdempotent);
+    fixture.cutLinks();
+    fixture.cut.links.recordFailure();
+    std::optional<ProbeOutcome> outcome;
+    fixture.cut.crashProbe.probe(fixture.cut.records.front().address(), [&](ProbeOutcome probed) { outcome = probed; });
+    cr_assert(runUntil(fixture.io, [&] { return fixture.cut.links.areCut(); }));
+    fixture.cut.records.front().startedMs = 2;
+    fixture.addEndpoint(fixture.cut, succeed, "d");
+    cr_assert(runUntil(fixture.io, [&] { return outcome.has_value(); }));
+    cr_assert(outcome == ProbeOutcome::Refused);
+}
