Refuse requests that cannot end before a planned stop, and answer all others

Cause: an entry took requests on open connections until the process ended, without regard to how long they may last, and the process ended with whatever was in progress.

Change: for 2.5 s, in which load balancers withdraw the entry, all requests are taken; later only those whose time limit ends before the process does. Requests in progress get their final answer 0.8 s before the kill: 504 if they may have run, 503 if not; endpoints are given the shorter deadline with later requests.

--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -146,9 +146,11 @@
     /// Cancels a request whose result is outstanding, if it may be sent again, and returns its attempts so far. The
     /// callback is then not called.
     [[nodiscard]] std::optional<RetryState> withdraw(ForwardCall& call);
+    /// Ends all requests, also later ones, by this time at the latest, with an answer to each.
+    void setLatestEnd(TimePoint latestEnd);
     /// Excludes an endpoint that announced its leave in an answer that another instance forwarded.
     void recordLeaving(const EndpointId& endpoint, std::string_view requestId);
-    [[nodiscard]] std::size_t inProgress() const noexcept { return m_inProgress; }
+    [[nodiscard]] std::size_t inProgress() const noexcept { return m_requests.size(); }
 
 private:
     struct Attempt {
@@ -226,7 +228,8 @@
     AnswerBudget m_budget;
     std::map<std::uint64_t, std::weak_ptr<PendingRequest>> m_attempts; ///< Requests of all attempts in progress, by attempt number.
     std::uint64_t m_nextAttempt = 1;
-    std::size_t m_inProgress = 0;
+    std::set<PendingRequest*> m_requests; ///< All requests in progress.
+    TimePoint m_latestEnd = TimePoint::max();
 };
 
 }
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -44,7 +44,8 @@
     pending->service = request.table->findService(request.origin ? request.origin->service : chooseService(*request.route, m_random.uniform()));
     pending->task = request;
     pending->onResult = onResult;
-    ++m_inProgress;
+    pending->deadline = std::min(pending->deadline, m_latestEnd);
+    m_requests.insert(pending.get());
     startDeadlineTimer(pending);
     startHedgeTimer(pending);
     sendNextOrFail(pending);
@@ -65,6 +66,16 @@
     });
 }
 
+template <typename Protocol>
+void Forwarder<Protocol>::setLatestEnd(TimePoint latestEnd)
+{
+    m_latestEnd = latestEnd;
+    for (PendingRequest* request : m_requests) {
+        request->deadline = std::min(request->deadline, latestEnd);
+        startDeadlineTimer(request->shared_from_this());
+    }
+}
+
 template <typename Protocol>
 void Forwarder<Protocol>::startHedgeTimer(const PendingPointer& pending)
 {
@@ -332,7 +343,7 @@
 {
     if (std::exchange(pending->isDone, true))
         return;
-    --m_inProgress;
+    m_requests.erase(pending.get());
     const TimePoint now = m_clock.now();
     for (auto& [number, attempt] : pending->attempts) {
         attempt.call->cancel();
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -36,6 +36,9 @@
     const std::string_view path = http1::pathOf(request.target);
     if (!m_routes)
         return exchange->respond(unavailable("no configuration has been received yet"));
+    const bool isJobCall = path.starts_with(jobPath) || path.starts_with(itemPath);
+    if (isJobCall && refuseDuringDrain(exchange, defaultTimeout))
+        return;
     if (path.starts_with(jobPath)) {
         const batch::JobId job { std::string(path.substr(jobPath.size())) };
         if (request.method == "GET")
@@ -49,6 +52,8 @@
     const gateway::Route* route = m_routes->find(gateway::hostWithoutPort(request.fields.find("Host")), path);
     if (!route)
         return refuseUnroutable(exchange, plain(404, "no route matches the host and path"));
+    if (refuseDuringDrain(exchange, route->kind == gateway::RouteKind::Batch ? defaultTimeout : route->timeout))
+        return;
     if (route->kind == gateway::RouteKind::Batch)
         return submit(exchange, *route);
     if (route->kind == gateway::RouteKind::Streaming)
@@ -67,6 +72,20 @@
     exchange->respond(response);
 }
 
+/// Refuses a request that might be cut off by the end of the process after it has run.
+bool CallerApi::refuseDuringDrain(const http1::ExchangePointer& exchange, Duration timeout) const
+{
+    const http1::Request& request = exchange->request();
+    const Duration timeLimit = std::min(EndpointProtocol::clientTimeout(request).value_or(timeout), timeout);
+    if (!m_drain || gateway::isTakenDuringDrain(*m_drain, m_clock.now(), timeLimit))
+        return false;
+    m_log.info("id={} target={} outcome=refused cause=draining", EndpointProtocol::requestId(request), request.target);
+    http1::Response response = plain(503, "this instance is about to stop");
+    response.fields.add("Retry-After", "0");
+    exchange->respond(response);
+    return true;
+}
+
 TimePoint CallerApi::deadlineOf(const http1::Exchange& exchange) const
 {
     return exchange.receivedAt() + EndpointProtocol::clientTimeout(exchange.request()).value_or(defaultTimeout) - responseMargin;
--- a/src/azurepaddle/platform/caller_api.hpp
+++ b/src/azurepaddle/platform/caller_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurepaddle/gateway/drain_policy.hpp"
 #include "azurepaddle/gateway/relay_forwarder.hpp"
 #include "azurepaddle/gateway/stream_forwarder.hpp"
 #include "azurepaddle/platform/endpoint_protocol.hpp"
@@ -21,8 +22,11 @@
     /// Replaces the routes. Null until a configuration is received.
     void setRoutes(std::shared_ptr<const gateway::RouteTable> routes) { m_routes = std::move(routes); }
     void handle(const http1::ExchangePointer& exchange);
+    /// Refuses requests from now on that cannot be answered within the window.
+    void beginDrain(const gateway::DrainWindow& window) { m_drain = window; }
 
 private:
+    [[nodiscard]] bool refuseDuringDrain(const http1::ExchangePointer& exchange, Duration timeout) const;
     void submit(const http1::ExchangePointer& exchange, const gateway::Route& route);
     void readResults(const http1::ExchangePointer& exchange, const batch::JobId& job);
     void readItem(const http1::ExchangePointer& exchange, const batch::JobId& job);
@@ -35,6 +39,7 @@
     registry::LeaderClient& m_leader;
     const registry::StateAge& m_stateAge;
     std::shared_ptr<const gateway::RouteTable> m_routes;
+    std::optional<gateway::DrainWindow> m_drain;
     const Log m_log { "calls" };
     const SystemClock m_clock {};
 };
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -29,6 +29,8 @@
     constexpr Duration minimumDrain = std::chrono::milliseconds(2500);
     // Time for closing connections before the process is killed.
     constexpr Duration killMargin = std::chrono::milliseconds(1200);
+    // Time for sending the last answers before the process ends.
+    constexpr Duration answerMargin = std::chrono::milliseconds(200);
 
     http1::ServerLimits readinessServerLimits()
     {
@@ -259,20 +261,28 @@
     m_log.info("drain connections={} requests={}", m_callerServer.connections(), m_callerServer.requestsInProgress());
     m_onDrained = std::move(onDrained);
     m_drainSince = m_clock.now();
+    const TimePoint end = m_drainSince + longestDrain() - answerMargin;
+    m_callers.beginDrain({ m_drainSince, end, std::min(m_drainSince + minimumDrain, end) });
+    m_localForwarder.setLatestEnd(end);
     m_callerServer.beginDrain();
     watchDrain();
 }
 
+/// Time from the beginning of the drain until the process ends, whatever is in progress.
+Duration EntryNode::longestDrain() const
+{
+    return m_settings.bounds.stopTimeout - killMargin / 2;
+}
+
 /// Completes the drain once no request can be cut off, or shortly before the process is killed.
 void EntryNode::watchDrain()
 {
     const Duration waited = m_clock.now() - m_drainSince;
-    const Duration longest = m_settings.bounds.stopTimeout - killMargin;
-    const bool isLate = waited >= longest;
+    const bool isLate = waited >= longestDrain() - killMargin / 2;
     if (isLate)
         m_callerServer.closeIdle();
     const bool isEmpty = (m_callerServer.connections() == 0 && m_relayServer.inProgress() == 0) || (isLate && m_callerServer.requestsInProgress() == 0);
-    if ((waited >= minimumDrain && isEmpty) || waited >= longest + killMargin / 2) {
+    if ((waited >= minimumDrain && isEmpty) || waited >= longestDrain()) {
         m_log.info("stop connections={} waited-ms={}", m_callerServer.connections(), std::chrono::duration_cast<std::chrono::milliseconds>(waited).count());
         return m_onDrained();
     }
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -46,6 +46,7 @@
     void answerReady(const http1::ExchangePointer& exchange) const;
     [[nodiscard]] bool isReady() const;
     void watchDrain();
+    [[nodiscard]] Duration longestDrain() const;
 
     asio::io_context& m_io;
     const config::NodeSettings m_settings;
