Bound the time for which an item waits for the software that began it

Cause: an item with a long text waited for a busy endpoint with its software as long as generating the text again would take, which is many seconds for the longest outputs, while other endpoints had room.

Change: it waits two seconds at most.

Result: Placement/begunItemWithLongText_softwareIsBusy_waitIsBounded fails without the bound; test-batch and test-execution pass.

--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -47,11 +47,14 @@
         return endpoint.isUsable && endpoint.running < endpoint.slots && endpoint.version >= item.minVersion && (!item.held || canContinue(endpoint, *item.held));
     }
 
+    // An item that waits longer delays its step more than its output is worth, however much that is.
+    constexpr Duration maxContinuationWait = std::chrono::seconds(2);
+
     /// Whether an item that no endpoint can continue at present starts again rather than waiting for one.
     bool shouldRestart(const WaitingItem& item, const std::vector<EndpointLoad>& endpoints, Duration tokenTime)
     {
         const bool isServed = std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointLoad& endpoint) { return !endpoint.isLeaving && endpoint.software == item.held->software; });
-        return !isServed || item.waitingFor >= tokenTime * item.held->tokens;
+        return !isServed || item.waitingFor >= std::min<Duration>(tokenTime * item.held->tokens, maxContinuationWait);
     }
 
     // A long item counts as this many items, because each concurrent item and each prompt processed on its endpoint
--- a/src/azurepaddle/batch/placement.hpp
+++ b/src/azurepaddle/batch/placement.hpp
@@ -72,7 +72,7 @@
 /// generate a token at the median endpoint.
 ///
 /// An item with output waits for an endpoint that can continue it for as long as it takes to generate that output again,
-/// and then starts again elsewhere. It starts again at once if all endpoints with its version of the software have left.
+/// but for two seconds at most, and then starts again elsewhere. It starts again at once if all endpoints with its version of the software have left.
 [[nodiscard]] std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup, Duration tokenTime = defaultTokenTime);
 
 /// A running item that may be moved to another endpoint.
--- a/test/azurepaddle/batch/placement.cpp
+++ b/test/azurepaddle/batch/placement.cpp
@@ -128,6 +128,17 @@
     cr_assert(placeItems({ item }, endpoints, {}) == std::vector<Placement>({ { 0, EndpointId("a"), true } }));
 }
 
+// Guards against an item with much output that is at no endpoint for many seconds while others have room.
+Test(Placement, begunItemWithLongText_softwareIsBusy_waitIsBounded)
+{
+    const std::vector<EndpointLoad> endpoints { endpointWithSoftware("a", "v2"), endpointWithSoftware("b", "v1", 4) };
+    WaitingItem item = begun(1'000'000);
+    item.waitingFor = std::chrono::milliseconds(1900);
+    cr_assert(placeItems({ item }, endpoints, {}).empty());
+    item.waitingFor = std::chrono::milliseconds(2100);
+    cr_assert(placeItems({ item }, endpoints, {}).size() == 1);
+}
+
 // Guards against a move that discards output: the other endpoint is faster but runs other software.
 Test(Moves, fasterEndpointRunsOtherSoftware_itemStays)
 {
