--- a/src/azurepaddle/config/configuration.hpp
+++ b/src/azurepaddle/config/configuration.hpp
@@ -41,16 +41,16 @@
 /// A set of interchangeable endpoints: `[service NAME]`.
 struct ServiceConfiguration {
     std::string kind = "engine"; ///< "engine" or "plain".
-    bool idempotent = true; ///< How requests count that say nothing about themselves.
+    bool idempotent = true; ///< Whether requests that do not state it may be repeated.
     Duration deadlineShort = std::chrono::seconds(30);
     Duration deadlineLong = std::chrono::minutes(10);
     bool checksFencing = false;
     double exclusionFraction = 0.3;
     double longShare = 0.5;
     bool hedging = true;
-    double hedgeBudget = 0.05; ///< Second copies for each request.
-    std::uint64_t weightBytes = 16ULL << 30U; ///< Of one version in the weight store.
-    std::uint64_t storeBytesPerSecond = 10ULL << 30U; ///< That prefetches of this service may read.
+    double hedgeBudget = 0.05; ///< Maximum number of hedged copies for each request.
+    std::uint64_t weightBytes = 16ULL << 30U; ///< Size of one version in the weight store.
+    std::uint64_t storeBytesPerSecond = 10ULL << 30U; ///< Read rate limit for the prefetches of this service.
     std::string versionSource; ///< The run whose trainer announces the weight versions; empty for none.
 
     [[nodiscard]] bool isEngine() const noexcept { return kind == "engine"; }
@@ -68,13 +68,13 @@
     std::uint64_t maxSampleTokens = 32768;
     std::uint64_t stalenessVersions = 1;
     Duration stalenessTime {}; ///< Zero for no bound in time.
-    std::string scoringService; ///< Empty for none.
+    std::string scoringService; ///< Empty if samples are not scored.
     std::uint64_t samplesPerHandoff = 256;
 
     friend bool operator==(const RunConfiguration&, const RunConfiguration&) = default;
 };
 
-/// What the operators decide, applied as a whole under one number.
+/// The decisions of the operators for the whole deployment, applied as a whole under one number.
 class Configuration {
 public:
     struct Sections {
@@ -88,7 +88,7 @@
     };
 
     Configuration() = default;
-    /// Takes sections that were checked by parseConfiguration or are built by a test.
+    /// The sections must be valid, as checked by parseConfiguration.
     explicit Configuration(Sections sections);
 
     [[nodiscard]] std::uint64_t number() const noexcept { return m_sections.number; }
@@ -97,7 +97,7 @@
     [[nodiscard]] const std::map<ServiceName, ServiceConfiguration>& services() const noexcept { return m_sections.services; }
     [[nodiscard]] const std::map<RunName, RunConfiguration>& runs() const noexcept { return m_sections.runs; }
 
-    /// Each is null if the name is not configured.
+    /// These return null if the name is not configured.
     [[nodiscard]] const TenantConfiguration* tenant(const TenantName& name) const;
     [[nodiscard]] const ServiceConfiguration* service(const ServiceName& name) const;
     [[nodiscard]] const RunConfiguration* run(const RunName& name) const;
--- a/src/azurepaddle/config/configuration_parse.cpp
+++ b/src/azurepaddle/config/configuration_parse.cpp
@@ -7,7 +7,7 @@
 
     using namespace internal;
 
-    /// Reads one file; every problem goes to one list.
+    /// Reads a file and collects all problems in one list.
     class ConfigurationReader {
     public:
         ConfigurationReader(std::string_view text, std::string_view file)
@@ -32,7 +32,7 @@
         }
 
     private:
-        /// Defaults are read before the sections that inherit them, wherever they stand in the file.
+        /// Reads the defaults before the sections that inherit them, regardless of their order in the file.
         void readFixed()
         {
             bool hasNumber = false;
--- a/src/azurepaddle/config/configuration_table.cpp
+++ b/src/azurepaddle/config/configuration_table.cpp
@@ -8,7 +8,7 @@
     constexpr double gibi = 1024 * 1024 * kibi;
     constexpr double hour = 3600;
     constexpr double day = 24 * hour;
-    // The largest whole number that a double, in which bounds are kept, tells apart from its neighbours.
+    // The largest integer such that a double, the type of bounds, represents it and all smaller ones exactly.
     constexpr double maxNumber = 9007199254740991;
 
     constexpr Constraint plainName { Form::Name, 0, 0, {} };
--- a/src/azurepaddle/config/ini.cpp
+++ b/src/azurepaddle/config/ini.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    // inih cuts a longer line in two and a longer section or key name without an error.
+    // inih splits longer lines and truncates longer names of sections and keys without an error.
     constexpr std::size_t maxLineBytes = 197;
     constexpr std::size_t maxNameBytes = 49;
 
@@ -32,7 +32,7 @@
         return section;
     }
 
-    /// Checks what inih passes over in silence, and lists the sections, including empty ones.
+    /// Reports errors that inih ignores, and collects the sections, including empty ones.
     class Scanner {
     public:
         Scanner(std::string_view file, std::vector<IniSection>& sections, Problems& problems)
--- a/src/azurepaddle/config/ini.hpp
+++ b/src/azurepaddle/config/ini.hpp
@@ -19,8 +19,8 @@
     std::vector<std::pair<std::string, std::vector<std::string>>> keys;
 };
 
-/// Reads the sections of an INI text and adds what is malformed to the problems: lines without a key, lines and names
-/// that inih would cut, keys outside a section, sections given twice.
+/// Reads the sections of an INI text. Adds malformed input to the problems: lines without a key, lines and names that inih
+/// would truncate, keys outside a section, and duplicate sections.
 [[nodiscard]] std::vector<IniSection> readIni(std::string_view text, std::string_view file, Problems& problems);
 
 }
--- a/src/azurepaddle/config/node_settings.hpp
+++ b/src/azurepaddle/config/node_settings.hpp
@@ -12,7 +12,7 @@
 
 namespace azurepaddle::config {
 
-/// What a node is and where it keeps its files: `[node]`.
+/// Identity, role and data folder of a node: `[node]`.
 struct NodeIdentitySettings {
     std::string name;
     std::string dataCentre;
@@ -23,7 +23,7 @@
     friend bool operator==(const NodeIdentitySettings&, const NodeIdentitySettings&) = default;
 };
 
-/// Where a node listens, as `ip:port`: `[listen]`.
+/// Addresses on which a node listens, as `ip:port`: `[listen]`.
 struct NodeListenSettings {
     std::string callers;
     std::string ready;
@@ -37,7 +37,7 @@
 struct NodePeerSettings {
     std::string address;
     std::uint64_t port = 7400;
-    std::uint64_t listenPort = 0; ///< 0: the same as `port`.
+    std::uint64_t listenPort = 0; ///< 0 for the same as `port`.
     std::vector<std::string> seeds;
     std::string secret;
     bool isFirstStart = false;
@@ -45,7 +45,7 @@
     friend bool operator==(const NodePeerSettings&, const NodePeerSettings&) = default;
 };
 
-/// Promised times and tolerated losses: `[bounds]`.
+/// Guaranteed times and tolerated losses: `[bounds]`.
 struct NodeBoundSettings {
     std::uint64_t toleratedLosses = 1;
     Duration orderLease = std::chrono::seconds(3);
@@ -59,7 +59,7 @@
     friend bool operator==(const NodeBoundSettings&, const NodeBoundSettings&) = default;
 };
 
-/// What one azurepaddle-node is told at its start.
+/// The settings of an azurepaddle-node.
 struct NodeSettings {
     NodeIdentitySettings node;
     NodeListenSettings listen;
@@ -69,7 +69,7 @@
     [[nodiscard]] bool isStore() const noexcept { return node.role == "store"; }
     [[nodiscard]] LogLevel logLevel() const noexcept;
     [[nodiscard]] InstanceAddress peerAddress() const { return { peer.address, static_cast<std::uint16_t>(peer.port) }; }
-    /// Where this node accepts other nodes.
+    /// The address on which this node accepts connections of other nodes.
     [[nodiscard]] InstanceAddress peerListenAddress() const { return { peer.address, static_cast<std::uint16_t>(peer.listenPort == 0 ? peer.port : peer.listenPort) }; }
     /// Peer addresses of the seeds. All nodes of a deployment use the same peer port, so a seed's own port is not used.
     [[nodiscard]] std::vector<InstanceAddress> seedPeers() const;
--- a/src/azurepaddle/config/problem.hpp
+++ b/src/azurepaddle/config/problem.hpp
@@ -5,7 +5,7 @@
 
 namespace azurepaddle::config {
 
-/// One reason why a file is refused. Section and key are empty where the problem concerns the whole file or section.
+/// A reason why a file is rejected. The section or key is empty if the problem concerns the whole file or section.
 struct Problem {
     std::string file;
     std::string section;
@@ -17,10 +17,10 @@
 
 using Problems = std::vector<Problem>;
 
-/// The problem as one line: file, section, key, reason.
+/// Formats the problem as one line: file, section, key, reason.
 [[nodiscard]] std::string describe(const Problem& problem);
 
-/// All problems, one a line.
+/// Formats all problems, one on each line.
 [[nodiscard]] std::string describe(const Problems& problems);
 
 }
--- a/src/azurepaddle/config/settings.cpp
+++ b/src/azurepaddle/config/settings.cpp
@@ -26,7 +26,7 @@
         return std::find(list.begin(), list.end(), element) != list.end();
     }
 
-    /// Finds contradictions between keys that are valid on their own.
+    /// Reports contradictions between keys that are valid on their own.
     class SettingsCheck {
     public:
         SettingsCheck(const Settings::Sections& sections, std::string_view file, Problems& problems)
--- a/src/azurepaddle/config/settings.hpp
+++ b/src/azurepaddle/config/settings.hpp
@@ -13,7 +13,7 @@
 
 namespace azurepaddle::config {
 
-/// What this process is and where it keeps its files: `[instance]`.
+/// Identity, roles and data folder of this process: `[instance]`.
 struct InstanceSettings {
     std::string name;
     std::string dataCentre;
@@ -91,7 +91,7 @@
     friend bool operator==(const TimingSettings&, const TimingSettings&) = default;
 };
 
-/// Shard counts and upper bounds of what one process keeps in memory: `[limits]`.
+/// Shard counts, and limits of the memory of one process: `[limits]`.
 struct LimitSettings {
     std::uint64_t tenantShards = 16;
     std::uint64_t endpointShards = 16;
@@ -116,7 +116,7 @@
     friend bool operator==(const SeedAddress&, const SeedAddress&) = default;
 };
 
-/// What one daemon is told at its start. Checked as a whole; never changes while the process runs.
+/// The settings of a daemon, validated as a whole. They do not change while the process runs.
 class Settings {
 public:
     struct Sections {
@@ -131,7 +131,7 @@
     };
 
     Settings() = default;
-    /// Takes sections that were checked by parseSettings or are built by a test.
+    /// The sections must be valid, as checked by parseSettings.
     explicit Settings(Sections sections) noexcept
         : m_sections(std::move(sections))
     {
@@ -160,7 +160,7 @@
 /// files are not read.
 [[nodiscard]] tl::expected<Settings, Problems> parseSettings(std::string_view text, std::string_view file);
 
-/// Reads the file and the secret files it names (relative to its folder) into the settings.
+/// Reads settings from a file, and from the secret files that it names relative to its folder.
 [[nodiscard]] tl::expected<Settings, Problems> loadSettings(const std::string& path);
 
 }
--- a/src/azurepaddle/config/table.hpp
+++ b/src/azurepaddle/config/table.hpp
@@ -10,11 +10,11 @@
 
 namespace azurepaddle::config::internal {
 
-/// The member of a section's value type that a key sets.
+/// The member of a section's value type that is set by a key.
 template <typename Object>
 using Member = std::variant<std::string Object::*, std::uint64_t Object::*, double Object::*, bool Object::*, Duration Object::*, TextList Object::*>;
 
-/// One row of the table from which files are read, canonical text is written and the documentation is printed. The
+/// The definition of a key, used to read files, to write canonical text and to generate the documentation. The
 /// default of a key is the value of the member in a default-constructed object.
 template <typename Object>
 struct Key {
@@ -32,7 +32,7 @@
     return std::visit([&](auto member) { return formatValue(object.*member, key.constraint); }, key.member);
 }
 
-/// Reads the values of one key; only a list may have several.
+/// Reads the values of a key. Only a list may have several.
 template <typename Object>
 [[nodiscard]] std::optional<std::string> readMember(const Key<Object>& key, const std::vector<std::string>& values, Object& object)
 {
@@ -49,7 +49,7 @@
     return std::nullopt;
 }
 
-/// The row of a key, or null.
+/// Returns the definition of a key, or null.
 template <typename Object>
 [[nodiscard]] const Key<Object>* findKey(std::span<const Key<Object>> keys, std::string_view name)
 {
@@ -75,7 +75,7 @@
     }
 }
 
-/// The section as canonical text: every key in table order, lists one element a line.
+/// Formats the section as canonical text: all keys in table order, one list element on each line.
 template <typename Object>
 [[nodiscard]] std::string writeSection(std::string_view title, std::span<const Key<Object>> keys, const Object& object)
 {
@@ -91,7 +91,7 @@
     return text;
 }
 
-/// The range of a key in words; empty where every value of its form is accepted.
+/// Describes the range of a key; empty if all values of its form are accepted.
 template <typename Object>
 [[nodiscard]] std::string describeRange(const Key<Object>& key)
 {
@@ -114,7 +114,7 @@
     return {};
 }
 
-/// The unit or form of a key in words.
+/// Describes the unit or form of a key.
 template <typename Object>
 [[nodiscard]] std::string describeUnit(const Key<Object>& key)
 {
@@ -131,7 +131,7 @@
     return "number";
 }
 
-/// One section of the documentation: a heading and a table with a row for each key.
+/// Generates a section of the documentation: a heading, and a table with a row for each key.
 template <typename Object>
 [[nodiscard]] std::string documentSection(std::string_view title, std::span<const Key<Object>> keys)
 {
--- a/src/azurepaddle/config/value.hpp
+++ b/src/azurepaddle/config/value.hpp
@@ -10,7 +10,7 @@
 
 namespace azurepaddle::config::internal {
 
-/// What a text value, or each element of a list, must look like.
+/// The form of a text value, or of each element of a list.
 enum class Form : unsigned char {
     Plain,
     Name, ///< 1 to 40 letters, digits, dots, underscores or hyphens.
@@ -20,10 +20,10 @@
     Path,
     Secret, ///< At least 16 characters; never printed.
     Choice, ///< One of the choices.
-    Bytes, ///< A count of bytes with an optional unit B, KiB, MiB or GiB.
+    Bytes, ///< A number of bytes with an optional unit B, KiB, MiB or GiB.
 };
 
-/// What values a key accepts. The bounds are in the unit of the key; those of durations are in seconds.
+/// The values that a key accepts. Bounds are in the unit of the key; those of durations are in seconds.
 struct Constraint {
     Form form = Form::Plain;
     double minimum = 0;
@@ -33,16 +33,16 @@
 
 using TextList = std::vector<std::string>;
 
-/// Each reads one value and returns the reason if it is refused; the target is then unchanged.
+/// These read a value and return the reason if it is rejected. The target is then unchanged.
 [[nodiscard]] std::optional<std::string> readValue(std::string_view text, const Constraint& constraint, std::string& target);
 [[nodiscard]] std::optional<std::string> readValue(std::string_view text, const Constraint& constraint, std::uint64_t& target);
 [[nodiscard]] std::optional<std::string> readValue(std::string_view text, const Constraint& constraint, double& target);
 [[nodiscard]] std::optional<std::string> readValue(std::string_view text, const Constraint& constraint, bool& target);
 [[nodiscard]] std::optional<std::string> readValue(std::string_view text, const Constraint& constraint, Duration& target);
-/// Adds to the list the elements of a text, which are separated by commas or blanks.
+/// Adds the elements of a text, separated by commas or blanks, to the list.
 [[nodiscard]] std::optional<std::string> readValue(std::string_view text, const Constraint& constraint, TextList& target);
 
-/// Each gives the text that readValue turns into an equal value.
+/// These format a value such that readValue returns an equal one.
 [[nodiscard]] std::string formatValue(const std::string& value, const Constraint& constraint);
 [[nodiscard]] std::string formatValue(std::uint64_t value, const Constraint& constraint);
 [[nodiscard]] std::string formatValue(double value, const Constraint& constraint);
@@ -50,7 +50,7 @@
 [[nodiscard]] std::string formatValue(Duration value, const Constraint& constraint);
 [[nodiscard]] std::string formatValue(const TextList& value, const Constraint& constraint);
 
-/// True for a name of the form Name.
+/// Whether the text has the form Name.
 [[nodiscard]] bool isName(std::string_view text) noexcept;
 
 }
--- a/src/azurepaddle/http/endpoint_routes.hpp
+++ b/src/azurepaddle/http/endpoint_routes.hpp
@@ -5,10 +5,10 @@
 
 namespace azurepaddle::http {
 
-/// Adds the routes by which endpoints announce themselves and leave. An empty secret admits everyone.
+/// Adds the routes for the registration and deregistration of endpoints. An empty secret disables authentication.
 void addEndpointRoutes(HttpServer& server, pipeline::EndpointService& endpoints, const std::string& secret);
 
-/// Answers 401 and returns false unless the request carries the secret as bearer token.
+/// Responds with status 401 and returns false unless the request contains the secret as bearer token.
 [[nodiscard]] bool checkSecret(const httplib::Request& request, httplib::Response& response, const std::string& secret);
 
 }
--- a/src/azurepaddle/http/operator_routes.hpp
+++ b/src/azurepaddle/http/operator_routes.hpp
@@ -11,15 +11,15 @@
 
 namespace azurepaddle::http {
 
-/// What the operators' routes read and change. The references outlive the server.
+/// The parts of an instance that the operators' routes use. The references must outlive the server.
 struct OperatorParts {
-    std::string instance; ///< Name of this one.
+    std::string instance; ///< Name of this instance.
     pipeline::ConfigurationService& configurations;
     const pipeline::ConfigurationHolder& holder;
     pipeline::LiveDirectory& directory;
     pipeline::PeerExchange& exchange;
     control::ControlClient& control;
-    control::ControlGroup* group; ///< Null on instances that do not take part in the log.
+    control::ControlGroup* group; ///< Null on instances that are not members of the replicated log.
     metrics::Registry& metrics;
     pipeline::LiveRouter& router;
     pipeline::Dispatcher& dispatcher;
@@ -27,7 +27,7 @@
     pipeline::RunService& runs;
     pipeline::WeightService& weights;
     std::function<bool()> isReady;
-    std::function<std::string(const std::string&)> drainInstance; ///< The result's name, or empty if unknown.
+    std::function<std::string(const std::string&)> drainInstance; ///< Returns the name of the result, or an empty text if the instance is unknown.
 };
 
 /// Adds the routes of operators and of the platform: configuration, state, drain, metrics and probes. Metrics and probes
--- a/src/azurepaddle/http/operator_views.hpp
+++ b/src/azurepaddle/http/operator_views.hpp
@@ -8,7 +8,7 @@
 
 using Json = nlohmann::json;
 
-/// Each gives the JSON object of one operators' path; docs/http.md describes the members.
+/// These return the JSON objects of the operators' paths, whose members docs/http.md describes.
 [[nodiscard]] Json configurationView(const OperatorParts& parts);
 [[nodiscard]] Json statusView(const OperatorParts& parts);
 [[nodiscard]] Json instancesView(const OperatorParts& parts);
--- a/src/azurepaddle/http/problem.cpp
+++ b/src/azurepaddle/http/problem.cpp
@@ -74,7 +74,7 @@
         { "outcome", outcomeName(error.outcome()) },
         { "retry_after_ms", std::chrono::ceil<std::chrono::milliseconds>(error.retryAfter()).count() },
     };
-    // Names and keys in the detail come from callers and may not be valid UTF-8.
+    // Names and keys in the detail are sent by callers and may be invalid UTF-8.
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/azurepaddle/http/server.cpp
+++ b/src/azurepaddle/http/server.cpp
@@ -16,13 +16,14 @@
     constexpr Duration drainRetry = std::chrono::milliseconds(100);
     constexpr std::string_view bearerPrefix = "Bearer ";
 
-    /// Paths that start new work. Others serve operators, endpoints and probes, also while draining.
+    /// Whether the path starts new work. All other paths are also served while the instance drains.
     bool startsWork(const std::string& path)
     {
         return path == "/v1/completions" || path == "/v1/chat/completions" || path.starts_with("/v1/services/") || path.starts_with("/v1/runs/");
     }
 
-    /// Debian's library fixes the listen backlog at 5, which drops connections in a burst; a second listen deepens it.
+    /// Debian's library sets the listen backlog to 5, so that bursts of connections are dropped. A second call of listen
+    /// increases it.
     template <typename Base>
     class DeepServer final : public Base {
     public:
--- a/src/azurepaddle/http/server.hpp
+++ b/src/azurepaddle/http/server.hpp
@@ -11,13 +11,13 @@
 
 namespace azurepaddle::http {
 
-/// Answers an error as problem+json, with Retry-After where a retry makes sense.
+/// Sends an error as problem+json, with Retry-After if the request may be retried.
 void answerProblem(httplib::Response& response, const pipeline::PipelineError& error);
 
-/// Answers a JSON text.
+/// Sends a JSON text.
 void answerJson(httplib::Response& response, const std::string& body);
 
-/// The bearer token of a request, or an empty text.
+/// Returns the bearer token of a request, or an empty text.
 [[nodiscard]] std::string bearerToken(const httplib::Request& request);
 
 /// The HTTP server of an instance with its limits. Routes are added before start. Requests beyond the thread limit and,
@@ -32,13 +32,13 @@
 
     [[nodiscard]] httplib::Server& routes() noexcept { return *m_server; }
 
-    /// Binds the address and begins to serve. Returns false with a message on standard error if that fails.
+    /// Binds the address and starts to serve. On failure, writes a message to standard error and returns false.
     [[nodiscard]] bool start();
 
-    /// Refuses new requests of callers and trainers from now on.
+    /// Refuses further requests of callers and trainers.
     void drain() noexcept { m_draining = true; }
 
-    /// Closes the connections. Requests in progress must have ended, because the library cuts streams off.
+    /// Closes the connections. No request may be in progress, because the library aborts streams.
     void stop();
 
 private:
--- a/src/azurepaddle/http/taskqueue.hpp
+++ b/src/azurepaddle/http/taskqueue.hpp
@@ -11,11 +11,11 @@
 
 namespace azurepaddle::http {
 
-/// True while the current thread handles a connection beyond the limit; its requests are refused at once.
+/// True while the current thread handles a connection above the limit. Its requests are refused at once.
 [[nodiscard]] bool isOverflowThread() noexcept;
 
-/// Threads that each serve one connection at a time. When all are busy, connections go to a few overflow threads, which
-/// only refuse, so that callers get an answer instead of waiting without one.
+/// Threads that each serve one connection at a time. If all of them are busy, connections are assigned to a few overflow
+/// threads, which refuse all requests, so that callers need not wait for a response.
 class BoundedTaskQueue final : public httplib::TaskQueue {
 public:
     BoundedTaskQueue(std::size_t threads, std::size_t overflowThreads);
@@ -26,7 +26,7 @@
 
     void enqueue(std::function<void()> task) override;
 
-    /// Runs what is queued and joins the threads.
+    /// Runs the queued tasks and joins the threads.
     void shutdown() override;
 
 private:
--- a/src/azurepaddle/http/trainer_routes.hpp
+++ b/src/azurepaddle/http/trainer_routes.hpp
@@ -5,7 +5,7 @@
 
 namespace azurepaddle::http {
 
-/// Adds the routes of trainers: submit groups, pull samples, announce a version, reset a run.
+/// Adds the routes of trainers, which submit groups, pull samples, publish versions and reset runs.
 void addTrainerRoutes(HttpServer& server, pipeline::RunService& runs);
 
 }
--- a/src/azurepaddle/transport/byte_stream.hpp
+++ b/src/azurepaddle/transport/byte_stream.hpp
@@ -12,15 +12,15 @@
 using Tcp = asio::ip::tcp;
 using IoHandler = std::function<void(std::error_code, std::size_t)>;
 
-/// A connected socket with or without TLS. Used on one thread only. The owner keeps it alive until the handlers ran.
+/// A connected socket with or without TLS. Not thread-safe. The owner must keep it alive until its handlers have run.
 class ByteStream {
 public:
-    /// Without a context the stream is plain TCP.
+    /// Creates a plain TCP stream if there is no context.
     ByteStream(Tcp::socket socket, const TlsContext& context);
 
     [[nodiscard]] Tcp::socket& socket() noexcept;
 
-    /// Runs the TLS handshake and checks that HTTP/2 was agreed on; completes at once for plain TCP.
+    /// Runs the TLS handshake and checks that it negotiated HTTP/2. Completes at once for plain TCP.
     void handshake(TlsRole role, std::function<void(std::error_code)> handler);
 
     void readSome(asio::mutable_buffer buffer, IoHandler handler);
--- a/src/azurepaddle/transport/client_connection.cpp
+++ b/src/azurepaddle/transport/client_connection.cpp
@@ -236,7 +236,7 @@
     if (!m_ready || m_down)
         return;
     if (m_link->pingOutstanding()) {
-        // A process that was paused has not had the chance to read the answer.
+        // After this process was paused, the response to the ping may have arrived and not been read yet.
         m_pingSent += lag;
         if (now - m_pingSent <= m_options.pingDeadline)
             return;
@@ -261,7 +261,8 @@
     }
     if (m_link)
         m_link->close();
-    // The peer's state forgets the connection first, so that a completion which calls again opens a new one.
+    // The connection is removed from the state of the peer first, so that a completion which sends another call opens
+    // a new one.
     m_events.onDown(reason, m_ready);
     const auto calls = std::exchange(m_calls, {});
     for (const auto& [stream, call] : calls)
--- a/src/azurepaddle/transport/client_connection.hpp
+++ b/src/azurepaddle/transport/client_connection.hpp
@@ -12,7 +12,7 @@
 
 class ClientConnection;
 
-/// One request of a client until its completion ran.
+/// A request of a client until its completion has run.
 struct Call {
     InstanceAddress peer;
     std::string method;
@@ -21,21 +21,21 @@
     Deadline deadline;
     Completion completion; ///< Empty once the call is complete.
     std::unique_ptr<asio::steady_timer> timer;
-    std::function<void()> onDone; ///< Tells the peer's state that the call ended.
-    std::weak_ptr<ClientConnection> connection; ///< The one it was given to.
-    std::int32_t stream = -1; ///< Its stream there.
-    bool sent = false; ///< Bytes of the request were handed to the socket.
+    std::function<void()> onDone; ///< Called when the call ends, to update the state of the peer.
+    std::weak_ptr<ClientConnection> connection; ///< Connection on which the call is sent.
+    std::int32_t stream = -1; ///< Identifier of its stream on that connection; negative before it is sent.
+    bool sent = false; ///< Bytes of the request were written to the socket.
 
     [[nodiscard]] bool done() const noexcept { return !completion; }
     void finish(CallResult result);
     void fail(TransportErrorCode code, const std::string& message);
-    /// Unknown if the request was sent, otherwise NotSent.
+    /// The error code of a failure: Unknown if the request was sent, otherwise NotSent.
     void failBySent(const std::string& message);
 };
 
 using CallPointer = std::shared_ptr<Call>;
 
-/// What a connection reports to the state of its peer. All run on the I/O thread.
+/// Callbacks of a connection. They run on the I/O thread.
 struct ConnectionEvents {
     std::function<void()> onReady;
     std::function<void()> onGoaway; ///< No new calls are possible; those in progress continue.
@@ -43,21 +43,22 @@
     std::function<void()> onResponse;
 };
 
-/// The client's side of one connection.
+/// The client side of a connection.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
     ClientConnection(asio::io_context& io, const ClientOptions& options, TlsContext tls, InstanceAddress peer, ConnectionEvents events);
 
-    /// Connects, and reports onReady when the settings of the peer arrived.
+    /// Connects, and calls onReady once the settings of the peer have been received.
     void connect();
 
-    /// Sends a call. Only when ready.
+    /// Sends a call. The connection must be ready.
     void send(const CallPointer& call);
 
-    /// Drops a call whose deadline passed.
+    /// Cancels a call whose deadline has passed.
     void cancel(std::int32_t stream);
 
-    /// Pings, and closes a connection that is silent. Lag is how late this check is itself.
+    /// Sends a ping if one is due, and closes the connection if a ping was not answered in time. `lag` is the delay of
+    /// this check, which is not attributed to the peer.
     void checkSilence(TimePoint now, Duration lag);
 
     /// Closes the connection and fails its calls.
@@ -65,7 +66,7 @@
 
     [[nodiscard]] const InstanceAddress& peer() const noexcept { return m_peer; }
     [[nodiscard]] bool down() const noexcept { return m_down; }
-    /// Whether it takes no new calls any more.
+    /// Whether the connection accepts no further calls.
     [[nodiscard]] bool draining() const noexcept { return m_draining; }
     [[nodiscard]] bool ready() const noexcept { return m_ready; }
     [[nodiscard]] bool idle() const noexcept { return m_calls.empty(); }
--- a/src/azurepaddle/transport/error.hpp
+++ b/src/azurepaddle/transport/error.hpp
@@ -10,9 +10,9 @@
 
 enum class TransportErrorCode : unsigned char {
     NotSent, ///< No byte of the request left this instance.
-    Unknown, ///< The request was sent and no whole response came.
-    Deadline, ///< The request was sent and its deadline passed before a whole response came.
-    Refused, ///< The peer answered with an error, given by TransportError::peerError.
+    Unknown, ///< The request was sent, and no complete response was received.
+    Deadline, ///< The request was sent, and its deadline passed before a complete response was received.
+    Refused, ///< The peer responded with an error; see TransportError::peerError.
     Setup, ///< The server or client could not start with its options.
 };
 
@@ -27,13 +27,13 @@
     Failed, ///< The handler ran and returned an error.
 };
 
-/// The name of the code in the response header.
+/// Returns the name of the code in the response header.
 [[nodiscard]] std::string_view peerErrorName(PeerErrorCode code) noexcept;
 
-/// The code with this name. Nothing if there is none.
+/// Returns the code with this name, or nothing if there is none.
 [[nodiscard]] std::optional<PeerErrorCode> parsePeerError(std::string_view name) noexcept;
 
-/// The error that a peer put into its response.
+/// The error in the response of a peer.
 struct PeerError {
     PeerErrorCode code = PeerErrorCode::Failed;
     std::string message;
@@ -41,7 +41,7 @@
     friend bool operator==(const PeerError&, const PeerError&) = default;
 };
 
-/// Why a request to a peer brought no response.
+/// The reason why a request to a peer has no response.
 class TransportError : public LayerError<TransportErrorCode> {
 public:
     using LayerError::LayerError;
@@ -50,7 +50,7 @@
     /// The peer's own error; set exactly if the code is Refused.
     [[nodiscard]] const std::optional<PeerError>& peerError() const noexcept { return m_peerError; }
 
-    /// What is known about the request at the peer.
+    /// Whether the peer may have run the request.
     [[nodiscard]] Outcome outcome() const noexcept;
 
     friend bool operator==(const TransportError&, const TransportError&) = default;
--- a/src/azurepaddle/transport/http2_link.cpp
+++ b/src/azurepaddle/transport/http2_link.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    // A write takes at most about this much from the session, so that a ping is not queued behind large bodies.
+    // Approximate maximum size of one write, so that a ping is not queued behind large bodies.
     constexpr std::size_t maxWriteBytes = 64U * 1024U;
     constexpr std::size_t headerFieldOverhead = 32; // RFC 9113, section 6.5.2
 
@@ -18,7 +18,7 @@
         std::vector<nghttp2_nv> values;
         values.reserve(fields.size());
         for (const HeaderField& field : fields) {
-            // nghttp2 takes mutable pointers but copies the bytes. Secrets stay out of the compression state.
+            // nghttp2 requires mutable pointers but copies the bytes. Secrets are not added to the compression table.
             auto* name = reinterpret_cast<std::uint8_t*>(const_cast<char*>(field.name.data()));
             auto* value = reinterpret_cast<std::uint8_t*>(const_cast<char*>(field.value.data()));
             const std::uint8_t flags = field.name == "authorization" ? NGHTTP2_NV_FLAG_NO_INDEX : NGHTTP2_NV_FLAG_NONE;
@@ -38,7 +38,7 @@
     return {};
 }
 
-/// The callbacks that nghttp2 gets; user data is the link.
+/// Callbacks for nghttp2, whose user data is the link.
 struct Http2Link::Callbacks {
     static Http2Link& link(void* user) noexcept { return *static_cast<Http2Link*>(user); }
 
@@ -160,7 +160,7 @@
         { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, m_limits.streamWindow },
         { NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE, static_cast<std::uint32_t>(m_limits.maxHeaderBytes) },
     } };
-    // ENABLE_PUSH may be sent by a client only.
+    // Only a client may send ENABLE_PUSH.
     const std::size_t skipped = m_role == TlsRole::Client ? 0 : 1;
     nghttp2_submit_settings(m_session.get(), NGHTTP2_FLAG_NONE, settings.data() + skipped, settings.size() - skipped);
     nghttp2_session_set_local_window_size(m_session.get(), NGHTTP2_FLAG_NONE, 0, m_limits.connectionWindow);
--- a/src/azurepaddle/transport/http2_link.hpp
+++ b/src/azurepaddle/transport/http2_link.hpp
@@ -28,7 +28,7 @@
     [[nodiscard]] std::string_view find(std::string_view name) const noexcept;
 };
 
-/// Flow-control and stream limits that a side announces.
+/// The flow-control and stream limits that an end of a connection announces.
 struct LinkLimits {
     std::uint32_t maxStreams = 128;
     std::uint32_t streamWindow = 1024U * 1024U;
@@ -36,19 +36,19 @@
     std::size_t maxHeaderBytes = 8192; ///< Names and values of one message, with 32 bytes a field as in RFC 9113.
 };
 
-/// Callbacks of a link. All run on the I/O thread. Empty ones are skipped.
+/// Callbacks of a link. They run on the I/O thread. Empty callbacks are skipped.
 struct LinkEvents {
     std::function<bool(std::int32_t, const Http2Message&)> onHead; ///< False discards the body.
     std::function<bool(std::int32_t, std::size_t, std::size_t)> onChunk; ///< Bytes so far and new; false discards the body.
-    std::function<void(std::int32_t, Http2Message)> onMessage; ///< A whole message whose body was not discarded.
+    std::function<void(std::int32_t, Http2Message)> onMessage; ///< A complete message whose body was not discarded.
     std::function<void(std::int32_t)> onSent; ///< The header of the stream is about to be written to the socket.
     std::function<void(std::int32_t, std::uint32_t)> onStreamClosed; ///< With the HTTP/2 error code.
-    std::function<void()> onReady; ///< The settings of the peer arrived.
+    std::function<void()> onReady; ///< The settings of the peer have been received.
     std::function<void()> onGoaway;
     std::function<void(const std::string&)> onDown; ///< The connection failed; not called after close.
 };
 
-/// One HTTP/2 connection: moves bytes between a ByteStream and an nghttp2 session. Used on one thread only.
+/// An HTTP/2 connection, which moves bytes between a ByteStream and an nghttp2 session. Not thread-safe.
 class Http2Link : public std::enable_shared_from_this<Http2Link> {
 public:
     Http2Link(ByteStream stream, TlsRole role, const LinkLimits& limits, std::shared_ptr<TrafficMeter> traffic);
@@ -61,7 +61,7 @@
     /// Sends the settings and starts reading. The handshake must be complete.
     void start();
 
-    /// Queues a request. The stream's identifier, or a negative number if the session takes no more.
+    /// Queues a request. Returns the identifier of its stream, or a negative number if the session accepts no more.
     [[nodiscard]] std::int32_t submitRequest(const std::vector<HeaderField>& fields, std::string body);
     void submitResponse(std::int32_t stream, const std::vector<HeaderField>& fields, std::string body);
     void reset(std::int32_t stream, std::uint32_t code);
@@ -69,9 +69,9 @@
     void goaway();
     void flush();
 
-    /// Closes the socket without an event.
+    /// Closes the socket without calling onDown.
     void close() noexcept;
-    /// Closes the socket and reports onDown soon after, outside of any callback.
+    /// Closes the socket and calls onDown later, outside of any callback.
     void fail(const std::string& reason);
 
     [[nodiscard]] ByteStream& stream() noexcept { return m_stream; }
@@ -79,7 +79,7 @@
     [[nodiscard]] bool ready() const noexcept { return m_ready; }
     [[nodiscard]] bool pingOutstanding() const noexcept { return m_pingOutstanding; }
     [[nodiscard]] TimePoint lastReceived() const noexcept { return m_lastReceived; }
-    /// When the write in progress began; TimePoint::max() if there is none.
+    /// Start of the write in progress; TimePoint::max() if there is none.
     [[nodiscard]] TimePoint writingSince() const noexcept { return m_writing ? m_writeStart : TimePoint::max(); }
 
 private:
@@ -126,7 +126,7 @@
     bool m_receiving = false;
     bool m_closed = false;
     bool m_ready = false;
-    bool m_finished = false; ///< The session has ended and all of it is written.
+    bool m_finished = false; ///< The session has ended and all its output is written.
     bool m_pingOutstanding = false;
 };
 
--- a/src/azurepaddle/transport/peer_client.cpp
+++ b/src/azurepaddle/transport/peer_client.cpp
@@ -22,7 +22,7 @@
     using internal::CallPointer;
     using internal::ClientConnection;
 
-    // Silent connections and idle peers are looked for this often.
+    // Interval of the checks for silent connections and idle peers.
     constexpr auto maxSweepInterval = std::chrono::milliseconds(100);
     constexpr unsigned maxBackoffDoublings = 16;
     constexpr std::size_t requestIdPrefixBytes = 4;
@@ -32,12 +32,12 @@
         return tl::unexpected(TransportError(TransportErrorCode::NotSent, message));
     }
 
-    /// What the client knows about one peer. Used on the I/O thread.
+    /// The state of one peer. Used on the I/O thread.
     struct Peer {
-        std::shared_ptr<ClientConnection> connection; ///< Takes new calls once it is ready.
-        std::vector<CallPointer> waiting; ///< For the connection to become ready.
-        std::size_t calls = 0; ///< Not yet complete, over all connections to the peer.
-        unsigned failures = 0; ///< Connections in a row that failed before any response.
+        std::shared_ptr<ClientConnection> connection; ///< Used for new calls once it is ready.
+        std::vector<CallPointer> waiting; ///< Calls that wait until the connection is ready.
+        std::size_t calls = 0; ///< Calls in progress on all connections to the peer.
+        unsigned failures = 0; ///< Consecutive connections that failed before any response.
         TimePoint retryAt;
         TimePoint lastUsed;
     };
@@ -70,7 +70,7 @@
     asio::steady_timer sweepTimer { io };
     std::map<InstanceAddress, Peer> peers;
     std::size_t bufferedBytes = 0;
-    std::vector<std::shared_ptr<ClientConnection>> connections; ///< Those that take calls and those that drain.
+    std::vector<std::shared_ptr<ClientConnection>> connections; ///< Connections that accept calls and connections that drain.
     SystemClock clock;
     TimePoint lastSweep;
     Random random { std::random_device {}() };
@@ -183,7 +183,7 @@
     if (peer.connection.get() != connection)
         return;
     peer.connection.reset();
-    // A connection that carried a response is replaced at once; one that did not counts as a failed attempt.
+    // A connection on which a response was received is replaced at once; any other one counts as a failed attempt.
     const bool failed = !wasReady || peer.failures > 0;
     ++peer.failures;
     peer.retryAt = failed ? clock.now() + backoff(peer.failures) : clock.now();
@@ -202,14 +202,14 @@
 {
     const unsigned doublings = std::min(failures - 1, maxBackoffDoublings);
     const Duration longest = std::min<Duration>(options.minBackoff * (1U << doublings), options.maxBackoff);
-    // Jitter keeps instances from connecting to a restarted peer in step.
+    // Jitter prevents instances from connecting to a restarted peer at the same time.
     const double factor = 0.5 + random.uniform() / 2;
     return std::chrono::duration_cast<Duration>(longest * factor);
 }
 
 void PeerClient::Implementation::sweep()
 {
-    // A timer that has fired already is not cancelled by the shutdown and must not start again.
+    // The handler of a timer that has already fired runs despite the shutdown, and must not start the timer again.
     if (!work.owns_work())
         return;
     const Duration interval = std::min<Duration>(maxSweepInterval, options.pingDeadline / 4);
--- a/src/azurepaddle/transport/peer_client.hpp
+++ b/src/azurepaddle/transport/peer_client.hpp
@@ -13,8 +13,8 @@
 /// use the blocking call.
 using Completion = std::function<void(CallResult)>;
 
-/// Sends requests to peers over one kept connection per peer. Thread-safe. A call completes exactly once: with the
-/// response, or with an error that tells whether the peer may have run it. Nothing is retried.
+/// Sends requests to peers over one persistent connection for each peer. Thread-safe. A call completes exactly once, with
+/// the response or with an error that states whether the peer may have run the request. Calls are not retried.
 class PeerClient {
 public:
     explicit PeerClient(ClientOptions options);
@@ -23,7 +23,8 @@
     /// Stops the client.
     ~PeerClient();
 
-    /// Loads the certificates and starts the I/O thread. Setup if that fails or neither a secret nor TLS is set.
+    /// Loads the certificates and starts the I/O thread. Returns a Setup error if that fails, or if neither a secret nor
+    /// TLS is configured.
     [[nodiscard]] tl::expected<void, TransportError> start();
 
     /// Completes all calls (NotSent or Unknown) and closes the connections.
@@ -32,10 +33,10 @@
     /// Sends a request and waits for its response, at most until the deadline.
     [[nodiscard]] CallResult call(const InstanceAddress& peer, const std::string& method, std::string body, Deadline deadline);
 
-    /// Sends a request; the completion gets its result.
+    /// Sends a request and passes its result to the completion.
     void send(const InstanceAddress& peer, const std::string& method, std::string body, Deadline deadline, Completion completion);
 
-    /// Sends a request whose result is of no interest.
+    /// Sends a request and ignores its result.
     void send(const InstanceAddress& peer, const std::string& method, std::string body, Deadline deadline);
 
     [[nodiscard]] TrafficSnapshot traffic() const;
--- a/src/azurepaddle/transport/peer_server.cpp
+++ b/src/azurepaddle/transport/peer_server.cpp
@@ -12,11 +12,11 @@
 
 namespace {
 
-    // Timeouts of connections are checked this often.
+    // Interval of the checks for timeouts of connections.
     constexpr auto sweepInterval = std::chrono::milliseconds(50);
-    // After an accept that failed for lack of descriptors or memory.
+    // Delay after accept failed for lack of descriptors or memory.
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(100);
-    // Between two looks at whether the requests in progress have ended and their responses are written.
+    // Interval of the checks whether all requests in progress are complete and their responses are written.
     constexpr auto stopPollInterval = std::chrono::milliseconds(5);
 
     tl::unexpected<TransportError> setupError(std::string message)
@@ -108,7 +108,7 @@
 
 void PeerServer::Implementation::sweep()
 {
-    // A timer that has fired already is not cancelled by the stop and must not start again.
+    // The handler of a timer that has already fired runs despite the stop, and must not start the timer again.
     if (closed)
         return;
     const TimePoint now = clock.now();
--- a/src/azurepaddle/transport/server_connection.cpp
+++ b/src/azurepaddle/transport/server_connection.cpp
@@ -216,7 +216,7 @@
 
 void ServerConnection::dispatchDeferred(std::int32_t stream, const MethodEntry& entry, PeerRequest request)
 {
-    /// Answers the stream once, at the latest when the last responder is gone.
+    /// Responds to the stream once, at the latest when the last copy of the responder is destroyed.
     struct Pending {
         Pending(ServerShared& owner, std::weak_ptr<ServerConnection> of, std::int32_t number)
             : shared(owner)
--- a/src/azurepaddle/transport/server_connection.hpp
+++ b/src/azurepaddle/transport/server_connection.hpp
@@ -14,13 +14,13 @@
 
 /// A registered method: its handler and the threads that run it.
 struct MethodEntry {
-    PeerHandler handler; ///< Empty if the method answers later.
+    PeerHandler handler; ///< Empty if the method responds asynchronously.
     DeferredHandler deferred;
     HandlerOptions options;
     std::unique_ptr<WorkerLane> lane;
 };
 
-/// What the connections of one server share. Used on the I/O thread except for the atomics and the meter.
+/// State shared by the connections of a server. Used on the I/O thread, except for the atomics and the meter.
 struct ServerShared {
     explicit ServerShared(ServerOptions serverOptions)
         : options(std::move(serverOptions))
@@ -31,13 +31,13 @@
     TlsContext tls;
     std::map<std::string, MethodEntry, std::less<>> methods;
     std::size_t bufferedBytes = 0;
-    std::atomic<std::size_t> inProgress = 0; ///< Requests whose response is not yet handed to its connection.
-    std::atomic<std::size_t> connections = 0; ///< Not yet closed.
+    std::atomic<std::size_t> inProgress = 0; ///< Requests whose response has not been passed to its connection yet.
+    std::atomic<std::size_t> connections = 0; ///< Open connections.
     std::atomic<bool> stopping = false;
     asio::io_context io { 1 }; ///< Last, so that handlers which were never run are destroyed before what they use.
 };
 
-/// The server's side of one connection.
+/// The server side of a connection.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
     ServerConnection(ServerShared& shared, Tcp::socket socket, std::string remote);
@@ -58,11 +58,11 @@
     struct Stream {
         std::string method;
         std::string requestId;
-        MethodEntry* entry = nullptr; ///< Nothing for an unknown method.
+        MethodEntry* entry = nullptr; ///< Null for an unknown method.
         std::size_t buffered = 0;
         bool receiving = true;
         bool responded = false;
-        TimePoint started; ///< Of the request, and later of the response.
+        TimePoint started; ///< Start of the request, and later of the response.
         Deadline deadline;
     };
 
--- a/src/azurepaddle/transport/tls.cpp
+++ b/src/azurepaddle/transport/tls.cpp
@@ -71,7 +71,7 @@
             return setupError("cannot use the certificate authority", error);
         context->set_verify_mode(asio::ssl::verify_peer | asio::ssl::verify_fail_if_no_peer_cert);
         SSL_CTX_set_min_proto_version(context->native_handle(), TLS1_2_VERSION);
-        // Renegotiation is not allowed in HTTP/2, and session tickets save nothing on kept connections.
+        // HTTP/2 forbids renegotiation, and session tickets are of no use on persistent connections.
         SSL_CTX_set_options(context->native_handle(), SSL_OP_NO_RENEGOTIATION | SSL_OP_NO_TICKET);
         if (role == TlsRole::Server)
             SSL_CTX_set_alpn_select_cb(context->native_handle(), selectProtocol, nullptr);
--- a/src/azurepaddle/transport/tls.hpp
+++ b/src/azurepaddle/transport/tls.hpp
@@ -14,10 +14,10 @@
     Server,
 };
 
-/// A context for mutual TLS 1.2 or later with ALPN h2.
+/// Creates a context for mutual TLS 1.2 or later with ALPN h2.
 [[nodiscard]] tl::expected<TlsContext, TransportError> makeTlsContext(const TlsIdentity& identity, TlsRole role);
 
-/// Whether the handshake agreed on HTTP/2.
+/// Whether the handshake negotiated HTTP/2.
 [[nodiscard]] bool negotiatedHttp2(SSL* ssl) noexcept;
 
 }
--- a/src/azurepaddle/transport/traffic.hpp
+++ b/src/azurepaddle/transport/traffic.hpp
@@ -19,7 +19,7 @@
     friend bool operator==(const MethodTraffic&, const MethodTraffic&) = default;
 };
 
-/// The counters of a TrafficMeter at one moment.
+/// A snapshot of the counters of a TrafficMeter.
 struct TrafficSnapshot {
     std::map<std::string, MethodTraffic> methods;
     std::uint64_t wireBytesIn = 0; ///< Bytes read from sockets, with HTTP/2 framing but without TLS, TCP and IP overhead.
--- a/src/azurepaddle/transport/worker_lane.hpp
+++ b/src/azurepaddle/transport/worker_lane.hpp
@@ -16,13 +16,13 @@
     WorkerLane(std::size_t threads, std::size_t maxQueued);
     WorkerLane(const WorkerLane&) = delete;
     WorkerLane& operator=(const WorkerLane&) = delete;
-    /// Stops the lane.
+    /// Calls stop().
     ~WorkerLane();
 
-    /// Queues a job. False if the queue is full or the lane is stopping.
+    /// Queues a job. Returns false if the queue is full or the lane is stopping.
     [[nodiscard]] bool post(std::function<void()> job);
 
-    /// Drops the queued jobs and waits for the running ones.
+    /// Discards the queued jobs and waits for those that are running.
     void stop();
 
 private:
