--- a/src/azurepaddle/gateway/link_prober.cpp
+++ b/src/azurepaddle/gateway/link_prober.cpp
@@ -5,8 +5,7 @@
 namespace azurepaddle::gateway {
 
 LinkProber::LinkProber(asio::io_context& io, CrashWatch::Probe probe, metrics::Registry& metrics)
-    : m_io(io)
-    , m_probe(std::move(probe))
+    : m_probe(std::move(probe))
     , m_metrics(metrics)
     , m_timer(io)
 {
--- a/src/azurepaddle/gateway/link_prober.hpp
+++ b/src/azurepaddle/gateway/link_prober.hpp
@@ -34,7 +34,6 @@
     void onRoundEnded(const std::optional<LinkState>& changed);
     void onProbed(http1::ProbeOutcome outcome);
 
-    asio::io_context& m_io;
     CrashWatch::Probe m_probe;
     metrics::Registry& m_metrics;
     LinkMonitor m_monitor;
