Pass the events of callers' streams on as they arrive, and resume them within one answer

Change: a first, thin version of the whole path. EventSplitter finds complete events without changing them; the forwarder passes them to a sink, checks that their numbers are consecutive, and on a resumable route continues at another endpoint with the same software after the last one. CallerStream opens the answer once the origin is recorded; a stream that does not end well ends its connection without the end of the body. A caller who is 1 MiB behind is disconnected. A stream that has begun is never handed to another entry. Resumable streams may be sent again like idempotent requests, within the attempts of their route.

--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -8,6 +8,8 @@
 #include "azurepaddle/gateway/route_table.hpp"
 #include "azurepaddle/gateway/send_limiter.hpp"
 #include "azurepaddle/http1/client.hpp"
+#include "azurepaddle/http1/event_splitter.hpp"
+#include "azurepaddle/http1/event_stream.hpp"
 #include "azurepaddle/http1/server.hpp"
 #include "azurepaddle/metrics/registry.hpp"
 
@@ -26,7 +28,7 @@
 
 /// Encoding of request identifiers, time limits and endpoint states in the header fields of requests and responses.
 template <typename T>
-concept EndpointProtocol = requires(const http1::Request& request, const http1::Response& response, const EndpointId& id, Duration remaining, std::string_view text)
+concept EndpointProtocol = requires(const http1::Request& request, const http1::Response& response, const http1::StreamEvent& event, const EndpointId& id, Duration remaining, std::uint64_t number, std::string_view text)
 {
     {
         T::requestId(request)
@@ -49,6 +51,22 @@
     {
         T::limitOf(response)
         } -> std::same_as<std::optional<double>>; ///< Requests per second that the endpoint takes from all instances together; empty if unlimited.
+    {
+        T::eventNumber(event)
+        } -> std::same_as<std::optional<std::uint64_t>>; ///< Number of an event in its stream, counted from 1; empty if it has none.
+    {
+        T::continueAfter(request, number)
+        } -> std::same_as<http1::Request>; ///< The request for the part of a stream after the event with this number.
+};
+
+/// Receives the events of a streamed answer as they arrive.
+class StreamSink {
+public:
+    virtual ~StreamSink() = default;
+    /// Called once, before the first events, with the head of the answer that begins with them.
+    virtual void onBegin(const http1::Response& head, const registry::StreamOrigin& origin) = 0;
+    /// Called with complete events, as the endpoint sent them.
+    virtual void onEvents(std::string bytes) = 0;
 };
 
 /// A request to forward.
@@ -62,16 +80,26 @@
     bool isCallerRequest = true;
     /// What began the stream that the request continues, which must be continued there; empty for any other request.
     std::optional<registry::StreamOrigin> origin {};
+    std::shared_ptr<StreamSink> sink {}; ///< Receives the events of a successful answer; if null, the answer is returned as a whole.
+    std::uint64_t lastEvent = 0; ///< The last event of the stream that the caller holds.
     RetryState earlier {}; ///< Attempts by another instance, or before the request was withdrawn.
     TimePoint deadline = TimePoint::max(); ///< Ends the request earlier than its fields and route do.
 };
 
+/// What a sink has received of an answer.
+enum class StreamState : std::uint8_t {
+    NotBegun, ///< Nothing; the result contains the whole answer.
+    Complete,
+    Cut, ///< Only the beginning.
+};
+
 /// How a forwarded request ended.
 struct ForwardResult {
     http1::Response response; ///< From an endpoint, or a refusal by this instance.
     EndpointId endpoint; ///< The endpoint whose answer ended the request; empty otherwise.
     unsigned internalErrors = 0; ///< Endpoints that answered 500.
     registry::StreamOrigin origin {}; ///< Service and software of that endpoint.
+    StreamState stream = StreamState::NotBegun;
     bool isUnreached = false; ///< No endpoint got the request, because connections to them could not be established.
 };
 
@@ -106,15 +134,16 @@
 /// Forwards a caller's request, responds to it, and cancels it if the caller leaves. Keeps a reference to the table until
 /// then.
 template <RequestSender Sender>
-void forwardExchange(Sender& sender, const http1::ExchangePointer& exchange, const ForwardRequest& request, const ForwardCallback& onResult)
+std::shared_ptr<ForwardCall> forwardExchange(Sender& sender, const http1::ExchangePointer& exchange, const ForwardRequest& request, const ForwardCallback& onResult)
 {
     const auto call = sender.send(request, onResult);
-    if (!exchange->isOpen())
-        return;
-    exchange->setOnClosed([weak = std::weak_ptr(call)] {
-        if (const auto activeCall = weak.lock())
-            activeCall->cancel();
-    });
+    if (exchange->isOpen()) {
+        exchange->setOnClosed([weak = std::weak_ptr(call)] {
+            if (const auto activeCall = weak.lock())
+                activeCall->cancel();
+        });
+    }
+    return call;
 }
 
 /// The request of an exchange, which is kept as long as the request.
@@ -153,12 +182,15 @@
     [[nodiscard]] std::size_t inProgress() const noexcept { return m_requests.size(); }
 
 private:
+    static constexpr std::size_t maxEventBytes = 256U * 1024U;
+
     struct Attempt {
         registry::EndpointRecord endpoint; ///< Its record at the time of sending.
         http1::ClientCallPointer call;
         TimePoint startedAt;
         http1::Response response; ///< The part received so far.
         AnswerClass answerClass = AnswerClass::Answer;
+        http1::EventSplitter splitter { maxEventBytes };
     };
 
     /// A request that has no result yet.
@@ -178,6 +210,9 @@
         unsigned refusals = 0;
         unsigned internalErrors = 0; ///< Endpoints that answered 500.
         unsigned failedConnections = 0; ///< Endpoints to which no connection could be established.
+        std::uint64_t lastEvent = 0; ///< The last event that the caller holds or that was passed on.
+        bool isNumbered = true; ///< All events that were passed on have a number.
+        bool isStreaming = false; ///< Events were passed on. The stream continues only with the software that began it.
         bool isDone = false;
         bool isAwaitingPermit = false; ///< A permit was requested, or the time of the next one is awaited.
         std::optional<http1::Response> endpointFailure; ///< Last 5xx answer of an endpoint, forwarded if no endpoint succeeds.
@@ -207,6 +242,10 @@
     [[nodiscard]] bool onHead(const PendingPointer& pending, std::uint64_t number, const http1::Response& head);
     void recordLimit(const Attempt& attempt, AnswerClass answerClass, const http1::Response& head);
     void onBody(const PendingPointer& pending, std::uint64_t number, const std::string& bytes);
+    [[nodiscard]] static bool isStreamed(const PendingRequest& pending, const Attempt& attempt);
+    void onStreamBytes(const PendingPointer& pending, std::uint64_t number, const std::string& bytes);
+    [[nodiscard]] bool passOn(PendingRequest& pending, const Attempt& attempt, const std::vector<http1::RawEvent>& events);
+    void failAttempt(const PendingPointer& pending, std::uint64_t number, const std::string& cause);
     void onEnd(const PendingPointer& pending, std::uint64_t number, const http1::CallEnd& end);
     void onAnswer(const PendingPointer& pending, Attempt attempt);
     void failRequest(const PendingPointer& pending, std::string_view reason);
@@ -236,3 +275,4 @@
 
 #include "azurepaddle/gateway/forwarder_impl.hpp" // IWYU pragma: export
 #include "azurepaddle/gateway/forwarder_limits.hpp" // IWYU pragma: export
+#include "azurepaddle/gateway/forwarder_streams.hpp" // IWYU pragma: export
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -39,6 +39,7 @@
     pending->forwarder = this;
     pending->id = Protocol::requestId(*request.request);
     pending->deadline = deadlineOf<Protocol>(request);
+    pending->lastEvent = request.lastEvent;
     pending->runs = request.earlier.runs;
     pending->refusals = request.earlier.refusals;
     pending->service = request.table->findService(request.origin ? request.origin->service : chooseService(*request.route, m_random.uniform()));
@@ -131,6 +132,8 @@
 template <typename Protocol>
 bool Forwarder<Protocol>::maySendNow(PendingRequest& pending, TimePoint now) const
 {
+    if (pending.isStreaming && !pending.isNumbered)
+        return false; // Nobody knows where the stream would have to continue.
     return now < pending.deadline && maySendAgain(*pending.task.route, makeRetryState(pending)) && !remainingRefusal(pending);
 }
 
@@ -162,7 +165,8 @@
     attempt.endpoint = endpoint;
     attempt.startedAt = now;
     m_balancer.onRequestStarted(endpoint.id);
-    const http1::Request request = Protocol::forEndpoint(*pending->task.request, endpoint.id, pending->deadline - now);
+    const http1::Request& original = *pending->task.request;
+    const http1::Request request = Protocol::forEndpoint(pending->isStreaming ? Protocol::continueAfter(original, pending->lastEvent) : original, endpoint.id, pending->deadline - now);
     http1::CallOptions options;
     options.deadline = pending->deadline;
     options.connectTimeout = internal::connectTimeout;
@@ -216,16 +220,18 @@
 template <typename Protocol>
 void Forwarder<Protocol>::onBody(const PendingPointer& pending, std::uint64_t number, const std::string& bytes)
 {
-    pending->attempts.at(number).response.body += bytes;
+    Attempt& attempt = pending->attempts.at(number);
+    if (isStreamed(*pending, attempt))
+        return onStreamBytes(pending, number, bytes);
+    attempt.response.body += bytes;
     const auto largest = m_budget.add(number, bytes.size());
     if (!largest)
         return;
     const PendingPointer affected = m_attempts.at(*largest).lock();
     if (!affected)
         return;
-    affected->attempts.at(*largest).call->cancel();
     m_metrics.counter("gateway_oversized_answers_total").add();
-    onEnd(affected, *largest, { http1::CallEndKind::Failed, true, "answers in progress exceed their memory" });
+    failAttempt(affected, *largest, "answers in progress exceed their memory");
 }
 
 template <typename Protocol>
@@ -247,7 +253,8 @@
     pending->attempts.erase(found);
     m_budget.release(number);
     m_attempts.erase(number);
-    if (end.kind == http1::CallEndKind::Complete)
+    const bool isComplete = end.kind == http1::CallEndKind::Complete && !(isStreamed(*pending, attempt) && attempt.splitter.isWithinEvent());
+    if (isComplete)
         return onAnswer(pending, std::move(attempt));
     const TimePoint now = m_clock.now();
     m_balancer.onRequestEnded(attempt.endpoint.id, RequestOutcome::Failed, now - attempt.startedAt, now);
@@ -303,13 +310,16 @@
 template <typename Protocol>
 void Forwarder<Protocol>::finish(const PendingPointer& pending, http1::Response response, std::string_view outcome, const registry::EndpointRecord& endpoint)
 {
+    constexpr unsigned ok = 200;
     const Duration elapsed = m_clock.now() - pending->task.receivedAt;
-    m_log.info("id={} request={} route={} configuration={} service={} endpoint={} software={} status={} outcome=\"{}\" runs={} refusals={} took-ms={}", pending->id, pending->fingerprint, pending->task.route->name, pending->task.table->version(), pending->service->name, endpoint.id, endpoint.software, response.status, outcome, pending->runs, pending->refusals, internal::milliseconds(elapsed));
+    const StreamState stream = !pending->isStreaming ? StreamState::NotBegun : response.status == ok ? StreamState::Complete
+                                                                                                     : StreamState::Cut;
+    m_log.info("id={} request={} route={} configuration={} service={} endpoint={} software={} status={} outcome=\"{}\" runs={} refusals={} last-event={} took-ms={}", pending->id, pending->fingerprint, pending->task.route->name, pending->task.table->version(), pending->service->name, endpoint.id, endpoint.software, response.status, outcome, pending->runs, pending->refusals, pending->lastEvent, internal::milliseconds(elapsed));
     m_metrics.counter(response.status < 400 ? "gateway_answered_total" : "gateway_refused_total").add();
     m_metrics.histogram("gateway_request_seconds").record(elapsed);
     cancelAttempts(pending, RequestOutcome::Cancelled);
     if (const auto onResult = std::exchange(pending->onResult, nullptr))
-        onResult({ std::move(response), endpoint.id, pending->internalErrors, { endpoint.service, endpoint.software }, isUnreached(*pending) });
+        onResult({ std::move(response), endpoint.id, pending->internalErrors, { endpoint.service, endpoint.software }, stream, isUnreached(*pending) });
 }
 
 template <typename Protocol>
@@ -318,7 +328,7 @@
     const PendingPointer pending = static_cast<PendingRequest&>(call).shared_from_this();
     const auto sent = std::count_if(pending->attempts.begin(), pending->attempts.end(), [](const auto& attempt) { return attempt.second.call->isSent(); });
     const RetryState state { pending->runs + static_cast<unsigned>(sent), pending->refusals };
-    if (pending->isDone || !maySendAgain(*pending->task.route, state))
+    if (pending->isDone || pending->isStreaming || !maySendAgain(*pending->task.route, state))
         return std::nullopt;
     m_log.info("id={} route={} outcome=withdrawn runs={} took-ms={}", pending->id, pending->task.route->name, state.runs, internal::milliseconds(m_clock.now() - pending->task.receivedAt));
     pending->onResult = nullptr;
--- a/src/azurepaddle/gateway/fwd.hpp
+++ b/src/azurepaddle/gateway/fwd.hpp
@@ -6,6 +6,7 @@
 class RouteTable;
 class AnswerBudget;
 class Balancer;
+class CallerStream;
 class CrashGuard;
 class CrashProbe;
 class CrashWatch;
--- a/src/azurepaddle/gateway/relay_forwarder.hpp
+++ b/src/azurepaddle/gateway/relay_forwarder.hpp
@@ -187,7 +187,7 @@
     if (isUnknown) {
         m_peers.remove(peer);
         const RetryState state { pending->task.earlier.runs + 1, pending->task.earlier.refusals };
-        return finish(pending, { makeRefusal(state, m_clock.now() >= pending->deadline - internal::answerMargin, "the reply of another entry was lost"), {}, 0, {}, false }, "lost");
+        return finish(pending, { makeRefusal(state, m_clock.now() >= pending->deadline - internal::answerMargin, "the reply of another entry was lost"), {}, 0, {}, StreamState::NotBegun, false }, "lost");
     }
     if (!reply->isAccepted) {
         m_peers.remove(peer);
@@ -196,7 +196,7 @@
     http1::Response response { reply->status, reply->reason, fromRelayFields(reply->fields), std::move(reply->body) };
     if (!reply->endpoint.empty() && Protocol::isLeaving(response))
         m_local.recordLeaving(reply->endpoint, Protocol::requestId(*pending->task.request));
-    finish(pending, { std::move(response), reply->endpoint, 0, reply->origin, false }, "answered");
+    finish(pending, { std::move(response), reply->endpoint, 0, reply->origin, StreamState::NotBegun, false }, "answered");
 }
 
 /// Refuses a request for which there is neither a link to an endpoint nor another entry.
@@ -207,7 +207,7 @@
     http1::Response response = makeRefusal(pending->task.earlier, false, "no endpoint can be reached");
     if (response.fields.contains("Retry-After"))
         response.fields.set("Retry-After", fmt::format("{:.1f}", std::chrono::duration<double>(m_links.untilNextRound() + std::chrono::milliseconds(100)).count()));
-    finish(pending, { std::move(response), {}, 0, {}, false }, "refused");
+    finish(pending, { std::move(response), {}, 0, {}, StreamState::NotBegun, false }, "refused");
 }
 
 template <typename Protocol>
--- a/src/azurepaddle/gateway/retry_policy.cpp
+++ b/src/azurepaddle/gateway/retry_policy.cpp
@@ -22,7 +22,8 @@
         return false;
     if (state.runs == 0)
         return true;
-    return route.kind == RouteKind::Idempotent && state.runs < route.maxAttempts;
+    const bool isRepeatable = route.kind == RouteKind::Idempotent || (route.kind == RouteKind::Streaming && route.isResumable);
+    return isRepeatable && state.runs < route.maxAttempts;
 }
 
 std::optional<Duration> hedgeDelay(const Route& route, Duration typicalTime) noexcept
--- a/src/azurepaddle/gateway/stream_forwarder.hpp
+++ b/src/azurepaddle/gateway/stream_forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurepaddle/gateway/caller_stream.hpp"
 #include "azurepaddle/gateway/forwarder.hpp"
 #include "azurepaddle/gateway/take_up.hpp"
 #include "azurepaddle/registry/stream_recorder.hpp"
@@ -18,7 +19,7 @@
 /// Forwards callers' requests for event streams through a sender. A stream that broke off is continued only by the software that began it,
 /// because the output of two versions does not fit together and endpoints do not check this. What began a stream is
 /// recorded at the leader before its first event is passed on, so that any instance can continue the stream, also after
-/// all of them have restarted.
+/// all of them have restarted. Events are passed on as they arrive.
 template <typename Protocol, typename Sender>
 class StreamForwarder {
 public:
@@ -37,7 +38,12 @@
 private:
     void lookUp(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp);
     void onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::StreamOrigin& origin);
+    /// Called when a stream begins, with its origin and the function that opens it.
+    using BeginHandler = std::function<void(const registry::StreamOrigin&, const std::function<void()>& open)>;
+
     void start(const http1::ExchangePointer& exchange, const ForwardRequest& task);
+    void record(const http1::ExchangePointer& exchange, const registry::StreamOrigin& origin, const std::function<void()>& onDone);
+    void send(const http1::ExchangePointer& exchange, ForwardRequest task, const BeginHandler& onBegin, const ForwardCallback& respondWhole);
     void refuse(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp, TakeUpDecision decision, std::string_view reason);
 
     Sender& m_sender;
@@ -74,17 +80,48 @@
 template <typename Protocol, typename Sender>
 void StreamForwarder<Protocol, Sender>::start(const http1::ExchangePointer& exchange, const ForwardRequest& task)
 {
-    forwardExchange(m_sender, exchange, task, [this, exchange, task](ForwardResult result) {
+    // An answer that another entry forwarded arrives as a whole.
+    const auto respondWhole = [this, exchange, isResumable = task.route->isResumable](ForwardResult result) {
         constexpr unsigned ok = 200;
-        if (result.endpoint.empty() || result.response.status != ok || !task.route->isResumable)
+        if (result.endpoint.empty() || result.response.status != ok || !isResumable)
             return respond(exchange, std::move(result.response));
-        const registry::StreamRecord record { registry::StreamId(Protocol::requestId(exchange->request())), result.origin };
-        m_recorder.record(record, [this, exchange, record, response = std::move(result.response)](bool isRecorded) {
-            m_metrics.counter(isRecorded ? "gateway_streams_recorded_total" : "gateway_streams_unrecorded_total").add();
-            m_log.info("stream={} service={} software={} outcome={}", record.id, record.origin.service, record.origin.software, isRecorded ? "recorded" : "not-recorded");
-            respond(exchange, response);
-        });
+        record(exchange, result.origin, [exchange, response = std::move(result.response)] { respond(exchange, response); });
+    };
+    const auto onBegin = [this, exchange, isResumable = task.route->isResumable](const registry::StreamOrigin& origin, const std::function<void()>& open) {
+        return isResumable ? record(exchange, origin, open) : open();
+    };
+    send(exchange, task, onBegin, respondWhole);
+}
+
+/// Records the origin of a stream and calls back once its first event may be passed on.
+template <typename Protocol, typename Sender>
+void StreamForwarder<Protocol, Sender>::record(const http1::ExchangePointer& exchange, const registry::StreamOrigin& origin, const std::function<void()>& onDone)
+{
+    const registry::StreamRecord record { registry::StreamId(Protocol::requestId(exchange->request())), origin };
+    m_recorder.record(record, [this, record, onDone](bool isRecorded) {
+        m_metrics.counter(isRecorded ? "gateway_streams_recorded_total" : "gateway_streams_unrecorded_total").add();
+        m_log.info("stream={} service={} software={} outcome={}", record.id, record.origin.service, record.origin.software, isRecorded ? "recorded" : "not-recorded");
+        onDone();
+    });
+}
+
+/// Forwards a request and passes the events of its answer on as they arrive, from when `onBegin` opens the stream.
+template <typename Protocol, typename Sender>
+void StreamForwarder<Protocol, Sender>::send(const http1::ExchangePointer& exchange, ForwardRequest task, const BeginHandler& onBegin, const ForwardCallback& respondWhole)
+{
+    const auto stream = std::make_shared<std::weak_ptr<CallerStream>>();
+    const auto sink = std::make_shared<CallerStream>(exchange, [stream, onBegin](const registry::StreamOrigin& origin) {
+        const auto begun = stream->lock();
+        onBegin(origin, [begun] { begun->open(); });
+    });
+    *stream = sink;
+    task.sink = sink;
+    const auto call = forwardExchange(m_sender, exchange, task, [sink, respondWhole](ForwardResult result) {
+        if (result.stream == StreamState::NotBegun)
+            return respondWhole(std::move(result));
+        sink->end(result.stream);
     });
+    sink->setCall(call);
 }
 
 template <typename Protocol, typename Sender>
@@ -111,9 +148,11 @@
         return refuse(exchange, task, takeUp, decision, reason);
     }
     task.origin = origin;
+    task.lastEvent = takeUp.lastEvent;
     m_metrics.counter("gateway_streams_continued_total").add();
     m_log.info("id={} stream={} last-event={} service={} software={} outcome=taken-up", Protocol::requestId(exchange->request()), takeUp.stream, takeUp.lastEvent, origin.service, origin.software);
-    forwardExchange(m_sender, exchange, task, [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); });
+    const auto onBegin = [](const registry::StreamOrigin&, const std::function<void()>& open) { open(); };
+    send(exchange, task, onBegin, [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); });
 }
 
 template <typename Protocol, typename Sender>
--- a/src/azurepaddle/http1/server.cpp
+++ b/src/azurepaddle/http1/server.cpp
@@ -61,6 +61,18 @@
         connection->endStream();
 }
 
+void Exchange::cutStream()
+{
+    m_onClosed = nullptr;
+    if (const auto connection = std::exchange(m_connection, nullptr); connection && !connection->isClosed())
+        connection->cutStream();
+}
+
+std::size_t Exchange::unsentBytes() const noexcept
+{
+    return m_connection ? m_connection->unsentBytes() : 0;
+}
+
 void Exchange::abort()
 {
     m_onClosed = nullptr;
--- a/src/azurepaddle/http1/server.hpp
+++ b/src/azurepaddle/http1/server.hpp
@@ -46,6 +46,11 @@
     void sendChunk(std::string_view bytes);
     /// Marks the streamed body as complete.
     void endStream();
+    /// Ends a streamed body that is not complete: sends what was passed on so far and closes the connection, so that the
+    /// client detects that the body is cut.
+    void cutStream();
+    /// Bytes of the response that the client has not taken yet.
+    [[nodiscard]] std::size_t unsentBytes() const noexcept;
     /// Closes the connection without completing the response.
     void abort();
 
--- a/src/azurepaddle/http1/server_connection.cpp
+++ b/src/azurepaddle/http1/server_connection.cpp
@@ -120,6 +120,12 @@
     finishResponse();
 }
 
+void ServerConnection::cutStream()
+{
+    m_closesAfterResponse = true;
+    finishResponse();
+}
+
 void ServerConnection::finishResponse()
 {
     m_isBusy = false;
@@ -140,6 +146,7 @@
 {
     if (m_isClosed)
         return;
+    m_unsentBytes += bytes.size();
     m_output.push_back(std::move(bytes));
     flush();
 }
@@ -165,6 +172,7 @@
         if (error)
             return self->close();
         self->m_lastActivity = self->m_shared->clock.now();
+        self->m_unsentBytes -= self->m_output.front().size();
         self->m_output.pop_front();
         self->flush();
     });
--- a/src/azurepaddle/http1/server_connection.hpp
+++ b/src/azurepaddle/http1/server_connection.hpp
@@ -31,11 +31,13 @@
         [[nodiscard]] bool isIdle() const noexcept { return !m_isBusy && !m_parser.hasStarted() && m_unparsed.empty(); }
         [[nodiscard]] bool isBusy() const noexcept { return m_isBusy; }
         [[nodiscard]] bool isClosed() const noexcept { return m_isClosed; }
+        [[nodiscard]] std::size_t unsentBytes() const noexcept { return m_unsentBytes; }
 
         void respond(Response response, bool isHead);
         void beginStream(Response head);
         void sendChunk(std::string_view bytes);
         void endStream();
+        void cutStream();
 
     private:
         void read();
@@ -61,6 +63,7 @@
         TimePoint m_lastActivity;
         TimePoint m_messageStart;
         std::deque<std::string> m_output;
+        std::size_t m_unsentBytes = 0; ///< Size of the output.
         bool m_isReading = false;
         bool m_isWriting = false;
         bool m_isBusy = false; ///< A request is being processed.
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -58,7 +58,7 @@
         return submit(exchange, *route);
     if (route->kind == gateway::RouteKind::Streaming)
         return m_streams.forward(exchange, m_routes, *route);
-    gateway::forwardExchange(m_forwarder, exchange, gateway::requestOf(exchange, m_routes, *route), [exchange](gateway::ForwardResult result) { gateway::respond(exchange, std::move(result.response)); });
+    static_cast<void>(gateway::forwardExchange(m_forwarder, exchange, gateway::requestOf(exchange, m_routes, *route), [exchange](gateway::ForwardResult result) { gateway::respond(exchange, std::move(result.response)); }));
 }
 
 /// Responds that a request matches no route, which is final. While a newer configuration may add the route, responds
--- a/src/azurepaddle/platform/endpoint_protocol.cpp
+++ b/src/azurepaddle/platform/endpoint_protocol.cpp
@@ -144,6 +144,13 @@
     return parseCount(event.id);
 }
 
+http1::Request EndpointProtocol::continueAfter(const http1::Request& request, std::uint64_t lastEvent)
+{
+    http1::Request continuing = request;
+    continuing.fields.set(std::string(lastEventField), std::to_string(lastEvent));
+    return continuing;
+}
+
 http1::Request EndpointProtocol::loadRequest(const execution::LoadOrder& order)
 {
     // "retain" continues running items under the new version, because a text may contain several versions within the
--- a/src/azurepaddle/platform/endpoint_protocol.hpp
+++ b/src/azurepaddle/platform/endpoint_protocol.hpp
@@ -24,6 +24,7 @@
     [[nodiscard]] static std::optional<WeightVersion> versionOf(const http1::Response& head);
     [[nodiscard]] static std::optional<WeightVersion> versionOf(const http1::StreamEvent& event);
     [[nodiscard]] static std::optional<std::uint64_t> eventNumber(const http1::StreamEvent& event);
+    [[nodiscard]] static http1::Request continueAfter(const http1::Request& request, std::uint64_t lastEvent);
     [[nodiscard]] static http1::Request loadRequest(const execution::LoadOrder& order);
     [[nodiscard]] static http1::Request statusRequest(const EndpointId& endpoint);
     [[nodiscard]] static std::optional<execution::EndpointStatus> parseStatus(const std::string& body);
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -32,6 +32,7 @@
     }
     static std::optional<gateway::LoadReport> loadOf(const http1::Response&) { return std::nullopt; }
     static bool isLeaving(const http1::Response& head) { return head.fields.contains("Leaving"); }
+    static http1::Request continueAfter(const http1::Request& request, std::uint64_t) { return request; }
     static std::optional<double> limitOf(const http1::Response& head) { return head.fields.contains("Limit") ? std::optional(std::stod(std::string(head.fields.find("Limit")))) : std::nullopt; }
     static http1::Request rewardRequest(const batch::RewardCall& reward)
     {
--- a/test/azurepaddle/gateway/decisions.cpp
+++ b/test/azurepaddle/gateway/decisions.cpp
@@ -111,6 +111,18 @@
     cr_assert(!hedgeDelay(makeIdempotentRoute(1), typicalTime));
 }
 
+// Guards against a stream that runs twice although its route does not allow it, or ends although its route does.
+Test(RetryPolicy, stream_mayHaveRun_isSentAgainOnlyIfResumable)
+{
+    Route route = makeRoute("/a/");
+    route.kind = RouteKind::Streaming;
+    route.maxAttempts = 2;
+    cr_assert(!maySendAgain(route, { 1, 0 }));
+    route.isResumable = true;
+    cr_assert(maySendAgain(route, { 1, 0 }));
+    cr_assert(!maySendAgain(route, { 2, 0 }));
+}
+
 // Guards against a hedge so early that it doubles the load, or so late that the answer misses the target latency.
 Test(RetryPolicy, hedgeDelay_isAboveTypicalTime_andBelowTargetLatency)
 {
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -25,7 +25,7 @@
     SendLimiter limiter { "entry", [this](const registry::PermitRequest& request, TimePoint, const PermitCallback& onReply) { onReply(hasLeader ? std::optional(permits.request(request, clock.now())) : std::nullopt, clock.now()); }, random };
     Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, limiter, random, metrics, maxAnswerBytes };
     std::shared_ptr<const RouteTable> table;
-    Server server { io, [this](const ExchangePointer& exchange) { forwardExchange(forwarder, exchange, requestOf(exchange, table, table->routes().front()), [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); }); } };
+    Server server { io, [this](const ExchangePointer& exchange) { static_cast<void>(forwardExchange(forwarder, exchange, requestOf(exchange, table, table->routes().front()), [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); })); } };
     std::vector<std::unique_ptr<RawPeer>> endpoints;
     std::vector<registry::EndpointRecord> records;
 
--- a/test/azurepaddle/gateway/relay.cpp
+++ b/test/azurepaddle/gateway/relay.cpp
@@ -62,7 +62,7 @@
     std::shared_ptr<const RouteTable> table;
     ClientPool caller { io, {} };
     Server server { io, [this](const ExchangePointer& exchange) {
-                       forwardExchange(relay, exchange, requestOf(exchange, table, table->routes().front()), [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); });
+                       static_cast<void>(forwardExchange(relay, exchange, requestOf(exchange, table, table->routes().front()), [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); }));
                    } };
     std::vector<std::unique_ptr<RawPeer>> endpoints;
     ClientCallPointer call;
--- a/test/azurepaddle/gateway/test_protocol.hpp
+++ b/test/azurepaddle/gateway/test_protocol.hpp
@@ -26,6 +26,13 @@
     }
     static std::optional<LoadReport> loadOf(const Response&) { return std::nullopt; }
     static bool isLeaving(const Response& response) { return response.fields.contains("X-Leaving"); }
+    static std::optional<std::uint64_t> eventNumber(const StreamEvent& event) { return std::stoull(event.id); }
+    static Request continueAfter(const Request& request, std::uint64_t lastEvent)
+    {
+        Request continuing = request;
+        continuing.fields.set("X-After", std::to_string(lastEvent));
+        return continuing;
+    }
     static std::optional<double> limitOf(const Response& response) { return response.fields.contains("X-Limit") ? std::optional(std::stod(std::string(response.fields.find("X-Limit")))) : std::nullopt; }
 };
 
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -97,6 +97,8 @@
     def __init__(self, service, pause=0.02, events=3, names_versions=False, software="v1", marks_software=False):
         self.runs = []
         self.software = software
+        self.pause = pause  # Seconds between two events.
+        self.breaks_after = None  # Number of the event after which it breaks a stream off.
         self.resumed_after = []  # Last-Event-Id of each run, 0 for one from the beginning.
         self.orders = []  # (time, holder) of each accepted order.
         self.version = 1
@@ -176,7 +178,11 @@
                     for number in range(int(self.headers.get("Last-Event-Id", 0)) + 1, events + 1):
                         event = f"id: {number}\ndata: {self.headers['X-Attempt-Id']}-{number}{mark}\n\n".encode()
                         self.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-                        time.sleep(pause)
+                        if number == endpoint.breaks_after:
+                            self.wfile.write(b"8\r\nid: 99\n\r\n")  # The beginning of another event.
+                            self.connection.shutdown(socket.SHUT_RDWR)
+                            break
+                        time.sleep(endpoint.pause)
                     self.wfile.write(b"0\r\n\r\n")
                 except OSError:
                     self.close_connection = True
--- a/test/processes/test_streams.py
+++ b/test/processes/test_streams.py
@@ -1,6 +1,9 @@
 """Event streams of single callers that break off and are taken up, while endpoints run different versions of their software."""
 import os
+import re
 import signal
+import socket
+import time
 import unittest
 
 from harness import skip_known_red
@@ -107,6 +110,81 @@
             self.assertEqual(self.request("again", malformed, "first")[0], 400, malformed)
         self.assertEqual(len(self.old.runs), runs)
 
+    def read_stream(self, attempt, entry=0, until=None):
+        """Events of a stream with their times, and whether it is complete. Calls `until` after each read."""
+        events, received = [], b""
+        with socket.create_connection(("127.0.0.1", self.nodes.entry_ports[entry]), timeout=10) as connection:
+            connection.sendall(f"POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n".encode())
+            try:
+                while part := connection.recv(65536):
+                    received += part
+                    texts = re.findall(rb"\ndata: (.*)\n\n", received)
+                    events += [(text.decode(), time.monotonic()) for text in texts[len(events):]]
+                    if until:
+                        until(events)
+            except ConnectionResetError:
+                pass
+        return events, received.endswith(b"\r\n0\r\n\r\n")
+
+    # Guards against events that wait in the entry for the end of their stream.
+    def test_endpoint_generates_slowly_each_event_is_passed_on_as_it_arrives(self):
+        self.old.pause = 0.2
+        begin = time.monotonic()
+        events, is_complete = self.read_stream("timed")
+        self.assertTrue(is_complete)
+        self.assertEqual([text for text, _ in events], [f"timed-{event}@v1" for event in range(1, EVENTS + 1)])
+        self.assertLess(events[0][1] - begin, 0.5)
+        self.assertGreater(events[-1][1] - begin, 0.9)
+
+    # Guards against a missing, doubled or partial event where an endpoint breaks off and another one goes on.
+    def test_endpoint_breaks_off_stream_continues_at_another_one_with_its_software(self):
+        other = self.endpoint("v1")
+        self.new = [other, *(self.endpoint("v2") for _ in range(3))]
+        for endpoint in self.new:
+            self.assertTrue(wait_until(lambda: endpoint.beat(self.nodes.control_ports)))
+        self.assertTrue(wait_until(lambda: b"@v2" in self.request("probe")[1]))
+        self.old.breaks_after = 3
+        other.breaks_after = 4
+        begun_here = 0
+        for number in range(12):
+            events, is_complete = self.read_stream(f"s{number}")
+            software = events[0][0].split("@")[1]
+            begun_here += software == "v1"
+            self.assertEqual([text for text, _ in events], [f"s{number}-{event}@{software}" for event in range(1, len(events) + 1)])
+            self.assertEqual(is_complete, len(events) == EVENTS)
+            self.assertTrue(is_complete or software == "v1")
+        self.assertGreater(begun_here, 0)
+
+    # Guards against a stream that is completed, or continued elsewhere, although only other software remains.
+    def test_endpoint_breaks_off_only_other_software_serves_stream_is_cut(self):
+        self.old.breaks_after = 2
+        self.new = [self.endpoint("v2") for _ in range(2)]
+        def add_new(events):
+            if len(events) == 1:
+                for endpoint in self.new:
+                    endpoint.beat(self.nodes.control_ports)
+        events, is_complete = self.read_stream("cut", until=add_new)
+        self.assertFalse(is_complete)
+        self.assertEqual([text for text, _ in events], ["cut-1@v1", "cut-2@v1"])
+        self.assertEqual(self.runs_of_new({"cut"}), [])
+
+    # Guards against streams that are joined after all entries lost their memory, while two software versions serve.
+    def test_all_entries_killed_during_stream_take_up_goes_on_at_its_software(self):
+        self.old.pause = 0.2
+        def kill_entries(events):
+            if len(events) == 3:
+                for process in self.nodes.entries.values():
+                    os.kill(process.pid, signal.SIGKILL)
+                    process.wait()
+        events, is_complete = self.read_stream("killed", until=kill_entries)
+        self.assertFalse(is_complete)
+        self.assertEqual(len(events), 3)
+        for number in range(2):
+            self.nodes.start_entry(number)
+        self.add_new_software()
+        status, data = self.request("again", 3, "killed", 1)
+        self.assertEqual((status, events_of(data)), (200, [f"again-{event}@v1" for event in range(4, EVENTS + 1)]))
+
 
 if __name__ == "__main__":
     unittest.main()
