Continue streams that nobody names where only one software version ever served

Cause: they carry Last-Event-Id without Resumes, as callers do where no second software version has come, and such a request was refused for good as malformed.

Change: the log keeps which software versions the endpoints of each service have ever run. If it is a single one, it began every stream of the service, so a stream that is not recorded or not named is continued there. With several, the take-up is refused as not run, with 503 in place of 400. Nothing is derived from the endpoints alive now.

--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -136,7 +136,7 @@
 template <RequestSender Sender>
 std::shared_ptr<ForwardCall> forwardExchange(Sender& sender, const http1::ExchangePointer& exchange, const ForwardRequest& request, const ForwardCallback& onResult)
 {
-    const auto call = sender.send(request, onResult);
+    auto call = sender.send(request, onResult);
     if (exchange->isOpen()) {
         exchange->setOnClosed([weak = std::weak_ptr(call)] {
             if (const auto activeCall = weak.lock())
--- a/src/azurepaddle/gateway/stream_forwarder.hpp
+++ b/src/azurepaddle/gateway/stream_forwarder.hpp
@@ -73,7 +73,7 @@
         return start(exchange, task);
     if (decision == TakeUpDecision::LookUp)
         return lookUp(exchange, task, *takeUp);
-    refuse(exchange, task, *takeUp, decision, route.isResumable ? "the request that began the stream is not named" : "streams of this route cannot be continued");
+    refuse(exchange, task, *takeUp, decision, "streams of this route cannot be continued");
 }
 
 /// Forwards a new stream, whose origin is recorded before its first event is passed on.
@@ -129,7 +129,7 @@
 {
     const Duration clientTimeout = Protocol::clientTimeout(exchange->request()).value_or(task.route->timeout);
     const TimePoint deadline = std::min(task.receivedAt + clientTimeout, m_clock.now() + internal::lookUpTimeout);
-    m_recorder.find(takeUp.stream, deadline, [this, exchange, task, takeUp](const registry::LeaderResult<registry::FindStreamReply>& reply) {
+    m_recorder.find({ takeUp.stream, soleServiceOf(*task.route) }, deadline, [this, exchange, task, takeUp](const registry::LeaderResult<registry::FindStreamReply>& reply) {
         const OriginState state = !reply ? OriginState::Unavailable : reply->isKnown ? OriginState::Known
                                                                                      : OriginState::Unknown;
         onOrigin(exchange, task, takeUp, state, reply ? reply->origin : registry::StreamOrigin {});
@@ -143,7 +143,7 @@
         return;
     const TakeUpDecision decision = decideTakeUp(*task.route, state, origin, m_balancer.endpointCount(origin));
     if (decision != TakeUpDecision::Continue) {
-        const std::string_view reason = state == OriginState::Known ? "no endpoint can continue the stream" : state == OriginState::Unknown ? "the stream is not known"
+        const std::string_view reason = state == OriginState::Known ? "no endpoint can continue the stream" : state == OriginState::Unknown ? "it is not known what began the stream"
                                                                                                                                             : "the beginning of the stream cannot be looked up";
         return refuse(exchange, task, takeUp, decision, reason);
     }
--- a/src/azurepaddle/gateway/take_up.cpp
+++ b/src/azurepaddle/gateway/take_up.cpp
@@ -9,7 +9,7 @@
 
     constexpr unsigned badRequest = 400;
     constexpr unsigned unavailable = 503;
-    // Endpoints register within this time after a restart.
+    // Endpoints register within this time, in seconds, after a restart.
     constexpr std::string_view retryAfterSeconds = "1";
 
     /// Whether requests of the route may be sent to the service.
@@ -20,11 +20,24 @@
 
 }
 
+ServiceName soleServiceOf(const Route& route)
+{
+    ServiceName sole;
+    for (const WeightedService& weighted : route.services) {
+        if (weighted.weight <= 0)
+            continue;
+        if (!sole.empty())
+            return {};
+        sole = weighted.service;
+    }
+    return sole;
+}
+
 TakeUpDecision decideTakeUp(const Route& route, const TakeUp& takeUp) noexcept
 {
     if (takeUp.lastEvent == 0)
         return TakeUpDecision::Start;
-    return route.isResumable && !takeUp.stream.empty() ? TakeUpDecision::LookUp : TakeUpDecision::RefuseForGood;
+    return route.isResumable ? TakeUpDecision::LookUp : TakeUpDecision::RefuseForGood;
 }
 
 TakeUpDecision decideTakeUp(const Route& route, OriginState state, const registry::StreamOrigin& origin, std::size_t endpoints) noexcept
--- a/src/azurepaddle/gateway/take_up.hpp
+++ b/src/azurepaddle/gateway/take_up.hpp
@@ -31,6 +31,9 @@
     RefuseForNow, ///< Nothing can continue the stream at present.
 };
 
+/// The only service to which the route leads; empty if there are several.
+[[nodiscard]] ServiceName soleServiceOf(const Route& route);
+
 /// Decides about a request before its origin is looked up.
 [[nodiscard]] TakeUpDecision decideTakeUp(const Route& route, const TakeUp& takeUp) noexcept;
 
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -95,7 +95,7 @@
 
 void LeaderService::handle(const FindStreamRequest& request, const Responder<FindStreamReply>& responder)
 {
-    const auto origin = m_machine.streams().find(request.id);
+    const auto origin = m_machine.originOf(request.id, request.service);
     responder.ok({ origin.has_value(), origin.value_or(StreamOrigin {}) });
 }
 
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -116,8 +116,9 @@
 struct FindStreamRequest {
     static constexpr std::string_view method = "find-stream";
     using Reply = FindStreamReply;
-    StreamId id;
-    MSGPACK_DEFINE(id)
+    StreamId id; ///< Empty if the caller does not name it.
+    ServiceName service; ///< The only service to which the route of the stream leads; empty if there are several.
+    MSGPACK_DEFINE(id, service)
 };
 
 struct PermitReply {
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -20,7 +20,8 @@
         std::vector<CrashRecord> crashes;
         std::uint64_t suspectsRevision = 0;
         std::vector<StreamRecord> streams;
-        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts, crashes, suspectsRevision, streams)
+        SoftwareHistory::Versions softwareHistory;
+        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts, crashes, suspectsRevision, streams, softwareHistory)
     };
 
     // A snapshot contains all jobs, which may exceed the size limit of messages between instances.
@@ -57,6 +58,7 @@
 std::string StateMachine::execute(const SetEndpoint& command)
 {
     m_directory.set(command.record);
+    m_softwareHistory.record(command.record.service, command.record.software);
     return {};
 }
 
@@ -175,9 +177,17 @@
     return found == m_versions.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::optional<StreamOrigin> StateMachine::originOf(const StreamId& stream, const ServiceName& service) const
+{
+    if (const auto recorded = m_streams.find(stream))
+        return recorded;
+    const auto software = m_softwareHistory.soleVersionOf(service);
+    return software ? std::optional(StreamOrigin { service, *software }) : std::nullopt;
+}
+
 std::string StateMachine::snapshot() const
 {
-    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot(), m_suspects.crashes(), m_suspects.revision(), m_streams.snapshot() };
+    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot(), m_suspects.crashes(), m_suspects.revision(), m_streams.snapshot(), m_softwareHistory.snapshot() };
     for (const auto& [id, record] : m_directory.records())
         state.endpoints.push_back(record);
     return codec::encode(state);
@@ -197,6 +207,10 @@
     m_texts.restore(state->texts);
     m_suspects.restore(std::move(state->crashes), state->suspectsRevision);
     m_streams.restore(state->streams);
+    m_softwareHistory.restore(std::move(state->softwareHistory));
+    // A snapshot of an earlier release has no history, and its records name no software.
+    for (const EndpointRecord& record : state->endpoints)
+        m_softwareHistory.record(record.service, record.software);
     return true;
 }
 
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -2,12 +2,14 @@
 
 #include "azurepaddle/registry/commands.hpp"
 #include "azurepaddle/registry/directory.hpp"
+#include "azurepaddle/registry/software_history.hpp"
 #include "azurepaddle/registry/suspects.hpp"
 
 namespace azurepaddle::registry {
 
 /// The replicated state: the configuration, published weight versions, endpoints, batch jobs, the holder of the order
-/// right, retiring instances, requests during which endpoints crashed, and what began streams. Deterministic.
+/// right, retiring instances, requests during which endpoints crashed, what began streams, and the software that
+/// services have run. Deterministic.
 class StateMachine {
 public:
     /// Outputs of batch jobs are kept in files of the folder, or in memory if the path is empty.
@@ -33,6 +35,9 @@
     [[nodiscard]] const OrderRecord& orders() const noexcept { return m_orders; }
     [[nodiscard]] const std::set<std::string>& retiring() const noexcept { return m_retiring; }
     [[nodiscard]] const Suspects& suspects() const noexcept { return m_suspects; }
+    /// What began a stream, as far as it is certain: as recorded, or else the only software that endpoints of the service
+    /// have ever run. The service is empty if it is not known; so is the stream if it has no identifier.
+    [[nodiscard]] std::optional<StreamOrigin> originOf(const StreamId& stream, const ServiceName& service) const;
     [[nodiscard]] const Streams& streams() const noexcept { return m_streams; }
 
 private:
@@ -64,6 +69,7 @@
     std::set<std::string> m_retiring;
     Suspects m_suspects;
     Streams m_streams;
+    SoftwareHistory m_softwareHistory;
 };
 
 }
--- a/src/azurepaddle/registry/stream_recorder.cpp
+++ b/src/azurepaddle/registry/stream_recorder.cpp
@@ -40,9 +40,9 @@
     });
 }
 
-void StreamRecorder::find(const StreamId& id, TimePoint deadline, const FindCallback& onFound)
+void StreamRecorder::find(const FindStreamRequest& request, TimePoint deadline, const FindCallback& onFound)
 {
-    m_leader.send(FindStreamRequest { id }, deadline, onFound);
+    m_leader.send(request, deadline, onFound);
 }
 
 }
--- a/src/azurepaddle/registry/stream_recorder.hpp
+++ b/src/azurepaddle/registry/stream_recorder.hpp
@@ -21,8 +21,8 @@
 
     /// Records a stream and calls back once it is durable, or if no leader confirmed it in time.
     void record(const StreamRecord& stream, RecordCallback onRecorded);
-    /// Looks up a stream, at most until the deadline.
-    void find(const StreamId& id, TimePoint deadline, const FindCallback& onFound);
+    /// Looks up what began a stream, at most until the deadline.
+    void find(const FindStreamRequest& request, TimePoint deadline, const FindCallback& onFound);
 
 private:
     struct Waiting {
--- a/test/azurepaddle/registry/streams.cpp
+++ b/test/azurepaddle/registry/streams.cpp
@@ -66,3 +66,38 @@
     cr_assert(restored.streams().find(streamId(1)) == origin);
     cr_assert(restored.streams().snapshot() == machine.streams().snapshot());
 }
+
+// Guards against callers who do not name their stream and are refused although only one software version ever served,
+// and against a guess where there were several.
+Test(SoftwareHistory, streamNotRecorded_soleVersionOfService_isItsOrigin)
+{
+    StateMachine machine;
+    const auto set = [&machine](const std::string& id, const std::string& software) {
+        EndpointRecord record;
+        record.id = EndpointId(id);
+        record.startedMs = 1;
+        record.service = origin.service;
+        record.software = SoftwareVersion(software);
+        static_cast<void>(machine.apply(encodeCommand(SetEndpoint { record })));
+    };
+    cr_assert(!machine.originOf({}, origin.service));
+    set("1", "v1");
+    cr_assert(machine.originOf({}, origin.service) == origin);
+    cr_assert(machine.originOf(streamId(1), origin.service) == origin);
+    cr_assert(!machine.originOf({}, {}));
+    set("2", "v2");
+    static_cast<void>(machine.apply(encodeCommand(DeregisterEndpoint { { EndpointId("1"), 1 } })));
+    StateMachine restored;
+    cr_assert(restored.restore(machine.snapshot()));
+    cr_assert(!restored.originOf({}, origin.service));
+}
+
+// Guards against the software of endpoints that an earlier release registered, which nobody knows.
+Test(SoftwareHistory, unknownSoftware_isNoOrigin)
+{
+    SoftwareHistory history;
+    history.record(origin.service, {});
+    cr_assert(!history.soleVersionOf(origin.service));
+    history.record(origin.service, origin.software);
+    cr_assert(!history.soleVersionOf(origin.service));
+}
