--- a/src/azurepaddle/gateway/stream_forwarder.hpp
+++ b/src/azurepaddle/gateway/stream_forwarder.hpp
@@ -16,10 +16,10 @@
         } -> std::same_as<tl::expected<TakeUp, std::string>>; ///< An error message if its fields cannot be read.
 };
 
-/// Forwards callers' requests for event streams through a sender. A stream that broke off is continued only by the software that began it,
-/// because the output of two versions does not fit together and endpoints do not check this. What began a stream is
-/// recorded at the leader before its first event is passed on, so that any instance can continue the stream, also after
-/// all of them have restarted. Events are passed on as they arrive.
+/// Forwards callers' requests for event streams and passes their events on as they arrive. A stream that broke off is
+/// continued only by the software that began it, because the output of two versions does not fit together and endpoints
+/// do not check this. What began a stream is recorded at the leader before its first event is passed on, so that any
+/// instance can continue the stream, also after all of them have restarted.
 template <typename Protocol, typename Sender>
 class StreamForwarder {
 public:
@@ -36,11 +36,11 @@
     void forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route);
 
 private:
-    void lookUp(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp);
-    void onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::StreamOrigin& origin);
     /// Called when a stream begins, with its origin and the function that opens it.
     using BeginHandler = std::function<void(const registry::StreamOrigin&, const std::function<void()>& open)>;
 
+    void lookUp(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp);
+    void onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::StreamOrigin& origin);
     void start(const http1::ExchangePointer& exchange, const ForwardRequest& task);
     void record(const http1::ExchangePointer& exchange, const registry::StreamOrigin& origin, const std::function<void()>& onDone);
     void send(const http1::ExchangePointer& exchange, ForwardRequest task, const BeginHandler& onBegin, const ForwardCallback& respondWhole);
