Discard the text of an item that is placed to start again

What callers saw: an item of a job that allows a single weight version, whose weights no endpoint held any more, was sent to endpoints with newer weights again and again, each time with a text that they could not continue, until its retention ended.

Cause: the placement decided that the item starts again, but only a change of the software discarded its text.

Change: a placement that is a restart discards the text once the endpoint's permit is granted.

--- a/src/azurepaddle/batch/placement.hpp
+++ b/src/azurepaddle/batch/placement.hpp
@@ -72,7 +72,8 @@
 /// generate a token at the median endpoint.
 ///
 /// An item with output waits for an endpoint that can continue it for as long as it takes to generate that output again,
-/// but for two seconds at most, and then starts again elsewhere. It starts again at once if all endpoints with its version of the software have left.
+/// but for two seconds at most, and then starts again elsewhere. It starts again at once if all endpoints with its version
+/// of the software have left.
 [[nodiscard]] std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup, Duration tokenTime = defaultTokenTime);
 
 /// A running item that may be moved to another endpoint.
@@ -95,9 +96,10 @@
     Duration ifMoved {}; ///< Includes the cost of the move.
 };
 
-/// Plans moves of items to free slots of endpoints that can continue their output and where they are expected to end earlier,
-/// with the cost of the move included, longest items first. A slowdown that has just begun is expected to pass soon. An item moves right after an
-/// event, when no generated output is lost, unless its endpoint has almost stalled. Items that end soon are not moved.
+/// Plans moves of items to free slots of endpoints that can continue their output and where they are expected to end
+/// earlier, with the cost of the move included, longest items first. A slowdown that has just begun is expected to pass
+/// soon. An item moves right after an event, when no generated output is lost, unless its endpoint has almost stalled.
+/// Items that end soon are not moved.
 [[nodiscard]] std::vector<Move> planMoves(std::vector<RunningItem> running, std::vector<EndpointLoad> endpoints, Duration tokenTime = defaultTokenTime);
 
 /// Plans moves of all these items from an endpoint that is about to pause to other usable endpoints; empty if there are
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -127,7 +127,7 @@
     [[nodiscard]] std::vector<batch::EndpointLoad> loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const;
     [[nodiscard]] const ServiceName& serviceOf(Run& run, const batch::ItemSpec& spec) const;
     [[nodiscard]] bool acquirePermit(const EndpointId& endpoint);
-    void startIfPermitted(const RunPointer& run, const EndpointId& endpoint);
+    void startIfPermitted(const RunPointer& run, const batch::Placement& placement);
     void start(const RunPointer& run, const EndpointId& endpoint);
     void recordLimit(const Run& run, const http1::Response& head);
     [[nodiscard]] bool onHead(const RunPointer& run, const http1::Response& head);
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -299,7 +299,7 @@
         }
         for (const batch::Placement& placement : batch::placeItems(std::move(items), loadsOf(key.first, key.second, now), m_lastEndpointOfGroup, tokenTime(now))) {
             m_lastEndpointOfGroup[specOf(*runs[placement.index])->group] = placement.endpoint;
-            startIfPermitted(runs[placement.index], placement.endpoint);
+            startIfPermitted(runs[placement.index], placement);
         }
     }
     constexpr std::size_t maxGroups = 4096;
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -33,12 +33,18 @@
     return isPermitted;
 }
 
-/// Starts an item, which otherwise keeps waiting for a permit or for another endpoint.
+/// Starts an item as placed. Without a permit it keeps its text and waits for one or for another endpoint.
 template <typename Protocol>
-void JobRunner<Protocol>::startIfPermitted(const RunPointer& run, const EndpointId& endpoint)
+void JobRunner<Protocol>::startIfPermitted(const RunPointer& run, const batch::Placement& placement)
 {
-    if (acquirePermit(endpoint))
-        start(run, endpoint);
+    if (!acquirePermit(placement.endpoint))
+        return;
+    if (placement.isRestart) {
+        m_log.info("item id={} job={} endpoint={} outcome=starts-again events={}", run->item, run->job, placement.endpoint, textOf(*run).eventCount());
+        m_metrics.counter("items_restarted_total").add();
+        textOf(*run).clear();
+    }
+    start(run, placement.endpoint);
 }
 
 template <typename Protocol>
@@ -51,11 +57,10 @@
     const TimePoint now = m_clock.now();
     CachedText& known = m_texts[run->item];
     known.lastUsedAt = now;
-    const std::uint64_t eventsHeld = known.text.eventCount();
-    if (!known.text.continueWith(record->software)) {
-        m_log.info("item id={} job={} endpoint={} software={} outcome=starts-again events={}", run->item, run->job, endpoint, record->software, eventsHeld);
-        m_metrics.counter("items_restarted_for_software_total").add();
-    }
+    // Items are placed where their text can be continued. The text is checked nonetheless, because the endpoint may have
+    // restarted with other software since.
+    if (!known.text.continueWith(record->software))
+        m_log.info("item id={} job={} endpoint={} software={} outcome=text-discarded", run->item, run->job, endpoint, record->software);
     run->stage = Stage::Running;
     run->number = m_nextNumber++;
     run->endpoint = endpoint;
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -179,7 +179,7 @@
 
 std::optional<StreamOrigin> StateMachine::originOf(const StreamId& stream, const ServiceName& service) const
 {
-    if (const auto recorded = m_streams.find(stream))
+    if (auto recorded = m_streams.find(stream))
         return recorded;
     const auto software = m_softwareHistory.soleVersionOf(service);
     return software ? std::optional(StreamOrigin { service, *software }) : std::nullopt;
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -266,7 +266,7 @@
         apply(registry::DeregisterEndpoint { { endpoint.id, 1 } });
     }
 
-    void submit(WeightVersion minVersion = 1, std::uint32_t maxAttempts = 3, const batch::RewardCall& reward = {}, int items = 1)
+    void submit(WeightVersion minVersion = 1, std::uint32_t maxAttempts = 3, const batch::RewardCall& reward = {}, int items = 1, bool isSingleVersion = false)
     {
         batch::JobSpec job;
         job.id = jobId;
@@ -275,6 +275,7 @@
         job.minVersion = minVersion;
         job.maxAttempts = maxAttempts;
         job.retentionMs = 60'000;
+        job.isSingleVersion = isSingleVersion;
         for (int item = 0; item < items; ++item)
             job.items.push_back({ batch::ItemId(item == 0 ? "item" : "item" + std::to_string(item)), "/items/1", {}, "body", GroupId("g"), 10, 400, reward });
         apply(registry::AcceptJob { job });
@@ -441,6 +442,22 @@
     cr_assert(other.resumePositions == std::vector<std::uint64_t> { 0 });
 }
 
+// Guards against an item of a single-version job that waits for weights which no endpoint holds any more, or that is sent
+// to other weights again and again with a text that they cannot continue.
+Test(JobRunner, weightsOfBegunItemAreGone_singleVersionJob_textIsGeneratedAgain)
+{
+    RunnerFixture fixture;
+    const Endpoint& aborting = fixture.add("a", Behaviour::AbortsAfterThree, 1);
+    fixture.submit(1, 3, {}, 1, true);
+    cr_assert(fixture.runUntil([&] { return aborting.resumePositions.size() >= 2; }));
+    const Endpoint& newer = fixture.add("b", Behaviour::Completes, 2);
+    fixture.deregister(aborting);
+    const auto result = fixture.result();
+    cr_assert(result && result->output == expectedOutput());
+    cr_assert(result->versions == std::vector<WeightVersion> { 2 });
+    cr_assert(newer.resumePositions == std::vector<std::uint64_t> { 0 });
+}
+
 // Guards against output that is discarded although an endpoint with the software that generated it can continue it.
 Test(JobRunner, connectionEndsMidway_bothSoftwareVersionsServe_itemContinuesOnItsOwn)
 {
