Let the soak's endpoints run two software versions side by side

Cause: no random fault met endpoints with different software, so a joined text would not have been noticed.

Change: each endpoint of the soak runs one of two versions and marks its events; a result with events of both is a broken promise.

--- a/test/processes/node_soak.py
+++ b/test/processes/node_soak.py
@@ -18,11 +18,13 @@
 RESUMED_SLACK = 0.3  # Seconds after a paused holder goes on, in which an order that it had begun to send may arrive.
 EVENTS = 12
 BEAT_INTERVAL = 0.5
+SOFTWARE = ["v1", "v2"]  # Versions of the endpoints' software, which serve side by side.
 
 
 class Soak:
     def __init__(self, seed, duration):
         self.random = random.Random(seed)
+        self.software = random.Random(seed)  # Of its own, so that it does not change which faults a seed draws.
         self.duration = duration
         self.nodes = Deployment(entries=2, with_relays=True)
         self.endpoints = []
@@ -45,7 +47,7 @@
     # The deployment and its endpoints.
 
     def add_endpoint(self, service):
-        endpoint = Endpoint(service, pause=0.04, events=EVENTS, names_versions=True)
+        endpoint = Endpoint(service, pause=0.04, events=EVENTS, names_versions=True, marks_software=True, software=self.software.choice(SOFTWARE))
         endpoint.version = self.version
         link = relay.Relay(("127.0.0.1", 0), ("127.0.0.1", endpoint.port))
         endpoint.address = "127.0.0.1:%d" % link.address[1]
@@ -116,6 +118,7 @@
             return
         events = result["output"].split("\n")
         versions = sorted({int(event.split("@")[1]) for event in events})
+        self.check(len({event.split("@")[2] for event in events}) == 1, f"{result['id']} is joined from two software versions: {events}")
         self.check([event.split("@")[0] for event in events] == [f"{result['id']}-{number}" for number in range(1, EVENTS + 1)], f"{result['id']} is not whole: {events}")
         self.check(sorted(result["versions"]) == versions and versions[0] >= lowest, f"{result['id']} is labelled {result['versions']}, made by {versions}, at least {lowest}")
 
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -167,7 +167,7 @@
 
             def stream(self):
                 version = endpoint.version
-                mark = f"@{version}" if names_versions else f"@{endpoint.software}" if marks_software else ""
+                mark = (f"@{version}" if names_versions else "") + (f"@{endpoint.software}" if marks_software else "")
                 endpoint.resumed_after.append(int(self.headers.get("Last-Event-Id", 0)))
                 self.send_response(200)
                 self.send_header("X-Attempt-Id", self.headers["X-Attempt-Id"])
