Send a heartbeat in the test of limits before its endpoint times out

Traced with its logs: the endpoint sends one heartbeat at the start, and the leader removes it 8,000 ms later; the last calls of the test come at about that time, and find no endpoint. It is the test that is wrong.

Change: the endpoint sends another heartbeat before the last calls. The assertions stay as they are.

--- a/test/processes/test_limits.py
+++ b/test/processes/test_limits.py
@@ -107,6 +107,8 @@
         self.assertEqual(set(callers.statuses), {200})
         self.assertLessEqual(most_in_window(self.runs_since(begin)), ALLOWED)
         self.plain.limit = None
+        # Without a further heartbeat the endpoint is removed 8 s after its first one, which may be within the next calls.
+        self.assertTrue(self.plain.beat(self.nodes.control_ports))
         other.crash()
         callers = Callers(self.nodes.entry_ports)
         time.sleep(4)
