Bound the events that wait for their stream to be opened

What callers would have seen: an endpoint that sends valid events without end, within the up to 600 ms in which the origin of its stream is being recorded, fills the memory of the entry, which is killed with all its requests.

Cause: the bound of 1 MiB applied to what an open stream has not sent yet, not to the events kept before.

Change: one bound over both.

Result: CallerStream/endpointSendsWithoutEnd_streamNotOpen_isCut fails without the change; test-gateway 88 of 88.

--- a/src/azurepaddle/gateway/caller_stream.cpp
+++ b/src/azurepaddle/gateway/caller_stream.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-    // A caller who is this far behind is disconnected, and can take the stream up later.
+    // A stream with more than this to send is ended: its caller reads too slowly, or its endpoint sends without end. The
+    // caller can take it up later.
     constexpr std::size_t maxUnsentBytes = 1024U * 1024U;
 
 }
@@ -19,13 +20,13 @@
 
 void CallerStream::onEvents(std::string bytes)
 {
-    if (!m_isOpen) {
+    if (m_isOpen)
+        m_exchange->sendChunk(bytes);
+    else
         m_kept += bytes;
+    if (m_kept.size() + m_exchange->unsentBytes() <= maxUnsentBytes)
         return;
-    }
-    m_exchange->sendChunk(bytes);
-    if (m_exchange->unsentBytes() <= maxUnsentBytes)
-        return;
+    m_kept.clear();
     if (const auto call = m_call.lock())
         call->cancel();
     m_exchange->abort();
