--- a/src/azurepaddle/gateway/caller_stream.cpp
+++ b/src/azurepaddle/gateway/caller_stream.cpp
@@ -15,7 +15,7 @@
     m_head = head;
     m_head.body.clear();
     m_head.fields.eraseHopByHop();
-    m_onBegin(origin);
+    m_onBegin(origin, [self = shared_from_this()] { self->open(); });
 }
 
 void CallerStream::onEvents(std::string bytes)
--- a/src/azurepaddle/gateway/caller_stream.hpp
+++ b/src/azurepaddle/gateway/caller_stream.hpp
@@ -7,10 +7,10 @@
 namespace azurepaddle::gateway {
 
 /// The answer to a caller's request for a stream. Events that arrive before the stream is opened are kept.
-class CallerStream final : public StreamSink {
+class CallerStream final : public StreamSink, public std::enable_shared_from_this<CallerStream> {
 public:
-    /// Called when the stream begins, with its origin. It calls `open` once the first events may be sent.
-    using BeginHandler = std::function<void(const registry::StreamOrigin&)>;
+    /// Called when the stream begins, with its origin and the function that opens it.
+    using BeginHandler = std::function<void(const registry::StreamOrigin&, const std::function<void()>& open)>;
 
     CallerStream(http1::ExchangePointer exchange, BeginHandler onBegin)
         : m_exchange(std::move(exchange))
--- a/src/azurepaddle/gateway/drain_policy.hpp
+++ b/src/azurepaddle/gateway/drain_policy.hpp
@@ -2,13 +2,10 @@
 
 #include "azurepaddle/core/clock.hpp"
 
-#include <optional>
-
 namespace azurepaddle::gateway {
 
 /// The time in which an instance that got the signal to stop must end.
 struct DrainWindow {
-    TimePoint since; ///< When the drain began.
     TimePoint end; ///< The last answers must have been sent by then.
     /// Until then load balancers may direct new callers here, who have no better choice.
     TimePoint untilWithdrawn;
--- a/src/azurepaddle/gateway/link_monitor.cpp
+++ b/src/azurepaddle/gateway/link_monitor.cpp
@@ -14,11 +14,6 @@
 
 }
 
-void LinkMonitor::setEndpoints(std::vector<registry::EndpointRecord> endpoints)
-{
-    m_endpoints = std::move(endpoints);
-}
-
 void LinkMonitor::recordContact()
 {
     m_wasReachable = true;
@@ -31,37 +26,40 @@
     m_isSuspected = true;
 }
 
-std::vector<registry::EndpointRecord> LinkMonitor::beginRoundIfDue(TimePoint now)
+bool LinkMonitor::isRoundDue(TimePoint now) const noexcept
 {
     const bool isWanted = m_isSuspected || m_state == LinkState::Cut;
-    if (!isWanted || isRoundInProgress() || now < m_nextRound)
-        return {};
+    return isWanted && !isRoundInProgress() && now >= m_nextRound;
+}
+
+std::vector<registry::EndpointRecord> LinkMonitor::beginRound(const std::vector<registry::EndpointRecord>& endpoints, TimePoint now)
+{
     m_nextRound = now + minRoundInterval;
     m_isSuspected = false;
     m_wasReachable = false;
-    std::vector<registry::EndpointRecord> probes = chooseProbes();
+    std::vector<registry::EndpointRecord> probes = chooseProbes(endpoints);
     m_pendingProbes = m_probedEndpoints = probes.size();
     return probes;
 }
 
 /// Chooses endpoints of all data centres in turn.
-std::vector<registry::EndpointRecord> LinkMonitor::chooseProbes()
+std::vector<registry::EndpointRecord> LinkMonitor::chooseProbes(const std::vector<registry::EndpointRecord>& endpoints)
 {
     std::map<DataCentreName, std::vector<const registry::EndpointRecord*>> byDataCentre;
-    for (const registry::EndpointRecord& endpoint : m_endpoints) {
+    for (const registry::EndpointRecord& endpoint : endpoints) {
         if (endpoint.state == registry::EndpointState::Ready)
             byDataCentre[endpoint.dataCentre].push_back(&endpoint);
     }
     std::size_t available = 0;
-    for (const auto& [dataCentre, endpoints] : byDataCentre)
-        available += endpoints.size();
+    for (const auto& [dataCentre, members] : byDataCentre)
+        available += members.size();
     const std::size_t wanted = std::min(maxProbes, available);
     const std::size_t first = m_rotation++;
     std::vector<registry::EndpointRecord> probes;
     for (std::size_t turn = 0; probes.size() < wanted; ++turn) {
-        for (const auto& [dataCentre, endpoints] : byDataCentre) {
-            if (turn < endpoints.size() && probes.size() < wanted)
-                probes.push_back(*endpoints[(first + turn) % endpoints.size()]);
+        for (const auto& [dataCentre, members] : byDataCentre) {
+            if (turn < members.size() && probes.size() < wanted)
+                probes.push_back(*members[(first + turn) % members.size()]);
         }
     }
     return probes;
--- a/src/azurepaddle/gateway/link_monitor.hpp
+++ b/src/azurepaddle/gateway/link_monitor.hpp
@@ -21,15 +21,14 @@
 /// rounds detect the end of the cut. The endpoints are those with recent heartbeats. Uses no network.
 class LinkMonitor {
 public:
-    /// Replaces the endpoints that must be reachable.
-    void setEndpoints(std::vector<registry::EndpointRecord> endpoints);
-
     /// Records that a connection to an endpoint was established, or that bytes of an endpoint arrived.
     void recordContact();
     /// Records that a connection could not be established or broke.
     void recordFailure(TimePoint now);
-    /// The endpoints to probe now; empty if no round is due. Each one must be followed by a call of `recordProbe`.
-    [[nodiscard]] std::vector<registry::EndpointRecord> beginRoundIfDue(TimePoint now);
+    /// Whether a round of probes should begin now.
+    [[nodiscard]] bool isRoundDue(TimePoint now) const noexcept;
+    /// Begins a round. Returns those of the endpoints to probe; a call of `recordProbe` must follow for each.
+    [[nodiscard]] std::vector<registry::EndpointRecord> beginRound(const std::vector<registry::EndpointRecord>& endpoints, TimePoint now);
     /// Records the outcome of one probe of the current round. Returns the state if it changed.
     [[nodiscard]] std::optional<LinkState> recordProbe(bool isReachable);
 
@@ -39,10 +38,9 @@
     [[nodiscard]] TimePoint nextRound() const noexcept { return m_nextRound; }
 
 private:
-    [[nodiscard]] std::vector<registry::EndpointRecord> chooseProbes();
+    [[nodiscard]] std::vector<registry::EndpointRecord> chooseProbes(const std::vector<registry::EndpointRecord>& endpoints);
     [[nodiscard]] std::optional<LinkState> endRound();
 
-    std::vector<registry::EndpointRecord> m_endpoints;
     LinkState m_state = LinkState::Up;
     bool m_isSuspected = false; ///< A failure was recorded since the last round.
     TimePoint m_nextRound {};
--- a/src/azurepaddle/gateway/link_prober.cpp
+++ b/src/azurepaddle/gateway/link_prober.cpp
@@ -4,8 +4,9 @@
 
 namespace azurepaddle::gateway {
 
-LinkProber::LinkProber(asio::io_context& io, CrashWatch::Probe probe, metrics::Registry& metrics)
+LinkProber::LinkProber(asio::io_context& io, CrashWatch::Probe probe, const Balancer& balancer, metrics::Registry& metrics)
     : m_probe(std::move(probe))
+    , m_balancer(balancer)
     , m_metrics(metrics)
     , m_timer(io)
 {
@@ -31,13 +32,12 @@
 
 void LinkProber::beginRound()
 {
-    const auto endpoints = m_monitor.beginRoundIfDue(m_clock.now());
-    if (endpoints.empty() && !areCut())
+    const TimePoint now = m_clock.now();
+    const auto endpoints = m_monitor.isRoundDue(now) ? m_monitor.beginRound(m_balancer.records(), now) : std::vector<registry::EndpointRecord>();
+    if (endpoints.empty())
         return onRoundEnded(std::nullopt);
     for (const registry::EndpointRecord& endpoint : endpoints)
         m_probe(endpoint.address(), [this](http1::ProbeOutcome outcome) { onProbed(outcome); });
-    if (endpoints.empty() && areCut())
-        scheduleRound();
 }
 
 void LinkProber::onProbed(http1::ProbeOutcome outcome)
--- a/src/azurepaddle/gateway/link_prober.hpp
+++ b/src/azurepaddle/gateway/link_prober.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/core/log.hpp"
+#include "azurepaddle/gateway/balancer.hpp"
 #include "azurepaddle/gateway/crash_watch.hpp"
 #include "azurepaddle/gateway/link_monitor.hpp"
 #include "azurepaddle/metrics/registry.hpp"
@@ -12,11 +13,11 @@
 /// Runs the rounds of probes that the link monitor decides on. Uses no timer while the links are up and nothing fails.
 class LinkProber {
 public:
-    LinkProber(asio::io_context& io, CrashWatch::Probe probe, metrics::Registry& metrics);
+    /// Probes endpoints of the balancer.
+    LinkProber(asio::io_context& io, CrashWatch::Probe probe, const Balancer& balancer, metrics::Registry& metrics);
 
     /// Called with each change of the state.
     void setOnChange(std::function<void(LinkState)> onChange) { m_onChange = std::move(onChange); }
-    void setEndpoints(std::vector<registry::EndpointRecord> endpoints) { m_monitor.setEndpoints(std::move(endpoints)); }
     void recordContact() { m_monitor.recordContact(); }
     void recordFailure();
     [[nodiscard]] bool areCut() const noexcept { return m_monitor.state() == LinkState::Cut; }
@@ -35,6 +36,7 @@
     void onProbed(http1::ProbeOutcome outcome);
 
     CrashWatch::Probe m_probe;
+    const Balancer& m_balancer;
     metrics::Registry& m_metrics;
     LinkMonitor m_monitor;
     asio::steady_timer m_timer;
--- a/src/azurepaddle/gateway/relay_forwarder.hpp
+++ b/src/azurepaddle/gateway/relay_forwarder.hpp
@@ -42,6 +42,7 @@
 
     void sendLocally(const PendingPointer& pending);
     void findPeer(const PendingPointer& pending);
+    void sendToBestPeer(const PendingPointer& pending);
     void sendToPeer(const PendingPointer& pending, const InstanceAddress& peer);
     void onReply(const PendingPointer& pending, const InstanceAddress& peer, const transport::CallResult& result);
     void refuse(const PendingPointer& pending);
@@ -138,14 +139,17 @@
 {
     if (pending->tried.size() >= internal::maxRelayPeers)
         return refuse(pending);
-    if (pending->tried.empty() && !m_peers.isCurrent(m_clock.now())) {
-        return m_finder.find([this, pending] {
-            if (pending->isDone)
-                return;
-            const auto peer = m_peers.choose(pending->tried, m_clock.now());
-            return peer ? sendToPeer(pending, *peer) : refuse(pending);
-        });
-    }
+    if (!pending->tried.empty() || m_peers.isCurrent(m_clock.now()))
+        return sendToBestPeer(pending);
+    m_finder.find([this, pending] {
+        if (!pending->isDone)
+            sendToBestPeer(pending);
+    });
+}
+
+template <typename Protocol>
+void RelayForwarder<Protocol>::sendToBestPeer(const PendingPointer& pending)
+{
     const auto peer = m_peers.choose(pending->tried, m_clock.now());
     return peer ? sendToPeer(pending, *peer) : refuse(pending);
 }
--- a/src/azurepaddle/gateway/stream_forwarder.hpp
+++ b/src/azurepaddle/gateway/stream_forwarder.hpp
@@ -36,14 +36,11 @@
     void forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route);
 
 private:
-    /// Called when a stream begins, with its origin and the function that opens it.
-    using BeginHandler = std::function<void(const registry::StreamOrigin&, const std::function<void()>& open)>;
-
     void lookUp(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp);
     void onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::StreamOrigin& origin);
     void start(const http1::ExchangePointer& exchange, const ForwardRequest& task);
     void record(const http1::ExchangePointer& exchange, const registry::StreamOrigin& origin, const std::function<void()>& onDone);
-    void send(const http1::ExchangePointer& exchange, ForwardRequest task, const BeginHandler& onBegin, const ForwardCallback& respondWhole);
+    void send(const http1::ExchangePointer& exchange, ForwardRequest task, const CallerStream::BeginHandler& onBegin, const ForwardCallback& respondWhole);
     void refuse(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp, TakeUpDecision decision, std::string_view reason);
 
     Sender& m_sender;
@@ -107,14 +104,9 @@
 
 /// Forwards a request and passes the events of its answer on as they arrive, from when `onBegin` opens the stream.
 template <typename Protocol, typename Sender>
-void StreamForwarder<Protocol, Sender>::send(const http1::ExchangePointer& exchange, ForwardRequest task, const BeginHandler& onBegin, const ForwardCallback& respondWhole)
+void StreamForwarder<Protocol, Sender>::send(const http1::ExchangePointer& exchange, ForwardRequest task, const CallerStream::BeginHandler& onBegin, const ForwardCallback& respondWhole)
 {
-    const auto stream = std::make_shared<std::weak_ptr<CallerStream>>();
-    const auto sink = std::make_shared<CallerStream>(exchange, [stream, onBegin](const registry::StreamOrigin& origin) {
-        const auto begun = stream->lock();
-        onBegin(origin, [begun] { begun->open(); });
-    });
-    *stream = sink;
+    const auto sink = std::make_shared<CallerStream>(exchange, onBegin);
     task.sink = sink;
     const auto call = forwardExchange(m_sender, exchange, task, [sink, respondWhole](ForwardResult result) {
         if (result.stream == StreamState::NotBegun)
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -55,7 +55,7 @@
     , m_stateAge(m_settings.bounds.configurationDelay)
     , m_pool(io, endpointMessageLimits())
     , m_balancer(DataCentreName(m_settings.node.dataCentre))
-    , m_links(io, endpointProbe(io), m_metrics)
+    , m_links(io, endpointProbe(io), m_balancer, m_metrics)
     , m_crashProbe(io, endpointProbe(io), m_links, m_balancer)
     , m_guard([this](const InstanceAddress& address, const http1::ProbeCallback& onOutcome) { m_crashProbe.probe(address, onOutcome); }, m_metrics)
     , m_limiter(
@@ -190,7 +190,6 @@
         m_balancer.setEndpoints(reply.endpoints);
     else
         m_balancer.changeEndpoints(reply.endpoints, reply.removed);
-    m_links.setEndpoints(m_balancer.records());
     if (reply.isFullUpdate || !reply.endpoints.empty() || !reply.removed.empty())
         m_log.debug("endpoints changed={} removed={} are-all={} revision={}", reply.endpoints.size(), reply.removed.size(), reply.isFullUpdate, reply.directoryRevision);
 }
@@ -262,7 +261,7 @@
     m_onDrained = std::move(onDrained);
     m_drainSince = m_clock.now();
     const TimePoint end = m_drainSince + longestDrain() - answerMargin;
-    m_callers.beginDrain({ m_drainSince, end, std::min(m_drainSince + minimumDrain, end) });
+    m_callers.beginDrain({ end, std::min(m_drainSince + minimumDrain, end) });
     m_localForwarder.setLatestEnd(end);
     m_callerServer.beginDrain();
     watchDrain();
--- a/test/azurepaddle/gateway/drain_policy.cpp
+++ b/test/azurepaddle/gateway/drain_policy.cpp
@@ -10,7 +10,7 @@
 
 struct DrainFixture {
     const TimePoint begin { 100s };
-    const DrainWindow window { begin, begin + 7s, begin + 2s };
+    const DrainWindow window { begin + 7s, begin + 2s };
 };
 
 }
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -31,18 +31,7 @@
 
     explicit ForwarderFixture(RouteKind kind)
     {
-        Route route;
-        route.name = "r";
-        route.host = "h";
-        route.pathPrefix = "/";
-        route.kind = kind;
-        route.services = { { ServiceName("s"), 1 } };
-        route.timeout = std::chrono::milliseconds(600);
-        route.targetLatency = std::chrono::milliseconds(400);
-        route.maxAttempts = 2;
-        Service service;
-        service.name = ServiceName("s");
-        table = std::make_shared<const RouteTable>(1, std::vector<Route> { route }, std::vector<Service> { service }, ServerLimits {});
+        table = makeTable(kind, std::chrono::milliseconds(600));
         cr_assert(server.listen({ "127.0.0.1", 0 }).has_value());
     }
 
--- a/test/azurepaddle/gateway/link_monitor.cpp
+++ b/test/azurepaddle/gateway/link_monitor.cpp
@@ -23,17 +23,19 @@
 struct LinkFixture {
     LinkMonitor monitor;
     TimePoint now { 100s };
+    std::vector<registry::EndpointRecord> endpoints { endpoint("1", "a"), endpoint("2", "a"), endpoint("3", "a"), endpoint("4", "b"), endpoint("5", "b"), endpoint("6", "c") };
 
-    LinkFixture()
+    /// The endpoints to probe at a time; empty if no round is due.
+    std::vector<registry::EndpointRecord> begin(TimePoint at)
     {
-        monitor.setEndpoints({ endpoint("1", "a"), endpoint("2", "a"), endpoint("3", "a"), endpoint("4", "b"), endpoint("5", "b"), endpoint("6", "c") });
+        return monitor.isRoundDue(at) ? monitor.beginRound(endpoints, at) : std::vector<registry::EndpointRecord>();
     }
 
     /// Runs one round, in which the first `reachable` probed endpoints accept connections. Returns the change of state.
     std::optional<LinkState> round(std::size_t reachable)
     {
         now += 1s;
-        const auto probes = monitor.beginRoundIfDue(now);
+        const auto probes = begin(now);
         std::optional<LinkState> changed;
         for (std::size_t probe = 0; probe < probes.size(); ++probe)
             changed = monitor.recordProbe(probe < reachable);
@@ -47,9 +49,9 @@
 Test(LinkMonitor, nothingFails_noRound_isDue)
 {
     LinkFixture fixture;
-    cr_assert(fixture.monitor.beginRoundIfDue(fixture.now).empty());
+    cr_assert(fixture.begin(fixture.now).empty());
     fixture.monitor.recordContact();
-    cr_assert(fixture.monitor.beginRoundIfDue(fixture.now + 10s).empty());
+    cr_assert(fixture.begin(fixture.now + 10s).empty());
 }
 
 // Guards against a round that probes only endpoints of one data centre, which may have failed as a whole.
@@ -57,7 +59,7 @@
 {
     LinkFixture fixture;
     fixture.monitor.recordFailure(fixture.now);
-    const auto probes = fixture.monitor.beginRoundIfDue(fixture.now);
+    const auto probes = fixture.begin(fixture.now);
     std::set<DataCentreName> dataCentres;
     std::set<EndpointId> ids;
     for (const registry::EndpointRecord& probe : probes) {
@@ -65,7 +67,7 @@
         ids.insert(probe.id);
     }
     cr_assert(probes.size() == 4 && ids.size() == 4 && dataCentres.size() == 3);
-    cr_assert(fixture.monitor.beginRoundIfDue(fixture.now + 10s).empty());
+    cr_assert(fixture.begin(fixture.now + 10s).empty());
 }
 
 // Guards against an instance that takes itself for cut off because some endpoints crashed.
@@ -82,7 +84,7 @@
 {
     LinkFixture fixture;
     fixture.monitor.recordFailure(fixture.now);
-    const auto probes = fixture.monitor.beginRoundIfDue(fixture.now);
+    const auto probes = fixture.begin(fixture.now);
     fixture.monitor.recordContact();
     for (std::size_t probe = 0; probe < probes.size(); ++probe)
         cr_assert(!fixture.monitor.recordProbe(false));
@@ -98,14 +100,14 @@
     cr_assert(!fixture.round(0));
     cr_assert(fixture.monitor.state() == LinkState::Cut);
     cr_assert(fixture.round(1) == LinkState::Up);
-    cr_assert(fixture.monitor.beginRoundIfDue(fixture.now + 10s).empty());
+    cr_assert(fixture.begin(fixture.now + 10s).empty());
 }
 
 // Guards against a single endpoint that crashed and is taken for a cut of the links.
 Test(LinkMonitor, onlyEndpointFails_linksAreUp)
 {
     LinkFixture fixture;
-    fixture.monitor.setEndpoints({ endpoint("1", "a") });
+    fixture.endpoints = { endpoint("1", "a") };
     fixture.monitor.recordFailure(fixture.now);
     cr_assert(!fixture.round(0));
     cr_assert(fixture.monitor.state() == LinkState::Up);
@@ -119,7 +121,7 @@
     for (int step = 0; step < 100; ++step) {
         fixture.now += 10ms;
         fixture.monitor.recordFailure(fixture.now);
-        const auto probes = fixture.monitor.beginRoundIfDue(fixture.now);
+        const auto probes = fixture.begin(fixture.now);
         rounds += probes.empty() ? 0 : 1;
         for (std::size_t probe = 0; probe < probes.size(); ++probe)
             static_cast<void>(fixture.monitor.recordProbe(true));
--- a/test/azurepaddle/gateway/relay.cpp
+++ b/test/azurepaddle/gateway/relay.cpp
@@ -13,11 +13,6 @@
 const RawPeer::Script silent = [](const std::string&) { return std::string(); };
 const RawPeer::Script succeed = [](const std::string&) { return answer(200, "good", "X-Id: 7\r\nX-Stamp: s\r\n"); };
 
-CrashWatch::Probe probeOf(asio::io_context& io)
-{
-    return [&io](const InstanceAddress& address, ProbeCallback onOutcome) { probeConnection(io, address, probeTimeout, std::move(onOutcome)); };
-}
-
 /// One entry instance with its own view of the endpoints.
 struct Entry {
     asio::io_context& io;
@@ -25,8 +20,9 @@
     Balancer balancer { DataCentreName("a") };
     Random random { 3 };
     metrics::Registry metrics;
-    LinkProber links { io, probeOf(io), metrics };
-    CrashProbe crashProbe { io, probeOf(io), links, balancer };
+    bool refusesProbes = false; ///< The links refuse connections, although the endpoints run.
+    LinkProber links { io, [this](const InstanceAddress& address, const ProbeCallback& onOutcome) { probe(address, onOutcome); }, balancer, metrics };
+    CrashProbe crashProbe { io, [this](const InstanceAddress& address, const ProbeCallback& onOutcome) { probe(address, onOutcome); }, links, balancer };
     CrashGuard guard { [this](const InstanceAddress& address, const ProbeCallback& onOutcome) { crashProbe.probe(address, onOutcome); }, metrics };
     SendLimiter limiter { "entry", [](const registry::PermitRequest&, TimePoint, const PermitCallback& onReply) { onReply(std::nullopt, SystemClock().now()); }, random };
     Forwarder<TestProtocol> local { io, pool, balancer, guard, limiter, random, metrics, maxAnswerBytes };
@@ -38,11 +34,17 @@
         pool.setLinkObserver([this](bool isReachable) { isReachable ? links.recordContact() : links.recordFailure(); });
     }
 
+    void probe(const InstanceAddress& address, const ProbeCallback& onOutcome)
+    {
+        if (!refusesProbes)
+            return probeConnection(io, address, probeTimeout, onOutcome);
+        asio::post(io, [onOutcome] { onOutcome(ProbeOutcome::Refused); });
+    }
+
     void add(const InstanceAddress& address, const std::string& dataCentre)
     {
         records.push_back({ EndpointId("e" + std::to_string(records.size() + 1)), 1, ServiceName("s"), address.ip, address.port, DataCentreName(dataCentre), 4, registry::EndpointState::Ready, {} });
         balancer.setEndpoints(records);
-        links.setEndpoints(balancer.records());
     }
 };
 
@@ -69,17 +71,7 @@
 
     explicit RelayFixture(RouteKind kind)
     {
-        Route route;
-        route.name = "r";
-        route.host = "h";
-        route.pathPrefix = "/";
-        route.kind = kind;
-        route.services = { { ServiceName("s"), 1 } };
-        route.timeout = std::chrono::milliseconds(1500);
-        route.maxAttempts = 2;
-        Service service;
-        service.name = ServiceName("s");
-        table = std::make_shared<const RouteTable>(1, std::vector<Route> { route }, std::vector<Service> { service }, ServerLimits {});
+        table = makeTable(kind, std::chrono::milliseconds(1500));
         relayServer.setRoutes(table);
         relayServer.registerHandlers(peerServer);
         cr_assert(client.start().has_value() && peerServer.start().has_value());
@@ -244,33 +236,63 @@
     cr_assert(remote.accepted() == handedOver);
 }
 
+namespace {
+
+/// An entry before two endpoints whose links begin to refuse connections, and the probe of the first endpoint.
+struct CrashProbeFixture : RelayFixture {
+    std::optional<ProbeOutcome> outcome;
+
+    CrashProbeFixture()
+        : RelayFixture(RouteKind::NonIdempotent)
+    {
+        addEndpoint(cut, succeed, "a");
+        addEndpoint(cut, succeed, "b");
+        cut.refusesProbes = true;
+        cut.links.recordFailure();
+        cut.crashProbe.probe(cut.records.front().address(), [this](ProbeOutcome probed) { outcome = probed; });
+        cr_assert(runUntil(io, [&] { return cut.links.areCut(); }));
+        cr_assert(!outcome);
+    }
+
+    /// Lets the links return and waits for the outcome.
+    ProbeOutcome outcomeAfterCut()
+    {
+        cut.refusesProbes = false;
+        cr_assert(runUntil(io, [&] { return outcome.has_value(); }));
+        cr_assert(!cut.links.areCut());
+        return *outcome;
+    }
+};
+
+}
+
 // Guards against harmless requests that are suspected of crashing endpoints because the links of an entry refuse
 // connections.
 Test(CrashProbe, linksRefuseConnections_endpointsAreNotTakenForCrashed)
 {
-    RelayFixture fixture(RouteKind::NonIdempotent);
-    fixture.cutLinks();
-    fixture.cut.links.recordFailure();
-    std::optional<ProbeOutcome> outcome;
-    fixture.cut.crashProbe.probe(fixture.cut.records.front().address(), [&](ProbeOutcome probed) { outcome = probed; });
-    cr_assert(runUntil(fixture.io, [&] { return fixture.cut.links.areCut(); }));
-    cr_assert(!outcome);
-    fixture.addEndpoint(fixture.cut, succeed, "d");
-    cr_assert(runUntil(fixture.io, [&] { return !fixture.cut.links.areCut(); }));
-    cr_assert(runUntil(fixture.io, [&] { return outcome.has_value(); }));
+    CrashProbeFixture fixture;
+    cr_assert(fixture.outcomeAfterCut() == ProbeOutcome::Accepted);
 }
 
 // Guards against a crash that is overlooked because all endpoints crashed at about the same time.
 Test(CrashProbe, endpointRestartsDuringCut_isTakenForCrashed)
+{
+    CrashProbeFixture fixture;
+    fixture.cut.records.front().startedMs = 2;
+    fixture.cut.balancer.setEndpoints(fixture.cut.records);
+    cr_assert(fixture.outcomeAfterCut() == ProbeOutcome::Refused);
+}
+
+// Guards against a crash that is overlooked although other endpoints can be reached.
+Test(CrashProbe, linksAreUp_refusedConnection_isTakenForCrashed)
 {
     RelayFixture fixture(RouteKind::NonIdempotent);
-    fixture.cutLinks();
+    const InstanceAddress crashed = fixture.addEndpoint(fixture.cut, succeed, "a").address();
+    fixture.addEndpoint(fixture.cut, succeed, "b");
+    fixture.endpoints.front()->crash();
     fixture.cut.links.recordFailure();
     std::optional<ProbeOutcome> outcome;
-    fixture.cut.crashProbe.probe(fixture.cut.records.front().address(), [&](ProbeOutcome probed) { outcome = probed; });
-    cr_assert(runUntil(fixture.io, [&] { return fixture.cut.links.areCut(); }));
-    fixture.cut.records.front().startedMs = 2;
-    fixture.addEndpoint(fixture.cut, succeed, "d");
+    fixture.cut.crashProbe.probe(crashed, [&](ProbeOutcome probed) { outcome = probed; });
     cr_assert(runUntil(fixture.io, [&] { return outcome.has_value(); }));
     cr_assert(outcome == ProbeOutcome::Refused);
 }
--- a/test/azurepaddle/gateway/test_protocol.hpp
+++ b/test/azurepaddle/gateway/test_protocol.hpp
@@ -41,4 +41,21 @@
     return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// One route of this kind to the service `s`, whose requests may be sent to two endpoints.
+inline std::shared_ptr<const RouteTable> makeTable(RouteKind kind, Duration timeout)
+{
+    Route route;
+    route.name = "r";
+    route.host = "h";
+    route.pathPrefix = "/";
+    route.kind = kind;
+    route.services = { { ServiceName("s"), 1 } };
+    route.timeout = timeout;
+    route.targetLatency = std::chrono::milliseconds(400);
+    route.maxAttempts = 2;
+    Service service;
+    service.name = ServiceName("s");
+    return std::make_shared<const RouteTable>(1, std::vector<Route> { route }, std::vector<Service> { service }, ServerLimits {});
+}
+
 }
