--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -543,6 +543,7 @@
     """Ends every process of this case."""
     for platform in Platform.opened:
         platform.end_processes()
+        shutil.rmtree(platform.folder, ignore_errors=True)
 
 
 def give_up(reason):
