Remove a lost voter before its successor is promoted

What callers saw: one of three store machines loses its disk, comes back and loses it again 0.2 s later.

Cause: planMembership promoted a successor while the lost voter was still a member. A membership counts once it is in the log, so the quorum rose to three of four, with two live voters. The change needed the participant that it added.

Ruled out: a loss of contact between the two others, which answer each other until then.

Change: a failed voter is removed before the learner that may be its successor is promoted; a removal leaves the quorum equal or lower. A learner that took part while the failed voter still answered is another machine and is promoted first. The leader plans the next change as soon as one is committed.

--- a/src/azurepaddle/cluster/group_drive.hpp
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -168,6 +168,8 @@
         reply = m_machine.apply(entry.data);
         m_bytesSinceSnapshot += entry.data.size();
     }
+    if (static_cast<consensus::EntryKind>(entry.kind) == consensus::EntryKind::Membership)
+        m_nextMaintenance = m_clock.now(); // Between the steps of a replacement the group tolerates fewer losses.
     const auto [begin, end] = m_pendingProposals.equal_range(entry.index);
     std::vector<std::pair<ProposalCallback, bool>> completed;
     for (auto pending = begin; pending != end; ++pending)
--- a/src/azurepaddle/cluster/group_membership.hpp
+++ b/src/azurepaddle/cluster/group_membership.hpp
@@ -49,9 +49,14 @@
     const auto add = [&](const InstanceId& id, bool isVoter) {
         const auto parts = parseIdentity(id);
         const auto contact = m_node->lastContact(id);
+        const auto acknowledged = m_node->lastAcknowledgement(id);
         const bool isSelf = id == m_identity;
-        views.push_back({ id, parts ? parts->address : InstanceAddress {}, isVoter, isSelf, parts && m_retiring.contains(parts->name),
-            m_node->replicationLag(id), isSelf || !contact ? Duration::zero() : now - *contact });
+        MemberView view { id, parts ? parts->address : InstanceAddress {}, isVoter, isSelf, parts && m_retiring.contains(parts->name), m_node->replicationLag(id) };
+        view.timeSinceContact = isSelf || !contact ? Duration::zero() : now - *contact;
+        if (isSelf || acknowledged)
+            view.timeSinceAcknowledgement = isSelf ? Duration::zero() : now - *acknowledged;
+        view.trackedFor = now - m_node->trackedSince(id).value_or(now);
+        views.push_back(std::move(view));
     };
     for (const InstanceId& id : membership.voters)
         add(id, true);
--- a/src/azurepaddle/consensus/raft_node.hpp
+++ b/src/azurepaddle/consensus/raft_node.hpp
@@ -68,6 +68,11 @@
     /// Send time of the newest message that another participant acknowledged, or the time at which this leader started
     /// to send to it if that is later. Nothing unless this instance is the leader.
     [[nodiscard]] std::optional<TimePoint> lastContact(const InstanceId& node) const;
+    /// Send time of the newest message that another participant acknowledged to this leader. Nothing if it has not
+    /// acknowledged any, or unless this instance is the leader.
+    [[nodiscard]] std::optional<TimePoint> lastAcknowledgement(const InstanceId& node) const;
+    /// Time at which this leader started to send to another participant. Nothing unless this instance is the leader.
+    [[nodiscard]] std::optional<TimePoint> trackedSince(const InstanceId& node) const;
 
 private:
     struct PendingRead {
@@ -99,6 +104,8 @@
     [[nodiscard]] RaftError makeError(RaftErrorCode code, std::string message) const;
     [[nodiscard]] RaftResult<void> checkLeader() const;
     EntryPosition appendLocally(EntryKind kind, std::string data);
+    [[nodiscard]] RaftResult<void> checkPromotion(const InstanceId& learner) const;
+    [[nodiscard]] const Progress* progressOf(const InstanceId& node) const;
 
     // raft_node_election.hpp: roles, votes, leases.
     void becomeFollower(std::uint64_t term, const InstanceId& leader);
--- a/src/azurepaddle/consensus/raft_node_api.hpp
+++ b/src/azurepaddle/consensus/raft_node_api.hpp
@@ -197,14 +197,29 @@
     const auto membership = applyChange(m_log.membership(), change);
     if (!membership)
         return tl::unexpected(makeError(RaftErrorCode::InvalidChange, "the change does not apply to the current membership"));
-    const auto lag = replicationLag(change.node);
-    if (change.kind == ChangeKind::PromoteLearner && (!lag || *lag > m_settings.maxPromotionLag))
-        return tl::unexpected(makeError(RaftErrorCode::NotCaughtUp, "the learner lags too many entries behind to be promoted"));
+    if (change.kind == ChangeKind::PromoteLearner) {
+        if (auto promotionCheck = checkPromotion(change.node); !promotionCheck)
+            return tl::unexpected(promotionCheck.error());
+    }
     const EntryPosition position = appendLocally(EntryKind::Membership, codec::encode(*membership));
     syncProgress();
     return position;
 }
 
+/// Checks that a learner holds nearly the whole log and answers. The number of missing entries alone does not show that:
+/// in a short log, it is small even for a learner that has never answered.
+template <RaftStore Store, RandomSource RandomEngine>
+RaftResult<void> RaftNode<Store, RandomEngine>::checkPromotion(const InstanceId& learner) const
+{
+    const auto lag = replicationLag(learner);
+    if (!lag || *lag > m_settings.maxPromotionLag)
+        return tl::unexpected(makeError(RaftErrorCode::NotCaughtUp, fmt::format("the learner lacks more than {} entries", m_settings.maxPromotionLag)));
+    const auto acknowledged = lastAcknowledgement(learner);
+    if (!acknowledged || m_now - *acknowledged > m_settings.electionTimeout)
+        return tl::unexpected(makeError(RaftErrorCode::NotCaughtUp, "the learner has not answered within the election timeout"));
+    return {};
+}
+
 template <RaftStore Store, RandomSource RandomEngine>
 RaftResult<Ready> RaftNode<Store, RandomEngine>::takeReady()
 {
@@ -271,22 +286,41 @@
     return quorumAckTime() + std::chrono::duration_cast<Duration>(m_settings.electionTimeout * (1.0 - m_settings.clockDrift));
 }
 
+/// Returns the replication state of another participant, or null unless this instance is the leader and tracks it.
 template <RaftStore Store, RandomSource RandomEngine>
-std::optional<std::uint64_t> RaftNode<Store, RandomEngine>::replicationLag(const InstanceId& node) const
+const Progress* RaftNode<Store, RandomEngine>::progressOf(const InstanceId& node) const
 {
     const auto found = m_progress.find(node);
-    if (m_role != RaftRole::Leader || found == m_progress.end())
-        return std::nullopt;
-    return m_log.lastIndex() - found->second.match;
+    return m_role != RaftRole::Leader || found == m_progress.end() ? nullptr : &found->second;
+}
+
+template <RaftStore Store, RandomSource RandomEngine>
+std::optional<std::uint64_t> RaftNode<Store, RandomEngine>::replicationLag(const InstanceId& node) const
+{
+    const Progress* progress = progressOf(node);
+    return progress ? std::optional(m_log.lastIndex() - progress->match) : std::nullopt;
 }
 
 template <RaftStore Store, RandomSource RandomEngine>
 std::optional<TimePoint> RaftNode<Store, RandomEngine>::lastContact(const InstanceId& node) const
 {
-    const auto found = m_progress.find(node);
-    if (m_role != RaftRole::Leader || found == m_progress.end())
-        return std::nullopt;
-    return std::max(found->second.ackedSentAt, found->second.trackedSince);
+    const Progress* progress = progressOf(node);
+    return progress ? std::optional(std::max(progress->ackedSentAt, progress->trackedSince)) : std::nullopt;
+}
+
+template <RaftStore Store, RandomSource RandomEngine>
+std::optional<TimePoint> RaftNode<Store, RandomEngine>::lastAcknowledgement(const InstanceId& node) const
+{
+    const Progress* progress = progressOf(node);
+    const bool hasAcknowledged = progress && progress->ackedSentAt > TimePoint {};
+    return hasAcknowledged ? std::optional(progress->ackedSentAt) : std::nullopt;
+}
+
+template <RaftStore Store, RandomSource RandomEngine>
+std::optional<TimePoint> RaftNode<Store, RandomEngine>::trackedSince(const InstanceId& node) const
+{
+    const Progress* progress = progressOf(node);
+    return progress ? std::optional(progress->trackedSince) : std::nullopt;
 }
 
 }
--- a/src/azurepaddle/consensus/simulation.hpp
+++ b/src/azurepaddle/consensus/simulation.hpp
@@ -74,6 +74,12 @@
     /// Returns the status of a host that is up.
     [[nodiscard]] RaftStatus status(std::size_t host) const { return m_hosts[host].node->status(); }
     [[nodiscard]] std::optional<std::uint64_t> replicationLag(std::size_t host, const InstanceId& node) const { return m_hosts[host].node->replicationLag(node); }
+    /// The participant on a host that is up.
+    [[nodiscard]] const Node& node(std::size_t host) const { return *m_hosts[host].node; }
+    /// The time of a host's own clock.
+    [[nodiscard]] TimePoint localTime(std::size_t host) const { return localNow(m_hosts[host]); }
+    /// The host that started under an identity, or nothing if there is none.
+    [[nodiscard]] std::optional<std::size_t> hostOf(const InstanceId& identity) const;
     [[nodiscard]] std::uint64_t appliedIndex(std::size_t host) const { return m_hosts[host].appliedIndex; }
     [[nodiscard]] storage::MemoryFileSystem& files(std::size_t host) { return *m_hosts[host].files; }
     /// Returns the running leader with the highest term, if there is one.
@@ -129,7 +135,6 @@
     void recordViolation(std::string violation);
     [[nodiscard]] TimePoint localNow(const Host& host) const;
     [[nodiscard]] bool isRunning(const Host& host) const { return host.node && host.pausedUntil <= m_now; }
-    [[nodiscard]] std::optional<std::size_t> hostOf(const InstanceId& identity) const;
 
     SimulationSettings m_settings;
     Random m_random;
--- a/src/azurepaddle/control/group.hpp
+++ b/src/azurepaddle/control/group.hpp
@@ -4,6 +4,7 @@
 #include "azurepaddle/control/control_state.hpp"
 #include "azurepaddle/control/group_messages.hpp"
 #include "azurepaddle/control/query.hpp"
+#include "azurepaddle/control/voter_repair.hpp"
 #include "azurepaddle/core/log.hpp"
 #include "azurepaddle/core/random.hpp"
 #include "azurepaddle/storage/log_store.hpp"
@@ -16,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace azurepaddle::control {
@@ -94,6 +96,7 @@
     void maintainMembership(std::unique_lock<std::mutex>& lock);
     void discoverGroup();
     void replaceLostVoters();
+    [[nodiscard]] std::vector<ParticipantContact> contactsOf(const std::set<InstanceId>& identities) const;
     [[nodiscard]] IntroduceReply handleIntroduce();
     void addLearner(const InstanceId& identity);
     void proposeChange(consensus::ChangeKind kind, const InstanceId& node);
--- a/src/azurepaddle/control/group_repair.cpp
+++ b/src/azurepaddle/control/group_repair.cpp
@@ -1,5 +1,4 @@
 #include "azurepaddle/control/group.hpp"
-#include "azurepaddle/control/voter_repair.hpp"
 
 #include <algorithm>
 
@@ -88,23 +87,33 @@
     proposeChange(consensus::ChangeKind::AddLearner, identity);
 }
 
-/// Proposes one membership change at a time: a learner that has caught up is promoted to a voter, then the lost
-/// identity of the same instance name is removed.
+std::vector<ParticipantContact> ControlGroup::contactsOf(const std::set<InstanceId>& identities) const
+{
+    const TimePoint now = m_clock.now();
+    std::vector<ParticipantContact> contacts;
+    for (const InstanceId& id : identities)
+        contacts.push_back({ id, instanceNameOf(id), id == m_identity ? now : m_node->lastContact(id).value_or(now) });
+    return contacts;
+}
+
+/// Proposes one membership change at a time: the lost identity of an instance is removed once another one of the same
+/// instance is reachable, then that one is promoted to a voter when it has caught up. With both identities among the
+/// voters, the group would need every other voter, and a second loss of the same instance would stop it for good.
 void ControlGroup::replaceLostVoters()
 {
     const auto membership = m_node->status().membership;
-    for (const InstanceId& learner : membership.learners) {
-        const auto entriesBehind = m_node->replicationLag(learner);
-        if (entriesBehind && *entriesBehind <= m_options.raft.maxPromotionLag)
-            return proposeChange(consensus::ChangeKind::PromoteLearner, learner);
-    }
     const TimePoint now = m_clock.now();
-    std::vector<VoterContact> voters;
-    voters.reserve(membership.voters.size());
-    for (const InstanceId& voter : membership.voters)
-        voters.push_back({ voter, instanceNameOf(voter), voter == m_identity ? now : m_node->lastContact(voter).value_or(now) });
-    if (const auto replaced = findReplacedVoter(voters, now))
-        proposeChange(consensus::ChangeKind::Remove, *replaced);
+    const auto voters = contactsOf(membership.voters);
+    const auto learners = contactsOf(membership.learners);
+    auto participants = voters;
+    participants.insert(participants.end(), learners.begin(), learners.end());
+    if (const auto replaced = findReplacedParticipant(participants, now))
+        return proposeChange(consensus::ChangeKind::Remove, *replaced);
+    for (const ParticipantContact& learner : learners) {
+        const auto entriesBehind = m_node->replicationLag(learner.identity);
+        if (entriesBehind && *entriesBehind <= m_options.raft.maxPromotionLag && mayPromote(learner, voters, now))
+            return proposeChange(consensus::ChangeKind::PromoteLearner, learner.identity);
+    }
 }
 
 void ControlGroup::proposeChange(consensus::ChangeKind kind, const InstanceId& node)
--- a/src/azurepaddle/control/voter_repair.cpp
+++ b/src/azurepaddle/control/voter_repair.cpp
@@ -6,21 +6,32 @@
 
 namespace {
 
-    // Several heartbeat intervals. A restart that keeps the identity may take longer, but then no other voter has the
-    // same instance name, so the voter is not removed.
+    // Several heartbeat intervals. A restart that keeps the identity may take longer, but then no other participant has
+    // the same instance name, so the participant is not removed.
     constexpr Duration unreachableAfter = std::chrono::milliseconds(1200);
 
+    bool isReachable(const ParticipantContact& participant, TimePoint now)
+    {
+        return now - participant.lastContact <= unreachableAfter;
+    }
+
 }
 
-std::optional<InstanceId> findReplacedVoter(const std::vector<VoterContact>& voters, TimePoint now)
+std::optional<InstanceId> findReplacedParticipant(const std::vector<ParticipantContact>& participants, TimePoint now)
 {
-    const auto replaced = std::find_if(voters.begin(), voters.end(), [&](const VoterContact& voter) {
-        const bool isUnreachable = now - voter.lastContact > unreachableAfter;
-        return isUnreachable && std::any_of(voters.begin(), voters.end(), [&](const VoterContact& other) {
-            return other.identity != voter.identity && other.instanceName == voter.instanceName && now - other.lastContact <= unreachableAfter;
+    const auto replaced = std::find_if(participants.begin(), participants.end(), [&](const ParticipantContact& participant) {
+        return !isReachable(participant, now) && std::any_of(participants.begin(), participants.end(), [&](const ParticipantContact& other) {
+            return other.identity != participant.identity && other.instanceName == participant.instanceName && isReachable(other, now);
         });
     });
-    return replaced == voters.end() ? std::nullopt : std::optional(replaced->identity);
+    return replaced == participants.end() ? std::nullopt : std::optional(replaced->identity);
+}
+
+bool mayPromote(const ParticipantContact& learner, const std::vector<ParticipantContact>& voters, TimePoint now)
+{
+    return isReachable(learner, now) && std::none_of(voters.begin(), voters.end(), [&](const ParticipantContact& voter) {
+        return voter.instanceName == learner.instanceName;
+    });
 }
 
 }
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -27,10 +27,10 @@
     return False
 
 
-def call(port, method, path, body=None, headers=None):
-    """Status and body; status 0 if nobody answers."""
+def call(port, method, path, body=None, headers=None, timeout=5):
+    """Status and body; status 0 if nobody answers within the timeout, in seconds."""
     try:
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
         connection.request(method, path, body, headers or {})
         response = connection.getresponse()
         data = response.read()
@@ -221,13 +221,12 @@
 
 
 class Deployment:
-    """Three stores and some entries. With relays, all connections between nodes pass through a relay for each node."""
+    """Some stores and entries; the first three stores are the seeds. With relays, all connections between nodes pass through a relay for each node."""
 
-    def __init__(self, entries=1, with_relays=False):
+    def __init__(self, entries=1, with_relays=False, stores=3):
         self.folder = tempfile.TemporaryDirectory()
         self.stores = {}
-        self.peer_ips = ["127.0.0.2", "127.0.0.3", "127.0.0.4"]  # All nodes share one peer port, so each has an address of its own.
-        stores = len(self.peer_ips)
+        self.peer_ips = [f"127.0.0.{2 + number}" for number in range(stores)]  # All nodes share one peer port, so each has an address of its own.
         self.peer_port, listen_port, *ports = free_ports(2 + stores + 3 * entries)
         self.listen_port = listen_port if with_relays else 0
         self.control_ports, ports = ports[:stores], ports[stores:]
@@ -249,7 +248,7 @@
         self.folder.cleanup()
 
     def start(self, name, node, ip, first_start, listen_port=0):
-        seeds = ",".join(f"{address}:1" for address in self.peer_ips)
+        seeds = ",".join(f"{address}:1" for address in self.peer_ips[:3])
         path = self.settings_path(name)
         path.write_text(f"[node]\nname = {name}\ndata_centre = a\n{node}[peer]\naddress = {ip}\nport = {self.peer_port}\nlisten_port = {listen_port}\nseeds = {seeds}\n"
                         f"secret = a-secret-of-this-test\nfirst_start = {'yes' if first_start else 'no'}\n[bounds]\nmemory = 64MiB\n")
