Report a machine as emptied only once its removal is committed

What callers saw: an operator empties a store machine, the leader is cut off and answers completed, the machine is destroyed, and the leader loses its disk.

Cause: LeaderService took the participants from the newest membership in the log. The leader answered completed as soon as it had appended the removal, until its lease ended; the next leader had never seen the removal and still counted the vote of the destroyed machine.

Ruled out: a second leader during the lease; the others elect nobody.

Change: RaftNode::committedMembership; completed needs that neither the committed nor the newest membership holds the machine, and the machines that would remain are those in both. The same cause on related paths: the description of the group that is sent to others, and log_voters, log_learners and log_is_voter of the daemon's status page, on which operators act.

Messages, log entries and files are unchanged.

--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -116,6 +116,9 @@
     /// The participants of the group. On an instance that is not a participant, those that another instance reported
     /// last.
     [[nodiscard]] std::vector<MemberIdentity> members() const;
+    /// The participants of the newest committed membership. What others rely on must follow from it: another leader may
+    /// replace a change that is not committed. On the leader, it includes every change acknowledged so far.
+    [[nodiscard]] std::vector<MemberIdentity> committedMembers() const { return identitiesOf(m_node->committedMembership()); }
     [[nodiscard]] bool isParticipant() const { return m_node->membership().contains(m_identity); }
     /// Whether a snapshot is overdue because the state is too large for it. Callers should not propose large commands
     /// then.
@@ -166,6 +169,7 @@
     void recordIntroduceRequest(const InstanceId& identity);
     void updateKnownGroup(const control::KnownGroup& view);
     [[nodiscard]] control::KnownGroup knownGroup() const;
+    [[nodiscard]] static std::vector<MemberIdentity> identitiesOf(const consensus::Membership& membership);
     [[nodiscard]] control::IntroduceReply makeIntroduceReply() const;
     void bootstrapIfSeedsEmpty();
     [[nodiscard]] std::vector<MemberView> memberViews() const;
--- a/src/azurepaddle/cluster/group_drive.hpp
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -294,15 +294,20 @@
 template <typename Machine>
 std::vector<MemberIdentity> Group<Machine>::members() const
 {
-    const consensus::Membership& membership = isParticipant() ? m_node->membership() : m_knownGroup.membership;
-    std::vector<MemberIdentity> members;
+    return identitiesOf(isParticipant() ? m_node->membership() : m_knownGroup.membership);
+}
+
+template <typename Machine>
+std::vector<MemberIdentity> Group<Machine>::identitiesOf(const consensus::Membership& membership)
+{
+    std::vector<MemberIdentity> identities;
     for (const auto* ids : { &membership.voters, &membership.learners }) {
         for (const InstanceId& id : *ids) {
             if (auto parts = parseIdentity(id))
-                members.push_back(std::move(*parts));
+                identities.push_back(std::move(*parts));
         }
     }
-    return members;
+    return identities;
 }
 
 }
--- a/src/azurepaddle/cluster/group_membership.hpp
+++ b/src/azurepaddle/cluster/group_membership.hpp
@@ -158,8 +158,8 @@
     m_knownGroup = view;
 }
 
-/// Returns the description of the group that this instance sends to others: its own membership if it is a participant,
-/// otherwise the one it received. A participant that was removed without receiving the change also sends the one it
+/// Returns the description of the group that this instance sends to others: the newest committed membership if it is a
+/// participant, or the newest one while none is committed; otherwise the one it received. A participant that was removed without receiving the change also sends the one it
 /// received.
 template <typename Machine>
 control::KnownGroup Group<Machine>::knownGroup() const
@@ -168,7 +168,8 @@
     const bool isRemoved = m_knownGroup.commitIndex > status.commitIndex && !m_knownGroup.membership.contains(m_identity);
     if (!isParticipant() || isRemoved)
         return m_knownGroup;
-    return { status.membership, status.leader, status.commitIndex };
+    const consensus::Membership& committed = m_node->committedMembership();
+    return { committed.voters.empty() ? status.membership : committed, status.leader, status.commitIndex };
 }
 
 template <typename Machine>
--- a/src/azurepaddle/consensus/raft_node.hpp
+++ b/src/azurepaddle/consensus/raft_node.hpp
@@ -59,7 +59,10 @@
     /// For followers: the latest time at which the leader is known to have committed no entry that this instance lacks.
     [[nodiscard]] TimePoint caughtUpAt() const noexcept { return m_caughtUpAt; }
     [[nodiscard]] const InstanceId& leader() const noexcept { return m_leader; }
+    /// The newest membership in the log, committed or not. Another leader may still replace an uncommitted one.
     [[nodiscard]] const Membership& membership() const noexcept { return m_log.membership(); }
+    /// The newest membership that is known to be committed, which every later leader holds. Empty before the first.
+    [[nodiscard]] const Membership& committedMembership() const { return m_log.membershipAt(m_log.commitIndex()); }
     /// End of the leader lease, before which no other participant can be elected. In the past unless this instance is
     /// the leader.
     [[nodiscard]] TimePoint leaseEnd() const;
--- a/src/azurepaddle/control/group.cpp
+++ b/src/azurepaddle/control/group.cpp
@@ -287,7 +287,7 @@
 ParticipantStatus ControlGroup::status()
 {
     const std::lock_guard lock(m_mutex);
-    return { m_node->status(), m_state.now(), m_state.configurations().number(), m_state.claims().records().size(), m_state.runs().runs().size(), m_state.suspects().records().size() };
+    return { m_node->status(), m_node->committedMembership(), m_state.now(), m_state.configurations().number(), m_state.claims().records().size(), m_state.runs().runs().size(), m_state.suspects().records().size() };
 }
 
 }
--- a/src/azurepaddle/control/group.hpp
+++ b/src/azurepaddle/control/group.hpp
@@ -36,6 +36,7 @@
 /// Status of a participant, for operators.
 struct ParticipantStatus {
     consensus::RaftStatus raft;
+    consensus::Membership committedMembership; ///< Unlike the membership in `raft`, no later leader replaces it.
     LogTime now = 0;
     std::uint64_t configuration = 0;
     std::size_t claims = 0;
--- a/src/azurepaddle/http/operator_views.cpp
+++ b/src/azurepaddle/http/operator_views.cpp
@@ -119,9 +119,10 @@
         const auto view = parts.group->status();
         status["term"] = view.raft.term;
         status["log_index"] = view.raft.commitIndex;
-        status["log_voters"] = view.raft.membership.voters.size();
-        status["log_learners"] = view.raft.membership.learners.size();
-        status["log_is_voter"] = view.raft.membership.voters.contains(view.raft.id);
+        // Operators wait for these before they stop another instance, so uncommitted changes must not show.
+        status["log_voters"] = view.committedMembership.voters.size();
+        status["log_learners"] = view.committedMembership.learners.size();
+        status["log_is_voter"] = view.committedMembership.voters.contains(view.raft.id);
         status["claims"] = view.claims;
     }
     return { { "status", Json::array({ status }) } };
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -1,6 +1,7 @@
 #include "azurepaddle/registry/leader_service.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace azurepaddle::registry {
 
@@ -205,28 +206,32 @@
     });
 }
 
-std::set<std::string> LeaderService::memberNames() const
+MemberNames MemberNames::of(const ServiceGroup& group)
 {
-    std::set<std::string> names;
-    for (const cluster::MemberIdentity& member : m_group.members())
-        names.insert(member.name);
+    MemberNames names;
+    for (const cluster::MemberIdentity& member : group.committedMembers())
+        names.committed.insert(member.name);
+    for (const cluster::MemberIdentity& member : group.members())
+        names.newest.insert(member.name);
     return names;
 }
 
-RetireState LeaderService::retireState(const std::string& instance) const
+RetireState retireStateOf(const std::string& instance, const std::set<std::string>& retiring, const MemberNames& members)
 {
-    const bool isMember = memberNames().contains(instance);
-    if (!m_machine.retiring().contains(instance))
+    if (!retiring.contains(instance))
         return RetireState::Unknown;
+    const bool isMember = members.committed.contains(instance) || members.newest.contains(instance);
     return isMember ? RetireState::Active : RetireState::Completed;
 }
 
 void LeaderService::handle(const RetireRequest& request, const Responder<RetireReply>& responder)
 {
-    const RetireState state = retireState(request.instance);
+    const MemberNames members = MemberNames::of(m_group);
+    const RetireState state = retireStateOf(request.instance, m_machine.retiring(), members);
     if (!request.isBegin || state != RetireState::Unknown)
         return responder.ok({ state });
-    std::set<std::string> remaining = memberNames();
+    std::set<std::string> remaining;
+    std::set_intersection(members.committed.begin(), members.committed.end(), members.newest.begin(), members.newest.end(), std::inserter(remaining, remaining.end()));
     remaining.merge(m_group.declinedInstances());
     if (remaining.erase(request.instance) == 0)
         return responder.ok({ RetireState::Unknown });
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -17,6 +17,20 @@
     Duration endpointTimeout = std::chrono::seconds(8); ///< Time without a heartbeat after which an endpoint is removed.
 };
 
+/// The names of the participants in the committed membership and in the newest one, which may not be committed yet.
+struct MemberNames {
+    std::set<std::string> committed;
+    std::set<std::string> newest;
+
+    [[nodiscard]] static MemberNames of(const ServiceGroup& group);
+
+    friend bool operator==(const MemberNames&, const MemberNames&) = default;
+};
+
+/// Returns the state of an instance that may be retiring. It is completed only once its removal is committed: its machine
+/// is then removed, and a later leader that did not hold the removal would still count its vote.
+[[nodiscard]] RetireState retireStateOf(const std::string& instance, const std::set<std::string>& retiring, const MemberNames& members);
+
 /// Sends the reply of one request.
 template <typename Reply>
 class Responder {
@@ -111,8 +125,6 @@
     template <typename Condition>
     [[nodiscard]] std::vector<PendingRead> takePendingReads(Condition condition);
     [[nodiscard]] ReadResultsReply readResults(const batch::JobId& job, std::uint64_t after) const;
-    [[nodiscard]] RetireState retireState(const std::string& instance) const;
-    [[nodiscard]] std::set<std::string> memberNames() const;
     void removeExpiredJobs(TimePoint now);
     void removeTimedOutEndpoints(TimePoint now);
     void drainReportedEndpoints();
--- a/test/azurepaddle/cluster/membership_faults.cpp
+++ b/test/azurepaddle/cluster/membership_faults.cpp
@@ -177,3 +177,62 @@
         checkWhole(group, seed, "the successor of a lost machine was lost");
     }
 }
+
+namespace {
+
+/// Whether an operator reads at this host that a machine is emptied: it leads within its lease, and the removal of the
+/// machine is committed.
+bool reportsRemoval(const PlannedGroup& group, std::size_t host, const InstanceId& emptied)
+{
+    if (!group.cluster.isUp(host))
+        return false;
+    const auto& node = group.cluster.node(host);
+    return group.cluster.localTime(host) < node.leaseEnd() && !node.committedMembership().contains(emptied);
+}
+
+/// Runs until any host reports the removal of a machine. Returns false if that takes longer than the limit.
+bool runUntilRemovalIsReported(PlannedGroup& group, const InstanceId& emptied, Duration limit)
+{
+    constexpr Duration readInterval = 20ms;
+    const TimePoint end = group.cluster.now() + limit;
+    for (TimePoint nextPlan = group.cluster.now(); group.cluster.now() < end;) {
+        for (std::size_t host = 0; host < group.cluster.size(); ++host) {
+            if (reportsRemoval(group, host, emptied))
+                return true;
+        }
+        group.cluster.run(readInterval);
+        if (group.cluster.now() < nextPlan)
+            continue;
+        nextPlan = group.cluster.now() + planInterval;
+        group.plan();
+    }
+    return false;
+}
+
+}
+
+// Detects a machine that is reported as emptied, and destroyed for it, while only a leader that is cut off holds its
+// removal. If that leader loses its disk, the others still count the vote of the destroyed machine, and none can lead.
+Test(MembershipFaults, leaderCutOffWhileMachineIsEmptied_groupContinues)
+{
+    constexpr Duration reportLimit = 15s;
+    for (std::uint64_t seed = 1; seed <= seedCount(60); ++seed) {
+        PlannedGroup group(seed, 4);
+        group.run(catchUpTime);
+        const std::size_t leader = group.cluster.leader().value_or(0);
+        const std::size_t emptied = (leader + 1 + group.random.below(3)) % 4;
+        const InstanceId emptiedIdentity = group.cluster.identity(emptied);
+        group.retiring.insert(emptied);
+        const bool isReportedBeforeCut = runUntilRemovalIsReported(group, emptiedIdentity, group.randomTime(700ms));
+        group.cluster.isolate(leader);
+        const bool isReported = isReportedBeforeCut || runUntilRemovalIsReported(group, emptiedIdentity, 600ms);
+        if (isReported)
+            group.cluster.crash(emptied);
+        group.loseDisk(leader);
+        group.run(1s);
+        group.cluster.healNetwork();
+        group.cluster.restart(leader);
+        cr_assert(isReported || runUntilRemovalIsReported(group, emptiedIdentity, reportLimit), "seed %lu: the machine is never reported as emptied", seed);
+        checkWhole(group, seed, "a machine was emptied and the leader lost");
+    }
+}
--- a/test/processes/test_store_losses.py
+++ b/test/processes/test_store_losses.py
@@ -1,11 +1,12 @@
 """Store nodes that lose their disks or are emptied, one machine at a time."""
 import json
 import shutil
+import signal
 import time
 import unittest
 
 from harness import skip_known_red
-from nodes import Deployment, wait_until
+from nodes import Deployment, call, wait_until
 
 
 class StoreLossTest(unittest.TestCase):
@@ -41,3 +42,36 @@
             time.sleep(5.3)  # The time that a machine has to catch up.
             self.assertTrue(wait_until(lambda v=version: self.nodes.put_configuration(v) == 200), f"no leader accepts configuration {version}")
         self.assertEqual(json.loads(self.nodes.on_control("GET", "/-/config/read")[1])["version"], 3)
+
+
+class Retirements(StoreLossTest):
+    STORES = 4
+
+    def states(self, number, port, seconds):
+        """The states of an emptied machine that the store at this port reports within some time."""
+        end = time.monotonic() + seconds
+        states = set()
+        while True:
+            status, data = call(port, "GET", f"/-/retire/store{number}/read", timeout=0.2)
+            states.add(json.loads(data)["state"] if status == 200 else None)
+            if time.monotonic() >= end:
+                return states
+
+    # Guards against a machine that is reported as emptied, and destroyed for it, while only a leader that is cut off holds
+    # its removal: the next leader would still count its vote.
+    def test_leader_cut_off_reports_no_removal_that_next_leader_lacks(self):
+        leader = self.nodes.leader()
+        emptied = 3  # Not a seed, so it is a learner: its removal is the first change after the order.
+        others = [number for number in self.nodes.stores if number != leader]
+        self.assertTrue(wait_until(lambda: "add learner store3@" in self.nodes.log_text(f"store{leader}")))
+        self.assertEqual(self.nodes.on_control("POST", f"/-/retire/store{emptied}/begin", json.dumps({"duration-s": 10}))[0], 200)
+        for number in others:
+            self.nodes.stores[number].send_signal(signal.SIGSTOP)
+        states = self.states(emptied, self.nodes.control_ports[leader], 0.6)
+        self.assertIn(f"membership change: remove store{emptied}@", self.nodes.log_text(f"store{leader}"))
+        self.nodes.stores[leader].kill()
+        for number in others:
+            self.nodes.stores[number].send_signal(signal.SIGCONT)
+        self.assertTrue(wait_until(lambda: any("completed" in self.states(emptied, self.nodes.control_ports[number], 0) for number in others)))
+        if any(f"membership change: remove store{emptied}@" in self.nodes.log_text(f"store{number}") for number in others):
+            self.assertNotIn("completed", states, "the leader reported a removal that the next leader had to repeat")
