Continue a stream only at endpoints as new as its origin

Cause: the origin of a stream is looked up at the leader, but the endpoints are those that the entry received last. After a standstill the look-up is answered before the next poll.

Change: the reply to the look-up names the newest change of the endpoints of that service, and the take-up waits until the entry has received it, or is refused as not run. Related path: an entry that forwards a continuation for another one declines it if its own endpoints are older.

--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -80,6 +80,7 @@
     bool isCallerRequest = true;
     /// What began the stream that the request continues, which must be continued there; empty for any other request.
     std::optional<registry::StreamOrigin> origin {};
+    std::uint64_t directoryRevision = 0; ///< Revision that the endpoints must include to tell which of them have the origin's software.
     std::shared_ptr<StreamSink> sink {}; ///< Receives the events of a successful answer; if null, the answer is returned as a whole.
     std::uint64_t lastEvent = 0; ///< The last event of the stream that the caller holds.
     RetryState earlier {}; ///< Attempts by another instance, or before the request was withdrawn.
--- a/src/azurepaddle/gateway/relay.hpp
+++ b/src/azurepaddle/gateway/relay.hpp
@@ -39,7 +39,8 @@
     unsigned refusals = 0; ///< Endpoints that refused the request before.
     bool isContinuation = false; ///< Only the software of `origin` may run the request.
     registry::StreamOrigin origin;
-    MSGPACK_DEFINE(id, httpMethod, target, fields, body, remainingMs, runs, refusals, isContinuation, origin)
+    std::uint64_t directoryRevision = 0; ///< The receiver declines a continuation if its endpoints are older; 0 from earlier releases.
+    MSGPACK_DEFINE(id, httpMethod, target, fields, body, remainingMs, runs, refusals, isContinuation, origin, directoryRevision)
 };
 
 struct RelayCancelReply {
--- a/src/azurepaddle/gateway/relay_server.hpp
+++ b/src/azurepaddle/gateway/relay_server.hpp
@@ -2,6 +2,7 @@
 
 #include "azurepaddle/gateway/forwarder.hpp"
 #include "azurepaddle/gateway/relay.hpp"
+#include "azurepaddle/registry/directory_progress.hpp"
 #include "azurepaddle/registry/leader_service.hpp"
 
 #include <map>
@@ -12,10 +13,12 @@
 template <typename Protocol>
 class RelayServer {
 public:
-    /// Requests are declined while `mayTake` returns false.
-    RelayServer(asio::io_context& io, Forwarder<Protocol>& forwarder, std::function<bool()> mayTake, metrics::Registry& metrics)
+    /// Requests are declined while `mayTake` returns false, and those that continue a stream also while the endpoints of
+    /// this instance are older than those of the sender.
+    RelayServer(asio::io_context& io, Forwarder<Protocol>& forwarder, const registry::DirectoryProgress& directory, std::function<bool()> mayTake, metrics::Registry& metrics)
         : m_io(io)
         , m_forwarder(forwarder)
+        , m_directory(directory)
         , m_mayTake(std::move(mayTake))
         , m_metrics(metrics)
     {
@@ -33,6 +36,7 @@
 
     asio::io_context& m_io;
     Forwarder<Protocol>& m_forwarder;
+    const registry::DirectoryProgress& m_directory;
     std::function<bool()> m_mayTake;
     metrics::Registry& m_metrics;
     const Log m_log { "relay" };
@@ -53,7 +57,7 @@
 {
     const auto request = std::make_shared<http1::Request>(http1::Request { std::move(message.httpMethod), std::move(message.target), fromRelayFields(message.fields), std::move(message.body) });
     const Route* route = m_routes ? m_routes->find(hostWithoutPort(request->fields.find("Host")), http1::pathOf(request->target)) : nullptr;
-    const bool isForwarded = route && route->kind != RouteKind::Batch && !m_calls.contains(message.id) && m_mayTake();
+    const bool isForwarded = route && route->kind != RouteKind::Batch && !m_calls.contains(message.id) && m_mayTake() && m_directory.revision() >= message.directoryRevision;
     m_log.info("id={} relay={} runs={} remaining-ms={} outcome={}", Protocol::requestId(*request), message.id, message.runs, message.remainingMs, isForwarded ? "accepted" : "declined");
     if (!isForwarded)
         return respond(codec::encode(RelayReply {}));
--- a/src/azurepaddle/gateway/stream_forwarder.hpp
+++ b/src/azurepaddle/gateway/stream_forwarder.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/gateway/caller_stream.hpp"
 #include "azurepaddle/gateway/forwarder.hpp"
 #include "azurepaddle/gateway/take_up.hpp"
+#include "azurepaddle/registry/directory_progress.hpp"
 #include "azurepaddle/registry/stream_recorder.hpp"
 
 namespace azurepaddle::gateway {
@@ -19,14 +20,16 @@
 /// Forwards callers' requests for event streams and passes their events on as they arrive. A stream that broke off is
 /// continued only by the software that began it, because the output of two versions does not fit together and endpoints
 /// do not check this. What began a stream is recorded at the leader before its first event is passed on, so that any
-/// instance can continue the stream, also after all of them have restarted.
+/// instance can continue the stream, also after all of them have restarted. A take-up waits until this instance has
+/// received the endpoints as they were when the leader named what began the stream.
 template <typename Protocol, typename Sender>
 class StreamForwarder {
 public:
-    StreamForwarder(Sender& sender, const Balancer& balancer, registry::StreamRecorder& recorder, metrics::Registry& metrics)
+    StreamForwarder(Sender& sender, const Balancer& balancer, registry::StreamRecorder& recorder, registry::DirectoryProgress& directory, metrics::Registry& metrics)
         : m_sender(sender)
         , m_balancer(balancer)
         , m_recorder(recorder)
+        , m_directory(directory)
         , m_metrics(metrics)
     {
         static_assert(StreamProtocol<Protocol> && RequestSender<Sender>);
@@ -37,7 +40,7 @@
 
 private:
     void lookUp(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp);
-    void onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::StreamOrigin& origin);
+    void onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::FindStreamReply& found);
     void start(const http1::ExchangePointer& exchange, const ForwardRequest& task);
     void record(const http1::ExchangePointer& exchange, const registry::StreamOrigin& origin, const std::function<void()>& onDone);
     void send(const http1::ExchangePointer& exchange, ForwardRequest task, const CallerStream::BeginHandler& onBegin, const ForwardCallback& respondWhole);
@@ -46,6 +49,7 @@
     Sender& m_sender;
     const Balancer& m_balancer;
     registry::StreamRecorder& m_recorder;
+    registry::DirectoryProgress& m_directory;
     metrics::Registry& m_metrics;
     const Log m_log { "streams" };
     const SystemClock m_clock {};
@@ -121,25 +125,26 @@
 {
     const Duration clientTimeout = Protocol::clientTimeout(exchange->request()).value_or(task.route->timeout);
     const TimePoint deadline = std::min(task.receivedAt + clientTimeout, m_clock.now() + internal::lookUpTimeout);
-    m_recorder.find({ takeUp.stream, soleServiceOf(*task.route) }, deadline, [this, exchange, task, takeUp](const registry::LeaderResult<registry::FindStreamReply>& reply) {
-        const OriginState state = !reply ? OriginState::Unavailable : reply->isKnown ? OriginState::Known
-                                                                                     : OriginState::Unknown;
-        onOrigin(exchange, task, takeUp, state, reply ? reply->origin : registry::StreamOrigin {});
+    m_recorder.find({ takeUp.stream, soleServiceOf(*task.route) }, deadline, [this, exchange, task, takeUp, deadline](const registry::LeaderResult<registry::FindStreamReply>& reply) {
+        if (!reply || !reply->isKnown)
+            return onOrigin(exchange, task, takeUp, reply ? OriginState::Unknown : OriginState::Unavailable, {});
+        m_directory.wait(reply->directoryRevision, deadline, [this, exchange, task, takeUp, found = *reply](bool isReached) {
+            onOrigin(exchange, task, takeUp, isReached ? OriginState::Known : OriginState::EndpointsOutdated, found);
+        });
     });
 }
 
 template <typename Protocol, typename Sender>
-void StreamForwarder<Protocol, Sender>::onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::StreamOrigin& origin)
+void StreamForwarder<Protocol, Sender>::onOrigin(const http1::ExchangePointer& exchange, ForwardRequest task, const TakeUp& takeUp, OriginState state, const registry::FindStreamReply& found)
 {
     if (!exchange->isOpen())
         return;
+    const registry::StreamOrigin& origin = found.origin;
     const TakeUpDecision decision = decideTakeUp(*task.route, state, origin, m_balancer.endpointCount(origin));
-    if (decision != TakeUpDecision::Continue) {
-        const std::string_view reason = state == OriginState::Known ? "no endpoint can continue the stream" : state == OriginState::Unknown ? "it is not known what began the stream"
-                                                                                                                                            : "the beginning of the stream cannot be looked up";
-        return refuse(exchange, task, takeUp, decision, reason);
-    }
+    if (decision != TakeUpDecision::Continue)
+        return refuse(exchange, task, takeUp, decision, refusalReason(state));
     task.origin = origin;
+    task.directoryRevision = found.directoryRevision;
     task.lastEvent = takeUp.lastEvent;
     m_metrics.counter("gateway_streams_continued_total").add();
     m_log.info("id={} stream={} last-event={} service={} software={} outcome=taken-up", Protocol::requestId(exchange->request()), takeUp.stream, takeUp.lastEvent, origin.service, origin.software);
--- a/src/azurepaddle/gateway/take_up.cpp
+++ b/src/azurepaddle/gateway/take_up.cpp
@@ -46,6 +46,21 @@
     return canContinue ? TakeUpDecision::Continue : TakeUpDecision::RefuseForNow;
 }
 
+std::string_view refusalReason(OriginState state) noexcept
+{
+    switch (state) {
+    case OriginState::Known:
+        return "no endpoint can continue the stream";
+    case OriginState::Unknown:
+        return "it is not known what began the stream";
+    case OriginState::Unavailable:
+        return "the beginning of the stream cannot be looked up";
+    case OriginState::EndpointsOutdated:
+        return "the endpoints that can continue the stream are not known yet";
+    }
+    return {};
+}
+
 http1::Response makeTakeUpRefusal(TakeUpDecision decision, std::string_view reason)
 {
     http1::Response response;
--- a/src/azurepaddle/gateway/take_up.hpp
+++ b/src/azurepaddle/gateway/take_up.hpp
@@ -20,6 +20,7 @@
     Known,
     Unknown, ///< The stream is not recorded, or no longer.
     Unavailable, ///< Nobody could be asked.
+    EndpointsOutdated, ///< The origin is known, but endpoints of its service changed since this instance received them.
 };
 
 /// How to handle a request for a stream.
@@ -41,6 +42,9 @@
 /// and software of the origin. Never guesses an origin from the endpoints that serve at present.
 [[nodiscard]] TakeUpDecision decideTakeUp(const Route& route, OriginState state, const registry::StreamOrigin& origin, std::size_t endpoints) noexcept;
 
+/// The reason why a stream is not continued, for the caller and the log.
+[[nodiscard]] std::string_view refusalReason(OriginState state) noexcept;
+
 /// The response to a request for a stream that cannot be continued. The request did not run.
 [[nodiscard]] http1::Response makeTakeUpRefusal(TakeUpDecision decision, std::string_view reason);
 
--- a/src/azurepaddle/registry/directory.cpp
+++ b/src/azurepaddle/registry/directory.cpp
@@ -40,6 +40,16 @@
     eraseRecord(oldest);
 }
 
+std::uint64_t Directory::newestChangeOf(const ServiceName& service) const
+{
+    std::uint64_t newest = m_historyStart;
+    for (const auto& [id, changedAt] : m_changeRevisions) {
+        if (m_records.at(id).service == service)
+            newest = std::max(newest, changedAt);
+    }
+    return newest;
+}
+
 std::optional<DirectoryChanges> Directory::changesSince(std::uint64_t revision) const
 {
     if (revision < m_historyStart || revision > m_revision)
--- a/src/azurepaddle/registry/directory.hpp
+++ b/src/azurepaddle/registry/directory.hpp
@@ -38,6 +38,8 @@
     [[nodiscard]] std::vector<EndpointRecord> activeEndpointsOf(const std::set<ServiceName>& services) const;
     /// Increases with each change, and is the same on all instances that applied the same commands.
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
+    /// A revision that includes all changes of endpoints that serve this service now.
+    [[nodiscard]] std::uint64_t newestChangeOf(const ServiceName& service) const;
     /// Empty if the history does not reach back to this revision.
     [[nodiscard]] std::optional<DirectoryChanges> changesSince(std::uint64_t revision) const;
 
--- a/src/azurepaddle/registry/fwd.hpp
+++ b/src/azurepaddle/registry/fwd.hpp
@@ -5,6 +5,7 @@
 struct EndpointRecord;
 struct EndpointHeartbeat;
 class Directory;
+class DirectoryProgress;
 class EntryFinder;
 class EntryList;
 class StateMachine;
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -97,7 +97,9 @@
 void LeaderService::handle(const FindStreamRequest& request, const Responder<FindStreamReply>& responder)
 {
     const auto origin = m_machine.originOf(request.id, request.service);
-    responder.ok({ origin.has_value(), origin.value_or(StreamOrigin {}) });
+    if (!origin)
+        return responder.ok({});
+    responder.ok({ true, *origin, m_machine.directory().newestChangeOf(origin->service) });
 }
 
 void LeaderService::handle(const PermitRequest& request, const Responder<PermitReply>& responder)
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -109,7 +109,8 @@
 struct FindStreamReply {
     bool isKnown = false;
     StreamOrigin origin;
-    MSGPACK_DEFINE(isKnown, origin)
+    std::uint64_t directoryRevision = 0; ///< Newest change of the endpoints of the origin's service; 0 from earlier releases.
+    MSGPACK_DEFINE(isKnown, origin, directoryRevision)
 };
 
 /// Looks up what began a stream.
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -51,6 +51,7 @@
     , m_leader(io, m_peerClient)
     , m_reporter(io, m_leader)
     , m_streamRecorder(io, m_leader)
+    , m_directoryProgress(io)
     , m_stores(DataCentreName(m_settings.node.dataCentre), static_cast<std::size_t>(m_random.next()))
     , m_stateAge(m_settings.bounds.configurationDelay)
     , m_pool(io, endpointMessageLimits())
@@ -62,11 +63,11 @@
           m_settings.node.name, [this](const registry::PermitRequest& request, TimePoint deadline, const gateway::PermitCallback& onReply) { requestPermit(request, deadline, onReply); }, m_random)
     , m_localForwarder(io, m_pool, m_balancer, m_guard, m_limiter, m_random, m_metrics, maxAnswerBytes(m_settings))
     , m_relayServer(
-          io, m_localForwarder, [this] { return takesRequestsOfOthers(); }, m_metrics)
+          io, m_localForwarder, m_directoryProgress, [this] { return takesRequestsOfOthers(); }, m_metrics)
     , m_entryFinder(m_peerClient, m_leader, io, formatAddress(m_settings.peerAddress()))
     , m_relayPeers(DataCentreName(m_settings.node.dataCentre), m_random)
     , m_forwarder(io, m_localForwarder, m_links, m_relayPeers, m_entryFinder, m_peerClient, formatAddress(m_settings.peerAddress()), m_metrics)
-    , m_streams(m_forwarder, m_balancer, m_streamRecorder, m_metrics)
+    , m_streams(m_forwarder, m_balancer, m_streamRecorder, m_directoryProgress, m_metrics)
     , m_callers(m_forwarder, m_streams, m_leader, m_stateAge)
     , m_callerServer(io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); })
     , m_readyServer(
@@ -190,6 +191,7 @@
         m_balancer.setEndpoints(reply.endpoints);
     else
         m_balancer.changeEndpoints(reply.endpoints, reply.removed);
+    m_directoryProgress.advanceTo(reply.directoryRevision);
     if (reply.isFullUpdate || !reply.endpoints.empty() || !reply.removed.empty())
         m_log.debug("endpoints changed={} removed={} are-all={} revision={}", reply.endpoints.size(), reply.removed.size(), reply.isFullUpdate, reply.directoryRevision);
 }
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -5,6 +5,7 @@
 #include "azurepaddle/gateway/crash_probe.hpp"
 #include "azurepaddle/gateway/relay_server.hpp"
 #include "azurepaddle/platform/caller_api.hpp"
+#include "azurepaddle/registry/directory_progress.hpp"
 #include "azurepaddle/registry/entry_finder.hpp"
 #include "azurepaddle/registry/failed_polls.hpp"
 #include "azurepaddle/registry/leader_client.hpp"
@@ -60,6 +61,7 @@
     registry::LeaderClient m_leader;
     registry::SuspectReporter m_reporter;
     registry::StreamRecorder m_streamRecorder;
+    registry::DirectoryProgress m_directoryProgress;
     registry::NearestStore m_stores;
     registry::StateAge m_stateAge;
     http1::ClientPool m_pool;
--- a/test/azurepaddle/gateway/relay.cpp
+++ b/test/azurepaddle/gateway/relay.cpp
@@ -60,7 +60,8 @@
     registry::EntryFinder finder { client, leader, io, "127.0.0.1:1" };
     RelayPeers peers { DataCentreName("a"), cut.random };
     RelayForwarder<TestProtocol> relay { io, cut.local, cut.links, peers, finder, client, "cut", cut.metrics };
-    RelayServer<TestProtocol> relayServer { io, other.local, [this] { return mayTake; }, other.metrics };
+    registry::DirectoryProgress directory { io };
+    RelayServer<TestProtocol> relayServer { io, other.local, directory, [this] { return mayTake; }, other.metrics };
     std::shared_ptr<const RouteTable> table;
     ClientPool caller { io, {} };
     Server server { io, [this](const ExchangePointer& exchange) {
@@ -162,6 +163,26 @@
     cr_assert(outcome.response.fields.contains("Retry-After"));
 }
 
+// Guards against a stream that is continued by an entry whose endpoints are older than those of the entry that looked up
+// its origin: one of them may run other software by now.
+Test(Relay, otherEntryHasOlderEndpoints_continuation_isDeclined)
+{
+    RelayFixture fixture(RouteKind::Idempotent);
+    fixture.directory.advanceTo(4);
+    const auto isAccepted = [&](std::uint64_t revision) {
+        RelayRequest request { "r" + std::to_string(revision), "POST", "/x", { { "Host", "h" } }, {}, 100, 0, 0, true, { ServiceName("s"), SoftwareVersion("v1") }, revision };
+        std::optional<bool> accepted;
+        fixture.client.send(fixture.peerServer.address(), std::string(RelayRequest::method), codec::encode(request), SystemClock().now() + std::chrono::seconds(5), [&](const transport::CallResult& result) {
+            const auto reply = result ? codec::decode<RelayReply>(*result) : tl::unexpected(codec::CodecError(codec::CodecErrorCode::Malformed, "no reply"));
+            asio::post(fixture.io, [&accepted, isGood = reply && reply->isAccepted] { accepted = isGood; });
+        });
+        cr_assert(runUntil(fixture.io, [&] { return accepted.has_value(); }));
+        return *accepted;
+    };
+    cr_assert(isAccepted(4));
+    cr_assert(!isAccepted(5));
+}
+
 // Guards against requests that entries hand to each other without end: the other entry has no links either.
 Test(Relay, otherEntryCutToo_request_isHandedOverOnce)
 {
--- a/test/processes/test_streams.py
+++ b/test/processes/test_streams.py
@@ -116,6 +116,43 @@
             status, data = self.request("again", 2, resumes)
             self.assertEqual((status, events_of(data)), (200, [f"again-{event}@v1" for event in range(3, EVENTS + 1)]))
 
+    def stop_entry_while(self, change):
+        """Stops an entry while the endpoints change. Its poll ends without changes before that."""
+        self.begin("probe", entry=1)
+        self.nodes.entries[1].send_signal(signal.SIGSTOP)
+        time.sleep(1.5)
+        change()
+        self.assertTrue(wait_until(lambda: b"@v2" in self.request("probe")[1]))
+
+    # Guards against an entry that stood still while an endpoint restarted under its identifier with other software, and
+    # that continues a stream of the former software there.
+    def test_entry_stood_still_endpoint_changed_its_software_take_up_is_refused(self):
+        def change_software():
+            identity = self.old.identity
+            self.old.crash()
+            self.old.software = "v2"
+            self.old.start()
+            self.old.identity = identity
+            self.assertTrue(wait_until(lambda: self.old.beat(self.nodes.control_ports)))
+        self.stop_entry_while(change_software)
+        self.nodes.entries[1].send_signal(signal.SIGCONT)
+        status, data = self.request("again", 2, "first", 1)
+        self.assertEqual((status, events_of(data)), (503, []))
+
+    # Guards against an entry that stood still while the first endpoints of another software version joined, and that
+    # continues a stream of theirs on the only version that it knows.
+    def test_entry_stood_still_new_software_joined_take_up_goes_on_at_it(self):
+        def add_new():
+            self.new = [self.endpoint("v2") for _ in range(3)]
+            for endpoint in self.new:
+                self.assertTrue(wait_until(lambda: endpoint.beat(self.nodes.control_ports)))
+        self.stop_entry_while(add_new)
+        # The identifier of an attempt is used once, so that its origin is certain.
+        newer = next(attempt for attempt in (f"newer{number}" for number in range(100)) if b"@v2" in self.request(attempt)[1])
+        self.nodes.entries[1].send_signal(signal.SIGCONT)
+        status, data = self.request("again", 2, newer, 1)
+        self.assertEqual((status, events_of(data)), (200, [f"again-{event}@v2" for event in range(3, EVENTS + 1)]))
+
     # Guards against a malformed take-up that reaches an endpoint.
     def test_malformed_take_ups_are_refused_and_nothing_runs(self):
         runs = len(self.old.runs)
