Bound the heads, streams and time of the daemon's calls to endpoints

What callers would see: an endpoint sends bytes that are no answer, without end, in a head or the body of an error. The daemon keeps all of them and runs out of memory, and the requests of all other callers end with it.

Cause: cpp-httplib, as a client, limits neither a line nor the number of fields of a head and calls back only after it; the limits of Connector began there. Its read timeout starts anew with each byte.

Evidence: an endpoint that sends 32 MiB of a status line, fields, interim responses, a chunk line, an error or bytes that are not HTTP is read to the end; so are events of a stream; one byte every 20 ms outlasts a deadline of 300 ms by 3.7 s. Ruled out for the nodes of the platform: two tests with ten kinds of endless bytes, in streams too, pass on the landed nodes.

Change: EndpointCall sends a request and reads the answer on the calling thread with the parser of http1: 32 KiB for all heads, max_response for a body or the events of a stream, and an end for each call. A cancelled call whose answer has no length is not taken for complete. The pipeline no longer uses cpp-httplib; the interface of the daemon does.

--- a/src/azurepaddle/config/settings_table.cpp
+++ b/src/azurepaddle/config/settings_table.cpp
@@ -121,7 +121,7 @@
         { "max_queued_requests", &S::maxQueuedRequests, range(1, 1e6), false, "Requests of all tenants that may wait at this instance." },
         { "max_queued_bytes", &S::maxQueuedBytes, bytes(64 * kibi, 64 * gibi), false, "Bytes of the requests of all tenants that may wait at this instance." },
         { "max_sample_bytes", &S::maxSampleBytes, bytes(64 * kibi, 64 * gibi), false, "Bytes of the samples that wait for their trainers at this instance." },
-        { "max_response", &S::maxResponseBytes, bytes(kibi, gibi), false, "Largest response of an endpoint that is not streamed." },
+        { "max_response", &S::maxResponseBytes, bytes(kibi, gibi), false, "Largest response of an endpoint, or size of all events of its stream." },
         { "max_suspects", &S::maxSuspects, range(16, 1e6), false, "Requests under suspicion of crashing endpoints that the instance keeps." },
     };
     return keys;
--- a/src/azurepaddle/pipeline/connector.cpp
+++ b/src/azurepaddle/pipeline/connector.cpp
@@ -1,126 +1,100 @@
 #include "azurepaddle/pipeline/connector.hpp"
 
-#include <httplib.h>
+#include "azurepaddle/pipeline/endpoint_call.hpp"
+
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace azurepaddle::pipeline {
 
 namespace {
 
-    constexpr int httpOk = 200;
-    constexpr int httpRedirect = 300;
-    constexpr int httpBadRequest = 400;
-    constexpr int httpServerError = 500;
-    constexpr int httpTooManyRequests = 429;
+    constexpr unsigned httpOk = 200;
+    constexpr unsigned httpRedirect = 300;
+    constexpr unsigned httpBadRequest = 400;
+    constexpr unsigned httpServerError = 500;
+    constexpr unsigned httpTooManyRequests = 429;
     constexpr auto outcomeHeader = "X-Azurepaddle-Outcome";
 
-    bool isSuccess(int status) noexcept { return status >= httpOk && status < httpRedirect; }
+    bool isSuccess(unsigned status) noexcept { return status >= httpOk && status < httpRedirect; }
+
+    // Larger heads of answers are not accepted.
+    constexpr std::uint32_t maxHeadBytes = 32U * 1024U;
 
-    AttemptStatus statusOfError(httplib::Error error, bool isStopped, Duration elapsed, Duration progressDeadline) noexcept
+    AttemptStatus statusOfEnd(CallEnd end) noexcept
     {
-        switch (error) {
-        case httplib::Error::Connection:
-        case httplib::Error::ConnectionTimeout:
-        case httplib::Error::BindIPAddress:
-        case httplib::Error::SSLConnection:
-        case httplib::Error::SSLLoadingCerts:
-        case httplib::Error::SSLServerVerification:
+        switch (end) {
+        case CallEnd::Complete:
+            return AttemptStatus::Complete;
+        case CallEnd::NotConnected:
             return AttemptStatus::NotSent;
-        case httplib::Error::Canceled:
+        case CallEnd::Lost:
+            return AttemptStatus::ConnectionLost;
+        case CallEnd::TimedOut:
+            return AttemptStatus::ProgressTimeout;
+        case CallEnd::Invalid:
+            return AttemptStatus::Failed;
+        case CallEnd::Stopped:
             return AttemptStatus::Cancelled;
-        default:
-            break;
         }
-        if (isStopped)
-            return AttemptStatus::Cancelled;
-        return elapsed >= progressDeadline ? AttemptStatus::ProgressTimeout : AttemptStatus::ConnectionLost;
+        return AttemptStatus::Failed;
     }
 
-    AttemptStatus statusOfResponse(const httplib::Response& response) noexcept
+    AttemptStatus statusOfResponse(const http1::Response& response) noexcept
     {
         if (isSuccess(response.status))
             return AttemptStatus::Complete;
-        if (response.get_header_value(outcomeHeader) == outcomeName(Outcome::NotRun))
+        if (response.fields.find(outcomeHeader) == outcomeName(Outcome::NotRun))
             return AttemptStatus::NotRun;
         if (response.status >= httpBadRequest && response.status < httpServerError && response.status != httpTooManyRequests)
             return AttemptStatus::Rejected;
         return AttemptStatus::Failed;
     }
 
-    httplib::Request makeRequest(const OutgoingRequest& request)
+    http1::Request makeRequest(const std::string& address, const OutgoingRequest& request)
     {
-        httplib::Request outgoing;
-        outgoing.method = request.method;
-        outgoing.path = request.path;
-        outgoing.body = request.body;
+        http1::Request outgoing { request.method, request.path, { { "Host", address } }, request.body };
         if (!request.body.empty())
-            outgoing.set_header("Content-Type", request.contentType);
+            outgoing.fields.add("Content-Type", request.contentType);
         for (const auto& [name, value] : request.headers)
-            outgoing.set_header(name, value);
-        outgoing.set_header("Connection", "close");
+            outgoing.fields.add(name, value);
+        outgoing.fields.add("Connection", "close");
         return outgoing;
     }
 
-    void setTimeout(httplib::Client& client, const ConnectorOptions& options, Duration progressDeadline)
-    {
-        client.set_connection_timeout(options.connectTimeout);
-        client.set_write_timeout(options.writeTimeout);
-        client.set_read_timeout(progressDeadline);
-        client.set_tcp_nodelay(true);
-        client.set_keep_alive(false);
-        client.set_follow_location(false);
-    }
-
 }
 
 Connector::Connector(ConnectorOptions options)
     : m_options(options)
+    , m_io(std::make_unique<asio::io_context>())
 {
 }
 
-AttemptResult Connector::attempt(const std::string& address, const OutgoingRequest& request, Duration progressDeadline,
+AttemptResult Connector::attempt(const std::string& address, const OutgoingRequest& request, const WaitLimits& waits,
     const std::stop_token& stop, const std::function<bool(std::string_view)>& onBytes) const
 {
     if (stop.stop_requested())
         return { AttemptStatus::Cancelled, 0, {}, {}, "cancelled before it was sent" };
-    httplib::Client client("http://" + address);
-    setTimeout(client, m_options, progressDeadline);
-    httplib::Request outgoing = makeRequest(request);
-
-    const SystemClock clock;
-    TimePoint lastProgress = clock.now();
-    bool isAccepted = true;
+    EndpointCall call(*m_io, { m_options.connectTimeout, m_options.writeTimeout, waits.progressDeadline, waits.end, { maxHeadBytes, m_options.maxAnswerBytes } });
     std::string errorBody;
-    int status = 0;
-    outgoing.response_handler = [&](const httplib::Response& response) {
-        status = response.status;
-        lastProgress = clock.now();
+    const CallEnd end = call.run(address, makeRequest(address, request), stop, [&](const http1::Response& head, std::string_view bytes) {
+        if (isSuccess(head.status))
+            return onBytes(bytes);
+        errorBody.append(bytes.substr(0, m_options.maxEventBytes - std::min(errorBody.size(), m_options.maxEventBytes)));
         return true;
-    };
-    outgoing.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-        lastProgress = clock.now();
-        if (isSuccess(status))
-            isAccepted = onBytes({ data, size });
-        else if (errorBody.size() < m_options.maxEventBytes)
-            errorBody.append(data, size);
-        return isAccepted && !stop.stop_requested();
-    };
-
-    const std::stop_callback onStop(stop, [&client] { client.stop(); });
-    const auto result = client.send(outgoing);
-    if (!result) {
-        const AttemptStatus failure = statusOfError(result.error(), stop.stop_requested(), clock.now() - lastProgress, progressDeadline);
-        return { failure, status, {}, {}, fmt::format("{}: {}", address, httplib::to_string(result.error())) };
-    }
-    return { statusOfResponse(*result), result->status, result->get_header_value("Content-Type"), std::move(errorBody), {} };
+    });
+    const int status = call.hasHead() ? static_cast<int>(call.head().status) : 0;
+    if (end != CallEnd::Complete)
+        return { statusOfEnd(end), status, {}, {}, fmt::format("{}: {}", address, call.message()) };
+    return { statusOfResponse(call.head()), status, std::string(call.head().fields.find("Content-Type")), std::move(errorBody), {} };
 }
 
 AttemptResult Connector::call(
-    const std::string& address, const OutgoingRequest& request, Duration progressDeadline, const std::stop_token& stop) const
+    const std::string& address, const OutgoingRequest& request, Duration deadline, const std::stop_token& stop) const
 {
     std::string body;
     bool isTooLarge = false;
-    auto result = attempt(address, request, progressDeadline, stop, [&](std::string_view bytes) {
+    auto result = attempt(address, request, { deadline, SystemClock().now() + deadline }, stop, [&](std::string_view bytes) {
         isTooLarge = body.size() + bytes.size() > m_options.maxAnswerBytes;
         if (!isTooLarge)
             body.append(bytes);
@@ -139,7 +113,7 @@
     ServerSentEventReader reader(m_options.maxEventBytes);
     bool hasEndMarker = false;
     bool isMalformed = false;
-    auto result = attempt(address, request, progressDeadline, stop, [&](std::string_view bytes) {
+    auto result = attempt(address, request, { progressDeadline, TimePoint::max() }, stop, [&](std::string_view bytes) {
         bool isStopped = false;
         const bool canContinue = reader.feed(bytes, [&](std::string_view payload) {
             auto event = parseEngineEvent(payload);
--- a/src/azurepaddle/pipeline/connector.hpp
+++ b/src/azurepaddle/pipeline/connector.hpp
@@ -4,7 +4,9 @@
 #include "azurepaddle/core/ident.hpp"
 #include "azurepaddle/pipeline/event.hpp"
 
+#include <asio.hpp>
 #include <functional>
+#include <memory>
 #include <stop_token>
 #include <string>
 #include <utility>
@@ -59,21 +61,23 @@
     Duration connectTimeout = std::chrono::milliseconds(500);
     Duration writeTimeout = std::chrono::seconds(5);
     Duration queryTimeout = std::chrono::seconds(1);
-    std::size_t maxAnswerBytes = 16U * 1024U * 1024U;
+    std::size_t maxAnswerBytes = 16U * 1024U * 1024U; ///< Of a body or of all events of a stream, in bytes.
     std::size_t maxEventBytes = 1024U * 1024U;
 };
 
 /// Sends requests to endpoints over HTTP/1.1. Each attempt opens a new connection: a failed connect then proves that
-/// nothing was sent, and no request is resent after a reused connection was closed. Thread-safe.
+/// nothing was sent, and no request is resent after a reused connection was closed. Heads, bodies and streams are bounded,
+/// because a faulty endpoint may send bytes that are no answer, without end. Thread-safe.
 class Connector {
 public:
     explicit Connector(ConnectorOptions options);
 
-    /// Sends the request once and reads the complete answer. The progress deadline limits each wait for bytes.
+    /// Sends the request once and reads the complete answer, which must arrive within the deadline.
     [[nodiscard]] AttemptResult call(
-        const std::string& address, const OutgoingRequest& request, Duration progressDeadline, const std::stop_token& stop) const;
+        const std::string& address, const OutgoingRequest& request, Duration deadline, const std::stop_token& stop) const;
 
-    /// Sends the request once and calls the function for each event. The function returns false to cancel.
+    /// Sends the request once and calls the function for each event. The function returns false to cancel. The progress
+    /// deadline limits each wait for bytes.
     [[nodiscard]] AttemptResult stream(const std::string& address, const OutgoingRequest& request, Duration progressDeadline,
         const std::stop_token& stop, const std::function<bool(EngineEvent&&)>& onEvent) const;
 
@@ -84,10 +88,16 @@
     void cancel(const std::string& address, const RequestId& request) const;
 
 private:
-    [[nodiscard]] AttemptResult attempt(const std::string& address, const OutgoingRequest& request, Duration progressDeadline,
+    struct WaitLimits {
+        Duration progressDeadline {}; ///< Longest wait for bytes.
+        TimePoint end; ///< End of the attempt, also while bytes arrive.
+    };
+
+    [[nodiscard]] AttemptResult attempt(const std::string& address, const OutgoingRequest& request, const WaitLimits& waits,
         const std::stop_token& stop, const std::function<bool(std::string_view)>& onBytes) const;
 
     ConnectorOptions m_options;
+    std::unique_ptr<asio::io_context> m_io; ///< Creates sockets; nothing runs on it.
 };
 
 }
--- a/src/azurepaddle/pipeline/fwd.hpp
+++ b/src/azurepaddle/pipeline/fwd.hpp
@@ -3,6 +3,7 @@
 namespace azurepaddle::pipeline {
 
 class Connector;
+class EndpointCall;
 class ServerSentEventReader;
 class PipelineError;
 enum class AttemptStatus : unsigned char;
--- a/test/azurepaddle/pipeline/connector.cpp
+++ b/test/azurepaddle/pipeline/connector.cpp
@@ -122,3 +122,116 @@
     stopper.join();
     cr_assert(result.status == AttemptStatus::Cancelled);
 }
+
+namespace {
+
+constexpr std::size_t endlessBytes = 32U * 1024U * 1024U; ///< More than any limit of an answer; a faulty endpoint would send on.
+constexpr std::size_t mostBytesTaken = 8U * 1024U * 1024U; ///< Far above a head, and above what the buffers of a connection hold.
+
+/// An endpoint that sends the same bytes again and again and counts what is taken.
+struct EndlessPeer {
+    std::string begin;
+    std::string more;
+    std::atomic<std::size_t> sent = 0;
+    RawPeer peer { [this](RawPeer::Socket& socket, const RawRequest&) {
+        asio::error_code error;
+        asio::write(socket, asio::buffer(begin), error);
+        while (!error && sent < endlessBytes)
+            sent += asio::write(socket, asio::buffer(more), error);
+    } };
+
+    EndlessPeer(std::string first, std::string repeated)
+        : begin(std::move(first))
+        , more(std::move(repeated))
+    {
+    }
+};
+
+std::string repeat(std::string_view text, std::size_t times)
+{
+    std::string repeated;
+    for (std::size_t i = 0; i < times; ++i)
+        repeated += text;
+    return repeated;
+}
+
+/// Checks that an attempt ends as failed and leaves most bytes of the endpoint unread.
+void checkEndsEarly(const char* what, const EndlessPeer& endpoint, const AttemptResult& result)
+{
+    cr_assert(result.status == AttemptStatus::Failed, "%s: the attempt ended with status %d: %s", what, static_cast<int>(result.status), result.message.c_str());
+    cr_assert(endpoint.sent < mostBytesTaken, "%s: %zu bytes were taken", what, endpoint.sent.load());
+}
+
+}
+
+// Detects an endpoint that sends bytes that are no answer, without end, and fills the memory of the instance until the
+// requests of all callers end with it.
+Test(Connector, endlessAnswer_calledOrStreamed_isFailed)
+{
+    struct Case {
+        const char* what;
+        std::string begin;
+        std::string more;
+    };
+    const std::string line = repeat("X-Line: x\r\n", 4096);
+    const std::vector<Case> cases {
+        { "a field without end", "HTTP/1.1 200 OK\r\nX: ", std::string(65536, 'x') },
+        { "fields without end", "HTTP/1.1 200 OK\r\n", line },
+        { "a status line without end", "HTTP/1.1 200 ", std::string(65536, 'x') },
+        { "interim responses without end", "", repeat("HTTP/1.1 100 Continue\r\n\r\n", 2048) },
+        { "a chunk line without end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", std::string(65536, 'x') },
+        { "the body of an error without end", "HTTP/1.1 500 Oops\r\n\r\n", std::string(65536, 'x') },
+        { "bytes that are not HTTP", "", std::string(65536, 'x') },
+    };
+    const ConnectorOptions options { .maxAnswerBytes = 1024 * 1024 };
+    for (const Case& endless : cases) {
+        const EndlessPeer called(endless.begin, endless.more);
+        checkEndsEarly(endless.what, called, Connector(options).call(called.peer.address(), sampleRequest(), 10s, {}));
+        const EndlessPeer streamed(endless.begin, endless.more);
+        checkEndsEarly(endless.what, streamed, Connector(options).stream(streamed.peer.address(), sampleRequest(), 10s, {}, [](EngineEvent&&) { return true; }));
+    }
+}
+
+// Detects a stream of events without end, whose text fills the memory of the instance.
+Test(Connector, endlessEvents_streamed_isFailed)
+{
+    const EndlessPeer endpoint(streamHeaders, repeat("data: {\"text\":\"a\",\"tokens\":1}\n\n", 2048));
+    const ConnectorOptions options { .maxAnswerBytes = 1024 * 1024 };
+    checkEndsEarly("events", endpoint, Connector(options).stream(endpoint.peer.address(), sampleRequest(), 10s, {}, [](EngineEvent&&) { return true; }));
+}
+
+// Detects a call that outlasts its deadline because the endpoint sends a byte now and then.
+Test(Connector, answerDrips_called_endsAtDeadline)
+{
+    std::atomic<bool> isDone = false;
+    RawPeer peer([&](RawPeer::Socket& socket, const RawRequest&) {
+        writeAll(socket, "HTTP/1.1 200 OK\r\nX: ");
+        for (int i = 0; i < 200 && !isDone; ++i) {
+            writeAll(socket, "x");
+            std::this_thread::sleep_for(20ms);
+        }
+    });
+    const SystemClock clock;
+    const TimePoint begin = clock.now();
+    const auto result = Connector({}).call(peer.address(), sampleRequest(), 300ms, {});
+    const Duration taken = clock.now() - begin;
+    isDone = true;
+    cr_assert(result.status == AttemptStatus::ProgressTimeout);
+    cr_assert(taken < 2s);
+}
+
+// Detects a cancelled call whose answer has no length and is taken for complete, because its connection was shut down.
+Test(Connector, stopRequested_whileBodyWithoutLengthArrives_isCancelled)
+{
+    std::latch done(1);
+    std::stop_source source;
+    RawPeer peer([&](RawPeer::Socket& socket, const RawRequest&) {
+        writeAll(socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+        std::this_thread::sleep_for(50ms);
+        source.request_stop();
+        done.wait();
+    });
+    const auto result = Connector({}).call(peer.address(), sampleRequest(), 60s, source.get_token());
+    done.count_down();
+    cr_assert(result.status == AttemptStatus::Cancelled);
+}
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -78,6 +78,9 @@
         "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536, 0),
         "behind": (b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", b"x" * 65536, 0),
         "drip": (b"HTTP/1.1 200 OK\r\nX: ", b"x", 0.02),
+        "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1024, 0),
+        "event": (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: ", b"x" * 65536, 0),
+        "events": (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", b"data: x\n\n" * 4096, 0),
     }[trouble]
     try:
         connection.sendall(begin)
@@ -88,7 +91,7 @@
         pass
 
 
-TROUBLES = ["head", "lines", "chunks", "chunk line", "body", "behind", "drip"]
+TROUBLES = ["head", "lines", "chunks", "chunk line", "body", "behind", "drip", "interim", "event", "events"]
 
 
 class Endpoint:
--- a/test/processes/test_node.py
+++ b/test/processes/test_node.py
@@ -6,6 +6,7 @@
 import re
 import signal
 import socket
+import time
 import unittest
 
 from harness import skip_known_red
@@ -27,6 +28,13 @@
         self.models.close()
         self.plain.close()
 
+    def assert_memory_below(self, mebibytes):
+        """Checks the peak memory of all nodes, and that none of them has ended."""
+        for process in [*self.nodes.entries.values(), *self.nodes.stores.values()]:
+            self.assertIsNone(process.poll())
+            peak = int(re.search(r"VmHWM:\s+(\d+)", pathlib.Path(f"/proc/{process.pid}/status").read_text())[1])
+            self.assertLess(peak, mebibytes * 1024)
+
     # Guards against a plain request that does not reach its service, or whose answer changes.
     def test_plain_request_forwarded_is_answered_whole(self):
         def answered():
@@ -158,15 +166,30 @@
             with concurrent.futures.ThreadPoolExecutor(8) as pool:
                 statuses = list(pool.map(lambda number: call(self.nodes.entry_ports[0], "POST", "/plain/x", b"hello", {"Host": HOST, "X-Attempt-Id": f"{trouble} {number}", "X-Deadline-Ms": "1000"})[0], range(8)))
             self.assertTrue(set(statuses) <= {502, 503, 504}, (trouble, statuses))
-        for process in [*self.nodes.entries.values(), *self.nodes.stores.values()]:
-            self.assertIsNone(process.poll())
-            peak = int(re.search(r"VmHWM:\s+(\d+)", pathlib.Path(f"/proc/{process.pid}/status").read_text())[1])
-            self.assertLess(peak, 64 * 1024)
+        self.assert_memory_below(64)
         self.plain.trouble = self.models.trouble = None
         self.assertTrue(wait_until(lambda: self.models.beat(self.nodes.control_ports) and self.plain.beat(self.nodes.control_ports)))
         self.assertTrue(wait_until(lambda: call(self.nodes.entry_ports[0], "POST", "/plain/x", b"hello", {"Host": HOST, "X-Attempt-Id": "2"})[0] == 200))
         self.assertTrue(wait_until(lambda: len(self.nodes.results("job") or []) == 8))
 
+    # Guards against an endpoint of a stream that sends without end, while the stream's caller reads nothing: the entry would
+    # keep all of it, run out of memory and end the requests of other callers.
+    def test_endpoints_send_without_end_into_streams_memory_bounded_and_others_served(self):
+        def plain_status(number):
+            return call(self.nodes.entry_ports[0], "POST", "/plain/x", b"hello", {"Host": HOST, "X-Attempt-Id": f"other {number}"})[0]
+        self.assertTrue(wait_until(lambda: plain_status(0) == 200))
+        self.assertTrue(wait_until(lambda: call(self.nodes.entry_ports[0], "POST", "/stream/x", b"", {"Host": HOST, "X-Attempt-Id": "whole"})[0] == 200))
+        for trouble in TROUBLES:
+            self.models.trouble = trouble
+            callers = [socket.create_connection(("127.0.0.1", self.nodes.entry_ports[0]), timeout=5) for _ in range(8)]
+            for number, caller in enumerate(callers):
+                caller.sendall(f"POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {trouble} {number}\r\nX-Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n".encode())
+            time.sleep(0.5)
+            self.assertEqual([plain_status(f"{trouble} {number}") for number in range(3)], [200] * 3, trouble)
+            for caller in callers:
+                caller.close()
+        self.assert_memory_below(64)
+
     # Guards against bad input that changes something or gets an unclear answer.
     def test_bad_input_refused_clearly_and_changes_nothing(self):
         self.assertEqual(self.nodes.on_control("POST", "/-/config/replace", "{")[0], 400)
