--- a/src/azurepaddle/control/group_repair.cpp
+++ b/src/azurepaddle/control/group_repair.cpp
@@ -91,6 +91,7 @@
 {
     const TimePoint now = m_clock.now();
     std::vector<ParticipantContact> contacts;
+    contacts.reserve(identities.size());
     for (const InstanceId& id : identities)
         contacts.push_back({ id, instanceNameOf(id), id == m_identity ? now : m_node->lastContact(id).value_or(now) });
     return contacts;
