--- a/src/azurepaddle/cluster/group_membership.hpp
+++ b/src/azurepaddle/cluster/group_membership.hpp
@@ -159,8 +159,8 @@
 }
 
 /// Returns the description of the group that this instance sends to others: the newest committed membership if it is a
-/// participant, or the newest one while none is committed; otherwise the one it received. A participant that was removed without receiving the change also sends the one it
-/// received.
+/// participant, or the newest one while none is committed; otherwise the one it received. A participant that was removed
+/// without receiving the change also sends the one it received.
 template <typename Machine>
 control::KnownGroup Group<Machine>::knownGroup() const
 {
