Take an order to empty a machine whose addition is not committed yet

Since completed follows from the committed membership, an order for a store machine whose addition as a learner is not committed yet was answered as for an unknown machine (404), for the milliseconds until it is. It was found by reading; no caller has seen it. Such a machine is known again, and does not count among those that remain for another order.

--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -218,12 +218,18 @@
     return names;
 }
 
+std::set<std::string> MemberNames::inBoth() const
+{
+    std::set<std::string> names;
+    std::set_intersection(committed.begin(), committed.end(), newest.begin(), newest.end(), std::inserter(names, names.end()));
+    return names;
+}
+
 RetireState retireStateOf(const std::string& instance, const std::set<std::string>& retiring, const MemberNames& members)
 {
     if (!retiring.contains(instance))
         return RetireState::Unknown;
-    const bool isMember = members.committed.contains(instance) || members.newest.contains(instance);
-    return isMember ? RetireState::Active : RetireState::Completed;
+    return members.anyContains(instance) ? RetireState::Active : RetireState::Completed;
 }
 
 void LeaderService::handle(const RetireRequest& request, const Responder<RetireReply>& responder)
@@ -232,10 +238,9 @@
     const RetireState state = retireStateOf(request.instance, m_machine.retiring(), members);
     if (!request.isBegin || state != RetireState::Unknown)
         return responder.ok({ state });
-    std::set<std::string> remaining;
-    std::set_intersection(members.committed.begin(), members.committed.end(), members.newest.begin(), members.newest.end(), std::inserter(remaining, remaining.end()));
+    std::set<std::string> remaining = members.inBoth();
     remaining.merge(m_group.declinedInstances());
-    if (remaining.erase(request.instance) == 0)
+    if (remaining.erase(request.instance) == 0 && !members.anyContains(request.instance))
         return responder.ok({ RetireState::Unknown });
     for (const std::string& retiring : m_machine.retiring())
         remaining.erase(retiring);
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -23,6 +23,9 @@
     std::set<std::string> newest;
 
     [[nodiscard]] static MemberNames of(const ServiceGroup& group);
+    [[nodiscard]] bool anyContains(const std::string& name) const { return committed.contains(name) || newest.contains(name); }
+    /// The participants that are neither being added nor being removed.
+    [[nodiscard]] std::set<std::string> inBoth() const;
 
     friend bool operator==(const MemberNames&, const MemberNames&) = default;
 };
--- a/test/azurepaddle/registry/retirement.cpp
+++ b/test/azurepaddle/registry/retirement.cpp
@@ -37,3 +37,12 @@
 {
     cr_assert(retireStateOf("storage-3", retiring, { { "storage-1" }, { "storage-1" } }) == RetireState::Unknown);
 }
+
+// Guards against an order to empty a machine that counts others among those that remain although they are being removed,
+// or not added for certain.
+Test(Retirement, changesNotCommitted_onlyCertainParticipantsRemain)
+{
+    const MemberNames members { { "storage-1", "storage-2" }, { "storage-2", "storage-3" } };
+    cr_assert(members.inBoth() == std::set<std::string> { "storage-2" });
+    cr_assert(members.anyContains("storage-1") && members.anyContains("storage-3") && !members.anyContains("storage-4"));
+}
