Lose two machines at a time in the simulated groups of five

MembershipFaults covered one tolerated loss with three voters. A further test loses the disks of two machines repeatedly and in any order in groups of five to seven machines with five voters.

--- a/test/azurepaddle/cluster/membership_faults.cpp
+++ b/test/azurepaddle/cluster/membership_faults.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t firstVoters = 3;
+constexpr std::size_t firstVoters = 3; ///< For one tolerated loss.
 constexpr Duration planInterval = 200ms; ///< Interval at which the leader plans a change, as in Group.
 constexpr Duration catchUpTime = 5300ms; ///< Time for which a machine stays lost after its return.
 
@@ -29,10 +29,11 @@
     MembershipPolicy policy;
     std::set<std::size_t> retiring; ///< Machines that an operator empties.
 
-    PlannedGroup(std::uint64_t seed, std::size_t machines)
-        : cluster(seed, machines, firstVoters, {})
+    PlannedGroup(std::uint64_t seed, std::size_t machines, std::size_t voters = firstVoters)
+        : cluster(seed, machines, voters, {})
         , random(seed)
     {
+        policy.targetVoters = voters;
     }
 
     [[nodiscard]] InstanceAddress addressOf(const InstanceId& id) const
@@ -159,6 +160,32 @@
     }
 }
 
+// Detects a group of five voters that stops for good while two machines at a time lose their disks, in any order and
+// before they have caught up.
+Test(MembershipFaults, twoMachinesLostRepeatedly_groupOfFiveContinues)
+{
+    constexpr std::size_t voters = 5;
+    for (std::uint64_t seed = 1; seed <= seedCount(40); ++seed) {
+        PlannedGroup group(seed, voters + seed % 3, voters);
+        group.run(catchUpTime);
+        for (int round = 0; round < 3; ++round) {
+            const std::size_t first = group.random.below(group.cluster.size());
+            const std::size_t second = (first + 1 + group.random.below(group.cluster.size() - 1)) % group.cluster.size();
+            for (int event = 0; event < 8; ++event) {
+                const std::size_t host = group.random.chance(0.5) ? first : second;
+                if (group.cluster.isUp(host))
+                    group.loseDisk(host);
+                else
+                    group.cluster.restart(host);
+                group.run(group.randomTime(group.random.chance(0.6) ? 500ms : 2s));
+            }
+            group.cluster.restart(first);
+            group.cluster.restart(second);
+            checkWhole(group, seed, "two machines lost their disks repeatedly");
+        }
+    }
+}
+
 // Detects a group that stops for good after a machine is gone and its successor at another address is lost before it
 // has caught up. Both count as one lost machine.
 Test(MembershipFaults, successorAtOtherAddressLost_groupContinues)
