--- a/src/azurepaddle/pipeline/endpoint_call.cpp
+++ b/src/azurepaddle/pipeline/endpoint_call.cpp
@@ -71,6 +71,7 @@
     }
 }
 
+/// Connects to the first address that accepts: a name may have addresses of both IP versions.
 bool EndpointCall::connect(const std::string& address)
 {
     const auto parsed = parseAddress(address);
@@ -79,12 +80,15 @@
         return false;
     }
     asio::error_code error;
-    const auto addresses = asio::ip::tcp::resolver(m_io).resolve(parsed->ip, std::to_string(parsed->port), error);
-    if (error || addresses.empty()) {
-        m_message = error ? error.message() : "the address is unknown";
-        return false;
-    }
-    const asio::ip::tcp::endpoint endpoint = addresses.begin()->endpoint();
+    const auto found = asio::ip::tcp::resolver(m_io).resolve(parsed->ip, std::to_string(parsed->port), error);
+    m_message = error ? error.message() : "the name has no address";
+    return std::any_of(found.begin(), found.end(), [this](const auto& entry) { return connectTo(entry.endpoint()); });
+}
+
+bool EndpointCall::connectTo(const asio::ip::tcp::endpoint& endpoint)
+{
+    asio::error_code error;
+    m_socket = asio::ip::tcp::socket(m_io);
     m_socket.open(endpoint.protocol(), error);
     if (!error)
         m_socket.non_blocking(true, error);
--- a/src/azurepaddle/pipeline/endpoint_call.hpp
+++ b/src/azurepaddle/pipeline/endpoint_call.hpp
@@ -56,6 +56,7 @@
     };
 
     [[nodiscard]] bool connect(const std::string& address);
+    [[nodiscard]] bool connectTo(const asio::ip::tcp::endpoint& endpoint);
     [[nodiscard]] CallEnd write(std::string_view bytes);
     [[nodiscard]] CallEnd read(const std::stop_token& stop, const BodyConsumer& onBody);
     [[nodiscard]] CallEnd feed(std::string_view bytes, const BodyConsumer& onBody);
--- a/test/azurepaddle/pipeline/connector.cpp
+++ b/test/azurepaddle/pipeline/connector.cpp
@@ -235,3 +235,12 @@
     done.count_down();
     cr_assert(result.status == AttemptStatus::Cancelled);
 }
+
+// Detects an endpoint named by host that is not reached, because only the first address of its name is tried.
+Test(Connector, nameWithSeveralAddresses_called_reachesTheOneThatListens)
+{
+    const RawPeer peer([](RawPeer::Socket& socket, const RawRequest&) { writeAll(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); });
+    const std::string port = peer.address().substr(peer.address().rfind(':'));
+    const auto result = Connector({}).call("localhost" + port, sampleRequest(), 10s, {});
+    cr_assert(result.status == AttemptStatus::Complete && result.body == "ok", "%s", result.message.c_str());
+}
