--- a/src/azurepaddle/consensus/types.hpp
+++ b/src/azurepaddle/consensus/types.hpp
@@ -25,7 +25,7 @@
     TooLarge, ///< The proposal exceeds the size of a log record.
     ChangePending, ///< An earlier membership change, or the first entry of this leader, is not committed yet.
     InvalidChange, ///< The change does not apply to the current membership.
-    NotCaughtUp, ///< The learner lags too many entries behind to become a voter.
+    NotCaughtUp, ///< The learner lags too many entries behind to become a voter, or has not answered lately.
     AlreadyStarted, ///< The instance already has a log and cannot bootstrap a group.
     StorageFailed, ///< A write failed. The process must stop.
 };
