Log what store nodes judge the freshness of their state by, and older replies at entries

The log could not tell the hypotheses of the incident apart: no line named the term, commit index, applied index and configuration from which a store node reported its state as recent, and entries did not say that a reply came from an older configuration than their own.

Store nodes log each time that their state becomes or ceases to be recent, at most ten times a second, with these values. No logic is changed.

--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -107,6 +107,8 @@
     [[nodiscard]] bool isLeader() const { return m_node->role() == consensus::RaftRole::Leader; }
     [[nodiscard]] consensus::RaftStatus status() const { return m_node->status(); }
     [[nodiscard]] std::uint64_t term() const noexcept { return m_node->term(); }
+    /// Index of the last entry that the state machine includes.
+    [[nodiscard]] std::uint64_t appliedIndex() const noexcept { return m_appliedIndex; }
     [[nodiscard]] const InstanceId& identity() const noexcept { return m_identity; }
     /// Replaces the addresses that are used to discover the group and to which the leader announces it.
     void setSeeds(std::vector<InstanceAddress> seeds) { m_seeds = std::move(seeds); }
--- a/src/azurepaddle/registry/local_service.cpp
+++ b/src/azurepaddle/registry/local_service.cpp
@@ -11,6 +11,8 @@
     constexpr Duration longPollTimeout = std::chrono::milliseconds(800);
     constexpr Duration reportInterval = std::chrono::milliseconds(400);
     constexpr Duration reportTimeout = std::chrono::milliseconds(900);
+    // Minimum time between two log lines about the freshness of the state, which may alternate with each late heartbeat.
+    constexpr Duration freshnessLogInterval = std::chrono::milliseconds(100);
 
     /// A duration in whole milliseconds, at least 0.
     std::uint64_t toMilliseconds(std::chrono::milliseconds duration)
@@ -170,11 +172,24 @@
 void LocalService::tick()
 {
     const TimePoint now = m_clock.now();
+    logFreshness(now);
     replyToPolls(now);
     if (!m_unreported.empty() && !m_isReporting && now >= m_nextReport)
         reportHeartbeats(now);
 }
 
+/// Logs each time that the state becomes recent or ceases to be so, and what that follows from.
+void LocalService::logFreshness(TimePoint now)
+{
+    const bool isRecent = m_group.hasRecentState();
+    if (isRecent == m_wasRecent || now < m_nextFreshnessLog)
+        return;
+    m_wasRecent = isRecent;
+    m_nextFreshnessLog = now + freshnessLogInterval;
+    const consensus::RaftStatus status = m_group.status();
+    m_log.info("state is-recent={} age-ms={} configuration={} directory={} term={} leader={} commit={} applied={} log-last={}", isRecent, (now - m_group.stateTime()) / std::chrono::milliseconds(1), m_machine.configuration().version, m_machine.directory().revision(), status.term, status.leader, status.commitIndex, m_group.appliedIndex(), status.lastIndex);
+}
+
 void LocalService::replyToPolls(TimePoint now)
 {
     const bool isRecent = m_group.hasRecentState();
--- a/src/azurepaddle/registry/local_service.hpp
+++ b/src/azurepaddle/registry/local_service.hpp
@@ -45,6 +45,7 @@
     [[nodiscard]] PollReply replyTo(const WaitingPoll& poll, TimePoint now) const;
     void addEndpoints(PollReply& reply, const PollRequest& request) const;
     void addSuspects(PollReply& reply, const PollRequest& request) const;
+    void logFreshness(TimePoint now);
     void replyToPolls(TimePoint now);
     void reportHeartbeats(TimePoint now);
 
@@ -53,6 +54,7 @@
     const StateMachine& m_machine;
     LeaderClient& m_leader;
     const DataCentreName m_dataCentre;
+    const Log m_log { "local" };
     const SystemClock m_clock {};
     std::uint64_t m_servicesVersion = 0;
     std::set<ServiceName> m_services;
@@ -61,6 +63,8 @@
     std::map<EndpointId, HeartbeatStatus> m_unreported; ///< Heartbeats accepted since the last report to the leader.
     bool m_isReporting = false;
     TimePoint m_nextReport {};
+    bool m_wasRecent = false; ///< Whether the state was recent in the last log line about it.
+    TimePoint m_nextFreshnessLog {};
 };
 
 }
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -22,6 +22,8 @@
     constexpr Duration maxReadyAge = std::chrono::seconds(4);
     // Interval of the log lines of an entry while no store node answers.
     constexpr Duration missingStoreLogInterval = std::chrono::seconds(2);
+    // Minimum time between two log lines about replies from older states.
+    constexpr Duration olderReplyLogInterval = std::chrono::milliseconds(100);
     // After this time without an answer the seeds are polled again, because all known members may have been replaced.
     constexpr Duration seedFallbackDelay = std::chrono::seconds(2);
     constexpr Duration drainPoll = std::chrono::milliseconds(50);
@@ -140,6 +142,7 @@
 {
     m_lastContact = m_clock.now();
     m_stateAge.recordReply(sentAt, reply);
+    logOlderReply(store, sentAt, reply);
     m_stores.recordSuccess(store, reply.dataCentre);
     m_metrics.gauge("entry_has_store").set(1);
     if (!std::exchange(m_isInContact, true))
@@ -151,6 +154,19 @@
     pollAfter(pollPause);
 }
 
+/// Logs and counts replies of store nodes whose configuration is older than the one that this node has received.
+void EntryNode::logOlderReply(const InstanceAddress& store, TimePoint sentAt, const registry::PollReply& reply)
+{
+    if (reply.configurationVersion >= m_received.configurationVersion)
+        return;
+    m_metrics.counter("entry_older_replies_total").add();
+    const TimePoint now = m_clock.now();
+    if (now < m_nextOlderReplyLog)
+        return;
+    m_nextOlderReplyLog = now + olderReplyLogInterval;
+    m_log.warning("dependency=store reply=older address={} configuration={} received={} round-trip-ms={} held-ms={} state-age-ms={} age-ms={}", formatAddress(store), reply.configurationVersion, m_received.configurationVersion, (now - sentAt) / std::chrono::milliseconds(1), reply.heldMs, reply.stateAgeMs, m_stateAge.age(now) / std::chrono::milliseconds(1));
+}
+
 /// Continues with the next store node. The one that was polled may have named another.
 void EntryNode::onPollFailed(const InstanceAddress& asked, const std::optional<InstanceAddress>& named)
 {
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -38,6 +38,7 @@
     void onPoll(const InstanceAddress& store, TimePoint sentAt, const registry::PollReply& reply);
     void onPollFailed(const InstanceAddress& asked, const std::optional<InstanceAddress>& named);
     void pollAfter(Duration delay);
+    void logOlderReply(const InstanceAddress& store, TimePoint sentAt, const registry::PollReply& reply);
     void updateConfiguration(const registry::PollReply& reply);
     void updateEndpoints(const registry::PollReply& reply);
     void updateMembers(const registry::PollReply& reply);
@@ -86,6 +87,7 @@
     registry::FailedPolls m_failedPolls; ///< Since the last log line about them.
     TimePoint m_lastContact {};
     TimePoint m_nextMissingStoreLog {}; ///< Time of the next log line while no store node answers.
+    TimePoint m_nextOlderReplyLog {}; ///< Time of the next log line about replies from older states.
     bool m_hasConfiguration = false;
     bool m_isInContact = false;
     bool m_isDraining = false;
