Reproduce the incident: states that count as recent after a restart and are not

Callers got 404 for a route that was acknowledged before all store nodes restarted.

The simulation checks freshness only where clocks do not drift and messages are not held back, because the delay of a message is estimated from others.

--- a/src/azurepaddle/consensus/simulation.cpp
+++ b/src/azurepaddle/consensus/simulation.cpp
@@ -73,6 +73,7 @@
     }
     host.identity = InstanceId(loaded->identity);
     host.appliedIndex = 0;
+    host.appliedTerm = 0;
     host.snapshotIndex = 0;
     host.digest.clear();
     host.proposed.clear();
@@ -155,7 +156,7 @@
             return stop(index);
         checkLeaders(index);
         if (ready->empty())
-            return;
+            return checkFreshness(index);
         if (ready->snapshot)
             install(index, *ready->snapshot);
         for (const LogEntry& entry : ready->committed)
@@ -174,12 +175,13 @@
     if (entry.index != host.appliedIndex + 1)
         recordViolation(fmt::format("host {} applies entry {} after {}", index, entry.index, host.appliedIndex));
     host.appliedIndex = entry.index;
+    host.appliedTerm = entry.term;
     host.digest = nextDigest(host.digest, entry);
     const auto [known, isNew] = m_digests.try_emplace(entry.index, host.digest);
     if (known->second != host.digest)
         recordViolation(fmt::format("host {} applies a different entry at index {}", index, entry.index));
     if (host.proposed.erase({ entry.index, entry.term }) > 0)
-        m_ackedIndex = std::max(m_ackedIndex, entry.index);
+        recordAcknowledgement(entry.index);
 }
 
 void SimulatedCluster::install(std::size_t index, const ApplicationSnapshot& snapshot)
@@ -192,6 +194,7 @@
     if (known == m_digests.end() || known->second != digest)
         recordViolation(fmt::format("host {} installs a different state at entry {}", index, snapshot.index));
     host.appliedIndex = snapshot.index;
+    host.appliedTerm = snapshot.term;
     host.snapshotIndex = snapshot.index;
     host.digest = digest;
     ++m_installedSnapshots;
@@ -255,6 +258,35 @@
     }
 }
 
+void SimulatedCluster::recordAcknowledgement(std::uint64_t index)
+{
+    if (index <= m_ackedIndex)
+        return;
+    m_ackedIndex = index;
+    m_acknowledgements[m_now] = index;
+}
+
+/// The highest index that was acknowledged until a time.
+std::uint64_t SimulatedCluster::ackedIndexAt(TimePoint time) const
+{
+    const auto later = m_acknowledgements.upper_bound(time);
+    return later == m_acknowledgements.begin() ? 0 : std::prev(later)->second;
+}
+
+/// Checks that a host has applied everything that was acknowledged until the time for which it claims so. The delay of
+/// a message is known to its receiver only relative to the fastest one, so the claim may be late by maxDelay.
+void SimulatedCluster::checkFreshness(std::size_t index)
+{
+    const Host& host = m_hosts[index];
+    if (!m_settings.checksFreshness)
+        return;
+    const bool isCurrentLeader = host.node->role() == RaftRole::Leader && host.appliedTerm == host.node->term() && localNow(host) < host.node->leaseEnd();
+    const TimePoint claimed = isCurrentLeader ? m_now : virtualTime(host, host.node->caughtUpAt()) - m_settings.maxDelay;
+    const std::uint64_t acked = ackedIndexAt(claimed);
+    if (host.appliedIndex < acked)
+        recordViolation(fmt::format("host {} counts its state as recent with entry {} in term {}, but entry {} was acknowledged before", index, host.appliedIndex, host.node->term(), acked));
+}
+
 bool SimulatedCluster::proposeCommand(Host& host, std::size_t bytes)
 {
     std::string command = fmt::format("{}:", ++m_nextCommand);
--- a/src/azurepaddle/consensus/simulation.hpp
+++ b/src/azurepaddle/consensus/simulation.hpp
@@ -24,11 +24,13 @@
     double clockDrift = 0; ///< Largest relative deviation of a host's clock rate from real time.
     Duration tickInterval = std::chrono::milliseconds(10);
     std::uint64_t snapshotInterval = 0; ///< Number of entries between two snapshots; 0 disables snapshots.
+    bool checksFreshness = false; ///< Checks what participants conclude from the times of messages. Requires that clocks do not drift and that no message takes longer than maxDelay.
 };
 
 /// Runs participants on simulated hosts with virtual time, network and disks in a single thread. Runs with the same
 /// seed are identical. After every step it checks the guarantees of the log: one leader per term, no two valid leases,
-/// equal committed entries and states, no acknowledged entry lost, no stale read.
+/// equal committed entries and states, no acknowledged entry lost, no stale read, and optionally no state that counts as
+/// more recent than it is.
 class SimulatedCluster {
 public:
     using Store = storage::LogStore<storage::MemoryFileSystem>;
@@ -106,6 +108,7 @@
         Duration clockOffset {};
         TimePoint pausedUntil;
         std::uint64_t appliedIndex = 0;
+        std::uint64_t appliedTerm = 0;
         std::string digest; ///< Digest over all applied entries.
         std::uint64_t snapshotIndex = 0;
         std::set<EntryPosition> proposed; ///< Proposals made at this host that are not committed yet.
@@ -132,8 +135,13 @@
     void sendMessage(std::size_t from, const RaftMessage& message);
     void takeSnapshot(std::size_t host);
     void checkLeaders(std::size_t host);
+    void checkFreshness(std::size_t host);
+    void recordAcknowledgement(std::uint64_t index);
+    [[nodiscard]] std::uint64_t ackedIndexAt(TimePoint time) const;
     void recordViolation(std::string violation);
     [[nodiscard]] TimePoint localNow(const Host& host) const;
+    /// The virtual time at which a host's own clock shows the given time.
+    [[nodiscard]] static TimePoint virtualTime(const Host& host, TimePoint local) { return TimePoint((local - host.clockOffset).time_since_epoch()); }
     [[nodiscard]] bool isRunning(const Host& host) const { return host.node && host.pausedUntil <= m_now; }
 
     SimulationSettings m_settings;
@@ -150,6 +158,7 @@
     std::map<std::uint64_t, std::string> m_digests; ///< Digest of all entries up to an index, by index.
     std::map<std::uint64_t, std::uint64_t> m_reads; ///< Acknowledged index at the time of the request, by read id.
     std::uint64_t m_ackedIndex = 0;
+    std::map<TimePoint, std::uint64_t> m_acknowledgements; ///< Acknowledged index since a time, by that time.
     std::uint64_t m_confirmedReads = 0;
     std::uint64_t m_installedSnapshots = 0;
     std::uint64_t m_deliveredMessages = 0;
--- a/test/azurepaddle/cluster/group.cpp
+++ b/test/azurepaddle/cluster/group.cpp
@@ -193,6 +193,26 @@
     cr_assert(fixture.isAppliedByAll("a"));
 }
 
+// Detects a restarted instance that reports its state as recent before a leader has shown what was acknowledged before the
+// restart.
+Test(Group, allStopped_restarted_reportNoRecentStateWithoutAcknowledgedCommands)
+{
+    GroupFixture fixture;
+    cr_assert(fixture.apply("a"));
+    cr_assert(fixture.isAppliedByAll("a"));
+    for (std::size_t i = 0; i < 3; ++i)
+        fixture.stopInstance(i);
+    for (std::size_t i = 0; i < 3; ++i)
+        fixture.startInstance(i, false);
+    int outdated = 0;
+    cr_assert(fixture.runUntil([&] {
+        const auto isRecent = [](const auto& participant) { return participant->group.hasRecentState(); };
+        outdated += static_cast<int>(std::count_if(fixture.participants.begin(), fixture.participants.end(), [&](const auto& participant) { return isRecent(participant) && participant->machine.commands.empty(); }));
+        return std::all_of(fixture.participants.begin(), fixture.participants.end(), isRecent) && !fixture.participants[0]->machine.commands.empty();
+    }));
+    cr_assert(outdated == 0, "%d times a state without the command was reported as recent", outdated);
+}
+
 // Detects a follower that reports its state as too old while it applies the commands of a message it just received, so
 // that all polls that wait at it are refused.
 Test(Group, followerAppliesSeveralCommands_stateStaysRecent)
--- a/test/azurepaddle/consensus/random_faults.cpp
+++ b/test/azurepaddle/consensus/random_faults.cpp
@@ -117,6 +117,37 @@
     cr_assert(recovered, "seed %lu: the group has no leader or does not converge after all faults are repaired", seed);
 }
 
+/// Restarts any of the hosts together and cuts leaders off, without the faults that make the times of messages unknown.
+void runRestarts(std::uint64_t seed)
+{
+    Random random(seed);
+    SimulationSettings settings;
+    settings.lossChance = random.uniform() * 0.1;
+    settings.duplicateChance = random.uniform() * 0.1;
+    settings.snapshotInterval = random.chance(0.5) ? 10 + random.below(40) : 0;
+    settings.raft.trailingEntries = random.below(20);
+    settings.raft.snapshotChunkBytes = 100;
+    settings.checksFreshness = true;
+    SimulatedCluster cluster(seed, 5, random.chance(0.5) ? 3 : 5, settings);
+    for (int step = 0; step < 600; ++step) {
+        cluster.run(std::chrono::milliseconds(random.below(50)));
+        if (random.chance(0.03)) {
+            const double share = random.uniform();
+            for (std::size_t host = 0; host < cluster.size(); ++host) {
+                if (random.chance(share))
+                    cluster.crash(host);
+            }
+        }
+        if (random.chance(0.03) && cluster.leader())
+            cluster.isolate(*cluster.leader());
+        if (random.chance(0.1))
+            repairRandomly(cluster, random);
+        for (std::uint64_t i = random.below(4); i > 0 && cluster.leader(); --i)
+            (void)cluster.propose(*cluster.leader());
+    }
+    cr_assert(cluster.violation().empty(), "seed %lu: %s", seed, cluster.violation().c_str());
+}
+
 /// Calls `step` with the leader every 50 ms of virtual time until it returns true. Returns false if that takes longer
 /// than a minute or a guarantee is violated.
 bool retryAtLeader(SimulatedCluster& cluster, const std::function<bool(std::size_t leader)>& step)
@@ -202,3 +233,12 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed)
         runSeed(seed + 1'000'000, true);
 }
+
+// Detects participants that count an old state as recent: after a restart, or under a leader that does not know yet what
+// was committed before its term.
+Test(RandomFaults, anyHostsRestarted_leadersCutOff_noStateCountsAsMoreRecentThanItIs)
+{
+    const std::uint64_t seeds = seedCount(100);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        runRestarts(seed + 3'000'000);
+}
--- a/test/azurepaddle/consensus/rules.cpp
+++ b/test/azurepaddle/consensus/rules.cpp
@@ -282,6 +282,23 @@
     cr_assert(participant.node->proposeChange(next, participant.now).has_value());
 }
 
+// Detects a restarted follower that counts as caught up by the commit index of a new leader, which is as low as its own
+// until the leader has committed an entry of its term.
+Test(Rules, followerRestarted_leaderHasCommittedNothingInItsTerm_isNotCaughtUp)
+{
+    Participant participant;
+    participant.deliver(second, makeAppend(1, 1, 3, 2, 4), MessageKind::Append, 2);
+    cr_assert(participant.node->commitIndex() == 4);
+    participant.start();
+    participant.advanceTime(600ms);
+    participant.deliver(third, makeAppend(4, 2, 1, 3, 0), MessageKind::Append, 3);
+    cr_assert(participant.node->commitIndex() == 0);
+    cr_assert(participant.node->caughtUpAt() == TimePoint {});
+    participant.deliver(third, makeAppend(5, 3, 0, 3, 5), MessageKind::Append, 3);
+    cr_assert(participant.node->commitIndex() == 5);
+    cr_assert(participant.node->caughtUpAt() == participant.now);
+}
+
 // Detects a follower that counts as caught up although it lacks committed entries, or although the message with the
 // commit index was delayed for long.
 Test(Rules, followerLacksCommittedEntries_isNotCaughtUp)
