Count a follower as caught up only by a commit index that a leader has proven

Callers got 404 for a route whose configuration was acknowledged before all store nodes restarted.

Cause: a follower counted as caught up once its commit index had reached the one in the leader's message. From the first message of each new leader until then, and for the 0.6 s that it lasts, followers answered polls from a state without the acknowledged entries as recent, accepted heartbeats by it, and entries answered 404.

A follower now counts as caught up only if the entry at its commit index is of the leader's term: the leader has committed it, so its commit index covers everything acknowledged before. No message changes; the follower sees it in its own log, also under a leader of the last landing.

The rule followerLacksCommittedEntries_isNotCaughtUp asserted that a follower is caught up under a leader that has committed nothing in its term; its leader now commits an entry first, the assertions are the same.

--- a/src/azurepaddle/consensus/raft_node.hpp
+++ b/src/azurepaddle/consensus/raft_node.hpp
@@ -184,7 +184,7 @@
 
     InstanceId m_leader;
     TimePoint m_lastLeaderContact; ///< Time of the last message from a leader; initially the start of this instance, because its lease from before a restart may still hold.
-    TimePoint m_caughtUpAt; ///< Estimated send time of the last leader message whose commit index this instance has reached.
+    TimePoint m_caughtUpAt; ///< Estimated send time of the last message of a leader whose commit index covers everything acknowledged and which this instance has reached.
     MessageDelay m_leaderDelay; ///< Delay of messages from the current leader.
     TimePoint m_electionDeadline;
     std::set<InstanceId> m_votesGranted;
--- a/src/azurepaddle/consensus/raft_node_replication.hpp
+++ b/src/azurepaddle/consensus/raft_node_replication.hpp
@@ -121,7 +121,9 @@
     const std::uint64_t matched = message.index + message.entries.size();
     commitUpTo(std::min(message.commit, matched));
     const Duration delay = m_leaderDelay.recordMessage(std::chrono::nanoseconds(message.sentAt), m_now);
-    if (m_log.commitIndex() >= message.commit)
+    // Until a leader has committed an entry of its own term, its commit index may be lower than that of earlier leaders.
+    const bool isCommitIndexProven = m_log.termAt(m_log.commitIndex()) == message.term;
+    if (isCommitIndexProven && m_log.commitIndex() >= message.commit)
         m_caughtUpAt = m_now - delay;
     replyMatched(from, message, matched);
 }
--- a/test/azurepaddle/consensus/rules.cpp
+++ b/test/azurepaddle/consensus/rules.cpp
@@ -310,6 +310,7 @@
         message.sentAt = std::chrono::duration_cast<std::chrono::nanoseconds>((participant.now - transitTime).time_since_epoch()).count();
         participant.deliver(second, message, MessageKind::Append, 5);
     };
+    participant.deliver(second, makeAppend(1, 1, 1, 5, 2), MessageKind::Append, 5);
     participant.advanceTime(100ms);
     deliverHeartbeat(0, 1ms);
     const TimePoint caughtUp = participant.node->caughtUpAt();
