Forget the failed polls of an outage once a store node answers

Seen in the logs of the process test of this incident: after an outage of all store nodes, an entry whose store node failed next polled that one five times in a row, for 2.2 s, while two others ran (failed-polls="127.0.0.2:25721=5"). While none answers, the node with the fewest failures is polled next, but an answer reset the count of the node that answered only: the others kept theirs from the outage, without a bound.

An answer now resets all counts. The new test fails without the change, all 75 tests of test-registry pass with it.

--- a/src/azurepaddle/registry/nearest_store.cpp
+++ b/src/azurepaddle/registry/nearest_store.cpp
@@ -76,9 +76,11 @@
 void NearestStore::recordSuccess(const InstanceAddress& address, const DataCentreName& dataCentre)
 {
     m_current = address;
+    // Failures of an outage that is over must not delay the polls of the others in the next one.
+    for (Member& member : m_members)
+        member.consecutiveFailures = 0;
     if (Member* member = find(address)) {
         member->dataCentre = dataCentre;
-        member->consecutiveFailures = 0;
         member->failedRetries = 0;
         member->avoidUntil = {};
     }
--- a/src/azurepaddle/registry/nearest_store.hpp
+++ b/src/azurepaddle/registry/nearest_store.hpp
@@ -38,7 +38,7 @@
     struct Member {
         InstanceAddress address;
         std::optional<DataCentreName> dataCentre {}; ///< Empty until the member has answered.
-        unsigned consecutiveFailures = 0;
+        unsigned consecutiveFailures = 0; ///< Since any member answered.
         unsigned failedRetries = 0; ///< Consecutive failures while another member answered.
         TimePoint avoidUntil {};
     };
--- a/test/azurepaddle/registry/nearest_store.cpp
+++ b/test/azurepaddle/registry/nearest_store.cpp
@@ -118,6 +118,18 @@
     cr_assert(asked.size() == 5, "%zu of 5 stores were polled", asked.size());
 }
 
+// Guards against an entry instance that polls a silent store alone, as often as the others failed in an earlier outage.
+Test(NearestStore, localStoreFailsAfterOutageOfAll_anotherIsPolled)
+{
+    StoresFixture fixture;
+    fixture.poll(3);
+    for (int failures = 0; failures < 9; ++failures)
+        fixture.stores.recordFailure(*fixture.stores.choose(start), start);
+    fixture.stores.recordSuccess(store(1), DataCentreName("b"));
+    fixture.stores.recordFailure(store(1), start);
+    cr_assert(*fixture.stores.choose(start) != store(1));
+}
+
 // Guards against an instance that leaves a store that answers every two seconds for one that stays silent.
 Test(NearestStore, localStoreKeepsFailing_retries_becomeRarer)
 {
