Take nothing as confirmed by a reply from an older configuration than the received one

While machines are replaced one after the other, entries of this release poll store nodes of the last one, which report the state that they restart from as recent. A reply from an older configuration than the entry has received shows that its age confirms nothing of use, so StateAge ignores it. What remains: a store node of an earlier release whose restored state has exactly the entry's configuration is still believed.

The new test of StateAge fails without the check.

--- a/src/azurepaddle/registry/state_age.hpp
+++ b/src/azurepaddle/registry/state_age.hpp
@@ -17,8 +17,9 @@
     }
 
     /// Records the reply to a poll that was sent at the given time. The way of the reply takes an unknown time, so the
-    /// confirmed time is counted from the sending of the poll.
-    void recordReply(TimePoint sentAt, const PollReply& reply) noexcept;
+    /// confirmed time is counted from the sending of the poll. A reply from an older configuration than the received one
+    /// confirms nothing, because stores of earlier releases report the state that they restart from as recent.
+    void recordReply(TimePoint sentAt, const PollReply& reply, std::uint64_t receivedVersion) noexcept;
     /// Time that has passed since the confirmed time; the maximum if no poll was answered yet.
     [[nodiscard]] Duration age(TimePoint now) const noexcept { return m_confirmedTime == TimePoint {} ? Duration::max() : now - m_confirmedTime; }
     /// Whether nothing that was acknowledged longer ago than the limit can be missing.
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -141,7 +141,7 @@
 void EntryNode::onPoll(const InstanceAddress& store, TimePoint sentAt, const registry::PollReply& reply)
 {
     m_lastContact = m_clock.now();
-    m_stateAge.recordReply(sentAt, reply);
+    m_stateAge.recordReply(sentAt, reply, m_received.configurationVersion);
     logOlderReply(store, sentAt, reply);
     m_stores.recordSuccess(store, reply.dataCentre);
     m_metrics.gauge("entry_has_store").set(1);
--- a/test/azurepaddle/registry/state_age.cpp
+++ b/test/azurepaddle/registry/state_age.cpp
@@ -13,13 +13,14 @@
 struct StateAgeFixture {
     StateAge state { 2s };
 
-    /// Records a reply to a poll that was sent after the start.
-    void receive(Duration sentAfter, std::uint64_t heldMs, std::uint64_t stateAgeMs)
+    /// Records a reply to a poll that was sent after the start by an instance that has received configuration 7.
+    void receive(Duration sentAfter, std::uint64_t heldMs, std::uint64_t stateAgeMs, std::uint64_t configurationVersion = 7)
     {
         PollReply reply;
+        reply.configurationVersion = configurationVersion;
         reply.heldMs = heldMs;
         reply.stateAgeMs = stateAgeMs;
-        state.recordReply(start + sentAfter, reply);
+        state.recordReply(start + sentAfter, reply, 7);
     }
 };
 
@@ -50,3 +51,14 @@
     fixture.receive(1s, 0, 500);
     cr_assert(fixture.state.age(start + 2s) == 1s);
 }
+
+// Guards against a store of an earlier release that reports the state it restarts from as recent.
+Test(StateAge, replyWithOlderConfigurationThanReceived_confirmsNothing)
+{
+    StateAgeFixture fixture;
+    fixture.receive(0s, 0, 0);
+    fixture.receive(3s, 0, 0, 6);
+    cr_assert(fixture.state.age(start + 3s) == 3s);
+    fixture.receive(3s, 0, 0, 8);
+    cr_assert(fixture.state.age(start + 3s) == 0s);
+}
