--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -36,13 +36,15 @@
 };
 
 /// Raft settings for commands of a few KiB on small machines: few entries are sent ahead to a participant that catches
-/// up, and few are kept before a snapshot, so that memory use is bounded by the size of the state.
+/// up, and few are kept before a snapshot, so that memory use is bounded by the size of the state. Few are applied at a
+/// time, so that messages are handled in between.
 [[nodiscard]] inline consensus::RaftSettings groupRaftSettings()
 {
     consensus::RaftSettings settings;
     settings.maxAppendBytes = 256U * 1024U;
     settings.maxInFlightEntries = 64;
     settings.trailingEntries = 512;
+    settings.maxReadyEntries = 64;
     return settings;
 }
 
@@ -154,6 +156,7 @@
     void tick();
     void scheduleStep();
     void step();
+    [[nodiscard]] bool processReady();
     void apply(const consensus::LogEntry& entry);
     void send(std::vector<consensus::RaftMessage> messages);
     void sendQueued(const InstanceId& to);
--- a/src/azurepaddle/cluster/group_drive.hpp
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -23,6 +23,8 @@
         return bytes;
     }
     constexpr std::size_t folderIdBytes = 6;
+    // Other work of the event loop, heartbeats among it, waits for no longer than about this while a long log is applied.
+    constexpr Duration maxStepTime = std::chrono::milliseconds(10);
     // Limit for the age of a follower's state. Tolerates several late heartbeats of the leader and is far shorter than
     // the times within which changes must take effect on all instances.
     constexpr Duration maxStaleness = std::chrono::milliseconds(600);
@@ -132,24 +134,36 @@
     });
 }
 
+/// Sends the messages and applies the entries of one Ready. Returns false if there was none.
+template <typename Machine>
+bool Group<Machine>::processReady()
+{
+    auto ready = m_node->takeReady();
+    if (!ready)
+        internal::stopProcess(ready.error().message);
+    if (ready->empty())
+        return false;
+    if (ready->snapshot) {
+        if (!m_machine.restore(ready->snapshot->bytes))
+            internal::stopProcess("the state machine snapshot cannot be read");
+        m_appliedIndex = ready->snapshot->index;
+        m_appliedTerm = ready->snapshot->term;
+    }
+    send(std::move(ready->messages));
+    for (const auto& entry : ready->committed)
+        apply(entry);
+    return true;
+}
+
 template <typename Machine>
 void Group<Machine>::step()
 {
-    for (;;) {
-        auto ready = m_node->takeReady();
-        if (!ready)
-            internal::stopProcess(ready.error().message);
-        if (ready->empty())
+    const TimePoint end = m_clock.now() + internal::maxStepTime;
+    while (processReady()) {
+        if (m_clock.now() >= end) {
+            scheduleStep();
             break;
-        if (ready->snapshot) {
-            if (!m_machine.restore(ready->snapshot->bytes))
-                internal::stopProcess("the state machine snapshot cannot be read");
-            m_appliedIndex = ready->snapshot->index;
-            m_appliedTerm = ready->snapshot->term;
         }
-        send(std::move(ready->messages));
-        for (const auto& entry : ready->committed)
-            apply(entry);
     }
     if (m_appliedIndex >= m_node->commitIndex())
         m_stateTime = m_node->caughtUpAt();
--- a/src/azurepaddle/consensus/raft_node_api.hpp
+++ b/src/azurepaddle/consensus/raft_node_api.hpp
@@ -247,7 +247,8 @@
 void RaftNode<Store, RandomEngine>::collectCommitted(Ready& ready)
 {
     ready.snapshot = std::exchange(m_readySnapshot, std::nullopt);
-    ready.committed = m_log.slice(m_appliedIndex + 1, m_log.commitIndex(), m_settings.maxReadyBytes);
+    const std::uint64_t last = std::min(m_log.commitIndex(), m_appliedIndex + m_settings.maxReadyEntries);
+    ready.committed = m_log.slice(m_appliedIndex + 1, last, m_settings.maxReadyBytes);
     for (const LogEntry& entry : ready.committed) {
         AZUREPADDLE_INVARIANT(entry.index == m_appliedIndex + 1, fmt::format("entry {} returned for applying after entry {}", entry.index, m_appliedIndex));
         m_appliedIndex = entry.index;
--- a/src/azurepaddle/consensus/types.hpp
+++ b/src/azurepaddle/consensus/types.hpp
@@ -53,6 +53,7 @@
     std::size_t maxUncommittedBytes = 64U * 1024U * 1024U; ///< Proposals beyond this size are rejected.
     std::size_t maxPendingReads = 65536; ///< Reads beyond this number are rejected.
     std::size_t maxReadyBytes = 16U * 1024U * 1024U; ///< Maximum size of the committed entries in one Ready, unless a single entry is larger.
+    std::uint64_t maxReadyEntries = 65536; ///< Maximum number of committed entries in one Ready.
     std::size_t snapshotChunkBytes = 256U * 1024U;
     std::uint64_t maxSnapshotBytes = 512U * 1024U * 1024U; ///< Largest snapshot accepted from a leader.
     std::uint64_t trailingEntries = 4096; ///< Entries kept before the snapshot index, so that participants that lag slightly need no snapshot.
--- a/test/azurepaddle/cluster/group.cpp
+++ b/test/azurepaddle/cluster/group.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 #include <filesystem>
 #include <mutex>
+#include <thread>
 
 using namespace azurepaddle;
 using namespace azurepaddle::cluster;
@@ -235,6 +236,37 @@
     cr_assert(applied == 16 && refused == 0, "%d of %d commands were applied in a state reported as too old", refused, applied);
 }
 
+// Detects an instance that applies a long log after a restart without sending and receiving messages meanwhile: a leader
+// is replaced for it, and the next one applies the log again.
+Test(Group, restartedWithLongLog_applying_eventLoopContinues)
+{
+    constexpr int commands = 1500;
+    constexpr Duration applyTime = std::chrono::milliseconds(1);
+    GroupFixture fixture;
+    cr_assert(fixture.apply("first"));
+    for (int i = 0; i < commands; ++i)
+        fixture.participants[*fixture.leader()]->group.propose("command", [](const ProposalResult&) {});
+    cr_assert(fixture.apply("last"));
+    cr_assert(fixture.isAppliedByAll("last"));
+    for (std::size_t i = 0; i < 3; ++i)
+        fixture.stopInstance(i);
+    for (std::size_t i = 0; i < 3; ++i)
+        fixture.startInstance(i, false);
+    const SystemClock clock;
+    TimePoint lastRun = clock.now();
+    Duration longest {};
+    fixture.participants[0]->machine.onApply = [&] {
+        std::this_thread::sleep_for(applyTime);
+        longest = std::max(longest, Duration(clock.now() - lastRun));
+    };
+    cr_assert(fixture.runUntil([&] {
+        asio::post(*fixture.current[0], [&] { lastRun = clock.now(); });
+        return fixture.participants[0]->machine.commands.size() >= commands + 2;
+    }));
+    fixture.participants[0]->machine.onApply = {};
+    cr_assert(longest < groupRaftSettings().electionTimeout, "the event loop was held for %ld ms", static_cast<long>(longest / std::chrono::milliseconds(1)));
+}
+
 // Detects an instance that restarts with an empty disk and votes under its previous identity, or bootstraps a second
 // group.
 Test(Group, diskLost_instanceRestarted_joinsAsNewMember)
