Bound the send time of a leader's message by the follower's own clock

Replies now carry the sender's clock, and the leader's messages echo the newest one it got. A message was sent after the echoed time, which also bounds the difference of the clocks, so that later messages are dated more closely. Without a valid echo nothing is concluded. The field stands last in the message: earlier releases ignore it, and under a leader that sends none the delay is estimated as before.

--- a/src/azurepaddle/consensus/message.hpp
+++ b/src/azurepaddle/consensus/message.hpp
@@ -31,6 +31,9 @@
     TimeoutNow, ///< Makes the receiver start an election immediately, for a leadership transfer.
 };
 
+/// Value of RaftMessage::receiverTime while the leader has no reply of the receiver yet.
+constexpr std::int64_t noReceiverTime = -1;
+
 /// A message between participants. A receiver ignores a message whose `to` is not its own identity, so that an instance
 /// with a new disk at an old address never replies on behalf of the identity that was lost with the old disk.
 struct RaftMessage {
@@ -49,11 +52,12 @@
     std::uint64_t totalBytes = 0; ///< Snapshot: size of the complete snapshot in bytes.
     std::string data; ///< Snapshot: content of the chunk.
     std::vector<LogEntry> entries; ///< Append: entries with consecutive indexes, starting after `index`.
+    std::int64_t receiverTime = 0; ///< Replies: the sender's clock in nanoseconds. Append: that of the receiver in the last reply that the leader got. 0 from earlier releases.
 
     [[nodiscard]] MessageKind messageKind() const noexcept { return static_cast<MessageKind>(kind); }
 
     friend bool operator==(const RaftMessage&, const RaftMessage&) = default;
-    MSGPACK_DEFINE(kind, to, term, index, logTerm, hint, commit, isGranted, isTransfer, readRound, sentAt, offset, totalBytes, data, entries)
+    MSGPACK_DEFINE(kind, to, term, index, logTerm, hint, commit, isGranted, isTransfer, readRound, sentAt, offset, totalBytes, data, entries, receiverTime)
 };
 
 }
--- a/src/azurepaddle/consensus/progress.hpp
+++ b/src/azurepaddle/consensus/progress.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurepaddle/consensus/message.hpp"
 #include "azurepaddle/core/clock.hpp"
 #include "azurepaddle/storage/records.hpp"
 
@@ -22,6 +23,7 @@
     bool isPaused = false; ///< A probe is in flight. Nothing more is sent until its reply or the next heartbeat.
     std::uint64_t ackedReadRound = 0; ///< Highest read round that the participant acknowledged.
     TimePoint ackedSentAt; ///< Send time of the newest acknowledged message.
+    std::int64_t receiverTime = noReceiverTime; ///< The participant's clock in its last reply, in nanoseconds.
     TimePoint trackedSince; ///< Time at which the leader started to send to the participant.
     std::shared_ptr<const storage::Snapshot> snapshot; ///< The snapshot being sent.
     std::uint64_t snapshotOffset = 0; ///< Byte offset of the chunk in flight.
--- a/src/azurepaddle/consensus/raft_node.hpp
+++ b/src/azurepaddle/consensus/raft_node.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/consensus/entry_log.hpp"
 #include "azurepaddle/consensus/message_delay.hpp"
 #include "azurepaddle/consensus/progress.hpp"
+#include "azurepaddle/consensus/send_time_bound.hpp"
 #include "azurepaddle/consensus/types.hpp"
 #include "azurepaddle/core/invariant.hpp"
 #include "azurepaddle/core/random.hpp"
@@ -136,6 +137,7 @@
     // raft_node_replication.hpp and raft_node_reads.hpp: entries, commit, reads, transfer.
     void syncProgress();
     void broadcastHeartbeat();
+    [[nodiscard]] RaftMessage makeAppend(const InstanceId& to, const Progress& progress) const;
     void sendHeartbeat(const InstanceId& to, Progress& progress);
     void sendEntries(const InstanceId& to, Progress& progress);
     void broadcastEntries();
@@ -148,6 +150,9 @@
     void followLeader(const InstanceId& from);
     [[nodiscard]] bool isWellFormed(const RaftMessage& message) const;
     void handleAppend(const InstanceId& from, const RaftMessage& message);
+    [[nodiscard]] RaftMessage makeReply(MessageKind kind, const InstanceId& to, const RaftMessage& message) const;
+    void recordCaughtUp(const RaftMessage& message);
+    [[nodiscard]] std::optional<TimePoint> recordSendTime(const RaftMessage& message);
     void mergeEntries(const RaftMessage& message);
     void rejectAppend(const InstanceId& from, const RaftMessage& message);
     void handleAppendReply(const InstanceId& from, const RaftMessage& message);
@@ -171,6 +176,7 @@
     RandomEngine& m_random;
     const RaftSettings m_settings;
     const InstanceId m_id;
+    const TimePoint m_startedAt;
 
     TimePoint m_now;
     RaftRole m_role = RaftRole::Follower;
@@ -184,8 +190,9 @@
 
     InstanceId m_leader;
     TimePoint m_lastLeaderContact; ///< Time of the last message from a leader; initially the start of this instance, because its lease from before a restart may still hold.
-    TimePoint m_caughtUpAt; ///< Estimated send time of the last message of a leader whose commit index covers everything acknowledged and which this instance has reached.
-    MessageDelay m_leaderDelay; ///< Delay of messages from the current leader.
+    TimePoint m_caughtUpAt; ///< Time after which a leader has sent a commit index that covers everything acknowledged and which this instance has reached.
+    SendTimeBound m_leaderSendTime; ///< Send time of messages from the current leader.
+    MessageDelay m_leaderDelay; ///< Delay of messages from the current leader if that runs an earlier release.
     TimePoint m_electionDeadline;
     std::set<InstanceId> m_votesGranted;
     bool m_hasDeferredElection = false; ///< This instance has postponed its own election in favour of another candidate in this term.
--- a/src/azurepaddle/consensus/raft_node_api.hpp
+++ b/src/azurepaddle/consensus/raft_node_api.hpp
@@ -38,6 +38,7 @@
     , m_random(random)
     , m_settings(settings)
     , m_id(state.identity)
+    , m_startedAt(now)
     , m_now(now)
     , m_vote(std::move(state.vote))
     , m_lastLeaderContact(now)
--- a/src/azurepaddle/consensus/raft_node_election.hpp
+++ b/src/azurepaddle/consensus/raft_node_election.hpp
@@ -61,8 +61,10 @@
 {
     setTerm(term);
     m_role = RaftRole::Follower;
-    if (m_leader != leader)
+    if (m_leader != leader) {
+        m_leaderSendTime.reset();
         m_leaderDelay.reset();
+    }
     m_leader = leader;
     m_progress.clear();
     m_votesGranted.clear();
--- a/src/azurepaddle/consensus/raft_node_replication.hpp
+++ b/src/azurepaddle/consensus/raft_node_replication.hpp
@@ -32,18 +32,27 @@
         sendHeartbeat(id, progress);
 }
 
+/// Returns a message of kind Append with all fields that do not depend on its entries.
+template <RaftStore Store, RandomSource RandomEngine>
+RaftMessage RaftNode<Store, RandomEngine>::makeAppend(const InstanceId& to, const Progress& progress) const
+{
+    RaftMessage append = makeMessage(MessageKind::Append, to);
+    append.commit = m_log.commitIndex();
+    append.readRound = m_readRound;
+    append.sentAt = m_now.time_since_epoch().count();
+    append.receiverTime = progress.receiverTime;
+    return append;
+}
+
 template <RaftStore Store, RandomSource RandomEngine>
 void RaftNode<Store, RandomEngine>::sendHeartbeat(const InstanceId& to, Progress& progress)
 {
     // Index 0 matches every log, so that a participant without the entry before `next` still replies.
     const auto term = m_log.termAt(progress.next - 1);
     const bool hasPreviousEntry = progress.state != ProgressState::Snapshot && term.has_value();
-    RaftMessage heartbeat = makeMessage(MessageKind::Append, to);
+    RaftMessage heartbeat = makeAppend(to, progress);
     heartbeat.index = hasPreviousEntry ? progress.next - 1 : 0;
     heartbeat.logTerm = hasPreviousEntry ? *term : 0;
-    heartbeat.commit = m_log.commitIndex();
-    heartbeat.readRound = m_readRound;
-    heartbeat.sentAt = m_now.time_since_epoch().count();
     progress.isPaused = false;
     send(std::move(heartbeat));
 }
@@ -65,12 +74,9 @@
         const std::uint64_t last = progress.match + m_settings.maxInFlightEntries;
         if (progress.state == ProgressState::Replicate && progress.next > last)
             return;
-        RaftMessage append = makeMessage(MessageKind::Append, to);
+        RaftMessage append = makeAppend(to, progress);
         append.index = progress.next - 1;
         append.logTerm = *term;
-        append.commit = m_log.commitIndex();
-        append.readRound = m_readRound;
-        append.sentAt = m_now.time_since_epoch().count();
         append.entries = m_log.slice(progress.next, progress.next + m_settings.maxInFlightEntries, m_settings.maxAppendBytes);
         if (progress.state == ProgressState::Replicate)
             progress.next += append.entries.size();
@@ -120,14 +126,48 @@
     mergeEntries(message);
     const std::uint64_t matched = message.index + message.entries.size();
     commitUpTo(std::min(message.commit, matched));
-    const Duration delay = m_leaderDelay.recordMessage(std::chrono::nanoseconds(message.sentAt), m_now);
-    // Until a leader has committed an entry of its own term, its commit index may be lower than that of earlier leaders.
-    const bool isCommitIndexProven = m_log.termAt(m_log.commitIndex()) == message.term;
-    if (isCommitIndexProven && m_log.commitIndex() >= message.commit)
-        m_caughtUpAt = m_now - delay;
+    recordCaughtUp(message);
     replyMatched(from, message, matched);
 }
 
+/// Records that this instance has reached the commit index of the leader, if the message proves that. Until a leader has
+/// committed an entry of its own term, its commit index may be lower than that of earlier leaders.
+template <RaftStore Store, RandomSource RandomEngine>
+void RaftNode<Store, RandomEngine>::recordCaughtUp(const RaftMessage& message)
+{
+    const auto sentAfter = recordSendTime(message);
+    const bool isCommitIndexProven = m_log.termAt(m_log.commitIndex()) == message.term;
+    if (sentAfter && isCommitIndexProven && m_log.commitIndex() >= message.commit)
+        m_caughtUpAt = std::max(m_caughtUpAt, *sentAfter);
+}
+
+/// Returns a time of this instance's clock after which the leader sent the message, if it is known. The message may have
+/// waited for long, in the network or while this process was suspended. Leaders of earlier releases echo no time: of
+/// them, the delay is estimated from other messages.
+template <RaftStore Store, RandomSource RandomEngine>
+std::optional<TimePoint> RaftNode<Store, RandomEngine>::recordSendTime(const RaftMessage& message)
+{
+    const Duration sentAt = std::chrono::nanoseconds(message.sentAt);
+    if (message.receiverTime == 0)
+        return m_now - m_leaderDelay.recordMessage(sentAt, m_now);
+    const TimePoint echoed { std::chrono::nanoseconds(message.receiverTime) };
+    // A time from before a restart may be of a clock that has been set back since.
+    if (echoed < m_startedAt || echoed > m_now)
+        return std::nullopt;
+    return m_leaderSendTime.recordMessage(sentAt, echoed, m_now);
+}
+
+/// Returns a reply with the fields that echo a message of the leader.
+template <RaftStore Store, RandomSource RandomEngine>
+RaftMessage RaftNode<Store, RandomEngine>::makeReply(MessageKind kind, const InstanceId& to, const RaftMessage& message) const
+{
+    RaftMessage reply = makeMessage(kind, to);
+    reply.readRound = message.readRound;
+    reply.sentAt = message.sentAt;
+    reply.receiverTime = m_now.time_since_epoch().count();
+    return reply;
+}
+
 template <RaftStore Store, RandomSource RandomEngine>
 void RaftNode<Store, RandomEngine>::mergeEntries(const RaftMessage& message)
 {
@@ -150,23 +190,19 @@
 template <RaftStore Store, RandomSource RandomEngine>
 void RaftNode<Store, RandomEngine>::rejectAppend(const InstanceId& from, const RaftMessage& message)
 {
-    RaftMessage reply = makeMessage(MessageKind::AppendReply, from);
+    RaftMessage reply = makeReply(MessageKind::AppendReply, from, message);
     reply.index = message.index;
     reply.hint = m_log.highestWithTermAtMost(message.index, message.logTerm);
     reply.logTerm = *m_log.termAt(reply.hint);
-    reply.readRound = message.readRound;
-    reply.sentAt = message.sentAt;
     send(std::move(reply));
 }
 
 template <RaftStore Store, RandomSource RandomEngine>
 void RaftNode<Store, RandomEngine>::replyMatched(const InstanceId& from, const RaftMessage& message, std::uint64_t index)
 {
-    RaftMessage reply = makeMessage(MessageKind::AppendReply, from);
+    RaftMessage reply = makeReply(MessageKind::AppendReply, from, message);
     reply.index = index;
     reply.isGranted = true;
-    reply.readRound = message.readRound;
-    reply.sentAt = message.sentAt;
     send(std::move(reply));
 }
 
@@ -186,6 +222,8 @@
     if (m_role != RaftRole::Leader || found == m_progress.end())
         return nullptr;
     Progress& progress = found->second;
+    if (message.receiverTime != 0)
+        progress.receiverTime = message.receiverTime;
     const TimePoint sentAt { Duration(message.sentAt) };
     if (message.readRound <= m_readRound && sentAt <= m_now) {
         progress.ackedReadRound = std::max(progress.ackedReadRound, message.readRound);
--- a/src/azurepaddle/consensus/raft_node_snapshot.hpp
+++ b/src/azurepaddle/consensus/raft_node_snapshot.hpp
@@ -112,12 +112,10 @@
 template <RaftStore Store, RandomSource RandomEngine>
 void RaftNode<Store, RandomEngine>::replySnapshot(const InstanceId& from, const RaftMessage& message, std::uint64_t receivedBytes)
 {
-    RaftMessage reply = makeMessage(MessageKind::SnapshotReply, from);
+    RaftMessage reply = makeReply(MessageKind::SnapshotReply, from, message);
     reply.index = message.index;
     reply.hint = receivedBytes;
     reply.offset = message.offset;
-    reply.readRound = message.readRound;
-    reply.sentAt = message.sentAt;
     send(std::move(reply));
 }
 
--- a/src/azurepaddle/consensus/simulation.cpp
+++ b/src/azurepaddle/consensus/simulation.cpp
@@ -273,15 +273,14 @@
     return later == m_acknowledgements.begin() ? 0 : std::prev(later)->second;
 }
 
-/// Checks that a host has applied everything that was acknowledged until the time for which it claims so. The delay of
-/// a message is known to its receiver only relative to the fastest one, so the claim may be late by maxDelay.
+/// Checks that a host has applied everything that was acknowledged until the time for which it claims so.
 void SimulatedCluster::checkFreshness(std::size_t index)
 {
     const Host& host = m_hosts[index];
     if (!m_settings.checksFreshness)
         return;
     const bool isCurrentLeader = host.node->role() == RaftRole::Leader && host.appliedTerm == host.node->term() && localNow(host) < host.node->leaseEnd();
-    const TimePoint claimed = isCurrentLeader ? m_now : virtualTime(host, host.node->caughtUpAt()) - m_settings.maxDelay;
+    const TimePoint claimed = isCurrentLeader ? m_now : virtualTime(host, host.node->caughtUpAt());
     const std::uint64_t acked = ackedIndexAt(claimed);
     if (host.appliedIndex < acked)
         recordViolation(fmt::format("host {} counts its state as recent with entry {} in term {}, but entry {} was acknowledged before", index, host.appliedIndex, host.node->term(), acked));
--- a/src/azurepaddle/consensus/simulation.hpp
+++ b/src/azurepaddle/consensus/simulation.hpp
@@ -24,7 +24,7 @@
     double clockDrift = 0; ///< Largest relative deviation of a host's clock rate from real time.
     Duration tickInterval = std::chrono::milliseconds(10);
     std::uint64_t snapshotInterval = 0; ///< Number of entries between two snapshots; 0 disables snapshots.
-    bool checksFreshness = false; ///< Checks what participants conclude from the times of messages. Requires that clocks do not drift and that no message takes longer than maxDelay.
+    bool checksFreshness = false; ///< Checks what participants conclude from the times of messages. Requires that clocks do not drift.
 };
 
 /// Runs participants on simulated hosts with virtual time, network and disks in a single thread. Runs with the same
--- a/test/azurepaddle/consensus/random_faults.cpp
+++ b/test/azurepaddle/consensus/random_faults.cpp
@@ -117,8 +117,9 @@
     cr_assert(recovered, "seed %lu: the group has no leader or does not converge after all faults are repaired", seed);
 }
 
-/// Restarts any of the hosts together and cuts leaders off, without the faults that make the times of messages unknown.
-void runRestarts(std::uint64_t seed)
+/// Restarts any of the hosts together and cuts leaders off. `delaysMessages` adds pauses of hosts and messages that take
+/// long.
+void runRestarts(std::uint64_t seed, bool delaysMessages)
 {
     Random random(seed);
     SimulationSettings settings;
@@ -127,6 +128,7 @@
     settings.snapshotInterval = random.chance(0.5) ? 10 + random.below(40) : 0;
     settings.raft.trailingEntries = random.below(20);
     settings.raft.snapshotChunkBytes = 100;
+    settings.longDelayChance = delaysMessages ? random.uniform() * 0.1 : 0;
     settings.checksFreshness = true;
     SimulatedCluster cluster(seed, 5, random.chance(0.5) ? 3 : 5, settings);
     for (int step = 0; step < 600; ++step) {
@@ -140,6 +142,8 @@
         }
         if (random.chance(0.03) && cluster.leader())
             cluster.isolate(*cluster.leader());
+        if (delaysMessages && random.chance(0.03))
+            cluster.pause(random.below(cluster.size()), std::chrono::milliseconds(random.below(3000)));
         if (random.chance(0.1))
             repairRandomly(cluster, random);
         for (std::uint64_t i = random.below(4); i > 0 && cluster.leader(); --i)
@@ -240,5 +244,14 @@
 {
     const std::uint64_t seeds = seedCount(100);
     for (std::uint64_t seed = 1; seed <= seeds; ++seed)
-        runRestarts(seed + 3'000'000);
+        runRestarts(seed + 3'000'000, false);
+}
+
+// Detects participants that take the first message of a new leader for one sent just now, although it took long or waited
+// while they were paused.
+Test(RandomFaults, messagesDelayed_leadersChanged_noStateCountsAsMoreRecentThanItIs)
+{
+    const std::uint64_t seeds = seedCount(100);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        runRestarts(seed + 4'000'000, true);
 }
