Keep the largest offset of a time window in one class

SendTimeBound, added for the echoed clocks, repeated the two time windows of MessageDelay with the sign of the comparison turned. The tests of the group stopped and started all participants with the same two loops in three places; GroupFixture::restartAll does it now. No behaviour and no assertion changes.

--- a/src/azurepaddle/consensus/send_time_bound.hpp
+++ b/src/azurepaddle/consensus/send_time_bound.hpp
@@ -1,9 +1,6 @@
 #pragma once
 
-#include "azurepaddle/core/clock.hpp"
-
-#include <algorithm>
-#include <optional>
+#include "azurepaddle/consensus/windowed_maximum.hpp"
 
 namespace azurepaddle::consensus {
 
@@ -16,29 +13,14 @@
     /// Returns the latest time of the receiver's clock before which the message cannot have been sent.
     TimePoint recordMessage(Duration sentAt, TimePoint echoed, TimePoint receivedAt)
     {
-        const Duration offset = echoed.time_since_epoch() - sentAt;
-        if (!m_maxOffset || receivedAt - m_windowStart > windowLength) {
-            m_previousMaxOffset = m_maxOffset;
-            m_maxOffset = offset;
-            m_windowStart = receivedAt;
-        }
-        m_maxOffset = std::max(*m_maxOffset, offset);
-        return TimePoint(sentAt + std::max(*m_maxOffset, m_previousMaxOffset.value_or(offset)));
+        return TimePoint(sentAt + m_maxOffset.record(echoed.time_since_epoch() - sentAt, receivedAt));
     }
 
     /// Discards all measurements, for use with another sender.
-    void reset()
-    {
-        m_maxOffset.reset();
-        m_previousMaxOffset.reset();
-    }
+    void reset() { m_maxOffset.reset(); }
 
 private:
-    static constexpr Duration windowLength = std::chrono::seconds(30);
-
-    std::optional<Duration> m_maxOffset; ///< Largest difference between echoed and send time in the current window.
-    std::optional<Duration> m_previousMaxOffset; ///< Largest difference in the previous window.
-    TimePoint m_windowStart;
+    WindowedMaximum m_maxOffset; ///< Difference between echoed and send time.
 };
 
 }
--- a/test/azurepaddle/cluster/group.cpp
+++ b/test/azurepaddle/cluster/group.cpp
@@ -110,6 +110,15 @@
         current[i] = nullptr;
     }
 
+    /// Stops all participants before it starts any again.
+    void restartAll()
+    {
+        for (std::size_t i = 0; i < participants.size(); ++i)
+            stopInstance(i);
+        for (std::size_t i = 0; i < participants.size(); ++i)
+            startInstance(i, false);
+    }
+
     bool runUntil(const std::function<bool()>& condition)
     {
         const SystemClock clock;
@@ -186,10 +195,7 @@
 {
     GroupFixture fixture;
     cr_assert(fixture.apply("a"));
-    for (std::size_t i = 0; i < 3; ++i)
-        fixture.stopInstance(i);
-    for (std::size_t i = 0; i < 3; ++i)
-        fixture.startInstance(i, false);
+    fixture.restartAll();
     cr_assert(fixture.apply("b"));
     cr_assert(fixture.isAppliedByAll("a"));
 }
@@ -201,10 +207,7 @@
     GroupFixture fixture;
     cr_assert(fixture.apply("a"));
     cr_assert(fixture.isAppliedByAll("a"));
-    for (std::size_t i = 0; i < 3; ++i)
-        fixture.stopInstance(i);
-    for (std::size_t i = 0; i < 3; ++i)
-        fixture.startInstance(i, false);
+    fixture.restartAll();
     int outdated = 0;
     cr_assert(fixture.runUntil([&] {
         const auto isRecent = [](const auto& participant) { return participant->group.hasRecentState(); };
@@ -248,10 +251,7 @@
         fixture.participants[*fixture.leader()]->group.propose("command", [](const ProposalResult&) {});
     cr_assert(fixture.apply("last"));
     cr_assert(fixture.isAppliedByAll("last"));
-    for (std::size_t i = 0; i < 3; ++i)
-        fixture.stopInstance(i);
-    for (std::size_t i = 0; i < 3; ++i)
-        fixture.startInstance(i, false);
+    fixture.restartAll();
     const SystemClock clock;
     TimePoint lastRun = clock.now();
     Duration longest {};
