Count links as cut only after probing endpoints beyond the first four

Callers saw 503 "no endpoint can be reached" at all entries while six of ten endpoints served.

Cause: after a failed connection an entry probes four endpoints and counts its links as cut if none accepts. The four may be just those that crashed: with four of ten down, neighbours in the list, one round is enough. All entries probe in the same order, so all of them refuse, and none can help the others.

A round now goes on with up to 32 other endpoints if the first four fail. While the links are cut, rounds stay at four. In a real cut that hangs, the verdict comes one probe timeout (300 ms) later.

The two new tests of LinkMonitor fail with the round limited to four. The fixture of the LinkMonitor tests plays whole rounds now; the assertions of the other tests are unchanged.

--- a/src/azurepaddle/gateway/link_monitor.cpp
+++ b/src/azurepaddle/gateway/link_monitor.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-    constexpr std::size_t maxProbes = 4;
+    constexpr std::size_t firstProbes = 4;
+    // Limits the connections that instances without links open at once. That all of these endpoints have crashed while
+    // others serve is unlikely.
+    constexpr std::size_t maxProbes = 36;
     // A single endpoint that cannot be reached may have crashed.
     constexpr std::size_t minProbes = 2;
     // Failures of many requests at once start one round.
@@ -37,13 +40,30 @@
     m_nextRound = now + minRoundInterval;
     m_isSuspected = false;
     m_wasReachable = false;
-    std::vector<registry::EndpointRecord> probes = chooseProbes(endpoints);
-    m_pendingProbes = m_probedEndpoints = probes.size();
+    m_probedEndpoints = 0;
+    // While the links are cut, the next round follows soon and probes other endpoints.
+    m_unprobed = chooseProbes(endpoints, m_state == LinkState::Cut ? firstProbes : maxProbes);
+    return takeProbes(firstProbes);
+}
+
+std::vector<registry::EndpointRecord> LinkMonitor::continueRound()
+{
+    return m_pendingProbes > 0 ? std::vector<registry::EndpointRecord>() : takeProbes(maxProbes);
+}
+
+/// Takes the next endpoints to probe in the current round.
+std::vector<registry::EndpointRecord> LinkMonitor::takeProbes(std::size_t most)
+{
+    const auto end = m_unprobed.begin() + static_cast<std::ptrdiff_t>(std::min(most, m_unprobed.size()));
+    std::vector<registry::EndpointRecord> probes(m_unprobed.begin(), end);
+    m_unprobed.erase(m_unprobed.begin(), end);
+    m_pendingProbes = probes.size();
+    m_probedEndpoints += probes.size();
     return probes;
 }
 
 /// Chooses endpoints of all data centres in turn.
-std::vector<registry::EndpointRecord> LinkMonitor::chooseProbes(const std::vector<registry::EndpointRecord>& endpoints)
+std::vector<registry::EndpointRecord> LinkMonitor::chooseProbes(const std::vector<registry::EndpointRecord>& endpoints, std::size_t most)
 {
     std::map<DataCentreName, std::vector<const registry::EndpointRecord*>> byDataCentre;
     for (const registry::EndpointRecord& endpoint : endpoints) {
@@ -53,7 +73,7 @@
     std::size_t available = 0;
     for (const auto& [dataCentre, members] : byDataCentre)
         available += members.size();
-    const std::size_t wanted = std::min(maxProbes, available);
+    const std::size_t wanted = std::min(most, available);
     const std::size_t first = m_rotation++;
     std::vector<registry::EndpointRecord> probes;
     for (std::size_t turn = 0; probes.size() < wanted; ++turn) {
@@ -70,7 +90,9 @@
     m_wasReachable = m_wasReachable || isReachable;
     if (m_pendingProbes == 0 || --m_pendingProbes > 0)
         return std::nullopt;
-    return endRound();
+    if (m_wasReachable)
+        m_unprobed.clear();
+    return m_unprobed.empty() ? endRound() : std::nullopt;
 }
 
 std::optional<LinkState> LinkMonitor::endRound()
--- a/src/azurepaddle/gateway/link_prober.cpp
+++ b/src/azurepaddle/gateway/link_prober.cpp
@@ -36,6 +36,11 @@
     const auto endpoints = m_monitor.isRoundDue(now) ? m_monitor.beginRound(m_balancer.records(), now) : std::vector<registry::EndpointRecord>();
     if (endpoints.empty())
         return onRoundEnded(std::nullopt);
+    probe(endpoints);
+}
+
+void LinkProber::probe(const std::vector<registry::EndpointRecord>& endpoints)
+{
     for (const registry::EndpointRecord& endpoint : endpoints)
         m_probe(endpoint.address(), [this](http1::ProbeOutcome outcome) { onProbed(outcome); });
 }
@@ -44,7 +49,8 @@
 {
     const auto changed = m_monitor.recordProbe(outcome == http1::ProbeOutcome::Accepted);
     if (!m_monitor.isRoundInProgress())
-        onRoundEnded(changed);
+        return onRoundEnded(changed);
+    probe(m_monitor.continueRound());
 }
 
 void LinkProber::onRoundEnded(const std::optional<LinkState>& changed)
--- a/src/azurepaddle/gateway/link_prober.hpp
+++ b/src/azurepaddle/gateway/link_prober.hpp
@@ -31,6 +31,7 @@
 
 private:
     void beginRound();
+    void probe(const std::vector<registry::EndpointRecord>& endpoints);
     void scheduleRound();
     void onRoundEnded(const std::optional<LinkState>& changed);
     void onProbed(http1::ProbeOutcome outcome);
--- a/test/azurepaddle/gateway/link_monitor.cpp
+++ b/test/azurepaddle/gateway/link_monitor.cpp
@@ -4,6 +4,8 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <functional>
+#include <set>
 
 using namespace azurepaddle;
 using namespace azurepaddle::gateway;
@@ -33,12 +35,20 @@
 
     /// Runs one round, in which the first `reachable` probed endpoints accept connections. Returns the change of state.
     std::optional<LinkState> round(std::size_t reachable)
+    {
+        std::size_t probed = 0;
+        return round([&](const registry::EndpointRecord&) { return probed++ < reachable; });
+    }
+
+    /// Runs one round. Returns the change of state.
+    std::optional<LinkState> round(const std::function<bool(const registry::EndpointRecord&)>& isReachable)
     {
         now += 1s;
-        const auto probes = begin(now);
         std::optional<LinkState> changed;
-        for (std::size_t probe = 0; probe < probes.size(); ++probe)
-            changed = monitor.recordProbe(probe < reachable);
+        for (auto probes = begin(now); !probes.empty(); probes = monitor.continueRound()) {
+            for (const registry::EndpointRecord& probe : probes)
+                changed = monitor.recordProbe(isReachable(probe));
+        }
         return changed;
     }
 };
@@ -79,6 +89,47 @@
     cr_assert(fixture.monitor.state() == LinkState::Up);
 }
 
+// Guards against an instance that takes itself for cut off because the endpoints that it probes are those that crashed,
+// and that refuses requests although the other endpoints serve.
+Test(LinkMonitor, allEndpointsOfFirstProbesCrashed_othersAreProbed_linksAreUp)
+{
+    constexpr std::size_t count = 10;
+    constexpr std::size_t crashed = 4;
+    for (std::size_t first = 0; first < count; ++first) {
+        LinkFixture fixture;
+        fixture.endpoints.clear();
+        for (std::size_t number = 0; number < count; ++number)
+            fixture.endpoints.push_back(endpoint(std::to_string(number), "a"));
+        const auto isUp = [first](const registry::EndpointRecord& record) { return (std::stoul(record.id.value()) + count - first) % count >= crashed; };
+        for (std::size_t round = 0; round < count; ++round) {
+            fixture.monitor.recordFailure(fixture.now);
+            cr_assert(!fixture.round(isUp), "links are cut in round %zu with endpoints %zu to %zu down", round, first, first + crashed - 1);
+        }
+    }
+}
+
+// Guards against a connection attempt to each of hundreds of endpoints, by each instance that is cut off, every 300 ms.
+Test(LinkMonitor, noEndpointAnswers_probes_areLimited)
+{
+    LinkFixture fixture;
+    fixture.endpoints.clear();
+    for (std::size_t number = 0; number < 1000; ++number)
+        fixture.endpoints.push_back(endpoint(std::to_string(number), number % 2 == 0 ? "a" : "b"));
+    std::size_t probed = 0;
+    std::set<EndpointId> ids;
+    const auto count = [&](const registry::EndpointRecord& record) {
+        ++probed;
+        ids.insert(record.id);
+        return false;
+    };
+    fixture.monitor.recordFailure(fixture.now);
+    cr_assert(fixture.round(count) == LinkState::Cut);
+    cr_assert(probed == ids.size() && probed >= 30 && probed <= 40, "%zu probes of %zu endpoints", probed, ids.size());
+    probed = 0;
+    cr_assert(!fixture.round(count));
+    cr_assert(probed <= 4, "%zu probes in a round while the links are cut", probed);
+}
+
 // Guards against an instance that takes itself for cut off although an answer arrived while it probed.
 Test(LinkMonitor, answerArrivesDuringRound_linksAreUp)
 {
