--- a/src/azurepaddle/cluster/fwd.hpp
+++ b/src/azurepaddle/cluster/fwd.hpp
@@ -6,6 +6,7 @@
 struct MemberView;
 struct GroupOptions;
 struct ProposalResult;
+class SnapshotSchedule;
 template <typename Machine>
 class Group;
 
--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -2,6 +2,7 @@
 
 #include "azurepaddle/cluster/identity.hpp"
 #include "azurepaddle/cluster/membership_plan.hpp"
+#include "azurepaddle/cluster/snapshot_schedule.hpp"
 #include "azurepaddle/consensus/raft_node.hpp"
 #include "azurepaddle/control/group_messages.hpp"
 #include "azurepaddle/core/log.hpp"
@@ -57,7 +58,7 @@
     bool mayBootstrap = false; ///< Set on the first start of the whole deployment only; permits to bootstrap a group.
     MembershipPolicy policy;
     consensus::RaftSettings raft = groupRaftSettings();
-    std::size_t snapshotIntervalBytes = 80U * 1024U * 1024U; ///< Size of the commands applied between two snapshots.
+    std::size_t snapshotIntervalBytes = 80U * 1024U * 1024U; ///< Largest size of the commands applied between two snapshots.
     std::size_t maxSnapshotBytes = 512U * 1024U * 1024U; ///< While the state is larger, no snapshot is taken, because it would not fit into memory.
 };
 
@@ -126,7 +127,7 @@
     [[nodiscard]] bool isParticipant() const { return m_node->membership().contains(m_identity); }
     /// Whether a snapshot is overdue because the state is too large for it. Callers should not propose large commands
     /// then.
-    [[nodiscard]] bool isSnapshotOverdue() const noexcept { return m_bytesSinceSnapshot >= m_options.snapshotIntervalBytes; }
+    [[nodiscard]] bool isSnapshotOverdue() const noexcept { return m_snapshots.isOverdue(); }
     /// Names of instances that recently requested to join and were declined because there are enough participants. They
     /// hold no log.
     [[nodiscard]] std::set<std::string> declinedInstances() const;
@@ -161,7 +162,9 @@
     void send(std::vector<consensus::RaftMessage> messages);
     void sendQueued(const InstanceId& to);
     void failStaleProposals();
+    [[nodiscard]] SnapshotStep nextSnapshotStep() const;
     void takeSnapshotIfDue();
+    void takeSnapshot();
     void notifyLeadershipChange();
 
     // group_membership.hpp: bootstrap, discovery, joining, replacement of failed participants.
@@ -198,7 +201,7 @@
     std::uint64_t m_appliedIndex = 0;
     std::uint64_t m_appliedTerm = 0;
     TimePoint m_stateTime {}; ///< Send time of the last message of a leader whose commit index is applied.
-    std::size_t m_bytesSinceSnapshot = 0;
+    SnapshotSchedule m_snapshots;
     std::multimap<std::uint64_t, PendingProposal> m_pendingProposals; ///< By log index.
     std::map<InstanceId, SendQueue> m_sendQueues;
     std::map<InstanceAddress, control::IntroduceReply> m_introduceReplies; ///< Replies received since the last round of introduce requests.
--- a/src/azurepaddle/cluster/group_drive.hpp
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/cluster/group.hpp"
 #include "azurepaddle/core/digest.hpp"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 
@@ -57,6 +58,7 @@
     , m_files(internal::valueOrStop(storage::PosixFileSystem::openFolder(m_options.dataFolder)))
     , m_random(std::random_device {}())
     , m_tickTimer(io)
+    , m_snapshots(m_options.snapshotIntervalBytes, m_random.uniform())
     , m_seeds(m_options.seeds)
 {
     static_assert(StateMachine<Machine>);
@@ -180,7 +182,7 @@
     std::string reply;
     if (static_cast<consensus::EntryKind>(entry.kind) == consensus::EntryKind::Command) {
         reply = m_machine.apply(entry.data);
-        m_bytesSinceSnapshot += entry.data.size();
+        m_snapshots.recordCommand(entry.data.size());
     }
     if (static_cast<consensus::EntryKind>(entry.kind) == consensus::EntryKind::Membership)
         m_nextMaintenance = m_clock.now(); // Between the steps of a replacement the group tolerates fewer losses.
@@ -221,15 +223,35 @@
         callback({ ProposalStatus::Unknown, {} });
 }
 
+template <typename Machine>
+SnapshotStep Group<Machine>::nextSnapshotStep() const
+{
+    const std::size_t stateBytes = m_machine.snapshotSize();
+    if (stateBytes > m_options.maxSnapshotBytes)
+        return SnapshotStep::None;
+    const consensus::Membership& membership = m_node->membership();
+    const auto isBefore = [this](const InstanceId& id) { return id < m_identity; };
+    const auto before = std::count_if(membership.voters.begin(), membership.voters.end(), isBefore) + std::count_if(membership.learners.begin(), membership.learners.end(), isBefore);
+    return m_snapshots.next({ static_cast<std::size_t>(before), membership.voters.size() + membership.learners.size(), isLeader(), stateBytes });
+}
+
 template <typename Machine>
 void Group<Machine>::takeSnapshotIfDue()
 {
-    if (m_bytesSinceSnapshot < m_options.snapshotIntervalBytes || m_machine.snapshotSize() > m_options.maxSnapshotBytes)
-        return;
-    const auto taken = m_node->storeSnapshot(m_appliedIndex, m_machine.snapshot());
+    if (nextSnapshotStep() == SnapshotStep::Take)
+        takeSnapshot();
+}
+
+template <typename Machine>
+void Group<Machine>::takeSnapshot()
+{
+    const TimePoint begin = m_clock.now();
+    const std::string bytes = m_machine.snapshot();
+    const auto taken = m_node->storeSnapshot(m_appliedIndex, bytes);
     if (!taken)
         internal::stopProcess(taken.error().message);
-    m_bytesSinceSnapshot = 0;
+    m_snapshots.recordSnapshot(m_random.uniform());
+    m_log.info("snapshot at entry {}: {} bytes, took-ms={} leads={}", m_appliedIndex, bytes.size(), (m_clock.now() - begin) / std::chrono::milliseconds(1), isLeader());
 }
 
 template <typename Machine>
--- a/src/azurepaddle/cluster/group_membership.hpp
+++ b/src/azurepaddle/cluster/group_membership.hpp
@@ -32,6 +32,8 @@
     if (isLeader()) {
         m_lastLeaderSeen = now;
         announceGroup();
+        if (nextSnapshotStep() == SnapshotStep::TransferLeadership)
+            return relinquishLeadership();
         return planChange();
     }
     if (!m_node->leader().empty())
--- a/test/azurepaddle/cluster/group.cpp
+++ b/test/azurepaddle/cluster/group.cpp
@@ -4,10 +4,12 @@
 #include <criterion/criterion.h>
 #include <filesystem>
 #include <mutex>
+#include <set>
 #include <thread>
 
 using namespace azurepaddle;
 using namespace azurepaddle::cluster;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -15,6 +17,8 @@
 struct ListMachine {
     std::vector<std::string> commands;
     std::function<void()> onApply; ///< Called before each command is applied.
+    std::function<void()> onSnapshot; ///< Called before the commands are encoded.
+    std::size_t extraBytes = 0; ///< Added to the size that a snapshot is said to have.
 
     std::string apply(const std::string& command)
     {
@@ -23,8 +27,13 @@
         commands.push_back(command);
         return "applied " + command;
     }
-    [[nodiscard]] std::string snapshot() const { return codec::encode(commands); }
-    [[nodiscard]] std::size_t snapshotSize() const { return commands.size(); }
+    [[nodiscard]] std::string snapshot() const
+    {
+        if (onSnapshot)
+            onSnapshot();
+        return codec::encode(commands);
+    }
+    [[nodiscard]] std::size_t snapshotSize() const { return commands.size() + extraBytes; }
     bool restore(const std::string& bytes)
     {
         auto restored = codec::decode<std::vector<std::string>>(bytes);
@@ -64,9 +73,11 @@
     std::vector<std::unique_ptr<asio::io_context>> loops; ///< One for each start of a participant. Loops of stopped participants never run again.
     std::vector<asio::io_context*> current;
     std::vector<std::unique_ptr<Participant>> participants;
+    std::size_t snapshotIntervalBytes;
 
     /// Starts three participants, which are the seeds. The test may start the others later.
-    explicit GroupFixture(std::size_t count = 3)
+    explicit GroupFixture(std::size_t count = 3, std::size_t intervalBytes = GroupOptions {}.snapshotIntervalBytes)
+        : snapshotIntervalBytes(intervalBytes)
     {
         std::filesystem::create_directories(folder);
         for (std::size_t i = 0; i < count; ++i)
@@ -95,6 +106,7 @@
         options.dataFolder = folderOf(i);
         options.seeds = seeds;
         options.mayBootstrap = mayBootstrap;
+        options.snapshotIntervalBytes = snapshotIntervalBytes;
         transport::ServerOptions serverOptions;
         serverOptions.listen = addresses[i];
         serverOptions.secret = "the shared secret";
@@ -267,6 +279,32 @@
     cr_assert(longest < groupRaftSettings().electionTimeout, "the event loop was held for %ld ms", static_cast<long>(longest / std::chrono::milliseconds(1)));
 }
 
+// Detects participants that all encode and write a large state after the same command, or a leader that does while it
+// leads: nobody sends and acknowledges messages meanwhile, and the leader is replaced for it.
+Test(Group, stateIsLarge_commandsOfSeveralIntervals_snapshotsAreTakenInTurnByFollowers)
+{
+    constexpr std::size_t commandBytes = 1024;
+    constexpr std::size_t intervalBytes = 64 * commandBytes;
+    GroupFixture fixture(3, intervalBytes);
+    std::multiset<std::size_t> sizes; // Number of applied commands at each snapshot.
+    int byLeader = 0;
+    for (const auto& participant : fixture.participants) {
+        participant->machine.extraBytes = 50U * 1024U * 1024U;
+        participant->machine.onSnapshot = [&, each = participant.get()] {
+            sizes.insert(each->machine.commands.size());
+            byLeader += each->group.isLeader() ? 1 : 0;
+        };
+    }
+    const SystemClock clock;
+    for (int command = 0; command < 64; ++command) {
+        cr_assert(fixture.apply(std::string(commandBytes, 'x')));
+        const TimePoint next = clock.now() + (command < 56 ? 0ms : 100ms);
+        cr_assert(fixture.runUntil([&] { return clock.now() >= next; }));
+    }
+    cr_assert(fixture.runUntil([&] { return sizes.size() >= 3; }));
+    cr_assert(byLeader == 0 && std::all_of(sizes.begin(), sizes.end(), [&](std::size_t size) { return sizes.count(size) < 3; }), "%d of %zu snapshots by the leader, the first at %zu commands and the last at %zu", byLeader, sizes.size(), *sizes.begin(), *sizes.rbegin());
+}
+
 // Detects an instance that restarts with an empty disk and votes under its previous identity, or bootstraps a second
 // group.
 Test(Group, diskLost_instanceRestarted_joinsAsNewMember)
