--- a/src/azurepaddle/cluster/group_membership.hpp
+++ b/src/azurepaddle/cluster/group_membership.hpp
@@ -32,8 +32,6 @@
     if (isLeader()) {
         m_lastLeaderSeen = now;
         announceGroup();
-        if (nextSnapshotStep() == SnapshotStep::TransferLeadership)
-            return relinquishLeadership();
         return planChange();
     }
     if (!m_node->leader().empty())
@@ -74,7 +72,8 @@
     if (const auto change = planMembership(views, m_options.policy))
         return proposeChange(*change);
     const auto self = std::find_if(views.begin(), views.end(), [](const MemberView& view) { return view.isSelf; });
-    if (self != views.end() && self->isRetiring)
+    const bool isRetiring = self != views.end() && self->isRetiring;
+    if (isRetiring || nextSnapshotStep() == SnapshotStep::TransferLeadership)
         relinquishLeadership();
 }
 
