Identify callers by the keys of workspaces, and give batch jobs an owner

Cause: configurations with workspaces were accepted, but their keys were not checked. The key reached endpoints, endpoints were not told the workspace, unknown and revoked keys were served, and any caller could read or end any batch job.

Change: an entry replaces the caller's key by the name of its workspace before anything else sees the request, and answers 401 to a missing or unknown key, or 503 while a newer configuration may contain it. Items, continuations, reward calls and relayed requests run for the workspace of their job or caller. The leader treats the job of another workspace as unknown. Configurations with shared or empty keys or repeated names are refused by the names concerned. Without workspaces nothing changes; new fields of messages come last and are empty in earlier releases.

--- a/src/azurepaddle/core/ident.hpp
+++ b/src/azurepaddle/core/ident.hpp
@@ -32,6 +32,8 @@
 
 /// A customer whose requests and runs share the endpoints with those of others.
 using TenantName = Identifier<struct TenantTag>;
+/// A customer of the nodes, whose callers identify themselves with keys.
+using WorkspaceName = Identifier<struct WorkspaceTag>;
 /// One replica of a model engine or of a plain service.
 using EndpointId = Identifier<struct EndpointTag>;
 /// One azurepaddle process. An instance that lost its disk gets a new identifier.
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -73,6 +73,7 @@
         batch::JobId job;
         batch::ItemId item;
         std::string host;
+        WorkspaceName workspace;
         batch::ModelName model;
         WeightVersion minVersion = 0;
         bool isSingleVersion = false;
@@ -127,6 +128,7 @@
     [[nodiscard]] std::vector<batch::EndpointLoad> loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const;
     [[nodiscard]] const ServiceName& serviceOf(Run& run, const batch::ItemSpec& spec) const;
     [[nodiscard]] bool acquirePermit(const EndpointId& endpoint);
+    void setCaller(http1::Request& request, const WorkspaceName& workspace) const;
     void startIfPermitted(const RunPointer& run, const batch::Placement& placement);
     void start(const RunPointer& run, const EndpointId& endpoint);
     void recordLimit(const Run& run, const http1::Response& head);
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -123,6 +123,7 @@
     run->item = item.id;
     run->failures = m_machine.jobs().failuresOf(spec.id, item.id);
     run->host = spec.host;
+    run->workspace = spec.workspace;
     run->model = spec.model;
     run->minVersion = spec.minVersion;
     run->isSingleVersion = spec.isSingleVersion;
--- a/src/azurepaddle/execution/job_runner_score.hpp
+++ b/src/azurepaddle/execution/job_runner_score.hpp
@@ -110,6 +110,7 @@
 {
     const unsigned maxAttempts = std::max(run->rewardRoute->maxAttempts, run->maxAttempts);
     auto request = std::make_shared<http1::Request>(Protocol::rewardRequest(specOf(*run)->reward));
+    setCaller(*request, run->workspace);
     ++run->rewardAttempts;
     m_log.info("item id={} job={} reward-id={} route={} try={} outcome=scoring", run->item, run->job, Protocol::requestId(*request), run->rewardRoute->name, run->rewardAttempts);
     m_metrics.counter("reward_calls_total").add();
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -47,6 +47,14 @@
     start(run, placement.endpoint);
 }
 
+/// Names the workspace of a job in a request for it, if workspaces are configured.
+template <typename Protocol>
+void JobRunner<Protocol>::setCaller(http1::Request& request, const WorkspaceName& workspace) const
+{
+    if (const gateway::WorkspaceTable* workspaces = m_routes->workspaces())
+        Protocol::setCaller(request, workspaces->callerOf(workspace));
+}
+
 template <typename Protocol>
 void JobRunner<Protocol>::start(const RunPointer& run, const EndpointId& endpoint)
 {
@@ -89,7 +97,8 @@
         if (const auto current = ifCurrent())
             onEnd(current, end);
     };
-    const http1::Request request = Protocol::itemRequest(*spec, run->host, endpoint, known.text.eventCount());
+    http1::Request request = Protocol::itemRequest(*spec, run->host, endpoint, known.text.eventCount());
+    setCaller(request, run->workspace);
     http1::CallOptions options;
     options.connectTimeout = internal::itemConnectTimeout;
     options.maxConnections = record->slots + internal::spareConnections;
--- a/src/azurepaddle/execution/protocol.hpp
+++ b/src/azurepaddle/execution/protocol.hpp
@@ -33,7 +33,7 @@
 
 /// Encodes requests for items, reward calls and weight orders, and decodes the responses of endpoints.
 template <typename T>
-concept ItemProtocol = gateway::EndpointProtocol<T> && requires(const batch::ItemSpec& item, const batch::RewardCall& reward, const std::string& text, const EndpointId& id, std::uint64_t number, const http1::Response& head, const http1::StreamEvent& event, const LoadOrder& order)
+concept ItemProtocol = gateway::EndpointProtocol<T> && requires(http1::Request& outgoing, const gateway::Caller& caller, const batch::ItemSpec& item, const batch::RewardCall& reward, const std::string& text, const EndpointId& id, std::uint64_t number, const http1::Response& head, const http1::StreamEvent& event, const LoadOrder& order)
 {
     {
         T::itemRequest(item, text, id, number)
@@ -41,6 +41,9 @@
     {
         T::rewardRequest(reward)
         } -> std::same_as<http1::Request>;
+    {
+        T::setCaller(outgoing, caller)
+        } -> std::same_as<void>; ///< Names the workspace of the job and removes what the submitter named.
     {
         T::scoreOf(head)
         } -> std::same_as<std::string>; ///< Empty if the response carries no score.
--- a/src/azurepaddle/gateway/crash_watch.cpp
+++ b/src/azurepaddle/gateway/crash_watch.cpp
@@ -29,12 +29,15 @@
 
 }
 
-registry::RequestFingerprint fingerprintOf(const http1::Request& request)
+registry::RequestFingerprint fingerprintOf(const http1::Request& request, const WorkspaceName& workspace)
 {
     std::string text;
     // Each part is prefixed by its length, so that different parts with equal concatenations give different digests.
     for (const std::string_view part : { std::string_view(request.method), request.fields.find("Host"), std::string_view(request.target), request.fields.find("Authorization") })
         text += fmt::format("{}:{}", part.size(), part);
+    // Left out without a workspace, so that earlier releases compute the same fingerprints.
+    if (!workspace.empty())
+        text += fmt::format("workspace {}:{}", workspace.value().size(), workspace);
     return registry::RequestFingerprint(sha256Hex(text + request.body).substr(0, fingerprintDigits));
 }
 
--- a/src/azurepaddle/gateway/crash_watch.hpp
+++ b/src/azurepaddle/gateway/crash_watch.hpp
@@ -14,8 +14,8 @@
 
 namespace azurepaddle::gateway {
 
-/// The fingerprint of a request: a digest of its method, host, target, credential and body.
-[[nodiscard]] registry::RequestFingerprint fingerprintOf(const http1::Request& request);
+/// The fingerprint of a request: a digest of its method, host, target, credential or workspace, and body.
+[[nodiscard]] registry::RequestFingerprint fingerprintOf(const http1::Request& request, const WorkspaceName& workspace = {});
 
 /// Distinguishes crashed endpoints from lost connections. A lost connection alone is no evidence of a crash: endpoints
 /// close idle connections or send malformed answers, and links fail. The endpoint is therefore probed, and if the
--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -85,6 +85,7 @@
     std::uint64_t lastEvent = 0; ///< The last event of the stream that the caller holds.
     RetryState earlier {}; ///< Attempts by another instance, or before the request was withdrawn.
     TimePoint deadline = TimePoint::max(); ///< Ends the request earlier than its fields and route do.
+    WorkspaceName workspace {}; ///< On whose behalf it runs; empty if workspaces are not configured.
 };
 
 /// What a sink has received of an answer.
@@ -148,9 +149,11 @@
 }
 
 /// The request of an exchange, which is kept as long as the request.
-[[nodiscard]] inline ForwardRequest requestOf(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route)
+[[nodiscard]] inline ForwardRequest requestOf(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route, const WorkspaceName& workspace = {})
 {
-    return { { exchange, &exchange->request() }, exchange->receivedAt(), table, { table, &route } };
+    ForwardRequest request { { exchange, &exchange->request() }, exchange->receivedAt(), table, { table, &route } };
+    request.workspace = workspace;
+    return request;
 }
 
 /// Sends the response of an endpoint, or a refusal, to the caller.
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -109,7 +109,7 @@
 const registry::RequestFingerprint& Forwarder<Protocol>::fingerprintOf(PendingRequest& pending)
 {
     if (pending.fingerprint.empty())
-        pending.fingerprint = gateway::fingerprintOf(*pending.task.request);
+        pending.fingerprint = gateway::fingerprintOf(*pending.task.request, pending.task.workspace);
     return pending.fingerprint;
 }
 
--- a/src/azurepaddle/gateway/relay.hpp
+++ b/src/azurepaddle/gateway/relay.hpp
@@ -40,7 +40,8 @@
     bool isContinuation = false; ///< Only the software of `origin` may run the request.
     registry::StreamOrigin origin;
     std::uint64_t directoryRevision = 0; ///< The receiver declines a continuation if its endpoints are older; 0 from earlier releases.
-    MSGPACK_DEFINE(id, httpMethod, target, fields, body, remainingMs, runs, refusals, isContinuation, origin, directoryRevision)
+    WorkspaceName workspace {}; ///< On whose behalf it runs. The sender has checked the caller's key and removed it.
+    MSGPACK_DEFINE(id, httpMethod, target, fields, body, remainingMs, runs, refusals, isContinuation, origin, directoryRevision, workspace)
 };
 
 struct RelayCancelReply {
--- a/src/azurepaddle/gateway/relay_forwarder.hpp
+++ b/src/azurepaddle/gateway/relay_forwarder.hpp
@@ -162,7 +162,7 @@
     fields.eraseHopByHop();
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(pending.deadline - m_clock.now());
     return { pending.relayId, request.method, request.target, toRelayFields(fields), request.body, static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 0)),
-        pending.task.earlier.runs, pending.task.earlier.refusals, pending.task.origin.has_value(), pending.task.origin.value_or(registry::StreamOrigin {}), pending.task.directoryRevision };
+        pending.task.earlier.runs, pending.task.earlier.refusals, pending.task.origin.has_value(), pending.task.origin.value_or(registry::StreamOrigin {}), pending.task.directoryRevision, pending.task.workspace };
 }
 
 template <typename Protocol>
--- a/src/azurepaddle/gateway/relay_server.hpp
+++ b/src/azurepaddle/gateway/relay_server.hpp
@@ -66,6 +66,7 @@
     ForwardRequest task { request, now, m_routes, { m_routes, route } };
     task.deadline = now + std::chrono::milliseconds(message.remainingMs);
     task.earlier = { message.runs, message.refusals };
+    task.workspace = message.workspace;
     if (message.isContinuation)
         task.origin = message.origin;
     m_calls[message.id];
--- a/src/azurepaddle/gateway/route_table.cpp
+++ b/src/azurepaddle/gateway/route_table.cpp
@@ -6,10 +6,11 @@
 
 namespace azurepaddle::gateway {
 
-RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, std::vector<Service> services, http1::ServerLimits limits)
+RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, std::vector<Service> services, http1::ServerLimits limits, std::optional<WorkspaceTable> workspaces)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_limits(limits)
+    , m_workspaces(std::move(workspaces))
 {
     for (Service& service : services) {
         ServiceName name = service.name;
@@ -74,9 +75,20 @@
         if (!hostPrefixes.emplace(route.host, route.pathPrefix).second)
             return ConfigurationProblem { fmt::format("route {} has the host and prefix of another one", route.name) };
     }
+    if (const WorkspaceTable* workspaces = table.workspaces()) {
+        if (auto problem = findProblem(*workspaces))
+            return ConfigurationProblem { std::move(*problem) };
+    }
     return std::nullopt;
 }
 
+bool hasPublicBatchRoute(const RouteTable& table, std::string_view host)
+{
+    return std::any_of(table.routes().begin(), table.routes().end(), [host](const Route& route) {
+        return route.kind == RouteKind::Batch && route.isPublic && route.host == host;
+    });
+}
+
 std::set<ServiceName> forwardedServices(const RouteTable& table)
 {
     std::set<ServiceName> services;
--- a/src/azurepaddle/gateway/route_table.hpp
+++ b/src/azurepaddle/gateway/route_table.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/batch/types.hpp"
 #include "azurepaddle/core/clock.hpp"
 #include "azurepaddle/core/ident.hpp"
+#include "azurepaddle/gateway/workspace.hpp"
 #include "azurepaddle/http1/server.hpp"
 
 #include <map>
@@ -45,6 +46,7 @@
     std::uint32_t maxAttempts = 1; ///< Maximum number of endpoints that may run one request.
     bool isResumable = false;
     bool isSingleVersion = false;
+    bool isPublic = false; ///< Requests need no key, although workspaces are configured.
 
     friend bool operator==(const Route&, const Route&) = default;
 };
@@ -70,7 +72,7 @@
 class RouteTable {
 public:
     RouteTable() = default;
-    RouteTable(std::uint64_t version, std::vector<Route> routes, std::vector<Service> services, http1::ServerLimits limits);
+    RouteTable(std::uint64_t version, std::vector<Route> routes, std::vector<Service> services, http1::ServerLimits limits, std::optional<WorkspaceTable> workspaces = std::nullopt);
 
     /// The route of the host whose prefix is the longest that matches the path. Null if there is none.
     [[nodiscard]] const Route* find(std::string_view host, std::string_view path) const;
@@ -78,6 +80,8 @@
     [[nodiscard]] std::uint64_t version() const noexcept { return m_version; }
     [[nodiscard]] const std::vector<Route>& routes() const noexcept { return m_routes; }
     [[nodiscard]] const std::map<ServiceName, Service>& services() const noexcept { return m_services; }
+    /// Null if the configuration has no workspaces, so that callers need no keys.
+    [[nodiscard]] const WorkspaceTable* workspaces() const noexcept { return m_workspaces ? &*m_workspaces : nullptr; }
     [[nodiscard]] const http1::ServerLimits& limits() const noexcept { return m_limits; }
 
 private:
@@ -85,13 +89,17 @@
     std::vector<Route> m_routes;
     std::map<ServiceName, Service> m_services;
     http1::ServerLimits m_limits;
+    std::optional<WorkspaceTable> m_workspaces;
     std::map<std::string, std::vector<std::size_t>, std::less<>> m_routesByHost; ///< Routes by host, longest prefix first.
 };
 
 /// Checks that all services are defined, no two routes have the same host and prefix, no weight is negative and those
-/// of a route have a sum above 0, and timeouts are above 0. Returns the first problem.
+/// of a route have a sum above 0, timeouts are above 0, and workspaces are consistent. Returns the first problem.
 [[nodiscard]] std::optional<ConfigurationProblem> validate(const RouteTable& table);
 
+/// Whether a host has a public batch route, so that callers without a key may have submitted batch jobs to it.
+[[nodiscard]] bool hasPublicBatchRoute(const RouteTable& table, std::string_view host);
+
 /// The services of all routes except batch routes, that is those to which single requests are forwarded.
 [[nodiscard]] std::set<ServiceName> forwardedServices(const RouteTable& table);
 
--- a/src/azurepaddle/gateway/stream_forwarder.hpp
+++ b/src/azurepaddle/gateway/stream_forwarder.hpp
@@ -36,7 +36,7 @@
     }
 
     /// Forwards a caller's request for a stream and responds to it. Keeps a reference to the table until then.
-    void forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route);
+    void forward(const http1::ExchangePointer& exchange, const ForwardRequest& task);
 
 private:
     void lookUp(const http1::ExchangePointer& exchange, const ForwardRequest& task, const TakeUp& takeUp);
@@ -63,13 +63,12 @@
 }
 
 template <typename Protocol, typename Sender>
-void StreamForwarder<Protocol, Sender>::forward(const http1::ExchangePointer& exchange, const std::shared_ptr<const RouteTable>& table, const Route& route)
+void StreamForwarder<Protocol, Sender>::forward(const http1::ExchangePointer& exchange, const ForwardRequest& task)
 {
-    const ForwardRequest task = requestOf(exchange, table, route);
     const auto takeUp = Protocol::takeUpOf(exchange->request());
     if (!takeUp)
         return refuse(exchange, task, {}, TakeUpDecision::RefuseForGood, takeUp.error());
-    const TakeUpDecision decision = decideTakeUp(route, *takeUp);
+    const TakeUpDecision decision = decideTakeUp(*task.route, *takeUp);
     if (decision == TakeUpDecision::Start)
         return start(exchange, task);
     if (decision == TakeUpDecision::LookUp)
--- a/src/azurepaddle/http1/server.hpp
+++ b/src/azurepaddle/http1/server.hpp
@@ -37,6 +37,8 @@
     Exchange& operator=(const Exchange&) = delete;
 
     [[nodiscard]] const Request& request() const noexcept { return m_request; }
+    /// The request, to be changed before it is passed on.
+    [[nodiscard]] Request& request() noexcept { return m_request; }
     [[nodiscard]] TimePoint receivedAt() const noexcept { return m_receivedAt; }
 
     /// Sends a complete response.
--- a/src/azurepaddle/platform/batch_format.cpp
+++ b/src/azurepaddle/platform/batch_format.cpp
@@ -100,7 +100,7 @@
 
 }
 
-tl::expected<batch::JobSpec, std::string> decodeJob(const batch::JobId& id, const gateway::Route& route, std::string_view body)
+tl::expected<batch::JobSpec, std::string> decodeJob(const batch::JobId& id, const gateway::Route& route, const WorkspaceName& workspace, std::string_view body)
 {
     const auto json = internal::parseJson(body);
     const Json* requests = json ? listOf(*json, "requests") : nullptr;
@@ -117,6 +117,7 @@
     spec.dueMs = toMs(route.due);
     spec.retentionMs = toMs(route.retention);
     spec.isSingleVersion = route.isSingleVersion;
+    spec.workspace = workspace;
     for (const Json& request : *requests) {
         auto item = decodeItem(request);
         if (!item)
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -22,11 +22,12 @@
 
 }
 
-CallerApi::CallerApi(Forwarder& forwarder, StreamForwarder& streams, registry::LeaderClient& leader, const registry::StateAge& stateAge)
+CallerApi::CallerApi(Forwarder& forwarder, StreamForwarder& streams, registry::LeaderClient& leader, const registry::StateAge& stateAge, metrics::Registry& metrics)
     : m_forwarder(forwarder)
     , m_streams(streams)
     , m_leader(leader)
     , m_stateAge(stateAge)
+    , m_metrics(metrics)
 {
 }
 
@@ -36,34 +37,67 @@
     const std::string_view path = http1::pathOf(request.target);
     if (!m_routes)
         return exchange->respond(unavailable("no configuration has been received yet"));
-    const bool isJobCall = path.starts_with(jobPath) || path.starts_with(itemPath);
-    if (isJobCall && refuseDuringDrain(exchange, defaultTimeout))
-        return;
-    if (path.starts_with(jobPath)) {
-        const batch::JobId job { std::string(path.substr(jobPath.size())) };
-        if (request.method == "GET")
-            return readResults(exchange, job);
-        if (request.method == "DELETE")
-            return endJob(exchange, job);
-        return exchange->respond(plain(405, "only GET and DELETE are supported"));
-    }
-    if (path.starts_with(itemPath) && request.method == "GET")
-        return readItem(exchange, batch::JobId { std::string(path.substr(itemPath.size())) });
+    if (path.starts_with(jobPath) || path.starts_with(itemPath))
+        return handleJobCall(exchange, path);
     const gateway::Route* route = m_routes->find(gateway::hostWithoutPort(request.fields.find("Host")), path);
     if (!route)
-        return refuseUnroutable(exchange, plain(404, "no route matches the host and path"));
+        return refuseByConfiguration(exchange, plain(404, "no route matches the host and path"));
     if (refuseDuringDrain(exchange, route->kind == gateway::RouteKind::Batch ? defaultTimeout : route->timeout))
         return;
+    const auto workspace = admit(exchange, !route->isPublic);
+    if (!workspace)
+        return;
     if (route->kind == gateway::RouteKind::Batch)
-        return submit(exchange, *route);
+        return submit(exchange, *route, *workspace);
+    const gateway::ForwardRequest task = gateway::requestOf(exchange, m_routes, *route, *workspace);
     if (route->kind == gateway::RouteKind::Streaming)
-        return m_streams.forward(exchange, m_routes, *route);
-    static_cast<void>(gateway::forwardExchange(m_forwarder, exchange, gateway::requestOf(exchange, m_routes, *route), [exchange](gateway::ForwardResult result) { gateway::respond(exchange, std::move(result.response)); }));
+        return m_streams.forward(exchange, task);
+    static_cast<void>(gateway::forwardExchange(m_forwarder, exchange, task, [exchange](gateway::ForwardResult result) { gateway::respond(exchange, std::move(result.response)); }));
+}
+
+/// Handles a call for a batch job that was submitted before. Its path matches no route, so the host tells whether callers
+/// without a key may have submitted it.
+void CallerApi::handleJobCall(const http1::ExchangePointer& exchange, std::string_view path)
+{
+    if (refuseDuringDrain(exchange, defaultTimeout))
+        return;
+    const http1::Request& request = exchange->request();
+    const auto workspace = admit(exchange, !gateway::hasPublicBatchRoute(*m_routes, gateway::hostWithoutPort(request.fields.find("Host"))));
+    if (!workspace)
+        return;
+    const bool isItemCall = path.starts_with(itemPath);
+    const batch::JobId job { std::string(path.substr((isItemCall ? itemPath : jobPath).size())) };
+    if (request.method == "GET")
+        return isItemCall ? readItem(exchange, job, *workspace) : readResults(exchange, job, *workspace);
+    if (request.method == "DELETE" && !isItemCall)
+        return endJob(exchange, job, *workspace);
+    exchange->respond(plain(405, isItemCall ? "only GET is supported" : "only GET and DELETE are supported"));
+}
+
+/// Returns the workspace of the caller and replaces its key in the request by the name of the workspace, so that no other
+/// process receives the key. The name is empty if the caller belongs to none. Responds and returns nothing if the request
+/// lacks a required key or has one that no workspace has.
+std::optional<WorkspaceName> CallerApi::admit(const http1::ExchangePointer& exchange, bool isKeyRequired) const
+{
+    const gateway::WorkspaceTable* workspaces = m_routes->workspaces();
+    if (!workspaces)
+        return WorkspaceName();
+    http1::Request& request = exchange->request();
+    const auto caller = workspaces->findCaller(EndpointProtocol::keyOf(request));
+    if (!caller && isKeyRequired) {
+        m_metrics.counter("gateway_unknown_keys_total").add();
+        http1::Response refusal = plain(401, "the request needs a key of a workspace");
+        refusal.fields.add("WWW-Authenticate", "Bearer");
+        refuseByConfiguration(exchange, refusal);
+        return std::nullopt;
+    }
+    EndpointProtocol::setCaller(request, caller.value_or(gateway::Caller {}));
+    return caller ? caller->workspace : WorkspaceName();
 }
 
-/// Responds that a request matches no route, which is final. While a newer configuration may add the route, responds
-/// that the request may be retried instead.
-void CallerApi::refuseUnroutable(const http1::ExchangePointer& exchange, const http1::Response& refusal) const
+/// Responds that the configuration does not allow a request: it matches no route, or has no valid key. This is final.
+/// While a newer configuration may allow it, responds that the request may be retried instead.
+void CallerApi::refuseByConfiguration(const http1::ExchangePointer& exchange, const http1::Response& refusal) const
 {
     const TimePoint now = m_clock.now();
     const http1::Request& request = exchange->request();
@@ -91,10 +125,10 @@
     return exchange.receivedAt() + EndpointProtocol::clientTimeout(exchange.request()).value_or(defaultTimeout) - responseMargin;
 }
 
-void CallerApi::submit(const http1::ExchangePointer& exchange, const gateway::Route& route)
+void CallerApi::submit(const http1::ExchangePointer& exchange, const gateway::Route& route, const WorkspaceName& workspace)
 {
     const batch::JobId id(EndpointProtocol::requestId(exchange->request()));
-    auto spec = decodeJob(id, route, exchange->request().body);
+    auto spec = decodeJob(id, route, workspace, exchange->request().body);
     if (exchange->request().method != "POST" || id.empty() || !spec) {
         const std::string reason = spec ? "a batch job must be submitted with POST and an identifier" : spec.error();
         m_log.info("job id={} status=400 cause=\"{}\"", id, reason);
@@ -102,7 +136,7 @@
     }
     if (const auto unroutable = gateway::findUnroutableItem(*m_routes, *spec)) {
         m_log.info("job id={} item={} cause=\"no plain route for its reward call\"", id, *unroutable);
-        return refuseUnroutable(exchange, plain(400, "the reward call of an item matches no plain route"));
+        return refuseByConfiguration(exchange, plain(400, "the reward call of an item matches no plain route"));
     }
     const TimePoint deadline = std::min(deadlineOf(*exchange), exchange->receivedAt() + defaultTimeout);
     m_leader.send(registry::SubmitJobRequest { std::move(*spec) }, deadline, [this, exchange, id](registry::LeaderResult<registry::SubmitJobReply> reply) {
@@ -113,12 +147,12 @@
     });
 }
 
-void CallerApi::readResults(const http1::ExchangePointer& exchange, const batch::JobId& job)
+void CallerApi::readResults(const http1::ExchangePointer& exchange, const batch::JobId& job, const WorkspaceName& workspace)
 {
     const std::uint64_t after = internal::leadingCount(http1::queryParameter(exchange->request().target, "after").value_or("0")).value_or(0);
     const std::uint64_t wait = std::min(internal::leadingCount(exchange->request().fields.find(waitField)).value_or(0), maxWaitMs);
     const TimePoint deadline = m_clock.now() + std::chrono::milliseconds(wait) + std::chrono::milliseconds(1000);
-    m_leader.send(registry::ReadResultsRequest { job, after, wait }, deadline, [this, exchange, job, after](const registry::LeaderResult<registry::ReadResultsReply>& reply) {
+    m_leader.send(registry::ReadResultsRequest { job, after, wait, workspace }, deadline, [this, exchange, job, after](const registry::LeaderResult<registry::ReadResultsReply>& reply) {
         if (!reply) {
             m_log.info("job id={} after={} status=503", job, after);
             return exchange->respond(unavailable("the leader did not respond"));
@@ -127,21 +161,21 @@
     });
 }
 
-void CallerApi::readItem(const http1::ExchangePointer& exchange, const batch::JobId& job)
+void CallerApi::readItem(const http1::ExchangePointer& exchange, const batch::JobId& job, const WorkspaceName& workspace)
 {
     const batch::ItemId item(http1::queryParameter(exchange->request().target, "id").value_or(std::string()));
     const TimePoint deadline = m_clock.now() + std::chrono::milliseconds(1000);
-    m_leader.send(registry::ReadItemRequest { job, item }, deadline, [exchange](const registry::LeaderResult<registry::ReadItemReply>& reply) {
+    m_leader.send(registry::ReadItemRequest { job, item, workspace }, deadline, [exchange](const registry::LeaderResult<registry::ReadItemReply>& reply) {
         if (!reply)
             return exchange->respond(unavailable("the leader did not respond"));
         exchange->respond(reply->isKnown ? bytes(200, reply->body) : plain(404, "no such item"));
     });
 }
 
-void CallerApi::endJob(const http1::ExchangePointer& exchange, const batch::JobId& job)
+void CallerApi::endJob(const http1::ExchangePointer& exchange, const batch::JobId& job, const WorkspaceName& workspace)
 {
     const TimePoint deadline = m_clock.now() + std::chrono::milliseconds(1500);
-    m_leader.send(registry::EndJobRequest { job }, deadline, [exchange](const registry::LeaderResult<registry::EndJobReply>& reply) {
+    m_leader.send(registry::EndJobRequest { job, workspace }, deadline, [exchange](const registry::LeaderResult<registry::EndJobReply>& reply) {
         if (!reply)
             return exchange->respond(noReply(reply.error()));
         exchange->respond(reply->isKnown ? plain(200, "ended") : plain(404, "no such batch job"));
--- a/src/azurepaddle/platform/caller_api.hpp
+++ b/src/azurepaddle/platform/caller_api.hpp
@@ -16,8 +16,8 @@
     using Forwarder = gateway::RelayForwarder<EndpointProtocol>;
     using StreamForwarder = gateway::StreamForwarder<EndpointProtocol, Forwarder>;
 
-    /// Requests that match no route are answered as such only while the state's age allows it.
-    CallerApi(Forwarder& forwarder, StreamForwarder& streams, registry::LeaderClient& leader, const registry::StateAge& stateAge);
+    /// Requests that the configuration does not allow are refused for good only while the state's age allows it.
+    CallerApi(Forwarder& forwarder, StreamForwarder& streams, registry::LeaderClient& leader, const registry::StateAge& stateAge, metrics::Registry& metrics);
 
     /// Replaces the routes. Null until a configuration is received.
     void setRoutes(std::shared_ptr<const gateway::RouteTable> routes) { m_routes = std::move(routes); }
@@ -27,17 +27,20 @@
 
 private:
     [[nodiscard]] bool refuseDuringDrain(const http1::ExchangePointer& exchange, Duration timeout) const;
-    void submit(const http1::ExchangePointer& exchange, const gateway::Route& route);
-    void readResults(const http1::ExchangePointer& exchange, const batch::JobId& job);
-    void readItem(const http1::ExchangePointer& exchange, const batch::JobId& job);
-    void endJob(const http1::ExchangePointer& exchange, const batch::JobId& job);
-    void refuseUnroutable(const http1::ExchangePointer& exchange, const http1::Response& refusal) const;
+    [[nodiscard]] std::optional<WorkspaceName> admit(const http1::ExchangePointer& exchange, bool isKeyRequired) const;
+    void handleJobCall(const http1::ExchangePointer& exchange, std::string_view path);
+    void submit(const http1::ExchangePointer& exchange, const gateway::Route& route, const WorkspaceName& workspace);
+    void readResults(const http1::ExchangePointer& exchange, const batch::JobId& job, const WorkspaceName& workspace);
+    void readItem(const http1::ExchangePointer& exchange, const batch::JobId& job, const WorkspaceName& workspace);
+    void endJob(const http1::ExchangePointer& exchange, const batch::JobId& job, const WorkspaceName& workspace);
+    void refuseByConfiguration(const http1::ExchangePointer& exchange, const http1::Response& refusal) const;
     [[nodiscard]] TimePoint deadlineOf(const http1::Exchange& exchange) const;
 
     Forwarder& m_forwarder;
     StreamForwarder& m_streams;
     registry::LeaderClient& m_leader;
     const registry::StateAge& m_stateAge;
+    metrics::Registry& m_metrics;
     std::shared_ptr<const gateway::RouteTable> m_routes;
     std::optional<gateway::DrainWindow> m_drain;
     const Log m_log { "calls" };
--- a/src/azurepaddle/platform/configuration.cpp
+++ b/src/azurepaddle/platform/configuration.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 
 namespace azurepaddle::platform {
 
@@ -84,6 +85,7 @@
         route.maxAttempts = static_cast<std::uint32_t>(countOf(json, "max-attempts").value_or(1));
         route.isResumable = flagOf(json, "resumable").value_or(false);
         route.isSingleVersion = flagOf(json, "single-version").value_or(false);
+        route.isPublic = flagOf(json, "public").value_or(false);
         return route;
     }
 
@@ -107,6 +109,41 @@
         return service;
     }
 
+    Result<gateway::Workspace> decodeWorkspace(const Json& json)
+    {
+        const auto name = textOf(json, "name");
+        const Json* keys = listOf(json, "api-keys");
+        if (!name || !keys)
+            return tl::unexpected(std::string("a tenant lacks name or api-keys"));
+        gateway::Workspace workspace { WorkspaceName(*name), {}, std::nullopt };
+        for (const Json& key : *keys) {
+            if (!key.is_string())
+                return tl::unexpected("tenant " + *name + " has a key that is not a text");
+            workspace.keys.push_back(key.get<std::string>());
+        }
+        if (const auto priority = countOf(json, "priority"))
+            workspace.priority = static_cast<std::uint32_t>(std::min<std::uint64_t>(*priority, std::numeric_limits<std::uint32_t>::max()));
+        return workspace;
+    }
+
+    /// Decodes the workspaces; empty if the configuration has none, so that requests need no keys.
+    Result<std::optional<gateway::WorkspaceTable>> decodeWorkspaces(const Json& json)
+    {
+        if (!json.contains("tenants"))
+            return std::optional<gateway::WorkspaceTable>();
+        const Json* tenants = listOf(json, "tenants");
+        if (!tenants)
+            return tl::unexpected(std::string("tenants is not a list"));
+        std::vector<gateway::Workspace> workspaces;
+        for (const Json& tenant : *tenants) {
+            auto workspace = decodeWorkspace(tenant);
+            if (!workspace)
+                return tl::unexpected(workspace.error());
+            workspaces.push_back(std::move(*workspace));
+        }
+        return std::optional(gateway::WorkspaceTable(std::move(workspaces)));
+    }
+
     http1::ServerLimits decodeLimits(const Json& json)
     {
         http1::ServerLimits limits;
@@ -148,7 +185,10 @@
             return tl::unexpected(decoded.error());
         decodedServices.push_back(std::move(*decoded));
     }
-    return gateway::RouteTable(*version, std::move(decodedRoutes), std::move(decodedServices), decodeLimits(*json));
+    auto workspaces = decodeWorkspaces(*json);
+    if (!workspaces)
+        return tl::unexpected(workspaces.error());
+    return gateway::RouteTable(*version, std::move(decodedRoutes), std::move(decodedServices), decodeLimits(*json), std::move(*workspaces));
 }
 
 }
--- a/src/azurepaddle/platform/endpoint_protocol.cpp
+++ b/src/azurepaddle/platform/endpoint_protocol.cpp
@@ -24,6 +24,11 @@
     constexpr std::string_view leavingField = "Server-Leaving"; // "1" in all responses of an endpoint that is draining.
     constexpr std::string_view limitField = "Server-Limit"; // Requests per second that the endpoint takes from all machines together.
     constexpr std::string_view signatureField = "X-Server-Stamp"; // Signature by which an endpoint proves that it ran the request.
+    constexpr std::string_view keyField = "Authorization";
+    constexpr std::string_view keyScheme = "Bearer ";
+    constexpr std::string_view workspaceField = "X-Tenant";
+    constexpr std::string_view priorityField = "X-Request-Priority";
+    constexpr std::uint32_t leastUrgent = 9; // Highest value of the priority field.
     constexpr unsigned misdirected = 421;
 
     /// Returns the number at the start of a text, after optional blanks; empty if there is none.
@@ -49,6 +54,24 @@
     return ms ? std::optional<Duration>(std::chrono::milliseconds(std::min(*ms, maxMs))) : std::nullopt;
 }
 
+std::string_view EndpointProtocol::keyOf(const http1::Request& request)
+{
+    const std::string_view value = request.fields.find(keyField);
+    if (value.size() < keyScheme.size() || !http1::equalNames(value.substr(0, keyScheme.size()), keyScheme))
+        return {};
+    return value.substr(keyScheme.size());
+}
+
+void EndpointProtocol::setCaller(http1::Request& request, const gateway::Caller& caller)
+{
+    request.fields.erase(keyField);
+    request.fields.erase(workspaceField);
+    if (!caller.workspace.empty())
+        request.fields.add(std::string(workspaceField), caller.workspace.value());
+    if (caller.priority)
+        request.fields.set(std::string(priorityField), std::to_string(std::min(*caller.priority, leastUrgent)));
+}
+
 http1::Request EndpointProtocol::forEndpoint(const http1::Request& request, const EndpointId& endpoint, Duration left)
 {
     http1::Request forwarded = request;
--- a/src/azurepaddle/platform/endpoint_protocol.hpp
+++ b/src/azurepaddle/platform/endpoint_protocol.hpp
@@ -10,6 +10,10 @@
 struct EndpointProtocol {
     [[nodiscard]] static std::string requestId(const http1::Request& request);
     [[nodiscard]] static std::optional<Duration> clientTimeout(const http1::Request& request);
+    /// The key with which the caller identifies itself; empty if there is none.
+    [[nodiscard]] static std::string_view keyOf(const http1::Request& request);
+    /// Removes the key and any workspace that the sender named, and names the workspace of the caller to the endpoint.
+    static void setCaller(http1::Request& request, const gateway::Caller& caller);
     [[nodiscard]] static http1::Request forEndpoint(const http1::Request& request, const EndpointId& endpoint, Duration left);
     [[nodiscard]] static gateway::AnswerClass classify(const http1::Response& head, std::string_view requestId);
     [[nodiscard]] static std::optional<gateway::LoadReport> loadOf(const http1::Response& head);
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -258,8 +258,11 @@
 void LeaderService::handle(SubmitJobRequest request, const Responder<SubmitJobReply>& responder)
 {
     const batch::JobId id = request.spec.id;
-    if (m_machine.jobs().find(id))
-        return responder.ok({ true });
+    if (const batch::Job* known = m_machine.jobs().find(id)) {
+        if (known->spec.workspace != request.spec.workspace)
+            m_log.warning("job id={} refused: workspace {} submits the identifier of another workspace's job", id, request.spec.workspace);
+        return responder.ok({ known->spec.workspace == request.spec.workspace });
+    }
     if (m_machine.jobs().bytes() > m_options.maxJobBytes || m_group.isSnapshotOverdue()) {
         m_log.warning("job id={} refused: stored jobs use {} bytes, snapshot-overdue={}", id, m_machine.jobs().bytes(), m_group.isSnapshotOverdue());
         return responder.ok({ false });
@@ -271,14 +274,21 @@
     });
 }
 
-ReadResultsReply LeaderService::readResults(const batch::JobId& id, std::uint64_t after) const
+/// The job, if callers of the workspace may access it; otherwise null, as for an unknown one.
+const batch::Job* LeaderService::findJob(const batch::JobId& id, const WorkspaceName& caller) const
 {
     const batch::Job* job = m_machine.jobs().find(id);
+    return job && job->spec.isAccessibleTo(caller) ? job : nullptr;
+}
+
+ReadResultsReply LeaderService::readResults(const ReadResultsRequest& request) const
+{
+    const batch::Job* job = findJob(request.job, request.workspace);
     if (!job)
         return {};
     ReadResultsReply reply { true, job->spec.items.size(), {} };
     std::size_t bytes = 0;
-    for (std::size_t at = after; at < job->results.size() && (bytes == 0 || bytes + job->results[at].output.size < maxReplyBytes); ++at) {
+    for (std::size_t at = request.after; at < job->results.size() && (bytes == 0 || bytes + job->results[at].output.size < maxReplyBytes); ++at) {
         bytes += job->results[at].output.size + 1;
         reply.results.push_back(m_machine.jobs().load(job->results[at]));
     }
@@ -287,8 +297,8 @@
 
 void LeaderService::handle(ReadResultsRequest request, const Responder<ReadResultsReply>& responder)
 {
-    const ReadResultsReply reply = readResults(request.job, request.after);
-    const batch::Job* job = m_machine.jobs().find(request.job);
+    const ReadResultsReply reply = readResults(request);
+    const batch::Job* job = findJob(request.job, request.workspace);
     const bool isComplete = job && (job->isEnded || job->results.size() == job->spec.items.size());
     if (!reply.isKnown || !reply.results.empty() || request.waitMs == 0 || isComplete)
         return responder.ok(reply);
@@ -298,13 +308,13 @@
 
 void LeaderService::handle(const ReadItemRequest& request, const Responder<ReadItemReply>& responder)
 {
-    const std::string* body = m_machine.jobs().bodyOf(request.job, request.item);
+    const std::string* body = findJob(request.job, request.workspace) ? m_machine.jobs().bodyOf(request.job, request.item) : nullptr;
     responder.ok(body ? ReadItemReply { true, *body } : ReadItemReply {});
 }
 
 void LeaderService::handle(const EndJobRequest& request, const Responder<EndJobReply>& responder)
 {
-    const batch::Job* job = m_machine.jobs().find(request.job);
+    const batch::Job* job = findJob(request.job, request.workspace);
     if (!job || job->isEnded)
         return responder.ok({ job != nullptr });
     m_log.info("job id={} ends with {} of {} results", request.job, job->results.size(), job->spec.items.size());
@@ -331,7 +341,7 @@
 void LeaderService::answerPendingReads(const batch::JobId& job)
 {
     for (const PendingRead& pending : takePendingReads([&](const PendingRead& candidate) { return candidate.request.job == job; }))
-        pending.responder.ok(readResults(job, pending.request.after));
+        pending.responder.ok(readResults(pending.request));
 }
 
 void LeaderService::tick()
@@ -339,7 +349,7 @@
     const TimePoint now = m_clock.now();
     for (const PendingRead& pending : takePendingReads([now](const PendingRead& candidate) { return now >= candidate.deadline; })) {
         if (m_group.hasCurrentState())
-            pending.responder.ok(readResults(pending.request.job, pending.request.after));
+            pending.responder.ok(readResults(pending.request));
         else
             pending.responder.notLeader();
     }
--- a/src/azurepaddle/registry/leader_service.hpp
+++ b/src/azurepaddle/registry/leader_service.hpp
@@ -127,7 +127,8 @@
     /// Removes and returns the pending reads that meet a condition.
     template <typename Condition>
     [[nodiscard]] std::vector<PendingRead> takePendingReads(Condition condition);
-    [[nodiscard]] ReadResultsReply readResults(const batch::JobId& job, std::uint64_t after) const;
+    [[nodiscard]] const batch::Job* findJob(const batch::JobId& id, const WorkspaceName& caller) const;
+    [[nodiscard]] ReadResultsReply readResults(const ReadResultsRequest& request) const;
     void removeExpiredJobs(TimePoint now);
     void removeTimedOutEndpoints(TimePoint now);
     void drainReportedEndpoints();
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -227,7 +227,8 @@
     batch::JobId job;
     std::uint64_t after = 0;
     std::uint64_t waitMs = 0;
-    MSGPACK_DEFINE(job, after, waitMs)
+    WorkspaceName workspace {}; ///< Of the caller; the job of another workspace is treated as unknown.
+    MSGPACK_DEFINE(job, after, waitMs, workspace)
 };
 
 struct ReadItemReply {
@@ -241,7 +242,8 @@
     using Reply = ReadItemReply;
     batch::JobId job;
     batch::ItemId item;
-    MSGPACK_DEFINE(job, item)
+    WorkspaceName workspace {}; ///< Of the caller; the job of another workspace is treated as unknown.
+    MSGPACK_DEFINE(job, item, workspace)
 };
 
 struct EndJobReply {
@@ -253,7 +255,8 @@
     static constexpr std::string_view method = "end-job";
     using Reply = EndJobReply;
     batch::JobId job;
-    MSGPACK_DEFINE(job)
+    WorkspaceName workspace {}; ///< Of the caller; the job of another workspace is treated as unknown.
+    MSGPACK_DEFINE(job, workspace)
 };
 
 }
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -70,7 +70,7 @@
     , m_relayPeers(DataCentreName(m_settings.node.dataCentre), m_random)
     , m_forwarder(io, m_localForwarder, m_links, m_relayPeers, m_entryFinder, m_peerClient, formatAddress(m_settings.peerAddress()), m_metrics)
     , m_streams(m_forwarder, m_balancer, m_streamRecorder, m_directoryProgress, m_metrics)
-    , m_callers(m_forwarder, m_streams, m_leader, m_stateAge)
+    , m_callers(m_forwarder, m_streams, m_leader, m_stateAge, m_metrics)
     , m_callerServer(io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); })
     , m_readyServer(
           io, [this](const http1::ExchangePointer& exchange) { answerReady(exchange); }, readinessServerLimits())
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -34,6 +34,7 @@
     static bool isLeaving(const http1::Response& head) { return head.fields.contains("Leaving"); }
     static http1::Request continueAfter(const http1::Request& request, std::uint64_t) { return request; }
     static std::optional<double> limitOf(const http1::Response& head) { return head.fields.contains("Limit") ? std::optional(std::stod(std::string(head.fields.find("Limit")))) : std::nullopt; }
+    static void setCaller(http1::Request& request, const gateway::Caller& caller) { request.fields.set("Workspace", caller.workspace.value()); }
     static http1::Request rewardRequest(const batch::RewardCall& reward)
     {
         return { "POST", reward.path, { { "Host", reward.host }, { "Id", reward.id } }, reward.body };
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -76,6 +76,70 @@
     }
 }
 
+namespace {
+
+/// The configuration with these tenants.
+tl::expected<gateway::RouteTable, std::string> decodeWithTenants(const json& tenants)
+{
+    json text = configuration();
+    text["tenants"] = tenants;
+    return decodeConfiguration(text.dump());
+}
+
+}
+
+// Guards against keys or priorities that are lost, and against a route that is open to all by mistake.
+Test(Configuration, tenants_decoded_identifyCallersByTheirKeys)
+{
+    const auto table = decodeWithTenants(json::array({ json { { "name", "blue" }, { "api-keys", json::array({ "k1", "k2" }) }, { "priority", 3 } }, json { { "name", "red" }, { "api-keys", json::array() } } }));
+    cr_assert(table && !gateway::validate(*table));
+    cr_assert(table->workspaces()->findCaller("k2") == gateway::Caller({ WorkspaceName("blue"), 3 }));
+    cr_assert(!table->workspaces()->findCaller("k3"));
+    cr_assert(!table->workspaces()->findCaller(""));
+    cr_assert(table->workspaces()->callerOf(WorkspaceName("gone")) == gateway::Caller({ WorkspaceName("gone"), std::nullopt }));
+    cr_assert(!table->find("h", "/b/x")->isPublic);
+    cr_assert(!decodeConfiguration(configuration().dump())->workspaces());
+    cr_assert(decodeWithTenants(json::array())->workspaces());
+}
+
+// Guards against a configuration in which a key identifies two workspaces or none, and against a message that quotes a key.
+Test(Configuration, tenantsInconsistent_checked_areRefusedByName)
+{
+    const auto problemOf = [](const json& tenants) {
+        const auto table = decodeWithTenants(tenants);
+        const auto problem = table ? gateway::validate(*table) : gateway::ConfigurationProblem { table.error() };
+        return problem ? problem->message : std::string();
+    };
+    const auto tenant = [](const char* name, const json& key, const json& otherKey) {
+        return json { { "name", name }, { "api-keys", json::array({ key, otherKey }) } };
+    };
+    const auto check = [&problemOf](const json& tenants, const std::string& expected) {
+        const std::string problem = problemOf(tenants);
+        cr_assert(problem == expected, "%s", problem.c_str());
+    };
+    check(json::array({ tenant("blue", "secret", "a"), tenant("red", "other", "secret") }), "workspaces blue and red share a key");
+    check(json::array({ tenant("blue", "", "a") }), "workspace blue has an empty key");
+    check(json::array({ tenant("blue", "a", "b"), tenant("blue", "c", "d") }), "workspace blue is defined twice");
+    check(json::array({ tenant("", "a", "b") }), "a workspace has no name");
+    check(json::array({ tenant("blue", 7, "b") }), "tenant blue has a key that is not a text");
+    check(json::array({ json { { "name", "blue" } } }), "a tenant lacks name or api-keys");
+    check("text", "tenants is not a list");
+    check(json::array({ tenant("blue", "a", "a") }), "");
+}
+
+// Guards against a key that reaches an endpoint, and against a caller that names the workspace itself.
+Test(EndpointProtocol, caller_set_replacesKeyAndNamedWorkspace)
+{
+    http1::Request request { "POST", "/b/x", { { "Host", "h" }, { "authorization", "bearer k1" }, { "x-tenant", "red" }, { "X-Tenant", "green" } }, {} };
+    cr_assert(EndpointProtocol::keyOf(request) == "k1");
+    EndpointProtocol::setCaller(request, { WorkspaceName("blue"), 12 });
+    cr_assert(request.fields == http1::Fields({ { "Host", "h" }, { "X-Tenant", "blue" }, { "X-Request-Priority", "9" } }));
+    EndpointProtocol::setCaller(request, {});
+    cr_assert(!request.fields.contains("X-Tenant"));
+    cr_assert(EndpointProtocol::keyOf({ "GET", "/", { { "Authorization", "Basic k1" } }, {} }).empty());
+    cr_assert(EndpointProtocol::keyOf({ "GET", "/", {}, {} }).empty());
+}
+
 // Guards against a start time that is read from the software version of the endpoint.
 Test(Registration, heartbeat_decoded_namesItsEndpoint)
 {
@@ -159,17 +223,18 @@
 Test(BatchFormat, job_decoded_hasItsItems)
 {
     const auto table = decodeConfiguration(configuration().dump());
-    const auto spec = decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), R"({"step":7,"model":"m","min-version":6,"group-count":12,"requests":[{"id":"i","path":"/a/3","headers":{"X-Token-Usage":"540,400","X-Length-Hint":"90"},"body":"q83vEjRWeJA=","group":"g"}]})");
+    const auto spec = decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), WorkspaceName("w"), R"({"step":7,"model":"m","min-version":6,"group-count":12,"requests":[{"id":"i","path":"/a/3","headers":{"X-Token-Usage":"540,400","X-Length-Hint":"90"},"body":"q83vEjRWeJA=","group":"g"}]})");
     cr_assert(spec.has_value());
     cr_assert(spec->minVersion == 6);
+    cr_assert(spec->workspace == WorkspaceName("w"));
     cr_assert(spec->isSingleVersion);
     cr_assert(spec->retentionMs == 40'000);
     const batch::ItemSpec& item = spec->items.front();
     cr_assert(item.body == std::string("\xab\xcd\xef\x12\x34\x56\x78\x90", 8));
     cr_assert(item.promptTokens == 540);
     cr_assert(item.expectedTokens == 90);
-    cr_assert(!decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), R"({"requests":[{"id":"i","path":"/a/3","headers":{},"body":"?"}]})"));
-    cr_assert(!decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), R"({"requests":[]})"));
+    cr_assert(!decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), WorkspaceName("w"), R"({"requests":[{"id":"i","path":"/a/3","headers":{},"body":"?"}]})"));
+    cr_assert(!decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), WorkspaceName("w"), R"({"requests":[]})"));
 }
 
 // Guards against results with a wrong position, state or list of versions.
@@ -226,7 +291,7 @@
 {
     const auto table = decodeConfiguration(configuration().dump());
     json item { { "id", "i" }, { "path", "/a/3" }, { "headers", headers }, { "body", "" }, { "group", "g" }, { "scorer", reward } };
-    return decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), json({ { "requests", { item } } }).dump());
+    return decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), WorkspaceName("w"), json({ { "requests", { item } } }).dump());
 }
 
 }
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -112,6 +112,7 @@
         self.is_leaving = False  # Says in its answers that it leaves.
         self.limit = None  # Requests per second that it says to take from all nodes together.
         self.run_times = []  # When each run began, in seconds of the monotonic clock.
+        self.run_headers = []  # The header fields of each run.
         self.address = None  # Where callers reach it, if not at its own port.
         self.lock = threading.Lock()
         endpoint = self
@@ -143,6 +144,7 @@
                 with endpoint.lock:
                     endpoint.runs.append(self.headers["X-Attempt-Id"])
                     endpoint.run_times.append(time.monotonic())
+                    endpoint.run_headers.append(self.headers)
                 if endpoint.crashes_on and endpoint.crashes_on in body:
                     endpoint.crashed_under.append(self.headers["X-Attempt-Id"])
                     self.close_connection = True
@@ -288,16 +290,16 @@
     def put_configuration(self, version, service="plain", timeout_ms=3000):
         return self.on_control("POST", "/-/config/replace", json.dumps(configuration(version, service, timeout_ms)))[0]
 
-    def submit(self, job, items, min_version=1, entry=0, reward_path=None):
-        requests = [{"id": item, "path": "/batch/1", "headers": {}, "body": base64.b64encode(item.encode()).decode(), "token-count": 5, "group": "g"} for item in items]
+    def submit(self, job, items, min_version=1, entry=0, reward_path=None, headers=None, item_headers=None):
+        requests = [{"id": item, "path": "/batch/1", "headers": item_headers or {}, "body": base64.b64encode(item.encode()).decode(), "token-count": 5, "group": "g"} for item in items]
         for request in requests if reward_path else []:
             request["scorer"] = {"id": f"reward-{request['id']}", "host": HOST, "path": reward_path, "body": request["body"]}
         body = json.dumps({"step": 0, "model": "m", "min-version": min_version, "group-count": 1, "requests": requests})
-        return call(self.entry_ports[entry], "POST", "/batch/x", body, {"Host": HOST, "X-Attempt-Id": job})[0]
+        return call(self.entry_ports[entry], "POST", "/batch/x", body, {"Host": HOST, "X-Attempt-Id": job, **(headers or {})})[0]
 
-    def read(self, job, after=0, entry=0):
+    def read(self, job, after=0, entry=0, headers=None):
         """Status and results of a job from a position on."""
-        status, data = call(self.entry_ports[entry], "GET", f"/-/lots/{job}?after={after}", None, {"Host": HOST})
+        status, data = call(self.entry_ports[entry], "GET", f"/-/lots/{job}?after={after}", None, {"Host": HOST, **(headers or {})})
         return status, json.loads(data)["results"] if status == 200 else None
 
     def results(self, job):
