Extract the order window from the weight loader, for other senders

Cause: duties at the platform need the same guarantee as weight orders: two holders never act within one lease, and a fencing token is in the log before it is used. The claim and the records of the window were part of the weight loader.

Change: OrderWindow holds the right, its claim and the window; senders register themselves, and the window closes once none of them has an order in flight. The record is observed before each claim. The messages and log entries are unchanged.

--- a/src/azurepaddle/execution/weight_loader.hpp
+++ b/src/azurepaddle/execution/weight_loader.hpp
@@ -2,24 +2,16 @@
 
 #include "azurepaddle/batch/load_plan.hpp"
 #include "azurepaddle/execution/job_runner.hpp"
-#include "azurepaddle/execution/order_right.hpp"
+#include "azurepaddle/execution/order_window.hpp"
 
 namespace azurepaddle::execution {
 
-/// Settings for sending weight orders.
-struct OrderOptions {
-    std::string instance; ///< Name of this instance, recorded as the holder of the order right.
-    Duration lease = std::chrono::seconds(3); ///< Minimum time between orders of two different holders.
-};
-
-/// Orders endpoints to load the published versions of their weights while this instance is the leader. Before the first
-/// order it claims the order right by a record in the replicated log, once no order of an earlier holder can still
-/// arrive. It sends orders only between two records that open and close the order window, from which its successor
-/// derives a lower bound on the age of these orders.
+/// Orders endpoints to load the published versions of their weights while this instance is the leader, within the order
+/// window.
 template <typename Protocol>
 class WeightLoader {
 public:
-    WeightLoader(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, JobRunner<Protocol>& runner, metrics::Registry& metrics, OrderOptions options);
+    WeightLoader(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, JobRunner<Protocol>& runner, metrics::Registry& metrics, OrderWindow& window);
 
     void setRoutes(std::shared_ptr<const gateway::RouteTable> routes) { m_routes = std::move(routes); }
     void onLeadership(bool isLeading);
@@ -41,11 +33,7 @@
     };
     using ActiveLoadPointer = std::shared_ptr<ActiveLoad>;
 
-    [[nodiscard]] bool isHolder() const;
-    [[nodiscard]] bool acquireOrderRight();
-    [[nodiscard]] bool isOrderWindowOpen() const;
-    void setWindow(bool isOpen);
-    void closeWindowIfIdle(TimePoint now);
+    [[nodiscard]] bool isSendingOrder() const;
     void planLoads(TimePoint now);
     [[nodiscard]] std::vector<batch::LoadTarget> targets(TimePoint now) const;
     void startLoad(const batch::Load& load);
@@ -72,15 +60,11 @@
     registry::Liveness& m_liveness;
     JobRunner<Protocol>& m_runner;
     metrics::Registry& m_metrics;
-    const OrderOptions m_options;
+    OrderWindow& m_window;
     const Log m_log { "weights" };
     const SystemClock m_clock {};
     std::shared_ptr<const gateway::RouteTable> m_routes = std::make_shared<const gateway::RouteTable>();
     bool m_isLeading = false;
-    bool m_isClaimPending = false;
-    bool m_isWindowChangePending = false;
-    TimePoint m_lastOrderEnd; ///< Earliest time at which no order was in flight any more.
-    OrderRight m_orderRight;
     std::uint64_t m_nextNumber = 1;
     std::map<EndpointId, ActiveLoadPointer> m_activeLoads;
     /// Last known number of orders accepted by an incarnation of an endpoint.
--- a/src/azurepaddle/execution/weight_loader_impl.hpp
+++ b/src/azurepaddle/execution/weight_loader_impl.hpp
@@ -12,8 +12,6 @@
     constexpr std::uint64_t maxStatusBytes = 256U * 1024U;
     // An unanswered order may still reach its endpoint for this long.
     constexpr Duration maxUnansweredOrderTime = std::chrono::milliseconds(500);
-    // The order window stays open for this long after the last order, for orders that follow soon.
-    constexpr Duration windowIdleTimeout = std::chrono::milliseconds(40);
     constexpr Duration orderRetryDelay = std::chrono::milliseconds(20);
     // Usual duration of a load. If it takes longer, the version in the next response corrects the recorded one.
     constexpr Duration expectedLoadTime = std::chrono::milliseconds(930);
@@ -29,7 +27,7 @@
 }
 
 template <typename Protocol>
-WeightLoader<Protocol>::WeightLoader(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, JobRunner<Protocol>& runner, metrics::Registry& metrics, OrderOptions options)
+WeightLoader<Protocol>::WeightLoader(asio::io_context& io, http1::ClientPool& pool, registry::ServiceGroup& group, const registry::StateMachine& machine, registry::Liveness& liveness, JobRunner<Protocol>& runner, metrics::Registry& metrics, OrderWindow& window)
     : m_io(io)
     , m_pool(pool)
     , m_group(group)
@@ -37,19 +35,17 @@
     , m_liveness(liveness)
     , m_runner(runner)
     , m_metrics(metrics)
-    , m_options(std::move(options))
-    , m_orderRight(m_options.lease)
+    , m_window(window)
 {
+    m_window.addSender({ [this] { return isSendingOrder(); }, [this] {
+                            m_nextPlan = {};
+                            tick(); } });
 }
 
 template <typename Protocol>
 void WeightLoader<Protocol>::onLeadership(bool isLeading)
 {
     m_isLeading = isLeading;
-    m_isClaimPending = false;
-    m_isWindowChangePending = false;
-    m_lastOrderEnd = {};
-    m_orderRight.onElected(m_clock.now());
     for (const auto& [id, activeLoad] : m_activeLoads) {
         activeLoad->number = 0;
         if (activeLoad->call)
@@ -65,7 +61,6 @@
 void WeightLoader<Protocol>::tick()
 {
     const TimePoint now = m_clock.now();
-    m_orderRight.observe(m_machine.orders(), now);
     if (!m_isLeading || !m_group.hasCurrentState() || now < m_nextPlan)
         return;
     m_nextPlan = now + internal::planInterval;
@@ -76,65 +71,14 @@
             since = now;
         }
     }
-    if (!m_publishedAt.empty() && acquireOrderRight())
+    if (!m_publishedAt.empty() && m_window.acquire())
         planLoads(now);
-    closeWindowIfIdle(now);
 }
 
-/// Whether the replicated record names this instance in its current term as the holder of the order right.
 template <typename Protocol>
-bool WeightLoader<Protocol>::isHolder() const
+bool WeightLoader<Protocol>::isSendingOrder() const
 {
-    const registry::ClaimOrders& holder = m_machine.orders().holder;
-    return holder.instance == m_options.instance && holder.fence == m_group.term();
-}
-
-/// Whether this instance holds the order right. If not, proposes a claim as soon as no order of an earlier holder can
-/// still arrive.
-template <typename Protocol>
-bool WeightLoader<Protocol>::acquireOrderRight()
-{
-    if (isHolder())
-        return true;
-    if (m_isClaimPending || !m_orderRight.mayClaim(m_options.instance, m_clock.now()))
-        return false;
-    m_isClaimPending = true;
-    const std::uint64_t term = m_group.term();
-    m_log.info("claims the order right fence={} from=\"{}\"", term, m_machine.orders().holder.instance);
-    m_group.propose(registry::encodeCommand(registry::ClaimOrders { m_options.instance, term }), [this](const cluster::ProposalResult&) { m_isClaimPending = false; });
-    return false;
-}
-
-/// Whether this instance holds the order right and its order window is recorded as open.
-template <typename Protocol>
-bool WeightLoader<Protocol>::isOrderWindowOpen() const
-{
-    return m_machine.orders().isOpen && !m_isWindowChangePending && isHolder();
-}
-
-template <typename Protocol>
-void WeightLoader<Protocol>::setWindow(bool isOpen)
-{
-    if (std::exchange(m_isWindowChangePending, true))
-        return;
-    const std::uint64_t term = m_group.term();
-    m_log.debug("order window fence={} is-open={}", term, isOpen);
-    m_group.propose(registry::encodeCommand(registry::SetOrderWindow { term, isOpen }), [this, isOpen](const cluster::ProposalResult& result) {
-        m_isWindowChangePending = false;
-        m_lastOrderEnd = m_clock.now();
-        if (!isOpen || result.status != cluster::ProposalStatus::Applied)
-            return;
-        m_nextPlan = {};
-        tick();
-    });
-}
-
-template <typename Protocol>
-void WeightLoader<Protocol>::closeWindowIfIdle(TimePoint now)
-{
-    const bool isSending = std::any_of(m_activeLoads.begin(), m_activeLoads.end(), [](const auto& entry) { return entry.second->isOrderUnanswered; });
-    if (isOrderWindowOpen() && !isSending && now - m_lastOrderEnd > internal::windowIdleTimeout)
-        setWindow(false);
+    return std::any_of(m_activeLoads.begin(), m_activeLoads.end(), [](const auto& entry) { return entry.second->isOrderUnanswered; });
 }
 
 template <typename Protocol>
@@ -168,8 +112,8 @@
     const std::vector<batch::Load> loads = batch::planLoads(all, wanted);
     if (loads.empty())
         return;
-    if (!isOrderWindowOpen())
-        return setWindow(true);
+    if (!m_window.isOpen())
+        return m_window.open();
     // All endpoints are marked before any item is moved, so that no item moves to an endpoint that is about to load.
     for (const batch::Load& load : loads)
         m_runner.setLoading(load.endpoint, load.model, true);
@@ -281,15 +225,15 @@
 void WeightLoader<Protocol>::sendOrder(const ActiveLoadPointer& activeLoad, std::uint64_t acceptedOrders)
 {
     // Checked directly before sending, because the lease may have expired during the status request.
-    if (!m_group.hasCurrentState() || !acquireOrderRight())
+    if (!m_window.acquire())
         return endLoad(activeLoad, "order right lost");
-    if (!isOrderWindowOpen()) {
-        setWindow(true);
+    if (!m_window.isOpen()) {
+        m_window.open();
         return sendOrderLater(activeLoad, acceptedOrders);
     }
     ++activeLoad->attempts;
     activeLoad->isOrderUnanswered = true;
-    const LoadOrder order { activeLoad->load.endpoint, activeLoad->load.model, activeLoad->load.version, m_options.instance, m_group.term(), acceptedOrders };
+    const LoadOrder order { activeLoad->load.endpoint, activeLoad->load.model, activeLoad->load.version, m_window.holder(), m_window.fence(), acceptedOrders };
     m_log.info("sending load order endpoint={} model={} version={} fence={} expected-orders={} attempt={}", order.endpoint, order.model, order.version, order.fence, acceptedOrders, activeLoad->attempts);
     m_metrics.counter("orders_sent_total").add();
     send(activeLoad, Protocol::loadRequest(order), [this, activeLoad](const http1::CallEnd& ended) { onOrderAnswered(activeLoad, ended); });
@@ -303,7 +247,7 @@
     constexpr unsigned conflict = 409;
     m_log.info("load order endpoint={} model={} version={} answered status={} cause=\"{}\"", activeLoad->load.endpoint, activeLoad->load.model, activeLoad->load.version, activeLoad->status, ended.message);
     activeLoad->isOrderUnanswered = false;
-    m_lastOrderEnd = std::max(m_lastOrderEnd, m_clock.now() + (ended.kind == http1::CallEndKind::Complete ? Duration::zero() : internal::maxUnansweredOrderTime));
+    m_window.recordEnd(ended.kind == http1::CallEndKind::Complete, internal::maxUnansweredOrderTime);
     const auto known = findAcceptedOrders(activeLoad->load.endpoint);
     m_accepted.erase(activeLoad->load.endpoint);
     if (ended.kind != http1::CallEndKind::Complete)
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -76,7 +76,8 @@
           m_settings.node.name, [this](const registry::PermitRequest& request, TimePoint, const gateway::PermitCallback& onReply) { onReply(m_service.requestPermit(request), m_clock.now()); }, m_random)
     , m_forwarder(io, m_pool, m_balancer, m_guard, m_limiter, m_random, m_metrics, maxAnswerBytes(m_settings))
     , m_runner(io, m_pool, m_group, m_machine, m_liveness, m_forwarder, m_balancer, m_limiter, m_metrics)
-    , m_loader(io, m_pool, m_group, m_machine, m_liveness, m_runner, m_metrics, { m_settings.node.name, m_settings.bounds.orderLease })
+    , m_orderWindow(m_group, m_machine, { m_settings.node.name, m_settings.bounds.orderLease })
+    , m_loader(io, m_pool, m_group, m_machine, m_liveness, m_runner, m_metrics, m_orderWindow)
     , m_control(m_local, m_leader, parseAddress(m_settings.listen.control).value_or(InstanceAddress {}).port)
     , m_controlServer(io, [this](const http1::ExchangePointer& exchange) { m_control.handle(exchange); })
     , m_metricsServer(io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); })
@@ -125,6 +126,7 @@
     m_local.tick();
     m_service.tick();
     m_runner.tick();
+    m_orderWindow.tick();
     m_loader.tick();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](std::error_code error) {
@@ -175,6 +177,7 @@
 {
     m_service.onLeadership(isLeading);
     m_runner.onLeadership(isLeading);
+    m_orderWindow.onLeadership(isLeading);
     m_loader.onLeadership(isLeading);
 }
 
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -50,6 +50,7 @@
     gateway::SendLimiter m_limiter;
     gateway::Forwarder<platform::EndpointProtocol> m_forwarder;
     Runner m_runner;
+    execution::OrderWindow m_orderWindow;
     Loader m_loader;
     platform::ControlApi m_control;
     http1::Server m_controlServer;
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -196,7 +196,8 @@
     gateway::SendLimiter limiter { "store", [this](const registry::PermitRequest& request, TimePoint, const gateway::PermitCallback& onReply) { onReply(permits.request(request, clock.now()), clock.now()); }, random };
     gateway::Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, limiter, random, metrics, 1024U * 1024U };
     JobRunner<TestProtocol> runner { io, pool, group, machine, liveness, forwarder, balancer, limiter, metrics };
-    WeightLoader<TestProtocol> loader { io, pool, group, machine, liveness, runner, metrics, { "store", 200ms } };
+    OrderWindow window { group, machine, { "store", 200ms } };
+    WeightLoader<TestProtocol> loader { io, pool, group, machine, liveness, runner, metrics, window };
     std::vector<std::unique_ptr<Endpoint>> endpoints;
 
     RunnerFixture()
@@ -211,19 +212,26 @@
         start();
         cr_assert(runUntil([&] { return group.hasCurrentState(); }));
         runner.onLeadership(true);
-        loader.onLeadership(true);
+        setLeading(true);
     }
     ~RunnerFixture()
     {
         runner.onLeadership(false);
     }
 
+    void setLeading(bool isLeading)
+    {
+        window.onLeadership(isLeading);
+        loader.onLeadership(isLeading);
+    }
+
     bool runUntil(const std::function<bool()>& condition, Duration limit = 20s)
     {
         const TimePoint end = clock.now() + limit;
         while (!condition() && clock.now() < end) {
             io.run_for(5ms);
             runner.tick();
+            window.tick();
             loader.tick();
         }
         return condition();
@@ -546,7 +554,7 @@
     const Endpoint& endpoint = fixture.add("a", Behaviour::Completes);
     fixture.apply(registry::PublishVersion { model, 2 });
     cr_assert(fixture.runUntil([&] { return fixture.machine.directory().find(endpoint.id)->versionOf(model) == 2; }));
-    fixture.loader.onLeadership(false);
+    fixture.setLeading(false);
     fixture.runner.onLeadership(false);
     fixture.liveness.clear();
     fixture.liveness.startTracking(fixture.machine.directory(), fixture.clock.now());
@@ -576,7 +584,7 @@
     fixture.apply(registry::ClaimOrders { "other", fixture.group.status().term - 1 });
     fixture.apply(registry::SetOrderWindow { fixture.group.status().term - 1, true });
     const TimePoint begin = fixture.clock.now();
-    fixture.loader.onLeadership(true);
+    fixture.setLeading(true);
     fixture.apply(registry::PublishVersion { model, 2 });
     cr_assert(fixture.runUntil([&] { return endpoint.orderCount == 1; }));
     cr_assert(fixture.clock.now() - begin >= 200ms);
