--- a/src/azurepaddle/config/node_settings.cpp
+++ b/src/azurepaddle/config/node_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "azurepaddle/config/table.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 
@@ -77,6 +78,19 @@
         return keys;
     }
 
+    std::span<const Key<NodeDutySettings>> dutyKeys()
+    {
+        using S = NodeDutySettings;
+        static const std::vector<Key<S>> keys {
+            { "address", &S::address, plainText, false, "Address of the platform, as `ip:port`; no duties if empty." },
+            { "kinds", &S::kinds, plainText, false, "Duties to perform: `usage` reports the requests of each workspace, `scale` orders endpoints. Other kinds are ignored." },
+            { "calls_per_second", &S::callsPerSecond, range(0.1, 100'000), false, "Calls that the platform accepts from all nodes together." },
+            { "usage_window", &S::usageWindow, range(1, hour), false, "Length of the windows for which requests are counted. They begin at multiples of it since 1970." },
+            { "usage_delay", &S::usageDelay, range(1, hour), false, "Time after the end of a window by which its report is due. A window is closed after half of it." },
+        };
+        return keys;
+    }
+
     void check(const NodeSettings& settings, std::string_view file, Problems& problems)
     {
         const auto require = [&](bool isGood, std::string_view section, std::string_view key, std::string_view reason) {
@@ -88,6 +102,7 @@
         require(isAddress(settings.listen.ready), "listen", "ready", "must be ip:port");
         require(isAddress(settings.listen.control), "listen", "control", "must be ip:port");
         require(isAddress(settings.listen.metrics), "listen", "metrics", "must be ip:port");
+        require(isAddress(settings.duties.address), "duties", "address", "must be ip:port");
         for (const std::string& seed : settings.peer.seeds)
             require(parseAddress(seed).has_value(), "peer", "seeds", "must be a list of ip:port");
         if (settings.isStore()) {
@@ -100,6 +115,11 @@
 
 }
 
+bool NodeDutySettings::includes(std::string_view kind) const
+{
+    return !address.empty() && std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
+}
+
 LogLevel NodeSettings::logLevel() const noexcept
 {
     if (node.logLevel == "debug")
@@ -134,6 +154,8 @@
             internal::readSection(section, peerKeys(), file, settings.peer, problems);
         else if (section.title == "bounds")
             internal::readSection(section, boundKeys(), file, settings.bounds, problems);
+        else if (section.title == "duties")
+            internal::readSection(section, dutyKeys(), file, settings.duties, problems);
         else
             problems.push_back({ std::string(file), section.title, {}, "unknown section" });
     }
@@ -161,6 +183,7 @@
     text += internal::documentSection("listen", listenKeys());
     text += internal::documentSection("peer", peerKeys());
     text += internal::documentSection("bounds", boundKeys());
+    text += internal::documentSection("duties", dutyKeys());
     text.pop_back();
     return text;
 }
--- a/src/azurepaddle/config/node_settings.hpp
+++ b/src/azurepaddle/config/node_settings.hpp
@@ -59,12 +59,27 @@
     friend bool operator==(const NodeBoundSettings&, const NodeBoundSettings&) = default;
 };
 
+/// Duties that one node at a time performs at the platform: `[duties]`.
+struct NodeDutySettings {
+    std::string address;
+    std::vector<std::string> kinds;
+    double callsPerSecond = 10;
+    Duration usageWindow = std::chrono::seconds(5);
+    Duration usageDelay = std::chrono::seconds(10);
+
+    /// Whether a kind of duty is to be performed.
+    [[nodiscard]] bool includes(std::string_view kind) const;
+
+    friend bool operator==(const NodeDutySettings&, const NodeDutySettings&) = default;
+};
+
 /// The settings of an azurepaddle-node.
 struct NodeSettings {
     NodeIdentitySettings node;
     NodeListenSettings listen;
     NodePeerSettings peer;
     NodeBoundSettings bounds;
+    NodeDutySettings duties;
 
     [[nodiscard]] bool isStore() const noexcept { return node.role == "store"; }
     [[nodiscard]] LogLevel logLevel() const noexcept;
