--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -174,6 +174,9 @@
 
     /// Called once for each endpoint incarnation that announces its leave with an answer.
     void setOnLeaving(std::function<void(const registry::EndpointIncarnation&)> onLeaving) { m_onLeaving = std::move(onLeaving); }
+    /// Called once for each caller's request of a workspace that an endpoint may have begun to run, with the time at which
+    /// it was first sent.
+    void setOnRun(std::function<void(const WorkspaceName&, TimePoint)> onRun) { m_onRun = std::move(onRun); }
     /// Forwards a request. The callback may be called before this function returns.
     std::shared_ptr<ForwardCall> send(const ForwardRequest& request, const ForwardCallback& onResult);
     /// Cancels a request whose result is outstanding, if it may be sent again, and returns its attempts so far. The
@@ -218,6 +221,7 @@
         bool isNumbered = true; ///< All events that were passed on have a number.
         bool isStreaming = false; ///< Events were passed on. The stream continues only with the software that began it.
         bool isDone = false;
+        bool isCounted = false; ///< It is known that an endpoint may have begun to run it.
         bool isAwaitingPermit = false; ///< A permit was requested, or the time of the next one is awaited.
         std::optional<http1::Response> endpointFailure; ///< Last 5xx answer of an endpoint, forwarded if no endpoint succeeds.
         std::unique_ptr<asio::steady_timer> deadlineTimer;
@@ -244,6 +248,7 @@
     void startHedgeTimer(const PendingPointer& pending);
     [[nodiscard]] http1::CallEvents makeCallEvents(const PendingPointer& pending, std::uint64_t number);
     [[nodiscard]] bool onHead(const PendingPointer& pending, std::uint64_t number, const http1::Response& head);
+    void recordRun(PendingRequest& pending, TimePoint sentAt);
     void recordLimit(const Attempt& attempt, AnswerClass answerClass, const http1::Response& head);
     void onBody(const PendingPointer& pending, std::uint64_t number, const std::string& bytes);
     [[nodiscard]] static bool isStreamed(const PendingRequest& pending, const Attempt& attempt);
@@ -268,6 +273,7 @@
     const Log m_log { "forward" };
     const SystemClock m_clock {};
     std::function<void(const registry::EndpointIncarnation&)> m_onLeaving;
+    std::function<void(const WorkspaceName&, TimePoint)> m_onRun;
     AnswerBudget m_budget;
     std::map<std::uint64_t, std::weak_ptr<PendingRequest>> m_attempts; ///< Requests of all attempts in progress, by attempt number.
     std::uint64_t m_nextAttempt = 1;
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -195,6 +195,19 @@
         m_onLeaving(*leaving);
 }
 
+/// Records that an endpoint may have begun to run the request, in this attempt or an earlier one in progress.
+template <typename Protocol>
+void Forwarder<Protocol>::recordRun(PendingRequest& pending, TimePoint sentAt)
+{
+    if (!m_onRun || pending.task.workspace.empty() || !pending.task.isCallerRequest || std::exchange(pending.isCounted, true))
+        return;
+    for (const auto& [number, attempt] : pending.attempts) {
+        if (attempt.call && attempt.call->isSent())
+            sentAt = std::min(sentAt, attempt.startedAt);
+    }
+    m_onRun(pending.task.workspace, sentAt);
+}
+
 /// False if the response belongs to another request.
 template <typename Protocol>
 bool Forwarder<Protocol>::onHead(const PendingPointer& pending, std::uint64_t number, const http1::Response& head)
@@ -212,6 +225,8 @@
         recordLimit(attempt, answerClass, head);
     attempt.answerClass = answerClass;
     attempt.response = head;
+    if (answerClass == AnswerClass::Answer)
+        recordRun(*pending, attempt.startedAt);
     if (const auto load = Protocol::loadOf(head))
         m_balancer.onLoadReport(attempt.endpoint.id, *load, m_clock.now());
     return true;
@@ -262,8 +277,10 @@
     m_log.info("id={} endpoint={} request={} outcome=failed sent={} cause=\"{}\" after-ms={}", pending->id, attempt.endpoint.id, isLost ? fingerprintOf(*pending) : pending->fingerprint, end.isSent, end.message, internal::milliseconds(now - attempt.startedAt));
     if (isLost)
         m_guard.recordLostRequest(attempt.endpoint, fingerprintOf(*pending));
-    if (end.isSent)
+    if (end.isSent) {
         ++pending->runs;
+        recordRun(*pending, attempt.startedAt);
+    }
     pending->failedConnections += end.kind == http1::CallEndKind::ConnectFailed ? 1 : 0;
     sendNextOrFail(pending);
 }
@@ -356,6 +373,8 @@
     m_requests.erase(pending.get());
     const TimePoint now = m_clock.now();
     for (auto& [number, attempt] : pending->attempts) {
+        if (attempt.call->isSent())
+            recordRun(*pending, attempt.startedAt);
         attempt.call->cancel();
         m_balancer.onRequestEnded(attempt.endpoint.id, outcome, now - attempt.startedAt, now);
         m_budget.release(number);
--- /dev/null
+++ b/src/azurepaddle/platform/duty_protocol.cpp
@@ -0,0 +1,24 @@
+#include "azurepaddle/platform/duty_protocol.hpp"
+
+#include "azurepaddle/platform/json.hpp"
+
+namespace azurepaddle::platform {
+
+namespace {
+
+    http1::Request dutyRequest(std::string path, const execution::DutyHolder& holder, const internal::Json& body)
+    {
+        return { "POST", std::move(path), { { "Host", "platform" }, { "X-Duty-Holder", holder.instance }, { "X-Fencing-Token", std::to_string(holder.fence) }, { "Content-Type", "application/json" } }, body.dump() };
+    }
+
+}
+
+http1::Request DutyProtocol::usageRequest(const registry::WindowUsage& usage, const execution::DutyHolder& holder)
+{
+    internal::Json counts = internal::Json::object();
+    for (const auto& [workspace, count] : usage.counts)
+        counts[workspace] = count;
+    return dutyRequest("/usage", holder, { { "window-id", usage.window }, { "counts", std::move(counts) } });
+}
+
+}
--- /dev/null
+++ b/src/azurepaddle/platform/duty_protocol.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "azurepaddle/execution/duty_client.hpp"
+#include "azurepaddle/registry/usage_ledger.hpp"
+
+namespace azurepaddle::platform {
+
+/// Encodes the calls of duties at the platform.
+struct DutyProtocol {
+    [[nodiscard]] static http1::Request usageRequest(const registry::WindowUsage& usage, const execution::DutyHolder& holder);
+};
+
+}
--- a/src/azurepaddle/registry/commands.hpp
+++ b/src/azurepaddle/registry/commands.hpp
@@ -5,6 +5,7 @@
 #include "azurepaddle/registry/crash.hpp"
 #include "azurepaddle/registry/endpoint.hpp"
 #include "azurepaddle/registry/streams.hpp"
+#include "azurepaddle/registry/usage_ledger.hpp"
 
 #include <optional>
 #include <set>
@@ -147,7 +148,25 @@
     MSGPACK_DEFINE(streams)
 };
 
-using Command = std::variant<PutConfiguration, PublishVersion, SetEndpoint, DeregisterEndpoint, RemoveEndpoint, AcceptJob, RecordResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, AppendTexts, SetOrderWindow, ReportSuspects, ExpireCrashes, RecordItemFailures, RecordLoadedVersion, RecordStreams>;
+/// Records what processes have counted, unless the windows are sealed.
+struct RecordUsage {
+    std::vector<UsageReport> reports;
+    MSGPACK_DEFINE(reports)
+};
+
+/// Fixes the total of a window of usage before it is reported to the platform.
+struct SealUsage {
+    UsageWindow window = 0;
+    MSGPACK_DEFINE(window)
+};
+
+/// Records that the platform has accepted the report of a window.
+struct ConfirmUsage {
+    UsageWindow window = 0;
+    MSGPACK_DEFINE(window)
+};
+
+using Command = std::variant<PutConfiguration, PublishVersion, SetEndpoint, DeregisterEndpoint, RemoveEndpoint, AcceptJob, RecordResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, AppendTexts, SetOrderWindow, ReportSuspects, ExpireCrashes, RecordItemFailures, RecordLoadedVersion, RecordStreams, RecordUsage, SealUsage, ConfirmUsage>;
 
 [[nodiscard]] std::string encodeCommand(const Command& command);
 /// Empty if the bytes do not encode a command that this version supports.
--- a/src/azurepaddle/registry/requests.hpp
+++ b/src/azurepaddle/registry/requests.hpp
@@ -180,6 +180,20 @@
     MSGPACK_DEFINE(publication)
 };
 
+struct ReportUsageReply {
+    bool hasSealed = false; ///< False until the first window is sealed.
+    UsageWindow newestSealed = 0; ///< Counts of this window and earlier ones are fixed.
+    MSGPACK_DEFINE(hasSealed, newestSealed)
+};
+
+/// Reports the requests of each workspace that an entry has counted.
+struct ReportUsageRequest {
+    static constexpr std::string_view method = "report-usage";
+    using Reply = ReportUsageReply;
+    UsageReport report;
+    MSGPACK_DEFINE(report)
+};
+
 enum class RetireState : std::uint8_t {
     Unknown, ///< The instance does not exist, or its retirement was not requested.
     TooFewRemaining, ///< Too few instances would remain.
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -21,7 +21,8 @@
         std::uint64_t suspectsRevision = 0;
         std::vector<StreamRecord> streams;
         SoftwareHistory::Versions softwareHistory;
-        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts, crashes, suspectsRevision, streams, softwareHistory)
+        UsageLedger::Snapshot usage;
+        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts, crashes, suspectsRevision, streams, softwareHistory, usage)
     };
 
     // A snapshot contains all jobs, which may exceed the size limit of messages between instances.
@@ -171,6 +172,25 @@
     return {};
 }
 
+std::string StateMachine::execute(const RecordUsage& command)
+{
+    for (const UsageReport& report : command.reports)
+        m_usage.record(report);
+    return {};
+}
+
+std::string StateMachine::execute(const SealUsage& command)
+{
+    m_usage.seal(command.window);
+    return {};
+}
+
+std::string StateMachine::execute(const ConfirmUsage& command)
+{
+    m_usage.confirm(command.window);
+    return {};
+}
+
 std::optional<WeightVersion> StateMachine::publishedVersion(const batch::ModelName& model) const
 {
     const auto found = m_versions.find(model.value());
@@ -187,7 +207,7 @@
 
 std::string StateMachine::snapshot() const
 {
-    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot(), m_suspects.crashes(), m_suspects.revision(), m_streams.snapshot(), m_softwareHistory.snapshot() };
+    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot(), m_suspects.crashes(), m_suspects.revision(), m_streams.snapshot(), m_softwareHistory.snapshot(), m_usage.snapshot() };
     for (const auto& [id, record] : m_directory.records())
         state.endpoints.push_back(record);
     return codec::encode(state);
@@ -208,6 +228,7 @@
     m_suspects.restore(std::move(state->crashes), state->suspectsRevision);
     m_streams.restore(state->streams);
     m_softwareHistory.restore(std::move(state->softwareHistory));
+    m_usage.restore(state->usage);
     // A snapshot of an earlier release has no history, and its records name no software.
     for (const EndpointRecord& record : state->endpoints)
         m_softwareHistory.record(record.service, record.software);
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -8,8 +8,8 @@
 namespace azurepaddle::registry {
 
 /// The replicated state: the configuration, published weight versions, endpoints, batch jobs, the holder of the order
-/// right, retiring instances, requests during which endpoints crashed, what began streams, and the software that
-/// services have run. Deterministic.
+/// right, retiring instances, requests during which endpoints crashed, what began streams, the software that services
+/// have run, and the usage of workspaces. Deterministic.
 class StateMachine {
 public:
     /// Outputs of batch jobs are kept in files of the folder, or in memory if the path is empty.
@@ -39,6 +39,7 @@
     /// have ever run. The service is empty if it is not known; so is the stream if it has no identifier.
     [[nodiscard]] std::optional<StreamOrigin> originOf(const StreamId& stream, const ServiceName& service) const;
     [[nodiscard]] const Streams& streams() const noexcept { return m_streams; }
+    [[nodiscard]] const UsageLedger& usage() const noexcept { return m_usage; }
 
 private:
     std::string execute(PutConfiguration command);
@@ -59,6 +60,9 @@
     std::string execute(const RecordItemFailures& command);
     std::string execute(const RecordLoadedVersion& command);
     std::string execute(const RecordStreams& command);
+    std::string execute(const RecordUsage& command);
+    std::string execute(const SealUsage& command);
+    std::string execute(const ConfirmUsage& command);
 
     ConfigurationDocument m_configuration;
     std::map<std::string, WeightVersion> m_versions; ///< Newest published version by model.
@@ -70,6 +74,7 @@
     Suspects m_suspects;
     Streams m_streams;
     SoftwareHistory m_softwareHistory;
+    UsageLedger m_usage;
 };
 
 }
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -34,6 +34,12 @@
     // Time for sending the last answers before the process ends.
     constexpr Duration answerMargin = std::chrono::milliseconds(200);
 
+    /// A name for this start of the node.
+    std::string processName(const config::NodeSettings& settings, Random& random)
+    {
+        return settings.node.name + "/" + std::to_string(random.next());
+    }
+
     http1::ServerLimits readinessServerLimits()
     {
         http1::ServerLimits limits;
@@ -54,6 +60,8 @@
     , m_reporter(io, m_leader)
     , m_streamRecorder(io, m_leader)
     , m_directoryProgress(io)
+    , m_usageCounter(processName(m_settings, m_random), m_settings.duties.usageWindow)
+    , m_usageSender(io, m_leader, m_usageCounter, [this](registry::UsageWindow newest) { m_usageCounter.onSealed(newest); })
     , m_stores(DataCentreName(m_settings.node.dataCentre), static_cast<std::size_t>(m_random.next()))
     , m_stateAge(m_settings.bounds.configurationDelay)
     , m_pool(io, endpointMessageLimits())
@@ -89,6 +97,8 @@
     });
     m_entryFinder.setOnFound([this](const std::vector<registry::EntryStatus>& entries) { m_relayPeers.add(entries, m_clock.now()); });
     m_relayServer.registerHandlers(m_peerServer);
+    if (m_settings.duties.includes("usage"))
+        m_localForwarder.setOnRun([this](const WorkspaceName& workspace, TimePoint beganAt) { m_usageCounter.add(workspace, beganAt); });
     m_localForwarder.setOnLeaving([this](const registry::EndpointIncarnation& leave) { reportDraining(leave); });
 }
 
@@ -102,6 +112,8 @@
         return false;
     m_log.info("start name={} data-centre={} callers={}", m_settings.node.name, m_settings.node.dataCentre, m_settings.listen.callers);
     poll();
+    if (m_settings.duties.includes("usage"))
+        m_usageSender.start();
     return true;
 }
 
@@ -294,6 +306,7 @@
 /// Completes the drain once no request can be cut off, or shortly before the process is killed.
 void EntryNode::watchDrain()
 {
+    m_usageSender.flush();
     const Duration waited = m_clock.now() - m_drainSince;
     const bool isLate = waited >= longestDrain() - killMargin / 2;
     if (isLate)
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -4,6 +4,7 @@
 #include "azurepaddle/gateway/balancer.hpp"
 #include "azurepaddle/gateway/crash_probe.hpp"
 #include "azurepaddle/gateway/relay_server.hpp"
+#include "azurepaddle/gateway/usage_sender.hpp"
 #include "azurepaddle/platform/caller_api.hpp"
 #include "azurepaddle/registry/directory_progress.hpp"
 #include "azurepaddle/registry/entry_finder.hpp"
@@ -63,6 +64,8 @@
     registry::SuspectReporter m_reporter;
     registry::StreamRecorder m_streamRecorder;
     registry::DirectoryProgress m_directoryProgress;
+    gateway::UsageCounter m_usageCounter;
+    gateway::UsageSender m_usageSender;
     registry::NearestStore m_stores;
     registry::StateAge m_stateAge;
     http1::ClientPool m_pool;
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -66,6 +66,7 @@
     , m_machine(m_settings.node.dataFolder)
     , m_group(io, groupOptions(m_settings), m_machine, m_peerClient)
     , m_service(io, m_group, m_machine, m_liveness, leaderOptions(m_settings))
+    , m_usageService(io, m_group, m_machine)
     , m_leader(io, m_peerClient)
     , m_local(io, m_group, m_machine, m_leader, DataCentreName(m_settings.node.dataCentre))
     , m_pool(io, endpointMessageLimits())
@@ -91,11 +92,24 @@
     m_group.registerHandlers(m_peerServer);
     m_service.registerHandlers(m_peerServer);
     m_local.registerHandlers(m_peerServer);
+    m_usageService.registerHandlers(m_peerServer);
+    startDuties();
     auto members = m_settings.seedPeers();
     members.push_back(m_settings.peerAddress());
     m_leader.setMembers(std::move(members));
 }
 
+void StoreNode::startDuties()
+{
+    const config::NodeDutySettings& duties = m_settings.duties;
+    const auto address = parseAddress(duties.address);
+    if (!address)
+        return;
+    m_dutyClient = std::make_unique<execution::DutyClient>(m_pool, m_orderWindow, execution::DutyOptions { *address, duties.callsPerSecond }, m_metrics);
+    if (duties.includes("usage"))
+        m_usageReporter = std::make_unique<UsageReporter>(m_group, m_machine, *m_dutyClient, execution::UsageOptions { duties.usageWindow, duties.usageDelay / 2 }, m_metrics);
+}
+
 bool StoreNode::start()
 {
     const auto client = m_peerClient.start();
@@ -128,6 +142,9 @@
     m_runner.tick();
     m_orderWindow.tick();
     m_loader.tick();
+    m_usageService.tick();
+    if (m_usageReporter)
+        m_usageReporter->tick();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](std::error_code error) {
         if (!error)
@@ -171,6 +188,8 @@
     const auto routes = std::make_shared<const gateway::RouteTable>(std::move(*table));
     m_runner.setRoutes(routes);
     m_loader.setRoutes(routes);
+    if (m_usageReporter)
+        m_usageReporter->setRoutes(routes);
 }
 
 void StoreNode::onLeadership(bool isLeading)
@@ -179,6 +198,11 @@
     m_runner.onLeadership(isLeading);
     m_orderWindow.onLeadership(isLeading);
     m_loader.onLeadership(isLeading);
+    m_usageService.onLeadership();
+    if (m_dutyClient)
+        m_dutyClient->onLeadership();
+    if (m_usageReporter)
+        m_usageReporter->onLeadership(isLeading);
 }
 
 void StoreNode::drain(std::function<void()> onDrained)
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "azurepaddle/config/node_settings.hpp"
+#include "azurepaddle/execution/usage_reporter.hpp"
 #include "azurepaddle/execution/weight_loader.hpp"
 #include "azurepaddle/platform/control_api.hpp"
+#include "azurepaddle/platform/duty_protocol.hpp"
 #include "azurepaddle/platform/endpoint_protocol.hpp"
+#include "azurepaddle/registry/usage_service.hpp"
 
 namespace azurepaddle::node {
 
@@ -22,12 +25,14 @@
 
 private:
     using Runner = execution::JobRunner<platform::EndpointProtocol>;
+    using UsageReporter = execution::UsageReporter<platform::DutyProtocol>;
     using Loader = execution::WeightLoader<platform::EndpointProtocol>;
 
     void tick();
     void onChange();
     void onLeadership(bool isLeading);
     void updateRoutes();
+    void startDuties();
     void logMemory();
     void watchDrain(TimePoint since);
 
@@ -41,6 +46,7 @@
     registry::Liveness m_liveness;
     registry::ServiceGroup m_group;
     registry::LeaderService m_service;
+    registry::UsageService m_usageService;
     registry::LeaderClient m_leader;
     registry::LocalService m_local;
     http1::ClientPool m_pool;
@@ -52,6 +58,8 @@
     Runner m_runner;
     execution::OrderWindow m_orderWindow;
     Loader m_loader;
+    std::unique_ptr<execution::DutyClient> m_dutyClient; ///< Null without duties.
+    std::unique_ptr<UsageReporter> m_usageReporter; ///< Null unless usage is to be reported.
     platform::ControlApi m_control;
     http1::Server m_controlServer;
     http1::Server m_metricsServer;
