--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -25,7 +25,9 @@
     SendLimiter limiter { "entry", [this](const registry::PermitRequest& request, TimePoint, const PermitCallback& onReply) { onReply(hasLeader ? std::optional(permits.request(request, clock.now())) : std::nullopt, clock.now()); }, random };
     Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, limiter, random, metrics, maxAnswerBytes };
     std::shared_ptr<const RouteTable> table;
-    Server server { io, [this](const ExchangePointer& exchange) { static_cast<void>(forwardExchange(forwarder, exchange, requestOf(exchange, table, table->routes().front()), [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); })); } };
+    WorkspaceName workspace;
+    std::vector<TimePoint> runs; ///< When requests of the workspace were first sent, as reported by the forwarder.
+    Server server { io, [this](const ExchangePointer& exchange) { static_cast<void>(forwardExchange(forwarder, exchange, requestOf(exchange, table, table->routes().front(), workspace), [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); })); } };
     std::vector<std::unique_ptr<RawPeer>> endpoints;
     std::vector<registry::EndpointRecord> records;
 
@@ -397,3 +399,58 @@
         cr_assert(outcome.response.status == 500 && outcome.response.body == "error text", "status %u after \"%s\"", outcome.response.status, bytes.c_str());
     }
 }
+
+namespace {
+
+/// A forwarder whose caller belongs to a workspace.
+struct WorkspaceFixture : ForwarderFixture {
+    explicit WorkspaceFixture(RouteKind kind)
+        : ForwarderFixture(kind)
+    {
+        workspace = WorkspaceName("blue");
+        forwarder.setOnRun([this](const WorkspaceName& name, TimePoint sentAt) {
+            cr_assert(name == workspace);
+            runs.push_back(sentAt);
+        });
+    }
+};
+
+}
+
+// Guards against usage that contains requests which no endpoint ran, or a request that was refused elsewhere twice.
+Test(Forwarder, endpointsRefuse_onlyTheRunIsCounted)
+{
+    WorkspaceFixture fixture(RouteKind::Idempotent);
+    static_cast<void>(fixture.request());
+    cr_assert(fixture.runs.empty());
+    fixture.addEndpoint([](const std::string&) { return answer(503, "full", "X-Not-Run: 1\r\n"); });
+    static_cast<void>(fixture.request());
+    cr_assert(fixture.runs.empty());
+    fixture.addEndpoint(succeed);
+    static_cast<void>(fixture.request());
+    cr_assert(fixture.runs.size() == 1);
+}
+
+// Guards against a hedged request that is counted twice, or in the window in which the second endpoint began.
+Test(Forwarder, requestIsHedged_countsOnceFromItsFirstEndpoint)
+{
+    WorkspaceFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint(silent);
+    fixture.addEndpoint(succeed);
+    const TimePoint before = fixture.clock.now();
+    static_cast<void>(fixture.request());
+    const Duration hedge = fixture.clock.now() - before;
+    cr_assert(fixture.runs.size() == 1);
+    cr_assert(fixture.runs.front() - before < hedge / 2);
+}
+
+// Guards against requests that may have run and are missing from the usage: those that failed, and those whose time ran out.
+Test(Forwarder, answerLostOrTooLate_requestIsCounted)
+{
+    for (const auto& script : { RawPeer::Script([](const std::string&) { return std::string("nonsense\r\n\r\n"); }), silent }) {
+        WorkspaceFixture fixture(RouteKind::NonIdempotent);
+        fixture.addEndpoint(script);
+        static_cast<void>(fixture.request());
+        cr_assert(fixture.runs.size() == 1);
+    }
+}
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -1,5 +1,6 @@
 #include "azurepaddle/platform/batch_format.hpp"
 #include "azurepaddle/platform/configuration.hpp"
+#include "azurepaddle/platform/duty_protocol.hpp"
 #include "azurepaddle/platform/endpoint_protocol.hpp"
 #include "azurepaddle/platform/registration.hpp"
 
@@ -364,3 +365,13 @@
         cr_assert(!EndpointProtocol::takeUpOf(request), "%s", malformed);
     }
 }
+
+// Guards against a report that names no holder, another window or other counts.
+Test(DutyProtocol, usage_encoded_namesHolderFenceWindowAndCounts)
+{
+    const auto request = DutyProtocol::usageRequest({ 353'445'120, { { "blue", 412 }, { "red", 1 } } }, { "store-1", 12 });
+    cr_assert(request.method == "POST" && request.target == "/usage");
+    cr_assert(request.fields.find("X-Duty-Holder") == "store-1" && request.fields.find("X-Fencing-Token") == "12");
+    cr_assert(json::parse(request.body) == json({ { "window-id", 353'445'120 }, { "counts", { { "blue", 412 }, { "red", 1 } } } }));
+    cr_assert(json::parse(DutyProtocol::usageRequest({ 7, {} }, { "store-1", 12 }).body)["counts"] == json::object());
+}
