Place items where the beginning of their prompt is held

Change: X-Prompt-Prefix is decoded into ItemSpec::prompt and kv-capacity into Service::kvCapacity. PrefixCache predicts which parts each endpoint holds from the requests sent there. Placement weighs the time and price of processing the missing part against generation time and the delay of the items beside it, holds items back until the first of their group has begun, and lets an item with a held prompt overtake one of similar length. Without parts or kv-capacity, items are placed as before.

--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -1,13 +1,30 @@
 #include "azurepaddle/batch/placement.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace azurepaddle::batch {
 
 namespace {
 
-    // Items of one group share an endpoint unless another endpoint has more than this many items fewer.
+    // Items of one group whose prompt is not known share an endpoint unless another endpoint has more than this many items
+    // fewer.
     constexpr std::uint32_t affinitySlack = 2;
+    // Time to process a token of a prompt. Endpoints process 340 to 400 tokens per millisecond.
+    constexpr double promptTokenMs = 1.0 / 370;
+    // Delay of an item that is accepted to save a token from being processed again, in addition to the time for that. The
+    // price is set per token and not as time; 20 ms per 1000 tokens let a group with a usual prompt fill half an endpoint.
+    constexpr double repeatedTokenPriceMs = 0.02;
+    // Time from the sending of an item until its endpoint has begun to answer.
+    constexpr double startMs = 8;
+    // An item is overtaken only by one of the next few whose prompt is held, and only if that one saves this many tokens more
+    // and is not much shorter, because the longest items determine when a step ends: when items of half the length could
+    // overtake, simulated steps with three times as many items as slots ended 3 % later.
+    constexpr std::size_t overtakingWindow = 64;
+    constexpr std::uint64_t minOvertakingTokens = 100;
+    constexpr double minOvertakingLength = 0.75;
+    // An item that has waited this long is not overtaken any more.
+    constexpr Duration maxOvertakenWait = std::chrono::seconds(2);
     // Time that a move costs an item: a connection, processing of its prompt and its output so far, and a part of an
     // event.
     constexpr Duration moveCost = std::chrono::milliseconds(80);
@@ -106,6 +123,17 @@
         return found == endpoints.end() ? nullptr : &*found;
     }
 
+    /// The best endpoint for an item, or that of its group if it is hardly worse.
+    EndpointLoad* bestNearGroup(std::vector<EndpointLoad>& endpoints, const WaitingItem& item, const std::map<GroupId, EndpointId>& endpointOfGroup, Duration tokenTime)
+    {
+        EndpointLoad* best = bestEndpoint(endpoints, item, tokenTime);
+        const auto found = best ? endpointOfGroup.find(item.group) : endpointOfGroup.end();
+        EndpointLoad* ofGroup = found == endpointOfGroup.end() ? nullptr : findEndpoint(endpoints, found->second);
+        if (!ofGroup || item.isLong || !canTake(*ofGroup, item) || ofGroup->slowness >= slownessThreshold || ofGroup->longItems > 0)
+            return best;
+        return ofGroup->running <= best->running + affinitySlack ? ofGroup : best;
+    }
+
     /// Assigns the item to the endpoint and includes it in the load of the endpoint.
     template <typename Item>
     Placement assign(EndpointLoad& endpoint, const Item& item)
@@ -115,6 +143,112 @@
         return { item.index, endpoint.id, false };
     }
 
+    /// Predicts the held part of prompts, including what the placements of the same round will add.
+    class PromptPlan {
+    public:
+        explicit PromptPlan(const PromptKnowledge& knowledge)
+            : m_knowledge(knowledge)
+        {
+        }
+
+        [[nodiscard]] bool appliesTo(const WaitingItem& item) const { return m_knowledge.cache && !item.prompt.empty(); }
+
+        [[nodiscard]] HeldPrompt find(const EndpointLoad& endpoint, const std::vector<PromptPart>& prompt) const
+        {
+            HeldPrompt held = m_knowledge.cache->find({ endpoint.id, endpoint.startedMs, m_knowledge.model, endpoint.version }, prompt, m_knowledge.now);
+            const auto planned = m_planned.find(endpoint.id);
+            if (planned == m_planned.end())
+                return held;
+            std::uint64_t end = 0;
+            for (const PromptPart& part : prompt) {
+                end += part.tokens;
+                if (end <= held.tokens + held.startingTokens)
+                    continue;
+                if (!planned->second.contains(part.id))
+                    break;
+                held.startingTokens += part.tokens;
+            }
+            return held;
+        }
+
+        void add(const EndpointId& endpoint, const std::vector<PromptPart>& prompt)
+        {
+            for (const PromptPart& part : prompt)
+                m_planned[endpoint].insert(part.id);
+        }
+
+    private:
+        const PromptKnowledge& m_knowledge;
+        std::map<EndpointId, std::set<std::uint64_t>> m_planned; ///< Parts of items placed in this round.
+    };
+
+    /// An endpoint for an item with a known prompt.
+    struct Candidate {
+        EndpointLoad* endpoint = nullptr;
+        double costMs = 0;
+        bool isHeldBack = false;
+    };
+
+    /// The delay from here on of an item, and of those beside it because of it, without its prompt.
+    double generationCostMs(const WaitingItem& item, const EndpointLoad& endpoint, Duration tokenTime)
+    {
+        const double others = static_cast<double>(endpoint.running) + (longItemWeight - 1) * static_cast<double>(endpoint.longItems);
+        const double aloneMs = static_cast<double>(item.expectedTokens) * toMilliseconds(tokenTime) * endpoint.lastingSlowness;
+        return toMilliseconds(expectedTime(item.expectedTokens, endpoint, endpoint.running, tokenTime)) + aloneMs * crowdingPerItem * others;
+    }
+
+    Candidate candidateAt(EndpointLoad& endpoint, const WaitingItem& item, const PromptPlan& plan, Duration tokenTime)
+    {
+        const HeldPrompt held = plan.find(endpoint, item.prompt);
+        const double missing = static_cast<double>(countTokens(item.prompt) - held.tokens);
+        const double starting = static_cast<double>(held.startingTokens);
+        const double costOfTokenMs = promptTokenMs + repeatedTokenPriceMs;
+        const bool isHeldBack = starting * costOfTokenMs > startMs;
+        const double promptMs = isHeldBack ? startMs + (missing - starting) * costOfTokenMs : missing * costOfTokenMs;
+        return { &endpoint, generationCostMs(item, endpoint, tokenTime) + promptMs, isHeldBack };
+    }
+
+    /// The endpoint where an item with a known prompt costs least. Without an endpoint if none has room.
+    Candidate cheapestForPrompt(std::vector<EndpointLoad>& endpoints, const WaitingItem& item, const PromptPlan& plan, Duration tokenTime)
+    {
+        Candidate best;
+        for (EndpointLoad& endpoint : endpoints) {
+            if (!canTake(endpoint, item))
+                continue;
+            const Candidate candidate = candidateAt(endpoint, item, plan, tokenTime);
+            if (!best.endpoint || candidate.costMs < best.costMs)
+                best = candidate;
+        }
+        return best;
+    }
+
+    bool isLongEnough(const WaitingItem& overtaking, const WaitingItem& item)
+    {
+        return static_cast<double>(overtaking.expectedTokens) >= minOvertakingLength * static_cast<double>(item.expectedTokens);
+    }
+
+    /// The position of the item that takes a slot at the endpoint before the one at `position`, because the endpoint holds
+    /// more of its prompt; `position` if there is none.
+    std::size_t findOvertaking(const std::vector<WaitingItem>& waiting, const std::vector<bool>& isPlaced, std::size_t position, const EndpointLoad& endpoint, const PromptPlan& plan)
+    {
+        const WaitingItem& item = waiting[position];
+        if (item.isLong || item.isCarriedOver || item.waitingFor > maxOvertakenWait)
+            return position;
+        std::size_t best = position;
+        std::uint64_t bestTokens = plan.find(endpoint, item.prompt).tokens + minOvertakingTokens;
+        const std::size_t end = std::min(waiting.size(), position + overtakingWindow);
+        for (std::size_t i = position + 1; i < end && isLongEnough(waiting[i], item); ++i) {
+            if (isPlaced[i] || !plan.appliesTo(waiting[i]) || !canTake(endpoint, waiting[i]))
+                continue;
+            const std::uint64_t tokens = plan.find(endpoint, waiting[i].prompt).tokens;
+            if (tokens > bestTokens) {
+                best = i;
+                bestTokens = tokens;
+            }
+        }
+        return best;
+    }
+
     void sortLongestFirst(std::vector<RunningItem>& running)
     {
         std::stable_sort(running.begin(), running.end(), [](const RunningItem& a, const RunningItem& b) { return a.expectedTokens > b.expectedTokens; });
@@ -144,30 +278,47 @@
 
 }
 
-std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup, Duration tokenTime)
+std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup, Duration tokenTime, const PromptKnowledge& prompts)
 {
     std::stable_sort(waiting.begin(), waiting.end(), [](const WaitingItem& a, const WaitingItem& b) {
         return a.isCarriedOver != b.isCarriedOver ? a.isCarriedOver : a.expectedTokens > b.expectedTokens;
     });
     std::map<GroupId, EndpointId> endpointOfGroup = lastEndpointOfGroup;
+    PromptPlan plan(prompts);
+    const auto choose = [&](const WaitingItem& item) {
+        return plan.appliesTo(item) ? cheapestForPrompt(endpoints, item, plan, tokenTime) : Candidate { bestNearGroup(endpoints, item, endpointOfGroup, tokenTime) };
+    };
     std::vector<Placement> placements;
-    for (WaitingItem& item : waiting) {
-        EndpointLoad* best = bestEndpoint(endpoints, item, tokenTime);
-        const bool isRestart = !best && item.held && shouldRestart(item, endpoints, tokenTime);
+    const auto place = [&](const WaitingItem& item, const Candidate& candidate, bool isRestart) {
+        endpointOfGroup[item.group] = candidate.endpoint->id;
+        if (!candidate.isHeldBack)
+            plan.add(candidate.endpoint->id, item.prompt);
+        placements.push_back(assign(*candidate.endpoint, item));
+        placements.back().isRestart = isRestart;
+        placements.back().isHeldBack = candidate.isHeldBack;
+    };
+    std::vector<bool> isPlaced(waiting.size());
+    for (std::size_t position = 0; position < waiting.size(); ++position) {
+        WaitingItem& item = waiting[position];
+        if (isPlaced[position])
+            continue;
+        Candidate best = choose(item);
+        while (best.endpoint && plan.appliesTo(item)) {
+            const std::size_t overtaking = findOvertaking(waiting, isPlaced, position, *best.endpoint, plan);
+            if (overtaking == position)
+                break;
+            isPlaced[overtaking] = true;
+            place(waiting[overtaking], candidateAt(*best.endpoint, waiting[overtaking], plan, tokenTime), false);
+            best = choose(item);
+        }
+        const bool isRestart = !best.endpoint && item.held && shouldRestart(item, endpoints, tokenTime);
         if (isRestart) {
             item.expectedTokens += item.held->tokens;
             item.held.reset();
-            best = bestEndpoint(endpoints, item, tokenTime);
+            best = choose(item);
         }
-        if (!best)
-            continue;
-        const auto found = endpointOfGroup.find(item.group);
-        EndpointLoad* groupEndpoint = found == endpointOfGroup.end() ? nullptr : findEndpoint(endpoints, found->second);
-        if (!item.isLong && groupEndpoint && canTake(*groupEndpoint, item) && groupEndpoint->slowness < slownessThreshold && groupEndpoint->longItems == 0 && groupEndpoint->running <= best->running + affinitySlack)
-            best = groupEndpoint;
-        endpointOfGroup[item.group] = best->id;
-        placements.push_back(assign(*best, item));
-        placements.back().isRestart = isRestart;
+        if (best.endpoint)
+            place(item, best, isRestart);
     }
     return placements;
 }
--- a/src/azurepaddle/batch/placement.hpp
+++ b/src/azurepaddle/batch/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurepaddle/batch/prefix_cache.hpp"
 #include "azurepaddle/batch/types.hpp"
 #include "azurepaddle/core/clock.hpp"
 
@@ -29,6 +30,7 @@
     double slowness = 1; ///< Current time per event relative to the median of all endpoints.
     double lastingSlowness = 1; ///< The same without slowdowns that pass, for example because its hardware is older.
     Duration slowFor {}; ///< How long it has been slower than its lasting speed.
+    std::uint64_t startedMs = 0; ///< Identifies its incarnation.
 
     friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
 };
@@ -53,6 +55,7 @@
     WeightVersion minVersion = 0;
     std::optional<HeldText> held; ///< Empty if it has generated nothing.
     Duration waitingFor {}; ///< Time since it last ran.
+    std::vector<PromptPart> prompt {}; ///< Empty if unknown.
 
     friend bool operator==(const WaitingItem&, const WaitingItem&) = default;
 };
@@ -61,20 +64,36 @@
     std::size_t index = 0;
     EndpointId endpoint;
     bool isRestart = false; ///< The endpoint cannot continue the output of the item, which starts again.
+    bool isHeldBack = false; ///< Not to be sent yet: the endpoint is about to process the beginning of its prompt for another item.
 
     friend bool operator==(const Placement&, const Placement&) = default;
 };
 
+/// What is known about the prompts that endpoints hold for one model.
+struct PromptKnowledge {
+    const PrefixCache* cache = nullptr; ///< Null if nothing is known, because the memory of the endpoints is not configured.
+    ModelName model;
+    TimePoint now;
+};
+
 /// Assigns waiting items to free slots: carried-over groups first, then the longest items, because the last items of a
-/// step determine when it ends. Long items go to the endpoint where they are expected to end first, others to the least
-/// loaded one. Items of a group share an endpoint where that costs little, so that their common prompt is processed
-/// once. Endpoints with long items get few others. Items without a free slot are left out. `tokenTime` is the time to
+/// step determine when it ends. Endpoints with long items get few others.
+///
+/// An item whose prompt is known goes where it is expected to end first, including the time to process the part of its
+/// prompt that the endpoint does not hold, the price of doing so, and the delay of the items that run there. If another
+/// item that was just sent is about to leave that part at the endpoint, the item is held back, with its slot reserved,
+/// where this costs less than processing the part twice. While fewer slots are free than items wait, an item may be
+/// overtaken by one of similar length of whose prompt the endpoint holds more.
+///
+/// Other items go to the endpoint where they end first if they are long and otherwise to the least loaded one. Those of a
+/// group share an endpoint where that costs little, so that their common prompt is processed once.
+/// Items without a free slot are left out. `tokenTime` is the time to
 /// generate a token at the median endpoint.
 ///
 /// An item with output waits for an endpoint that can continue it for as long as it takes to generate that output again,
 /// but for two seconds at most, and then starts again elsewhere. It starts again at once if all endpoints with its version
 /// of the software have left.
-[[nodiscard]] std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup, Duration tokenTime = defaultTokenTime);
+[[nodiscard]] std::vector<Placement> placeItems(std::vector<WaitingItem> waiting, std::vector<EndpointLoad> endpoints, const std::map<GroupId, EndpointId>& lastEndpointOfGroup, Duration tokenTime = defaultTokenTime, const PromptKnowledge& prompts = {});
 
 /// A running item that may be moved to another endpoint.
 struct RunningItem {
--- a/src/azurepaddle/batch/types.hpp
+++ b/src/azurepaddle/batch/types.hpp
@@ -36,6 +36,15 @@
     MSGPACK_DEFINE(id, host, path, body)
 };
 
+/// A part of a prompt. Requests whose prompts begin alike have the same first parts.
+struct PromptPart {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+
+    friend bool operator==(const PromptPart&, const PromptPart&) = default;
+    MSGPACK_DEFINE(id, tokens)
+};
+
 /// One generation request of a job.
 struct ItemSpec {
     ItemId id;
@@ -46,11 +55,12 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t expectedTokens = 0; ///< Output tokens as estimated by the submitter.
     RewardCall reward {}; ///< If its id is empty, the item needs no score.
+    std::vector<PromptPart> prompt {}; ///< In order, shared parts first. Empty if the submitter names none.
 
     [[nodiscard]] bool needsScore() const noexcept { return !reward.id.empty(); }
 
     friend bool operator==(const ItemSpec&, const ItemSpec&) = default;
-    MSGPACK_DEFINE(id, path, fields, body, group, promptTokens, expectedTokens, reward)
+    MSGPACK_DEFINE(id, path, fields, body, group, promptTokens, expectedTokens, reward, prompt)
 };
 
 /// A batch job as submitted.
--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/batch/placement.hpp"
+#include "azurepaddle/batch/prefix_cache.hpp"
 #include "azurepaddle/batch/score_plan.hpp"
 #include "azurepaddle/execution/item_text.hpp"
 #include "azurepaddle/execution/protocol.hpp"
@@ -43,7 +44,7 @@
     /// Adds new jobs, removes ended ones, and starts the items and reward calls for which there is capacity.
     void update();
     /// Records partial texts, abandons expired items, moves items away from silent and slow endpoints, evicts unused
-    /// texts, and calls `update`.
+    /// texts and what is known of removed endpoints, and calls `update`.
     void tick();
 
     /// Returns the number of items of a model that run at an endpoint.
@@ -126,6 +127,8 @@
     void recordFailures(const Run& run);
     void placeWaitingItems();
     [[nodiscard]] std::vector<batch::EndpointLoad> loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const;
+    [[nodiscard]] std::uint64_t kvCapacityOf(const ServiceName& service) const;
+    void recordPrompt(const Run& run, const batch::ItemSpec& spec, const registry::EndpointRecord& record, TimePoint now);
     [[nodiscard]] const ServiceName& serviceOf(Run& run, const batch::ItemSpec& spec) const;
     [[nodiscard]] bool acquirePermit(const EndpointId& endpoint);
     void setCaller(http1::Request& request, const WorkspaceName& workspace) const;
@@ -158,7 +161,7 @@
     void requeueResults(const registry::RecordResults& command);
     void recordPartialTexts(TimePoint now);
     void abandonExpired(TimePoint now);
-    void evictTexts(TimePoint now);
+    void evictUnused(TimePoint now);
     void requeueSilentItems(TimePoint now);
     void moveItemsFromSlowEndpoints(TimePoint now);
     [[nodiscard]] std::map<EndpointId, Slowness> findSlowEndpoints(TimePoint now) const;
@@ -195,6 +198,8 @@
     std::map<EndpointId, std::set<batch::ModelName>> m_loadingModels;
     std::map<EndpointId, TimePoint> m_avoidUntil;
     std::map<GroupId, EndpointId> m_lastEndpointOfGroup;
+    batch::PrefixCache m_prefixCache;
+    bool m_isAnyHeldBack = false; ///< Whether an item waits until the beginning of its prompt is processed for another one.
     std::vector<RunPointer> m_awaitingScore; ///< Items whose score is outstanding, in the order in which their texts were completed.
     std::vector<batch::TextPart> m_completedTexts; ///< Last parts of texts that are not proposed yet.
     std::map<batch::JobId, registry::RecordResults> m_results; ///< Results that are not proposed yet.
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -56,6 +56,7 @@
     m_avoidUntil.clear();
     m_running.clear();
     m_longItems.clear();
+    m_prefixCache.clear();
     if (isLeading)
         scheduleUpdate();
 }
@@ -192,6 +193,14 @@
     return run.service;
 }
 
+/// The memory for prompts and outputs of each endpoint of a service, in tokens; 0 if it is not configured.
+template <typename Protocol>
+std::uint64_t JobRunner<Protocol>::kvCapacityOf(const ServiceName& service) const
+{
+    const gateway::Service* configured = m_routes->findService(service);
+    return configured ? configured->kvCapacity : 0;
+}
+
 template <typename Protocol>
 std::vector<batch::EndpointLoad> JobRunner<Protocol>::loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const
 {
@@ -219,6 +228,7 @@
         load.lastingSlowness = isDraining ? internal::drainingSlowness : m_speedMeter.lastingSlowness(id, now);
         load.slowness = isDraining ? internal::drainingSlowness : m_speedMeter.slowness(id, now);
         load.slowFor = m_speedMeter.slowFor(id, now);
+        load.startedMs = record.startedMs;
         loads.push_back(std::move(load));
     }
     return loads;
@@ -291,14 +301,20 @@
         keys.emplace_back((*oldest)->acceptedAt, key);
     }
     std::sort(keys.begin(), keys.end());
+    m_isAnyHeldBack = false;
     for (const auto& [since, key] : keys) {
         const std::vector<RunPointer>& runs = waiting.at(key);
         std::vector<batch::WaitingItem> items;
         for (std::size_t index = 0; index < runs.size(); ++index) {
             const Run& run = *runs[index];
-            items.push_back({ index, specOf(run)->group, run.isCarriedOver, remainingTokens(run), run.isLong, run.minVersion, heldTextOf(run), now - run.waitingSince });
+            const batch::ItemSpec& spec = *specOf(run);
+            items.push_back({ index, spec.group, run.isCarriedOver, remainingTokens(run), run.isLong, run.minVersion, heldTextOf(run), now - run.waitingSince, spec.prompt });
         }
-        for (const batch::Placement& placement : batch::placeItems(std::move(items), loadsOf(key.first, key.second, now), m_lastEndpointOfGroup, tokenTime(now))) {
+        const batch::PromptKnowledge prompts { kvCapacityOf(key.second) > 0 ? &m_prefixCache : nullptr, key.first, now };
+        for (const batch::Placement& placement : batch::placeItems(std::move(items), loadsOf(key.first, key.second, now), m_lastEndpointOfGroup, tokenTime(now), prompts)) {
+            m_isAnyHeldBack = m_isAnyHeldBack || placement.isHeldBack;
+            if (placement.isHeldBack)
+                continue;
             m_lastEndpointOfGroup[specOf(*runs[placement.index])->group] = placement.endpoint;
             startIfPermitted(runs[placement.index], placement);
         }
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -103,8 +103,22 @@
     options.connectTimeout = internal::itemConnectTimeout;
     options.maxConnections = record->slots + internal::spareConnections;
     run->call = m_pool.send(record->address(), request, options, std::move(events));
-    m_log.info("item id={} job={} model={} min-version={} endpoint={} software={} resumes-after={} outcome=sent", run->item, run->job, run->model, run->minVersion, endpoint, record->software, known.text.eventCount());
     m_metrics.counter("items_sent_total").add();
+    recordPrompt(*run, *spec, *record, now);
+}
+
+/// Records the sending of an item, and what its endpoint is predicted to hold of its prompt before it gets there.
+template <typename Protocol>
+void JobRunner<Protocol>::recordPrompt(const Run& run, const batch::ItemSpec& spec, const registry::EndpointRecord& record, TimePoint now)
+{
+    const batch::PromptHolder holder { record.id, record.startedMs, run.model, m_liveness.versionOf(record, run.model) };
+    const std::uint64_t promptTokens = spec.prompt.empty() ? spec.promptTokens : batch::countTokens(spec.prompt);
+    const std::uint64_t heldTokens = m_prefixCache.find(holder, spec.prompt, now).tokens;
+    const std::uint64_t events = m_texts[run.item].text.eventCount();
+    m_prefixCache.recordSent(run.number, holder, kvCapacityOf(record.service), spec.prompt, events * internal::tokensPerEvent, now);
+    m_log.info("item id={} job={} model={} min-version={} endpoint={} software={} resumes-after={} outcome=sent prompt-tokens={} held-tokens={}", run.item, run.job, run.model, run.minVersion, record.id, record.software, events, promptTokens, heldTokens);
+    m_metrics.counter("items_prompt_tokens_total").add(promptTokens);
+    m_metrics.counter("items_prompt_tokens_held_total").add(heldTokens);
 }
 
 /// Cancels the call or the scoring of an item without an outcome and returns the item to the waiting state.
@@ -115,6 +129,7 @@
         return stopScoring(run);
     if (run->stage != Stage::Running)
         return;
+    m_prefixCache.recordEnded(run->number);
     run->stage = Stage::Waiting;
     run->number = 0;
     run->waitingSince = m_clock.now();
@@ -204,6 +219,9 @@
         return true;
     const auto version = Protocol::versionOf(head);
     run->version = version.value_or(0);
+    m_prefixCache.recordBegun(run->number, version);
+    if (m_isAnyHeldBack)
+        scheduleUpdate();
     const auto required = requiredVersion(*run);
     const bool isTooOld = run->version < run->minVersion;
     if (isTooOld || (required && *required != run->version)) {
@@ -258,6 +276,7 @@
     if (run->eventsFromEndpoint++ > 0 && !isPaused)
         m_speedMeter.recordEventInterval(run->endpoint, now - run->lastEventAt, now);
     run->lastEventAt = now;
+    m_prefixCache.recordGenerated(run->number, internal::tokensPerEvent);
     markIfLong(run);
 }
 
--- a/src/azurepaddle/execution/job_runner_watch.hpp
+++ b/src/azurepaddle/execution/job_runner_watch.hpp
@@ -39,12 +39,12 @@
     abandonExpired(now);
     requeueSilentItems(now);
     moveItemsFromSlowEndpoints(now);
-    evictTexts(now);
+    evictUnused(now);
     update();
 }
 
 template <typename Protocol>
-void JobRunner<Protocol>::evictTexts(TimePoint now)
+void JobRunner<Protocol>::evictUnused(TimePoint now)
 {
     if (now < m_nextTextSweep)
         return;
@@ -53,6 +53,12 @@
         const bool isWanted = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& job) { return job.second.contains(entry.first); });
         return !isWanted && now - entry.second.lastUsedAt > internal::textLifetime;
     });
+    std::set<EndpointId> endpoints;
+    for (const auto& [id, record] : m_machine.directory().records()) {
+        if (record.state != registry::EndpointState::Gone)
+            endpoints.insert(id);
+    }
+    m_prefixCache.retainOnly(endpoints);
 }
 
 /// Records the partial texts of long items, so that the next leader can resume them. Short ones are quickly generated
--- a/src/azurepaddle/gateway/route_table.hpp
+++ b/src/azurepaddle/gateway/route_table.hpp
@@ -57,6 +57,7 @@
     std::string healthPath;
     std::size_t maxConnections = 64; ///< To one endpoint, over all callers.
     std::vector<batch::ModelName> models; ///< The models with which its endpoints generate; empty for plain services.
+    std::uint64_t kvCapacity = 0; ///< Tokens of running requests and cached prompts that an endpoint holds; 0 if unknown.
 
     friend bool operator==(const Service&, const Service&) = default;
 };
--- a/src/azurepaddle/platform/batch_format.cpp
+++ b/src/azurepaddle/platform/batch_format.cpp
@@ -5,6 +5,7 @@
 #include "azurepaddle/platform/leading_count.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace azurepaddle::platform {
 
@@ -18,9 +19,59 @@
 
     constexpr std::string_view tokenUsageField = "X-Token-Usage"; // Prompt tokens and maximum output tokens, separated by a comma.
     constexpr std::string_view lengthHintField = "X-Length-Hint"; // Estimated output tokens.
+    constexpr std::string_view promptPrefixField = "X-Prompt-Prefix"; // Parts of the prompt as ID:TOKENS, separated by commas.
+    // Further parts are ignored, so that the field cannot make the leader hold many parts per item.
+    constexpr std::size_t maxPromptParts = 32;
+    constexpr std::size_t maxPartIdDigits = 64;
+    constexpr std::uint64_t maxPartTokens = 100'000'000;
     constexpr std::size_t maxRewardBytes = 1024U * 1024U;
 
-    /// Sets the token counts from the header fields of an item: for the output its estimate, or its maximum without one.
+    /// Parses the hexadecimal id of a prompt part. Of ids longer than 64 bits the last 64 are kept, which suffice to tell
+    /// digests apart.
+    std::optional<std::uint64_t> decodePartId(std::string_view text)
+    {
+        if (text.empty() || text.size() > maxPartIdDigits || text.find_first_not_of("0123456789abcdefABCDEF") != std::string_view::npos)
+            return std::nullopt;
+        constexpr std::size_t maxDigits = 16;
+        text.remove_prefix(text.size() - std::min(text.size(), maxDigits));
+        std::uint64_t id = 0;
+        std::from_chars(text.data(), text.data() + text.size(), id, maxDigits);
+        return id;
+    }
+
+    std::optional<batch::PromptPart> decodePromptPart(std::string_view text)
+    {
+        const std::size_t colon = text.find(':');
+        if (colon == std::string_view::npos)
+            return std::nullopt;
+        const auto id = decodePartId(text.substr(0, colon));
+        const std::string_view digits = text.substr(colon + 1);
+        const auto tokens = digits.find_first_not_of("0123456789") == std::string_view::npos ? leadingCount(digits) : std::nullopt;
+        if (!id || !tokens || *tokens == 0 || *tokens > maxPartTokens)
+            return std::nullopt;
+        return batch::PromptPart { *id, static_cast<std::uint32_t>(*tokens) };
+    }
+
+    /// Decodes the parts of a prompt. Malformed ones are left out: they only make the prediction of what an endpoint holds
+    /// less exact.
+    std::vector<batch::PromptPart> decodePrompt(std::string_view list)
+    {
+        std::vector<batch::PromptPart> parts;
+        while (!list.empty() && parts.size() < maxPromptParts) {
+            const std::size_t comma = std::min(list.find(','), list.size());
+            std::string_view entry = list.substr(0, comma);
+            list.remove_prefix(std::min(comma + 1, list.size()));
+            constexpr std::string_view blanks = " \t";
+            entry.remove_prefix(std::min(entry.find_first_not_of(blanks), entry.size()));
+            entry.remove_suffix(entry.size() - std::min(entry.find_last_not_of(blanks) + 1, entry.size()));
+            if (const auto part = decodePromptPart(entry))
+                parts.push_back(*part);
+        }
+        return parts;
+    }
+
+    /// Sets the token counts and the parts of the prompt from the header fields of an item: for the output its estimate, or its
+    /// maximum without one.
     void setTokenCounts(batch::ItemSpec& item)
     {
         for (const batch::ItemField& field : item.fields) {
@@ -31,6 +82,8 @@
                     item.expectedTokens = leadingCount(std::string_view(field.value).substr(comma + 1)).value_or(0);
             } else if (http1::equalNames(field.name, lengthHintField)) {
                 item.expectedTokens = leadingCount(field.value).value_or(0);
+            } else if (http1::equalNames(field.name, promptPrefixField)) {
+                item.prompt = decodePrompt(field.value);
             }
         }
     }
--- a/src/azurepaddle/platform/configuration.cpp
+++ b/src/azurepaddle/platform/configuration.cpp
@@ -99,6 +99,8 @@
         service.healthPath = textOf(json, "health-path").value_or("/healthz");
         service.maxConnections = countOf(json, "max-connections").value_or(service.maxConnections);
         const auto engine = json.find("engine");
+        if (engine != json.end())
+            service.kvCapacity = countOf(*engine, "kv-capacity").value_or(0);
         const Json* models = engine == json.end() ? nullptr : listOf(*engine, "models");
         if (models) {
             for (const Json& model : *models) {
--- a/test/azurepaddle/batch/job_store.cpp
+++ b/test/azurepaddle/batch/job_store.cpp
@@ -150,3 +150,32 @@
     restored.recordResults(JobId("j"), { result("a", "text") });
     cr_assert(restored.find(JobId("j"))->failures.empty());
 }
+
+namespace {
+
+/// An item as encoded by the release before prompts.
+struct EarlierItem {
+    ItemId id;
+    std::string path;
+    std::vector<ItemField> fields;
+    std::string body;
+    GroupId group;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t expectedTokens = 0;
+    RewardCall reward {};
+
+    MSGPACK_DEFINE(id, path, fields, body, group, promptTokens, expectedTokens, reward)
+};
+
+}
+
+// Guards against logs and snapshots that the previous release cannot read, or that this one cannot.
+Test(ItemSpec, encodedByThisOrPreviousRelease_isReadByBoth)
+{
+    const ItemSpec item { ItemId("i"), "/p", {}, "body", GroupId("g"), 10, 400, {}, { { 1, 1000 }, { 2, 20 } } };
+    cr_assert(codec::decode<ItemSpec>(codec::encode(item)) == item);
+    const auto earlier = codec::decode<EarlierItem>(codec::encode(item));
+    cr_assert(earlier.has_value() && earlier->group == item.group && earlier->expectedTokens == 400);
+    const auto read = codec::decode<ItemSpec>(codec::encode(*earlier));
+    cr_assert(read.has_value() && read->prompt.empty() && read->body == "body");
+}
--- a/test/azurepaddle/batch/placement.cpp
+++ b/test/azurepaddle/batch/placement.cpp
@@ -50,6 +50,43 @@
     return counts;
 }
 
+/// Prompts of 1000 tokens that a group shares and 20 of the item.
+std::vector<PromptPart> promptOf(std::uint64_t group, std::uint64_t item)
+{
+    return { { group, 1000 }, { 1000 + item, 20 } };
+}
+
+WaitingItem waitingWithPrompt(std::size_t index, std::uint64_t tokens, std::uint64_t group)
+{
+    WaitingItem item = waiting(index, tokens, std::to_string(group));
+    item.prompt = promptOf(group, index);
+    return item;
+}
+
+/// A cache in which the endpoint holds the prompt of an item of a group.
+struct Knowledge {
+    PrefixCache cache;
+    std::uint64_t lastRun = 0;
+
+    Knowledge& send(const std::string& id, std::uint64_t group)
+    {
+        cache.recordSent(++lastRun, { EndpointId(id), 0, ModelName("m"), 1 }, 100'000, promptOf(group, 900), 0, {});
+        return *this;
+    }
+
+    Knowledge& hold(const std::string& id, std::uint64_t group)
+    {
+        send(id, group);
+        cache.recordBegun(lastRun, 1);
+        return *this;
+    }
+
+    std::vector<Placement> place(const std::vector<WaitingItem>& items, const std::vector<EndpointLoad>& endpoints) const
+    {
+        return placeItems(items, endpoints, {}, defaultTokenTime, { &cache, ModelName("m"), {} });
+    }
+};
+
 constexpr Duration longStay = std::chrono::seconds(2);
 
 }
@@ -196,6 +233,103 @@
     cr_assert(placeItems({ waiting(0, 300) }, { older, endpoint("b", 2) }, {})[0].endpoint == EndpointId("a"), "a short item took a place on the fast endpoint");
 }
 
+// Guards against the first item of a group that is placed without regard to where the beginning of its prompt is held.
+Test(PlacementWithPrompts, firstItemOfGroup_goesWhereItsPromptIsHeld)
+{
+    Knowledge knowledge;
+    knowledge.hold("b", 1);
+    const std::vector<EndpointLoad> endpoints { endpoint("a"), endpoint("b", 2) };
+    cr_assert(knowledge.place({ waitingWithPrompt(0, 400, 1) }, endpoints).front().endpoint == EndpointId("b"));
+    cr_assert(placeItems({ waitingWithPrompt(0, 400, 1) }, endpoints, {}).front().endpoint == EndpointId("a"), "the former rule finds it too, so this test shows no gain");
+}
+
+// Guards against a held prompt that draws items to an endpoint where they end later than with the prompt processed again.
+Test(PlacementWithPrompts, promptHeldAtSlowFullOrReservedEndpoint_itemGoesElsewhere)
+{
+    Knowledge knowledge;
+    knowledge.hold("a", 1);
+    EndpointLoad older = endpoint("a");
+    older.slowness = older.lastingSlowness = 1.3;
+    cr_assert(knowledge.place({ waitingWithPrompt(0, 400, 1) }, { older, endpoint("b") }).front().endpoint == EndpointId("b"));
+    cr_assert(knowledge.place({ waitingWithPrompt(0, 400, 1) }, { endpoint("a", 4), endpoint("b") }).front().endpoint == EndpointId("b"));
+    EndpointLoad reserved = endpoint("a", 1);
+    reserved.longItems = 1;
+    cr_assert(knowledge.place({ waitingWithPrompt(0, 800, 1) }, { reserved, endpoint("b") }).front().endpoint == EndpointId("b"));
+}
+
+// Guards against items that stay with their group although its prompt is so short that they end earlier elsewhere.
+Test(PlacementWithPrompts, shortPrompt_itemsSpread)
+{
+    WaitingItem item = waiting(0, 900, "g");
+    item.prompt = { { 1, 40 }, { 2, 20 } };
+    Knowledge knowledge;
+    knowledge.hold("a", 1);
+    cr_assert(knowledge.place({ item }, { endpoint("a", 2), endpoint("b") }).front().endpoint == EndpointId("b"));
+    cr_assert(placeItems({ item }, { endpoint("a", 2), endpoint("b") }, { { GroupId("g"), EndpointId("a") } }).front().endpoint == EndpointId("a"), "the former rule spreads them too, so this test shows no gain");
+}
+
+// Guards against items of a group that start at once on one endpoint, which then processes their prompt for each of them.
+Test(PlacementWithPrompts, groupStartsAtOnce_othersWaitUntilTheFirstHasBegun)
+{
+    Knowledge knowledge;
+    const std::vector<EndpointLoad> endpoints { endpoint("a"), endpoint("b") };
+    const auto placements = knowledge.place({ waitingWithPrompt(0, 400, 1), waitingWithPrompt(1, 390, 1) }, endpoints);
+    cr_assert(placements.size() == 2);
+    cr_assert(!placements[0].isHeldBack);
+    cr_assert(placements[1].isHeldBack && placements[1].endpoint == placements[0].endpoint);
+    cr_assert(knowledge.send("a", 1).place({ waitingWithPrompt(1, 390, 1) }, endpoints).front().isHeldBack);
+    cr_assert(!knowledge.hold("a", 1).place({ waitingWithPrompt(1, 390, 1) }, endpoints).front().isHeldBack);
+}
+
+// Guards against an item that waits for another one's prompt although processing its own takes less time.
+Test(PlacementWithPrompts, shortPromptIsStarting_itemIsNotHeldBack)
+{
+    WaitingItem first = waiting(0, 400, "g");
+    first.prompt = { { 1, 100 }, { 2, 20 } };
+    WaitingItem second = waiting(1, 390, "g");
+    second.prompt = { { 1, 100 }, { 3, 20 } };
+    for (const Placement& placement : Knowledge().place({ first, second }, { endpoint("a") }))
+        cr_assert(!placement.isHeldBack);
+}
+
+// Guards against the only free slot going to an item whose prompt is not held while one of the same length fits there.
+Test(PlacementWithPrompts, oneFreeSlot_itemWithHeldPromptOvertakes)
+{
+    Knowledge knowledge;
+    knowledge.hold("a", 2);
+    WaitingItem longer = waitingWithPrompt(0, 400, 1);
+    cr_assert(knowledge.place({ longer, waitingWithPrompt(1, 390, 2) }, { endpoint("a", 3) }) == std::vector<Placement>({ { 1, EndpointId("a") } }));
+    cr_assert(placeItems({ longer, waitingWithPrompt(1, 390, 2) }, { endpoint("a", 3) }, {}).front().index == 0);
+}
+
+// Guards against items that are overtaken again and again, or by items after which the step ends later.
+Test(PlacementWithPrompts, itemWaitsLongOrIsUrgentOrLonger_isNotOvertaken)
+{
+    Knowledge knowledge;
+    knowledge.hold("a", 2);
+    const auto firstOf = [&](const WaitingItem& item) { return knowledge.place({ item, waitingWithPrompt(1, 390, 2) }, { endpoint("a", 3) }).front().index; };
+    WaitingItem old = waitingWithPrompt(0, 400, 1);
+    old.waitingFor = std::chrono::seconds(3);
+    cr_assert(firstOf(old) == 0);
+    WaitingItem carriedOver = waitingWithPrompt(0, 400, 1);
+    carriedOver.isCarriedOver = true;
+    cr_assert(firstOf(carriedOver) == 0);
+    WaitingItem isLong = waitingWithPrompt(0, 400, 1);
+    isLong.isLong = true;
+    cr_assert(firstOf(isLong) == 0);
+    cr_assert(firstOf(waitingWithPrompt(0, 800, 1)) == 0);
+}
+
+// Guards against a change of placement where the memory of the endpoints is not configured or items name no prompt.
+Test(PlacementWithPrompts, promptOrMemoryUnknown_itemsArePlacedAsBefore)
+{
+    Knowledge knowledge;
+    knowledge.hold("b", 1);
+    const std::vector<EndpointLoad> endpoints { endpoint("a", 1), endpoint("b", 2), endpoint("c") };
+    const std::vector<WaitingItem> items { waiting(0, 400, "1"), waiting(1, 390, "1"), waiting(2, 380, "2") };
+    cr_assert(knowledge.place(items, endpoints) == placeItems(items, endpoints, {}));
+}
+
 // Guards against a step that is delayed by an item on a slow endpoint while normal ones have free slots.
 Test(Moves, endpointSlowed_longItemMoves_toFreeSlot)
 {
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -205,7 +205,7 @@
         gateway::Route route { "r", "host", "/items/", gateway::RouteKind::Batch, { { serviceName, 1 } } };
         gateway::Route scores { "s", "host", "/score/", gateway::RouteKind::NonIdempotent, { { rewardService, 1 } } };
         scores.timeout = 1s;
-        const std::vector services { gateway::Service { serviceName, {}, 64, { model } }, gateway::Service { rewardService, {}, 64, {} } };
+        const std::vector services { gateway::Service { serviceName, {}, 64, { model }, 100'000 }, gateway::Service { rewardService, {}, 64, {} } };
         const auto routes = std::make_shared<const gateway::RouteTable>(1, std::vector { route, scores }, services, http1::ServerLimits {});
         runner.setRoutes(routes);
         loader.setRoutes(routes);
@@ -309,6 +309,36 @@
 
 }
 
+// Guards against a prompt that an endpoint processed and that is not expected there, and against one that is expected there
+// after a restart.
+Test(JobRunner, promptsShareAPart_itIsCountedAsHeldUntilRestart)
+{
+    RunnerFixture fixture;
+    const Endpoint& endpoint = fixture.add("a", Behaviour::Completes);
+    const auto run = [&](const std::string& name, std::uint64_t ownPart) {
+        batch::JobSpec job;
+        job.id = batch::JobId(name);
+        job.host = "host";
+        job.model = model;
+        job.retentionMs = 60'000;
+        job.items = { { batch::ItemId(name), "/items/1", {}, "body", GroupId("g"), 10, 400, {}, { { 1, 1000 }, { ownPart, 20 } } } };
+        fixture.apply(registry::AcceptJob { job });
+        cr_assert(fixture.runUntil([&] { return !fixture.machine.jobs().find(job.id)->results.empty(); }));
+    };
+    metrics::Counter& held = fixture.metrics.counter("items_prompt_tokens_held_total");
+    run("first", 2);
+    cr_assert(held.value() == 0);
+    run("second", 3);
+    cr_assert(held.value() == 1000);
+    cr_assert(fixture.metrics.counter("items_prompt_tokens_total").value() == 2 * 1020);
+    registry::EndpointRecord restarted = *fixture.machine.directory().find(endpoint.id);
+    restarted.startedMs = 2;
+    fixture.apply(registry::SetEndpoint { restarted });
+    cr_assert(fixture.liveness.recordHeartbeat(registry::EndpointHeartbeat { restarted, 1 }.status(), fixture.clock.now()));
+    run("third", 4);
+    cr_assert(held.value() == 1000, "what the endpoint held before its restart is expected there");
+}
+
 // Guards against a text with a missing or duplicate event at the point where an item resumes at another endpoint.
 Test(JobRunner, connectionEndsMidway_itemContinuesElsewhere_textIsComplete)
 {
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -17,7 +17,7 @@
     return json::parse(R"({"version":7,"routes":[
         {"name":"r1","host":"h","path-prefix":"/a/","route-type":"rollout","timeout-ms":10000,"target-latency-ms":400,"priority":1,"service":"s","max-attempts":3,"retention-s":40.0,"due-ms":7500,"single-version":true,"resumable":true},
         {"name":"r2","host":"h","path-prefix":"/b/","route-type":"idempotent","timeout-ms":1500,"target-latency-ms":150,"priority":2,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],"max-attempts":2}],
-        "services":[{"name":"s","health-path":"/healthz","max-connections":150,"engine":{"models":[{"name":"m"}]}},{"name":"t","max-connections":100}],
+        "services":[{"name":"s","health-path":"/healthz","max-connections":150,"engine":{"kv-capacity":46000,"models":[{"name":"m"}]}},{"name":"t","max-connections":100}],
         "limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout-ms":3000,"idle-timeout-ms":15000}})");
 }
 
@@ -43,6 +43,8 @@
     cr_assert(plainRoute.services.size() == 2);
     cr_assert(plainRoute.maxAttempts == 2);
     cr_assert(table->findService(ServiceName("s"))->models.front() == batch::ModelName("m"));
+    cr_assert(table->findService(ServiceName("s"))->kvCapacity == 46'000);
+    cr_assert(table->findService(ServiceName("t"))->kvCapacity == 0);
     cr_assert(table->limits().message.bodyBytes == 1000);
     cr_assert(!gateway::validate(*table));
 }
@@ -237,6 +239,34 @@
     cr_assert(!decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), WorkspaceName("w"), R"({"requests":[]})"));
 }
 
+std::vector<batch::PromptPart> decodedPrompt(const std::string& field)
+{
+    const auto table = decodeConfiguration(configuration().dump());
+    const json body { { "requests", { { { "id", "i" }, { "path", "/a/3" }, { "headers", { { "x-prompt-prefix", field } } }, { "body", "" } } } } };
+    const auto spec = decodeJob(batch::JobId("j"), *table->find("h", "/a/x"), WorkspaceName(), body.dump());
+    cr_assert(spec.has_value(), "an item was refused for \"%s\"", field.c_str());
+    return spec->items.front().prompt;
+}
+
+// Guards against parts of a prompt that are lost, and against items that are refused for a malformed part.
+Test(BatchFormat, promptPrefix_decoded_hasItsValidParts)
+{
+    cr_assert(decodedPrompt("a1:400, FFffffffffffffff:30,7:1") == std::vector<batch::PromptPart>({ { 0xa1, 400 }, { 0xffff'ffff'ffff'ffff, 30 }, { 7, 1 } }));
+    cr_assert(decodedPrompt("000000000000000100000000000000a1:5") == std::vector<batch::PromptPart>({ { 0xa1, 5 } }));
+    cr_assert(decodedPrompt(",:,a,a:,:5,a:0,a:-1,a:5x,g:5,a:99999999999999999999,0xa:5, ,b:6") == std::vector<batch::PromptPart>({ { 0xb, 6 } }));
+    cr_assert(decodedPrompt("").empty());
+}
+
+// Guards against an item with so many parts that the leader runs out of memory.
+Test(BatchFormat, promptPrefixWithManyParts_decoded_isBounded)
+{
+    std::string field;
+    for (int i = 0; i < 5000; ++i)
+        field += "a:1,";
+    cr_assert(decodedPrompt(field).size() == 32);
+    cr_assert(decodedPrompt(std::string(70, 'a') + ":5").empty());
+}
+
 // Guards against results with a wrong position, state or list of versions.
 Test(BatchFormat, results_encoded_countOnFromPosition)
 {
