Show with process tests that crowds of clients exceed the memory of a node

Forty clients that send or take bodies within the limits make an entry or a store use more memory than its setting says: nothing bounds bodies in progress over all connections, nor answers that callers leave unread, and a body exists in several copies on its way to an endpoint.

--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -1,5 +1,6 @@
 """A small deployment of nodes as separate processes, with endpoints in this process. Used by tests and by the fault soak."""
 import base64
+import hashlib
 import http.client
 import http.server
 import json
@@ -108,6 +109,9 @@
         self.trouble = None  # One of TROUBLES, in place of any answer.
         self.crashes_on = None  # Bytes in the body of a plain request under which the endpoint ends.
         self.plain_pause = 0  # Seconds that a plain request takes.
+        self.large_pause = 0  # Seconds that a plain request with a body of a MiB or more takes.
+        self.large_answer = b""  # Answer to plain requests whose path ends with "/large".
+        self.answers_digest = False  # Answers plain requests with the SHA-256 digest of their body.
         self.crashed_under = []  # Identifiers of the requests under which it ended.
         self.is_leaving = False  # Says in its answers that it leaves.
         self.limit = None  # Requests per second that it says to take from all nodes together.
@@ -150,8 +154,10 @@
                     self.close_connection = True
                     return endpoint.crash()
                 if self.path.startswith(("/plain/", "/once/")):
-                    time.sleep(endpoint.plain_pause)
-                    return self.reply(200, b"echo " + body)
+                    time.sleep(endpoint.large_pause if len(body) >= 1 << 20 else endpoint.plain_pause)
+                    if self.path.endswith("/large"):
+                        return self.reply(200, endpoint.large_answer)
+                    return self.reply(200, hashlib.sha256(body).hexdigest().encode() if endpoint.answers_digest else b"echo " + body)
                 self.stream()
 
             def spoil(self):
@@ -228,8 +234,9 @@
 class Deployment:
     """Some stores and entries; the first three stores are the seeds. With relays, all connections between nodes pass through a relay for each node."""
 
-    def __init__(self, entries=1, with_relays=False, stores=3, build=BUILD):
+    def __init__(self, entries=1, with_relays=False, stores=3, build=BUILD, memory="64MiB"):
         self.folder = tempfile.TemporaryDirectory()
+        self.memory = memory  # Memory that each node may use, as in its settings.
         self.build = build  # Folder of the program that the next node runs.
         self.stores = {}
         self.peer_ips = [f"127.0.0.{2 + number}" for number in range(stores)]  # All nodes share one peer port, so each has an address of its own.
@@ -257,7 +264,7 @@
         seeds = ",".join(f"{address}:1" for address in self.peer_ips[:3])
         path = self.settings_path(name)
         path.write_text(f"[node]\nname = {name}\ndata_centre = a\n{node}[peer]\naddress = {ip}\nport = {self.peer_port}\nlisten_port = {listen_port}\nseeds = {seeds}\n"
-                        f"secret = a-secret-of-this-test\nfirst_start = {'yes' if first_start else 'no'}\n[bounds]\nmemory = 64MiB\n")
+                        f"secret = a-secret-of-this-test\nfirst_start = {'yes' if first_start else 'no'}\n[bounds]\nmemory = {self.memory}\n")
         log = open(pathlib.Path(self.folder.name) / f"{name}.log", "ab")
         process = subprocess.Popen([self.build / "azurepaddle-node", "--config", path], stdout=log, stderr=log)
         log.close()
