Bound the memory of bodies in progress and of unread answers

Cause: each connection could hold a body up to its limit, and any number of answers waited for clients that do not read them. A body existed in up to four copies on its way to an endpoint: in the parser, as the forwarded request, encoded, and for the fingerprint of the request.

Change: all servers of a node share a BodyBudget. Room for a body is reserved by its declared size before it is read, or in steps as chunks arrive: 3/8 of [bounds] memory in total, three quarters of this per client address, and a reserve of 1/32 for bodies of up to 64 KiB. Without room, transfers that made no progress for 2 s are closed, the longest stalled first; if this does not suffice, the request is refused with 503 and Retry-After. Unread answers get 1/8 of the memory; beyond it, the slowest reader is closed. The body of a request is shared with the connection to the endpoint instead of copied.

--- a/src/azurepaddle/core/digest.cpp
+++ b/src/azurepaddle/core/digest.cpp
@@ -3,7 +3,9 @@
 #include "azurepaddle/core/invariant.hpp"
 
 #include <array>
+#include <memory>
 #include <openssl/crypto.h>
+#include <openssl/evp.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 #include <vector>
@@ -33,6 +35,17 @@
     return toHex(digest.data(), digest.size());
 }
 
+std::string sha256Hex(std::string_view first, std::string_view second)
+{
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    EVP_DigestUpdate(context.get(), first.data(), first.size());
+    EVP_DigestUpdate(context.get(), second.data(), second.size());
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    return toHex(digest.data(), digest.size());
+}
+
 bool equalSecrets(std::string_view left, std::string_view right) noexcept
 {
     return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
--- a/src/azurepaddle/gateway/crash_watch.cpp
+++ b/src/azurepaddle/gateway/crash_watch.cpp
@@ -38,7 +38,7 @@
     // Left out without a workspace, so that earlier releases compute the same fingerprints.
     if (!workspace.empty())
         text += fmt::format("workspace {}:{}", workspace.value().size(), workspace);
-    return registry::RequestFingerprint(sha256Hex(text + request.body).substr(0, fingerprintDigits));
+    return registry::RequestFingerprint(sha256Hex(text, request.body).substr(0, fingerprintDigits));
 }
 
 CrashWatch::CrashWatch(Probe probe, metrics::Registry& metrics)
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -165,13 +165,14 @@
     attempt.endpoint = endpoint;
     attempt.startedAt = now;
     m_balancer.onRequestStarted(endpoint.id);
-    const http1::Request& original = *pending->task.request;
-    const http1::Request request = Protocol::forEndpoint(pending->isStreaming ? Protocol::continueAfter(original, pending->lastEvent) : original, endpoint.id, pending->deadline - now);
+    const http1::Request original = withoutBody(*pending->task.request);
+    const std::shared_ptr<const std::string> body(pending->task.request, &pending->task.request->body);
+    const http1::Request head = Protocol::forEndpoint(pending->isStreaming ? Protocol::continueAfter(original, pending->lastEvent) : original, endpoint.id, pending->deadline - now);
     http1::CallOptions options;
     options.deadline = pending->deadline;
     options.connectTimeout = internal::connectTimeout;
     options.maxConnections = pending->service->maxConnections;
-    attempt.call = m_pool.send(endpoint.address(), request, options, makeCallEvents(pending, number));
+    attempt.call = m_pool.send(endpoint.address(), head, body, options, makeCallEvents(pending, number));
 }
 
 template <typename Protocol>
--- a/src/azurepaddle/http1/client.cpp
+++ b/src/azurepaddle/http1/client.cpp
@@ -49,9 +49,10 @@
         ++m_shared->addresses[m_address].open;
     }
 
-    void ClientConnection::begin(std::string request, const CallOptions& options, CallEvents events, std::uint64_t call)
+    void ClientConnection::begin(std::string head, std::shared_ptr<const std::string> body, const CallOptions& options, CallEvents events, std::uint64_t call)
     {
-        m_request = std::move(request);
+        m_head = std::move(head);
+        m_body = std::move(body);
         m_options = options;
         m_events = std::make_shared<const CallEvents>(std::move(events));
         m_call = call;
@@ -130,8 +131,11 @@
     {
         m_isWriting = true;
         m_isSent = true;
-        asio::async_write(m_socket, asio::buffer(m_request), [self = shared_from_this()](std::error_code error, std::size_t) {
+        const std::array<asio::const_buffer, 2> buffers { asio::buffer(m_head), asio::buffer(*m_body) };
+        asio::async_write(m_socket, buffers, [self = shared_from_this()](std::error_code error, std::size_t) {
             self->m_isWriting = false;
+            // No further call begins on this connection while it is writing.
+            self->m_body.reset();
             // A failed write also causes a failed read, which first delivers a response that arrived early.
             static_cast<void>(error);
         });
@@ -223,7 +227,7 @@
         m_usableUntil = m_shared->clock.now() + idle;
         m_call = 0;
         m_timer.cancel();
-        m_request.clear();
+        m_head.clear();
         const auto events = std::exchange(m_events, nullptr);
         m_shared->addresses[m_address].idle.push_back(shared_from_this());
         if (events->onEnd)
@@ -317,7 +321,13 @@
         connection->close();
 }
 
-ClientCallPointer ClientPool::send(const InstanceAddress& address, const Request& request, const CallOptions& options, CallEvents events)
+ClientCallPointer ClientPool::send(const InstanceAddress& address, Request request, const CallOptions& options, CallEvents events)
+{
+    auto body = std::make_shared<const std::string>(std::exchange(request.body, {}));
+    return send(address, request, std::move(body), options, std::move(events));
+}
+
+ClientCallPointer ClientPool::send(const InstanceAddress& address, const Request& head, std::shared_ptr<const std::string> body, const CallOptions& options, CallEvents events)
 {
     static std::uint64_t calls = 0;
     const std::uint64_t call = ++calls;
@@ -344,7 +354,8 @@
     }
     if (!connection)
         connection = std::make_shared<internal::ClientConnection>(m_shared, address);
-    connection->begin(serialize(request), options, std::move(events), call);
+    const std::size_t bodyBytes = body->size();
+    connection->begin(serializeHead(head, bodyBytes), std::move(body), options, std::move(events), call);
     return std::make_shared<PooledCall>(std::move(connection), call);
 }
 
--- a/src/azurepaddle/http1/client.hpp
+++ b/src/azurepaddle/http1/client.hpp
@@ -79,7 +79,9 @@
     /// when a connection cannot be established or breaks, also an idle one. It must not use the pool.
     void setLinkObserver(std::function<void(bool isReachable)> observer);
     /// Sends a request. No callback is called before this returns.
-    [[nodiscard]] ClientCallPointer send(const InstanceAddress& address, const Request& request, const CallOptions& options, CallEvents events);
+    [[nodiscard]] ClientCallPointer send(const InstanceAddress& address, Request request, const CallOptions& options, CallEvents events);
+    /// Sends a request with a body that is kept elsewhere and not copied. The body of the request itself is not used.
+    [[nodiscard]] ClientCallPointer send(const InstanceAddress& address, const Request& head, std::shared_ptr<const std::string> body, const CallOptions& options, CallEvents events);
     /// Returns the number of connections to an address, including idle ones.
     [[nodiscard]] std::size_t connections(const InstanceAddress& address) const;
 
--- a/src/azurepaddle/http1/client_connection.hpp
+++ b/src/azurepaddle/http1/client_connection.hpp
@@ -35,7 +35,7 @@
     ClientConnection(std::shared_ptr<ClientShared> shared, InstanceAddress address);
 
     /// Sends a request, after connecting if this connection is new.
-    void begin(std::string request, const CallOptions& options, CallEvents events, std::uint64_t call);
+    void begin(std::string head, std::shared_ptr<const std::string> body, const CallOptions& options, CallEvents events, std::uint64_t call);
     /// Ends the call with this number, if it is in progress.
     void cancel(std::uint64_t call);
     void close();
@@ -65,7 +65,8 @@
     asio::steady_timer m_timer;
     ResponseParser m_parser;
     std::array<char, readBytes> m_buffer {};
-    std::string m_request;
+    std::string m_head;
+    std::shared_ptr<const std::string> m_body; ///< Null once it is written.
     CallOptions m_options;
     std::shared_ptr<const CallEvents> m_events; ///< Shared with a running callback, which may end the call. Null if idle.
     std::uint64_t m_call = 0; ///< Number of the call in progress; 0 if idle.
--- a/src/azurepaddle/http1/fwd.hpp
+++ b/src/azurepaddle/http1/fwd.hpp
@@ -9,6 +9,7 @@
 class ResponseParser;
 class Exchange;
 class Server;
+class BodyBudget;
 class ClientPool;
 class ClientCall;
 class EventStreamParser;
--- a/src/azurepaddle/http1/message.cpp
+++ b/src/azurepaddle/http1/message.cpp
@@ -124,15 +124,25 @@
     return std::nullopt;
 }
 
-std::string serialize(const Request& request)
+std::string serializeHead(const Request& request, std::size_t bodyBytes)
 {
     std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
     for (const Field& field : request.fields)
         text.append(field.name).append(": ").append(field.value).append("\r\n");
-    const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    const bool hasBody = bodyBytes > 0 || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
     if (hasBody)
-        text += fmt::format("Content-Length: {}\r\n", request.body.size());
-    return text.append("\r\n").append(request.body);
+        text += fmt::format("Content-Length: {}\r\n", bodyBytes);
+    return text.append("\r\n");
+}
+
+std::string serialize(const Request& request)
+{
+    return serializeHead(request, request.body.size()).append(request.body);
+}
+
+Request withoutBody(const Request& request)
+{
+    return { request.method, request.target, request.fields, {} };
 }
 
 std::string serializeHead(const Response& response, Framing framing)
--- a/src/azurepaddle/http1/message.hpp
+++ b/src/azurepaddle/http1/message.hpp
@@ -80,6 +80,13 @@
 /// Encodes a complete request with a Content-Length.
 [[nodiscard]] std::string serialize(const Request& request);
 
+/// Encodes the head of a request with a Content-Length, for a body of this size. The body of the request itself is not
+/// used.
+[[nodiscard]] std::string serializeHead(const Request& request, std::size_t bodyBytes);
+
+/// Returns a copy of a request without its body, which may be large.
+[[nodiscard]] Request withoutBody(const Request& request);
+
 /// Encodes the head of a response, with a Content-Length or for a chunked body.
 [[nodiscard]] std::string serializeHead(const Response& response, Framing framing);
 
--- a/src/azurepaddle/http1/parser.cpp
+++ b/src/azurepaddle/http1/parser.cpp
@@ -157,6 +157,26 @@
     return m_implementation->feeder.parser.is_done();
 }
 
+std::optional<std::uint64_t> RequestParser::declaredBodyBytes() const
+{
+    const auto& parser = m_implementation->feeder.parser;
+    if (!parser.is_header_done())
+        return std::nullopt;
+    if (const auto length = parser.content_length())
+        return *length;
+    return parser.chunked() ? std::nullopt : std::optional<std::uint64_t>(0);
+}
+
+std::size_t RequestParser::receivedBodyBytes() const noexcept
+{
+    return m_implementation->feeder.parser.body.size();
+}
+
+void RequestParser::reserveBody(std::size_t bytes)
+{
+    m_implementation->feeder.parser.body.reserve(bytes);
+}
+
 Request& RequestParser::request() noexcept
 {
     auto& [feeder, request, isMoved] = *m_implementation;
--- a/src/azurepaddle/http1/parser.hpp
+++ b/src/azurepaddle/http1/parser.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace azurepaddle::http1 {
@@ -39,6 +40,11 @@
     [[nodiscard]] bool hasStarted() const noexcept; ///< Whether any byte of the message was received.
     [[nodiscard]] bool isHeaderDone() const noexcept;
     [[nodiscard]] bool isDone() const noexcept;
+    /// The declared size of the body; empty before the end of the header and for a chunked body.
+    [[nodiscard]] std::optional<std::uint64_t> declaredBodyBytes() const;
+    [[nodiscard]] std::size_t receivedBodyBytes() const noexcept;
+    /// Reserves memory for a body of this size, so that it is not copied while it grows.
+    void reserveBody(std::size_t bytes);
     /// The request as received so far.
     [[nodiscard]] Request& request() noexcept;
 
--- a/src/azurepaddle/http1/server.cpp
+++ b/src/azurepaddle/http1/server.cpp
@@ -17,10 +17,11 @@
 
 }
 
-Exchange::Exchange(std::shared_ptr<internal::ServerConnection> connection, Request request, TimePoint receivedAt)
+Exchange::Exchange(std::shared_ptr<internal::ServerConnection> connection, Request request, TimePoint receivedAt, std::unique_ptr<BodyShare> share)
     : m_connection(std::move(connection))
     , m_request(std::move(request))
     , m_receivedAt(receivedAt)
+    , m_share(std::move(share))
 {
 }
 
@@ -92,8 +93,8 @@
         onClosed();
 }
 
-Server::Server(asio::io_context& io, Handler handler, ServerLimits limits)
-    : m_shared(std::make_shared<Shared>(Shared { io, std::move(handler), limits, false, false, {} }))
+Server::Server(asio::io_context& io, Handler handler, ServerLimits limits, std::shared_ptr<BodyBudget> budget)
+    : m_shared(std::make_shared<Shared>(Shared { io, std::move(handler), limits, std::move(budget), false, false, {} }))
     , m_acceptor(io)
     , m_sweepTimer(io)
     , m_acceptTimer(io)
--- a/src/azurepaddle/http1/server.hpp
+++ b/src/azurepaddle/http1/server.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/core/address.hpp"
 #include "azurepaddle/core/clock.hpp"
 #include "azurepaddle/core/log.hpp"
+#include "azurepaddle/http1/body_budget.hpp"
 #include "azurepaddle/http1/parser.hpp"
 
 #include <asio.hpp>
@@ -31,7 +32,8 @@
 /// connection. Not thread-safe.
 class Exchange {
 public:
-    Exchange(std::shared_ptr<internal::ServerConnection> connection, Request request, TimePoint receivedAt);
+    /// The room of the request's body in the budget, if there is one, is kept as long as the exchange.
+    Exchange(std::shared_ptr<internal::ServerConnection> connection, Request request, TimePoint receivedAt, std::unique_ptr<BodyShare> share);
     ~Exchange();
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
@@ -67,6 +69,7 @@
     std::shared_ptr<internal::ServerConnection> m_connection; ///< Null after the response or the close.
     Request m_request;
     TimePoint m_receivedAt;
+    std::unique_ptr<BodyShare> m_share;
     std::function<void()> m_onClosed;
 };
 
@@ -76,7 +79,8 @@
 /// An HTTP/1.1 server on one thread. The requests of a connection are processed in order, one at a time.
 class Server {
 public:
-    Server(asio::io_context& io, Handler handler, ServerLimits limits = {});
+    /// Without a budget, only the limits of each request and the number of connections bound the memory.
+    Server(asio::io_context& io, Handler handler, ServerLimits limits = {}, std::shared_ptr<BodyBudget> budget = nullptr);
     ~Server();
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
--- a/src/azurepaddle/http1/server_connection.cpp
+++ b/src/azurepaddle/http1/server_connection.cpp
@@ -15,12 +15,26 @@
 
 void ServerConnection::start()
 {
+    openShares();
     read();
 }
 
+/// Prepares the room for answers. The client is closed later, because the callers of this connection may be writing to it.
+void ServerConnection::openShares()
+{
+    if (!m_shared->budget)
+        return;
+    m_answerShare = std::make_unique<AnswerShare>(m_shared->budget, [weak = weak_from_this(), shared = m_shared.get()] {
+        asio::post(shared->io, [weak] {
+            if (const auto connection = weak.lock())
+                connection->close();
+        });
+    });
+}
+
 void ServerConnection::read()
 {
-    if (m_isReading || m_isClosed || m_unparsed.size() > maxUnparsedBytes)
+    if (m_isReading || m_isClosed || m_unparsed.size() > maxUnparsedBytes || m_droppedBytes > maxDroppedBytes)
         return;
     m_isReading = true;
     m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](std::error_code error, std::size_t size) {
@@ -35,6 +49,10 @@
         return;
     if (error)
         return close();
+    if (m_closesAfterWrite) {
+        m_droppedBytes += size;
+        return read();
+    }
     m_lastActivity = m_shared->clock.now();
     m_unparsed.append(m_buffer.data(), size);
     if (!m_isBusy)
@@ -50,10 +68,13 @@
         m_messageStart = m_lastActivity;
     const bool wasHeaderDone = m_parser.isHeaderDone();
     const std::string bytes = std::exchange(m_unparsed, {});
+    const std::size_t before = m_parser.receivedBodyBytes();
     const auto taken = m_parser.feed(bytes);
     if (!taken)
         return refuse(taken.error());
     m_unparsed = bytes.substr(*taken);
+    if (m_parser.isHeaderDone() && !reserveBody(m_parser.receivedBodyBytes() - before))
+        return refuseForMemory();
     if (m_parser.isDone())
         return dispatch();
     if (!wasHeaderDone && m_parser.isHeaderDone() && m_parser.request().fields.hasToken("Expect", "100-continue"))
@@ -66,17 +87,62 @@
     m_parser = RequestParser(m_shared->limits.message);
     m_isBusy = true;
     m_closesAfterResponse = request.fields.hasToken("Connection", "close");
-    const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request), m_shared->clock.now());
+    if (m_bodyShare)
+        m_bodyShare->complete();
+    const auto exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request), m_shared->clock.now(), std::move(m_bodyShare));
     m_exchange = exchange;
     m_shared->handler(exchange);
 }
 
+/// Reserves the room that the body needs next: all of it if its size is known. False if there is none.
+bool ServerConnection::reserveBody(std::size_t received)
+{
+    const auto declared = m_parser.declaredBodyBytes();
+    const std::size_t size = declared ? static_cast<std::size_t>(*declared) : m_parser.receivedBodyBytes();
+    if (!m_shared->budget || size == 0)
+        return true;
+    if (!m_bodyShare) {
+        std::error_code ignored;
+        m_bodyShare = std::make_unique<BodyShare>(m_shared->budget, m_socket.remote_endpoint(ignored).address().to_string(), [weak = weak_from_this()] {
+            if (const auto connection = weak.lock())
+                connection->close();
+        });
+    }
+    m_bodyShare->recordProgress(received, m_lastActivity);
+    if (size <= m_bodyShare->bytes())
+        return true;
+    const std::size_t needed = declared || m_parser.isDone() ? size : (size / chunkedStepBytes + 1) * chunkedStepBytes;
+    if (!m_bodyShare->resize(needed, m_lastActivity))
+        return false;
+    // Memory is occupied only when it is written, so a large reservation for a body of unknown size costs none.
+    if (declared)
+        m_parser.reserveBody(needed);
+    else if (needed > chunkedStepBytes)
+        m_parser.reserveBody(static_cast<std::size_t>(m_shared->limits.message.bodyBytes));
+    return true;
+}
+
 void ServerConnection::refuse(const ParseError& error)
 {
     Response response;
     response.status = error.code() == ParseErrorCode::HeaderTooLarge ? 431 : error.code() == ParseErrorCode::BodyTooLarge ? 413
                                                                                                                           : 400;
     response.body = error.message() + "\n";
+    refuseRequest(std::move(response));
+}
+
+/// Refuses a request before its body is received. It is never run.
+void ServerConnection::refuseForMemory()
+{
+    refuseRequest({ 503, {}, { { "Retry-After", "1" } }, "too many request bodies are in progress\n" });
+}
+
+/// Responds to a request that is not received completely, and closes the connection.
+void ServerConnection::refuseRequest(Response response)
+{
+    m_parser = RequestParser(m_shared->limits.message);
+    m_unparsed = {};
+    m_bodyShare.reset();
     m_closesAfterResponse = true;
     m_isBusy = true;
     respond(std::move(response), false);
@@ -95,10 +161,9 @@
 void ServerConnection::respond(Response response, bool isHead)
 {
     addConnectionFields(response);
-    std::string text = serializeHead(response, Framing::Length);
-    if (!isHead)
-        text.append(response.body);
-    write(std::move(text));
+    write(serializeHead(response, Framing::Length));
+    if (!isHead && !response.body.empty())
+        write(std::move(response.body));
     finishResponse();
 }
 
@@ -147,6 +212,8 @@
     if (m_isClosed)
         return;
     m_unsentBytes += bytes.size();
+    if (m_answerShare)
+        m_answerShare->add(bytes.size(), m_shared->clock.now());
     m_output.push_back(std::move(bytes));
     flush();
 }
@@ -165,19 +232,32 @@
         return;
     }
     m_isWriting = true;
-    asio::async_write(m_socket, asio::buffer(m_output.front()), [self = shared_from_this()](std::error_code error, std::size_t) {
+    m_socket.async_write_some(asio::buffer(m_output.front()) + m_sentBytes, [self = shared_from_this()](std::error_code error, std::size_t size) {
         self->m_isWriting = false;
         if (self->m_isClosed)
             return;
         if (error)
             return self->close();
-        self->m_lastActivity = self->m_shared->clock.now();
-        self->m_unsentBytes -= self->m_output.front().size();
-        self->m_output.pop_front();
+        self->onWritten(size);
         self->flush();
     });
 }
 
+void ServerConnection::onWritten(std::size_t size)
+{
+    m_lastActivity = m_shared->clock.now();
+    if (m_answerShare)
+        m_answerShare->recordProgress(m_lastActivity);
+    m_sentBytes += size;
+    if (m_sentBytes < m_output.front().size())
+        return;
+    m_sentBytes = 0;
+    m_unsentBytes -= m_output.front().size();
+    if (m_answerShare)
+        m_answerShare->remove(m_output.front().size());
+    m_output.pop_front();
+}
+
 void ServerConnection::checkTimeouts(TimePoint now)
 {
     constexpr Duration lingerTimeout = std::chrono::seconds(1);
@@ -202,6 +282,9 @@
     m_isClosed = true;
     std::error_code ignored;
     m_socket.close(ignored);
+    m_bodyShare.reset();
+    if (m_answerShare)
+        m_answerShare->clear();
     if (const auto exchange = m_exchange.lock())
         exchange->clientLeft();
     m_shared->connections.erase(shared_from_this());
--- a/src/azurepaddle/http1/server_connection.hpp
+++ b/src/azurepaddle/http1/server_connection.hpp
@@ -11,6 +11,7 @@
     asio::io_context& io;
     Handler handler;
     ServerLimits limits;
+    std::shared_ptr<BodyBudget> budget; ///< Null if there is none.
     bool isDraining = false;
     bool isClosed = false;
     std::unordered_set<std::shared_ptr<internal::ServerConnection>> connections;
@@ -45,13 +46,22 @@
         void parse();
         void dispatch();
         void refuse(const ParseError& error);
+        void refuseForMemory();
+        void refuseRequest(Response response);
+        [[nodiscard]] bool reserveBody(std::size_t received);
+        void openShares();
         void write(std::string bytes);
         void flush();
+        void onWritten(std::size_t size);
         void finishResponse();
         void addConnectionFields(Response& response);
 
         // Maximum number of bytes read of pipelined requests before their turn.
-        static constexpr std::size_t maxUnparsedBytes = 256U * 1024U;
+        static constexpr std::size_t maxUnparsedBytes = 32U * 1024U;
+        // Maximum number of bytes read and dropped after a response that closes the connection.
+        static constexpr std::size_t maxDroppedBytes = 256U * 1024U;
+        // Room for a body of unknown size is reserved in steps of this size.
+        static constexpr std::size_t chunkedStepBytes = 64U * 1024U;
         static constexpr std::size_t readBytes = 16U * 1024U;
 
         std::shared_ptr<Server::Shared> m_shared;
@@ -62,7 +72,11 @@
         std::weak_ptr<Exchange> m_exchange;
         TimePoint m_lastActivity;
         TimePoint m_messageStart;
+        std::unique_ptr<BodyShare> m_bodyShare; ///< For the body being received. Null without a budget or body.
+        std::unique_ptr<AnswerShare> m_answerShare; ///< Null without a budget.
+        std::size_t m_droppedBytes = 0;
         std::deque<std::string> m_output;
+        std::size_t m_sentBytes = 0; ///< Of the first string of the output.
         std::size_t m_unsentBytes = 0; ///< Size of the output.
         bool m_isReading = false;
         bool m_isWriting = false;
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -71,11 +71,14 @@
     , m_forwarder(io, m_localForwarder, m_links, m_relayPeers, m_entryFinder, m_peerClient, formatAddress(m_settings.peerAddress()), m_metrics)
     , m_streams(m_forwarder, m_balancer, m_streamRecorder, m_directoryProgress, m_metrics)
     , m_callers(m_forwarder, m_streams, m_leader, m_stateAge, m_metrics)
-    , m_callerServer(io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); })
+    , m_bodyBudget(std::make_shared<http1::BodyBudget>(bodyBudgetLimits(m_settings)))
+    , m_bodyMonitor(io, *m_bodyBudget, m_metrics)
+    , m_callerServer(
+          io, [this](const http1::ExchangePointer& exchange) { m_callers.handle(exchange); }, {}, m_bodyBudget)
     , m_readyServer(
-          io, [this](const http1::ExchangePointer& exchange) { answerReady(exchange); }, readinessServerLimits())
+          io, [this](const http1::ExchangePointer& exchange) { answerReady(exchange); }, readinessServerLimits(), m_bodyBudget)
     , m_metricsServer(
-          io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); }, readinessServerLimits())
+          io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); }, readinessServerLimits(), m_bodyBudget)
     , m_pollTimer(io)
     , m_drainTimer(io)
 {
@@ -101,6 +104,7 @@
     if (!client || !server || !listenOn(m_callerServer, m_settings.listen.callers, m_log) || !listenOn(m_readyServer, m_settings.listen.ready, m_log) || !listenOn(m_metricsServer, m_settings.listen.metrics, m_log))
         return false;
     m_log.info("start name={} data-centre={} callers={}", m_settings.node.name, m_settings.node.dataCentre, m_settings.listen.callers);
+    m_bodyMonitor.start();
     poll();
     return true;
 }
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "body_budget_monitor.hpp"
+
 #include "azurepaddle/config/node_settings.hpp"
 #include "azurepaddle/gateway/balancer.hpp"
 #include "azurepaddle/gateway/crash_probe.hpp"
@@ -78,6 +80,8 @@
     platform::CallerApi::Forwarder m_forwarder;
     platform::CallerApi::StreamForwarder m_streams;
     platform::CallerApi m_callers;
+    std::shared_ptr<http1::BodyBudget> m_bodyBudget; ///< Shared by all servers of this node.
+    BodyBudgetMonitor m_bodyMonitor;
     http1::Server m_callerServer;
     http1::Server m_readyServer;
     http1::Server m_metricsServer;
--- a/src/programs/azurepaddle-node/http_options.hpp
+++ b/src/programs/azurepaddle-node/http_options.hpp
@@ -29,6 +29,20 @@
     return settings.bounds.memory / memoryShare;
 }
 
+/// Bounds of the bodies that clients send and of the answers that they have not taken, as shares of the memory. A client
+/// address may hold three quarters of the room for bodies: a body of 32 MiB fits into it at 120 MB of memory, and other
+/// clients keep the rest.
+[[nodiscard]] inline http1::BodyBudgetLimits bodyBudgetLimits(const config::NodeSettings& settings)
+{
+    http1::BodyBudgetLimits limits;
+    const std::uint64_t memory = settings.bounds.memory;
+    limits.requestBytes = memory / 8 * 3;
+    limits.clientBytes = limits.requestBytes / 4 * 3;
+    limits.reserveBytes = memory / 32;
+    limits.answerBytes = memory / 8;
+    return limits;
+}
+
 /// Listens on an address of the settings; does nothing if it is empty. Logs the reason and returns false if the address
 /// is in use.
 [[nodiscard]] inline bool listenOn(http1::Server& server, const std::string& setting, const Log& log)
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -79,8 +79,12 @@
     , m_orderWindow(m_group, m_machine, { m_settings.node.name, m_settings.bounds.orderLease })
     , m_loader(io, m_pool, m_group, m_machine, m_liveness, m_runner, m_metrics, m_orderWindow)
     , m_control(m_local, m_leader, parseAddress(m_settings.listen.control).value_or(InstanceAddress {}).port)
-    , m_controlServer(io, [this](const http1::ExchangePointer& exchange) { m_control.handle(exchange); })
-    , m_metricsServer(io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); })
+    , m_bodyBudget(std::make_shared<http1::BodyBudget>(bodyBudgetLimits(m_settings)))
+    , m_bodyMonitor(io, *m_bodyBudget, m_metrics)
+    , m_controlServer(
+          io, [this](const http1::ExchangePointer& exchange) { m_control.handle(exchange); }, {}, m_bodyBudget)
+    , m_metricsServer(
+          io, [this](const http1::ExchangePointer& exchange) { serveMetrics(exchange, m_metrics); }, {}, m_bodyBudget)
     , m_tickTimer(io)
     , m_drainTimer(io)
 {
@@ -107,6 +111,7 @@
     if (!listenOn(m_controlServer, m_settings.listen.control, m_log) || !listenOn(m_metricsServer, m_settings.listen.metrics, m_log))
         return false;
     m_log.info("start name={} identity={} control={}", m_settings.node.name, m_group.identity(), m_settings.listen.control);
+    m_bodyMonitor.start();
     m_group.start();
     tick();
     return true;
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "body_budget_monitor.hpp"
+
 #include "azurepaddle/config/node_settings.hpp"
 #include "azurepaddle/execution/weight_loader.hpp"
 #include "azurepaddle/platform/control_api.hpp"
@@ -53,6 +55,8 @@
     execution::OrderWindow m_orderWindow;
     Loader m_loader;
     platform::ControlApi m_control;
+    std::shared_ptr<http1::BodyBudget> m_bodyBudget; ///< Shared by all servers of this node.
+    BodyBudgetMonitor m_bodyMonitor;
     http1::Server m_controlServer;
     http1::Server m_metricsServer;
     asio::steady_timer m_tickTimer;
--- a/test/azurepaddle/http1/server.cpp
+++ b/test/azurepaddle/http1/server.cpp
@@ -7,14 +7,16 @@
 /// A server that stores its exchanges, and a client that sends raw bytes.
 struct ServerFixture {
     asio::io_context io;
+    std::shared_ptr<BodyBudget> budget;
     std::vector<ExchangePointer> exchanges;
-    Server server { io, [this](ExchangePointer exchange) { exchanges.push_back(std::move(exchange)); } };
+    Server server { io, [this](ExchangePointer exchange) { exchanges.push_back(std::move(exchange)); }, {}, budget };
     asio::ip::tcp::socket client { io };
     std::string received;
     std::array<char, 4096> buffer {};
     bool isClosed = false;
 
-    ServerFixture()
+    explicit ServerFixture(std::shared_ptr<BodyBudget> bodyBudget = nullptr)
+        : budget(std::move(bodyBudget))
     {
         cr_assert(server.listen({ "127.0.0.1", 0 }).has_value());
         client.connect({ asio::ip::make_address("127.0.0.1"), server.address().port });
@@ -129,3 +131,79 @@
     cr_assert(runUntil(fixture.io, [&] { return fixture.isClosed; }));
     cr_assert(fixture.received.find("0\r\n\r\n") == std::string::npos);
 }
+
+namespace {
+
+std::shared_ptr<BodyBudget> budgetOf(std::size_t requestBytes, std::size_t answerBytes = SIZE_MAX)
+{
+    return std::make_shared<BodyBudget>(BodyBudgetLimits { requestBytes, requestBytes, 0, 0, answerBytes });
+}
+
+}
+
+// Guards against bodies that are read although there is no room for them.
+Test(Server, declaredBodyBeyondBudget_isRefusedBeforeItIsRead)
+{
+    ServerFixture fixture(budgetOf(99));
+    fixture.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n");
+    cr_assert(runUntil(fixture.io, [&] { return fixture.received.find("HTTP/1.1 503") != std::string::npos; }));
+    cr_assert(fixture.received.find("Retry-After: 1\r\n") != std::string::npos);
+    cr_assert(fixture.received.find("Connection: close\r\n") != std::string::npos);
+    cr_assert(runUntil(fixture.io, [&] { return fixture.isClosed; }));
+    cr_assert(fixture.exchanges.empty());
+    cr_assert(fixture.budget->requestBytes() == 0);
+}
+
+// Guards against chunked bodies that grow beyond the budget, and against their requests being run in part.
+Test(Server, chunkedBodyBeyondBudget_isRefusedWhileItArrives)
+{
+    ServerFixture fixture(budgetOf(100 * 1024));
+    const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+    fixture.send("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int number = 0; number < 7; ++number)
+        fixture.send(chunk);
+    cr_assert(runUntil(fixture.io, [&] { return fixture.received.find("HTTP/1.1 503") != std::string::npos; }));
+    cr_assert(fixture.exchanges.empty());
+    cr_assert(fixture.budget->requestBytes() == 0);
+}
+
+// Guards against room that is given back while the request still runs, or never.
+Test(Server, bodyWithinBudget_isCountedUntilItsExchangeEnds)
+{
+    ServerFixture fixture(budgetOf(100));
+    fixture.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+    cr_assert(fixture.waitForExchanges(1));
+    cr_assert(fixture.exchanges[0]->request().body == "abc");
+    cr_assert(fixture.budget->requestBytes() == 3);
+    fixture.exchanges[0]->respond({ 200, {}, {}, "done" });
+    fixture.exchanges.clear();
+    cr_assert(fixture.budget->requestBytes() == 0);
+    cr_assert(runUntil(fixture.io, [&] { return fixture.received.find("done") != std::string::npos; }));
+    cr_assert(runUntil(fixture.io, [&] { return fixture.budget->answerBytes() == 0; }));
+}
+
+// Guards against unfinished bodies whose room stays occupied after their client has left.
+Test(Server, clientLeavesWithinBody_givesRoomBack)
+{
+    ServerFixture fixture(budgetOf(100));
+    fixture.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nabc");
+    cr_assert(runUntil(fixture.io, [&] { return fixture.budget->requestBytes() == 50; }));
+    fixture.client.close();
+    cr_assert(runUntil(fixture.io, [&] { return fixture.budget->requestBytes() == 0; }));
+}
+
+// Guards against answers that a client leaves unread and that are kept beyond the budget.
+Test(Server, unreadAnswerBeyondBudget_clientIsClosed)
+{
+    ServerFixture fixture(budgetOf(100, 1000));
+    fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(fixture.waitForExchanges(1));
+    fixture.exchanges[0]->beginStream({ 200, {}, {}, {} });
+    bool isReported = false;
+    fixture.exchanges[0]->setOnClosed([&] { isReported = true; });
+    fixture.exchanges[0]->sendChunk(std::string(2000, 'x'));
+    cr_assert(runUntil(fixture.io, [&] { return isReported; }));
+    cr_assert(fixture.budget->counts().closedAnswers == 1);
+    cr_assert(fixture.budget->answerBytes() == 0);
+    cr_assert(fixture.server.connections() == 0);
+}
