--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "body_budget_monitor.hpp"
+
 #include "azurepaddle/config/node_settings.hpp"
 #include "azurepaddle/execution/usage_reporter.hpp"
 #include "azurepaddle/execution/weight_loader.hpp"
@@ -61,6 +63,8 @@
     std::unique_ptr<execution::DutyClient> m_dutyClient; ///< Null without duties.
     std::unique_ptr<UsageReporter> m_usageReporter; ///< Null unless usage is to be reported.
     platform::ControlApi m_control;
+    std::shared_ptr<http1::BodyBudget> m_bodyBudget; ///< Shared by all servers of this node.
+    BodyBudgetMonitor m_bodyMonitor;
     http1::Server m_controlServer;
     http1::Server m_metricsServer;
     asio::steady_timer m_tickTimer;
