--- /dev/null
+++ b/src/azurepaddle/scaling/demand.cpp
@@ -0,0 +1,67 @@
+#include "azurepaddle/scaling/demand.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurepaddle::scaling {
+
+namespace {
+
+    // Items take longer than at the median endpoint where an endpoint is slow, reads the prompt again after a move, or
+    // has to load weights first.
+    constexpr double timeMargin = 1.5;
+    constexpr Duration itemOverhead = std::chrono::milliseconds(200);
+
+    /// All items that are due until some time.
+    struct Backlog {
+        std::uint32_t count = 0;
+        Duration total {};
+        Duration longest {};
+
+        void add(Duration remaining)
+        {
+            ++count;
+            total += remaining;
+            longest = std::max(longest, remaining);
+        }
+    };
+
+    /// Returns the number of slots that do an amount of work within a time, at most one for each item.
+    std::uint32_t slotsFor(Duration work, Duration available, std::uint32_t maximum)
+    {
+        if (available <= Duration::zero())
+            return maximum;
+        const double slots = std::ceil(static_cast<double>(work.count()) / static_cast<double>(available.count()));
+        return slots >= maximum ? maximum : static_cast<std::uint32_t>(std::max(slots, 0.0));
+    }
+
+    /// Whatever the order in which n slots take items, they end within the total divided by n plus the longest item.
+    std::uint32_t slotsNeededFor(const Backlog& backlog, Duration untilDue, std::uint32_t serving, Duration bootTime)
+    {
+        const Duration available = untilDue - backlog.longest;
+        const std::uint32_t needed = slotsFor(backlog.total, available, backlog.count);
+        if (needed <= serving)
+            return needed;
+        if (untilDue <= bootTime)
+            return serving;
+        const Duration done = std::max(available, Duration::zero()) * serving;
+        return serving + slotsFor(backlog.total - done, available - bootTime, backlog.count - serving);
+    }
+
+}
+
+std::uint32_t slotsNeeded(std::vector<WorkItem> work, std::uint32_t servingSlots, Duration bootTime)
+{
+    std::erase_if(work, [](const WorkItem& item) { return item.untilDue <= Duration::zero(); });
+    std::sort(work.begin(), work.end(), [](const WorkItem& a, const WorkItem& b) { return a.untilDue < b.untilDue; });
+    Backlog backlog;
+    std::uint32_t needed = 0;
+    for (std::size_t index = 0; index < work.size(); ++index) {
+        backlog.add(std::chrono::duration_cast<Duration>(work[index].remaining * timeMargin) + itemOverhead);
+        if (index + 1 == work.size() || work[index + 1].untilDue > work[index].untilDue)
+            needed = std::max(needed, slotsNeededFor(backlog, work[index].untilDue, servingSlots, bootTime));
+    }
+    return needed;
+}
+
+}
