Read scaling rules, spot endpoints and notices, and record scale orders

The configuration and the heartbeats name what scaling needs, and a new holder of the order right has to know what was ordered. Scaling rules become an optional member of a service, the kind of an endpoint a member of its record (last, false by default), and the time until it leaves a part of the heartbeat that is not replicated, as it changes with each one.

--- a/src/azurepaddle/gateway/route_table.hpp
+++ b/src/azurepaddle/gateway/route_table.hpp
@@ -5,6 +5,7 @@
 #include "azurepaddle/core/ident.hpp"
 #include "azurepaddle/gateway/workspace.hpp"
 #include "azurepaddle/http1/server.hpp"
+#include "azurepaddle/scaling/types.hpp"
 
 #include <map>
 #include <optional>
@@ -57,6 +58,7 @@
     std::string healthPath;
     std::size_t maxConnections = 64; ///< To one endpoint, over all callers.
     std::vector<batch::ModelName> models; ///< The models with which its endpoints generate; empty for plain services.
+    std::optional<scaling::ScalingRules> scaling {}; ///< Empty if the number of its endpoints is not decided here.
 
     friend bool operator==(const Service&, const Service&) = default;
 };
--- a/src/azurepaddle/platform/configuration.cpp
+++ b/src/azurepaddle/platform/configuration.cpp
@@ -89,6 +89,38 @@
         return route;
     }
 
+    // More endpoints than any data centre runs of a service. Limits beyond it are read as this number.
+    constexpr std::uint64_t maxEndpoints = 1000;
+
+    /// Decodes the scaling rules of a service; empty if it has none.
+    Result<std::optional<scaling::ScalingRules>> decodeScaling(const Json& service, const std::string& name)
+    {
+        const auto found = service.find("scaling");
+        if (found == service.end() || found->is_null())
+            return std::optional<scaling::ScalingRules>();
+        const auto minimum = countOf(*found, "min-replicas");
+        const auto maximum = countOf(*found, "max-replicas");
+        const auto boot = numberOf(*found, "boot-s");
+        const auto spotPrice = numberOf(*found, "spot-price");
+        const auto prices = found->find("zone-prices");
+        if (!minimum || !maximum || !boot || prices == found->end() || !prices->is_object())
+            return tl::unexpected("scaling of service " + name + " lacks min-replicas, max-replicas, boot-s or zone-prices");
+        if (*minimum > *maximum || *boot < 0 || spotPrice.value_or(1) < 0)
+            return tl::unexpected("scaling of service " + name + " has min-replicas above max-replicas, or a time or price below 0");
+        scaling::ScalingRules rules;
+        rules.minimum = static_cast<std::uint32_t>(std::min(*minimum, maxEndpoints));
+        rules.maximum = static_cast<std::uint32_t>(std::min(*maximum, maxEndpoints));
+        constexpr double msPerSecond = 1000;
+        rules.bootTime = fromMs(*boot * msPerSecond);
+        rules.spotPrice = spotPrice;
+        for (const auto& [dataCentre, price] : prices->items()) {
+            if (!price.is_number() || price.get<double>() < 0)
+                return tl::unexpected("scaling of service " + name + " has a price that is not a number from 0");
+            rules.prices[DataCentreName(dataCentre)] = price.get<double>();
+        }
+        return std::optional(std::move(rules));
+    }
+
     Result<gateway::Service> decodeService(const Json& json)
     {
         const auto name = textOf(json, "name");
@@ -106,6 +138,10 @@
                     service.models.emplace_back(*modelName);
             }
         }
+        auto scaling = decodeScaling(json, *name);
+        if (!scaling)
+            return tl::unexpected(scaling.error());
+        service.scaling = std::move(*scaling);
         return service;
     }
 
--- /dev/null
+++ b/src/azurepaddle/platform/duty_protocol.cpp
@@ -0,0 +1,25 @@
+#include "azurepaddle/platform/duty_protocol.hpp"
+
+#include "azurepaddle/platform/json.hpp"
+
+namespace azurepaddle::platform {
+
+namespace {
+
+    /// A call to the platform, which names the holder of the order right and its fencing token.
+    http1::Request dutyRequest(std::string target, const execution::DutyHolder& holder, const internal::Json& body)
+    {
+        return { "POST", std::move(target), { { "Host", "platform" }, { "Content-Type", "application/json" }, { "X-Duty-Holder", holder.instance }, { "X-Fencing-Token", std::to_string(holder.fence) } }, body.dump() };
+    }
+
+}
+
+http1::Request scaleRequest(const scaling::ScaleOrder& order, const execution::DutyHolder& holder)
+{
+    internal::Json body { { "service", order.group.service.value() }, { "zone", order.group.dataCentre.value() }, { "group-count", order.count } };
+    if (order.group.kind == scaling::EndpointKind::Spot)
+        body["spot"] = true;
+    return dutyRequest("/scale", holder, body);
+}
+
+}
--- a/src/azurepaddle/platform/registration.cpp
+++ b/src/azurepaddle/platform/registration.cpp
@@ -2,6 +2,7 @@
 
 #include "azurepaddle/platform/json.hpp"
 
+#include <algorithm>
 #include <asio/ip/address.hpp>
 
 namespace azurepaddle::platform {
@@ -71,6 +72,30 @@
         return SoftwareVersion(std::move(*name));
     }
 
+    // Longer notices are shortened to this, so that they can be added to points in time.
+    constexpr double maxLeavesMs = 3'600'000;
+
+    /// Whether the endpoint is of the cheap kind, false if it does not say; empty if that is not a truth value.
+    std::optional<bool> decodeSpot(const Json& json)
+    {
+        return json.contains("spot") ? internal::flagOf(json, "spot") : std::optional(false);
+    }
+
+    /// Whether the time until the endpoint leaves is missing or a number from 0.
+    bool isLeavesValid(const Json& json)
+    {
+        return !json.contains("leaves_ms") || internal::numberOf(json, "leaves_ms").value_or(-1) >= 0;
+    }
+
+    /// Returns the time until a draining endpoint leaves; empty if it names none or is not draining.
+    std::optional<std::uint64_t> decodeLeaves(const Json& json, registry::EndpointState state)
+    {
+        const auto ms = internal::numberOf(json, "leaves_ms");
+        if (!ms || state != registry::EndpointState::Draining)
+            return std::nullopt;
+        return static_cast<std::uint64_t>(std::min(*ms, maxLeavesMs));
+    }
+
     /// Returns the start time of an endpoint, 0 if it names none; empty if that is anything else than a whole number.
     std::optional<std::uint64_t> decodeStart(const Json& json)
     {
@@ -94,11 +119,12 @@
     const auto software = decodeSoftware(*json);
     const auto startedMs = decodeStart(*json);
     const auto versions = decodeVersions(*json);
-    if (id.empty() || !service || service->empty() || !address || !zone || !slots || *slots == 0 || !state || !sequence || !startedMs || !versions || !software)
+    const auto isSpot = decodeSpot(*json);
+    if (id.empty() || !service || service->empty() || !address || !zone || !slots || *slots == 0 || !state || !sequence || !startedMs || !versions || !software || !isSpot || !isLeavesValid(*json))
         return std::nullopt;
     registry::EndpointRecord record { EndpointId(std::string(id)), *startedMs, ServiceName(*service), address->ip, address->port,
-        DataCentreName(*zone), static_cast<std::uint32_t>(*slots), *state, *versions, *software };
-    return registry::EndpointHeartbeat { std::move(record), *sequence };
+        DataCentreName(*zone), static_cast<std::uint32_t>(*slots), *state, *versions, *software, *isSpot };
+    return registry::EndpointHeartbeat { std::move(record), *sequence, decodeLeaves(*json, *state) };
 }
 
 registry::EndpointIncarnation decodeLeave(std::string_view id, std::string_view body)
--- a/src/azurepaddle/registry/commands.hpp
+++ b/src/azurepaddle/registry/commands.hpp
@@ -5,6 +5,7 @@
 #include "azurepaddle/registry/crash.hpp"
 #include "azurepaddle/registry/endpoint.hpp"
 #include "azurepaddle/registry/streams.hpp"
+#include "azurepaddle/scaling/types.hpp"
 
 #include <optional>
 #include <set>
@@ -147,7 +148,14 @@
     MSGPACK_DEFINE(streams)
 };
 
-using Command = std::variant<PutConfiguration, PublishVersion, SetEndpoint, DeregisterEndpoint, RemoveEndpoint, AcceptJob, RecordResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, AppendTexts, SetOrderWindow, ReportSuspects, ExpireCrashes, RecordItemFailures, RecordLoadedVersion, RecordStreams>;
+/// Records the number of endpoints of one kind that a data centre is ordered to run, before the order is sent. A number
+/// that the platform refused is replaced by the one in effect before.
+struct RecordScaleOrder {
+    scaling::ScaleOrder order;
+    MSGPACK_DEFINE(order)
+};
+
+using Command = std::variant<PutConfiguration, PublishVersion, SetEndpoint, DeregisterEndpoint, RemoveEndpoint, AcceptJob, RecordResults, EndJob, RemoveJob, ClaimOrders, RetireInstance, AppendTexts, SetOrderWindow, ReportSuspects, ExpireCrashes, RecordItemFailures, RecordLoadedVersion, RecordStreams, RecordScaleOrder>;
 
 [[nodiscard]] std::string encodeCommand(const Command& command);
 /// Empty if the bytes do not encode a command that this version supports.
--- a/src/azurepaddle/registry/directory.cpp
+++ b/src/azurepaddle/registry/directory.cpp
@@ -206,6 +206,7 @@
     entry.startedMs = status.startedMs;
     entry.sequence = status.sequence;
     entry.lastHeartbeat = now;
+    entry.leavesAt = status.leavesMs ? std::optional(now + std::chrono::milliseconds(*status.leavesMs)) : std::nullopt;
     // Weight versions of an incarnation only increase, and a heartbeat may have been sent before the last order
     // completed.
     for (const auto& [model, version] : status.versions) {
--- a/src/azurepaddle/registry/directory.hpp
+++ b/src/azurepaddle/registry/directory.hpp
@@ -73,6 +73,7 @@
         std::uint64_t sequence = 0;
         TimePoint lastHeartbeat {};
         std::map<std::string, WeightVersion> versions;
+        std::optional<TimePoint> leavesAt {}; ///< When a draining endpoint leaves, if it named the time.
     };
 
     /// False if the heartbeat is older than one that was recorded.
--- a/src/azurepaddle/registry/endpoint.hpp
+++ b/src/azurepaddle/registry/endpoint.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace azurepaddle::registry {
@@ -28,6 +29,7 @@
     EndpointState state = EndpointState::Ready;
     std::map<std::string, WeightVersion> versions; ///< By model, as of the last replicated change.
     SoftwareVersion software {}; ///< Empty in records from before it was recorded.
+    bool isSpot = false; ///< Cheap, and withdrawn at short notice together with all others of its data centre.
 
     [[nodiscard]] InstanceAddress address() const { return { ip, port }; }
     [[nodiscard]] WeightVersion versionOf(const batch::ModelName& model) const
@@ -37,7 +39,7 @@
     }
 
     friend bool operator==(const EndpointRecord&, const EndpointRecord&) = default;
-    MSGPACK_DEFINE(id, startedMs, service, ip, port, dataCentre, slots, state, versions, software)
+    MSGPACK_DEFINE(id, startedMs, service, ip, port, dataCentre, slots, state, versions, software, isSpot)
 };
 
 /// The part of a heartbeat that is not replicated.
@@ -46,20 +48,22 @@
     std::uint64_t startedMs = 0;
     std::uint64_t sequence = 0;
     std::map<std::string, WeightVersion> versions; ///< By model.
+    std::optional<std::uint64_t> leavesMs {}; ///< Milliseconds until a draining endpoint leaves, if it named them.
 
     friend bool operator==(const HeartbeatStatus&, const HeartbeatStatus&) = default;
-    MSGPACK_DEFINE(id, startedMs, sequence, versions)
+    MSGPACK_DEFINE(id, startedMs, sequence, versions, leavesMs)
 };
 
 /// A heartbeat of an endpoint.
 struct EndpointHeartbeat {
     EndpointRecord record;
     std::uint64_t sequence = 0; ///< Increases with each heartbeat of an incarnation.
+    std::optional<std::uint64_t> leavesMs {}; ///< Milliseconds until a draining endpoint leaves, if it named them.
 
-    [[nodiscard]] HeartbeatStatus status() const { return { record.id, record.startedMs, sequence, record.versions }; }
+    [[nodiscard]] HeartbeatStatus status() const { return { record.id, record.startedMs, sequence, record.versions, leavesMs }; }
 
     friend bool operator==(const EndpointHeartbeat&, const EndpointHeartbeat&) = default;
-    MSGPACK_DEFINE(record, sequence)
+    MSGPACK_DEFINE(record, sequence, leavesMs)
 };
 
 /// Identifies one incarnation of an endpoint.
--- a/src/azurepaddle/registry/state_machine.cpp
+++ b/src/azurepaddle/registry/state_machine.cpp
@@ -21,7 +21,8 @@
         std::uint64_t suspectsRevision = 0;
         std::vector<StreamRecord> streams;
         SoftwareHistory::Versions softwareHistory;
-        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts, crashes, suspectsRevision, streams, softwareHistory)
+        std::vector<scaling::ScaleOrder> scaleOrders;
+        MSGPACK_DEFINE(configuration, versions, endpoints, directoryRevision, jobs, orders, retiring, texts, crashes, suspectsRevision, streams, softwareHistory, scaleOrders)
     };
 
     // A snapshot contains all jobs, which may exceed the size limit of messages between instances.
@@ -171,6 +172,13 @@
     return {};
 }
 
+std::string StateMachine::execute(const RecordScaleOrder& command)
+{
+    std::erase_if(m_scaleOrders, [&command](const scaling::ScaleOrder& order) { return order.group == command.order.group; });
+    m_scaleOrders.push_back(command.order);
+    return {};
+}
+
 std::optional<WeightVersion> StateMachine::publishedVersion(const batch::ModelName& model) const
 {
     const auto found = m_versions.find(model.value());
@@ -187,7 +195,7 @@
 
 std::string StateMachine::snapshot() const
 {
-    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot(), m_suspects.crashes(), m_suspects.revision(), m_streams.snapshot(), m_softwareHistory.snapshot() };
+    StateSnapshot state { m_configuration, m_versions, {}, m_directory.revision(), m_jobs.snapshot(), m_orders, m_retiring, m_texts.snapshot(), m_suspects.crashes(), m_suspects.revision(), m_streams.snapshot(), m_softwareHistory.snapshot(), m_scaleOrders };
     for (const auto& [id, record] : m_directory.records())
         state.endpoints.push_back(record);
     return codec::encode(state);
@@ -208,6 +216,7 @@
     m_suspects.restore(std::move(state->crashes), state->suspectsRevision);
     m_streams.restore(state->streams);
     m_softwareHistory.restore(std::move(state->softwareHistory));
+    m_scaleOrders = std::move(state->scaleOrders);
     // A snapshot of an earlier release has no history, and its records name no software.
     for (const EndpointRecord& record : state->endpoints)
         m_softwareHistory.record(record.service, record.software);
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -8,8 +8,8 @@
 namespace azurepaddle::registry {
 
 /// The replicated state: the configuration, published weight versions, endpoints, batch jobs, the holder of the order
-/// right, retiring instances, requests during which endpoints crashed, what began streams, and the software that
-/// services have run. Deterministic.
+/// right, retiring instances, requests during which endpoints crashed, what began streams, the software that services
+/// have run, and the numbers of endpoints ordered. Deterministic.
 class StateMachine {
 public:
     /// Outputs of batch jobs are kept in files of the folder, or in memory if the path is empty.
@@ -34,6 +34,8 @@
     [[nodiscard]] const batch::TextStore& texts() const noexcept { return m_texts; }
     [[nodiscard]] const OrderRecord& orders() const noexcept { return m_orders; }
     [[nodiscard]] const std::set<std::string>& retiring() const noexcept { return m_retiring; }
+    /// The last order for each group of endpoints. The last element is the newest one, which may not have been sent.
+    [[nodiscard]] const std::vector<scaling::ScaleOrder>& scaleOrders() const noexcept { return m_scaleOrders; }
     [[nodiscard]] const Suspects& suspects() const noexcept { return m_suspects; }
     /// What began a stream, as far as it is certain: as recorded, or else the only software that endpoints of the service
     /// have ever run. The service is empty if it is not known; so is the stream if it has no identifier.
@@ -59,6 +61,7 @@
     std::string execute(const RecordItemFailures& command);
     std::string execute(const RecordLoadedVersion& command);
     std::string execute(const RecordStreams& command);
+    std::string execute(const RecordScaleOrder& command);
 
     ConfigurationDocument m_configuration;
     std::map<std::string, WeightVersion> m_versions; ///< Newest published version by model.
@@ -70,6 +73,7 @@
     Suspects m_suspects;
     Streams m_streams;
     SoftwareHistory m_softwareHistory;
+    std::vector<scaling::ScaleOrder> m_scaleOrders; ///< One for each group of endpoints, oldest first.
 };
 
 }
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -1,5 +1,6 @@
 #include "azurepaddle/platform/batch_format.hpp"
 #include "azurepaddle/platform/configuration.hpp"
+#include "azurepaddle/platform/duty_protocol.hpp"
 #include "azurepaddle/platform/endpoint_protocol.hpp"
 #include "azurepaddle/platform/registration.hpp"
 
@@ -204,6 +205,61 @@
     }
 }
 
+// Guards against spot endpoints that are taken for lasting ones, against a notice that is lost, and against an endpoint that
+// names a notice in each heartbeat and gets no work for it.
+Test(Registration, spotAndNotice_decoded_ifDraining)
+{
+    json spot = beat();
+    cr_assert(!decodeHeartbeat("i-1", spot.dump())->record.isSpot);
+    spot["spot"] = true;
+    spot["leaves_ms"] = 0;
+    const auto serving = decodeHeartbeat("i-1", spot.dump());
+    cr_assert(serving->record.isSpot && !serving->leavesMs && serving->record.state == registry::EndpointState::Ready);
+    spot["state"] = "draining";
+    spot["leaves_ms"] = 2300.7;
+    cr_assert(decodeHeartbeat("i-1", spot.dump())->leavesMs == 2300U);
+    spot["leaves_ms"] = 1e18;
+    cr_assert(decodeHeartbeat("i-1", spot.dump())->leavesMs == 3'600'000U);
+    spot.erase("leaves_ms");
+    cr_assert(!decodeHeartbeat("i-1", spot.dump())->leavesMs);
+    spot["spot"] = "yes";
+    cr_assert(!decodeHeartbeat("i-1", spot.dump()));
+    spot["spot"] = true;
+    spot["leaves_ms"] = -1;
+    cr_assert(!decodeHeartbeat("i-1", spot.dump()));
+}
+
+// Guards against orders that the platform cannot read, or assigns to the wrong holder or kind.
+Test(DutyProtocol, scaleOrder_encoded_namesHolderGroupAndNumber)
+{
+    const scaling::EndpointGroup onDemand { ServiceName("huvo11a"), DataCentreName("fi-south-a"), scaling::EndpointKind::OnDemand };
+    const auto request = scaleRequest({ onDemand, 6 }, { "store-2", 41 });
+    cr_assert(request.method == "POST" && request.target == "/scale");
+    cr_assert(request.fields.find("X-Duty-Holder") == "store-2");
+    cr_assert(request.fields.find("X-Fencing-Token") == "41");
+    cr_assert(json::parse(request.body) == json::parse(R"({"service":"huvo11a","zone":"fi-south-a","group-count":6})"));
+    const auto spot = scaleRequest({ { onDemand.service, onDemand.dataCentre, scaling::EndpointKind::Spot }, 0 }, { "store-2", 41 });
+    cr_assert(json::parse(spot.body) == json::parse(R"({"service":"huvo11a","zone":"fi-south-a","group-count":0,"spot":true})"));
+}
+
+// Guards against limits or prices that are lost, and against rules by which nothing sensible can be ordered.
+Test(Configuration, scaling_decoded_hasItsLimitsAndPrices)
+{
+    json text = configuration();
+    json& rules = text["services"][0]["scaling"];
+    rules = json::parse(R"({"min-replicas":1,"max-replicas":22,"boot-s":4.0,"spot-price":0.18,"zone-prices":{"fi-south-a":1.0,"fi-south-b":0.8}})");
+    const scaling::ScalingRules expected { 1, 22, std::chrono::seconds(4), 0.18, { { DataCentreName("fi-south-a"), 1.0 }, { DataCentreName("fi-south-b"), 0.8 } } };
+    const auto table = decodeConfiguration(text.dump());
+    cr_assert(table->findService(ServiceName("s"))->scaling == expected);
+    cr_assert(!table->findService(ServiceName("t"))->scaling);
+    for (const auto& [field, value] : std::vector<std::pair<const char*, const char*>> { { "min-replicas", "23" }, { "max-replicas", "-1" }, { "boot-s", "-1" }, { "spot-price", "-0.1" }, { "zone-prices", "{\"a\":\"x\"}" }, { "zone-prices", "[]" } }) {
+        json odd = text;
+        odd["services"][0]["scaling"][field] = json::parse(value);
+        const auto refused = decodeConfiguration(odd.dump());
+        cr_assert(!refused && refused.error().find("service s") != std::string::npos, "%s of %s", field, value);
+    }
+}
+
 // Guards against an entry of another writer under which the process ends or takes all its memory.
 Test(Registration, heartbeatNestedDeeply_decoded_isRefused)
 {
--- a/test/azurepaddle/registry/state.cpp
+++ b/test/azurepaddle/registry/state.cpp
@@ -107,6 +107,49 @@
     cr_assert(restored.suspects().revision() == 1);
 }
 
+// Guards against a new leader that does not know what was ordered, and against a snapshot of an earlier release, which has
+// no orders, that cannot be read.
+Test(StateMachine, scaleOrders_recorded_lastOfEachGroupIsKept)
+{
+    const scaling::EndpointGroup onDemand { ServiceName("s"), DataCentreName("a"), scaling::EndpointKind::OnDemand };
+    const scaling::EndpointGroup spot { ServiceName("s"), DataCentreName("a"), scaling::EndpointKind::Spot };
+    StateMachine machine;
+    const std::string empty = machine.snapshot();
+    static_cast<void>(machine.apply(encodeCommand(RecordScaleOrder { { onDemand, 3 } })));
+    static_cast<void>(machine.apply(encodeCommand(RecordScaleOrder { { spot, 5 } })));
+    static_cast<void>(machine.apply(encodeCommand(RecordScaleOrder { { onDemand, 4 } })));
+    StateMachine restored;
+    cr_assert(restored.restore(machine.snapshot()));
+    cr_assert(restored.scaleOrders() == std::vector<scaling::ScaleOrder>({ { spot, 5 }, { onDemand, 4 } }));
+    // The earlier release writes an array of twelve elements, without the empty list of orders at the end.
+    std::string earlier = empty;
+    cr_assert(earlier.front() == '\x9d' && earlier.back() == '\x90');
+    earlier.front() = '\x9c';
+    earlier.pop_back();
+    cr_assert(restored.restore(earlier));
+    cr_assert(restored.scaleOrders().empty());
+}
+
+// Guards against an endpoint whose record of an earlier release, without the kind, cannot be read, and against a time to
+// leave that is replicated with each heartbeat.
+Test(Liveness, endpointAnnouncesWhenItLeaves_timeIsKnownHereOnly)
+{
+    EndpointRecord endpoint = draining(record("e", 5));
+    endpoint.isSpot = true;
+    const EndpointHeartbeat heartbeat { endpoint, 7, 2300 };
+    Liveness liveness;
+    cr_assert(liveness.recordHeartbeat(heartbeat.status(), start));
+    cr_assert(liveness.find(EndpointId("e"))->leavesAt == start + std::chrono::milliseconds(2300));
+    Directory directory;
+    directory.set(heartbeat.record);
+    cr_assert(!directory.recordUpdateFrom(EndpointHeartbeat({ endpoint, 8, 1300 }).record));
+    std::string bytes = codec::encode(record("f"));
+    cr_assert(bytes.front() == '\x9b' && bytes.back() == '\xc2');
+    bytes.front() = '\x9a';
+    bytes.pop_back();
+    cr_assert(codec::decode<EndpointRecord>(bytes) == record("f"));
+}
+
 // Guards against crash records that are never removed.
 Test(StateMachine, crashesExpired_requestIsNoSuspect)
 {
