Order endpoints at the platform while this instance leads

The plan of the module scaling had no one who carries it out. The scaler runs on the leader if the settings include scale: it collects endpoints and pending items every half second, records each order in the log and sends it through the duty client, one at a time. Refusals lead to a new plan at once, missing answers to a repetition. The duty client belongs to the store node, so that further duties can share it. Services that also answer single requests, whose number the leader does not know, are not reduced below the endpoints it found.

Endpoints that announce when they leave are treated as draining ones; a test shows that their long items move. No change was needed there.

--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/batch/placement.hpp"
 #include "azurepaddle/batch/score_plan.hpp"
 #include "azurepaddle/execution/item_text.hpp"
+#include "azurepaddle/execution/pending_item.hpp"
 #include "azurepaddle/execution/protocol.hpp"
 #include "azurepaddle/execution/speed_meter.hpp"
 #include "azurepaddle/metrics/registry.hpp"
@@ -50,6 +51,8 @@
     [[nodiscard]] std::uint32_t running(const EndpointId& endpoint, const batch::ModelName& model) const;
     /// Whether any item of a model is waiting for a slot.
     [[nodiscard]] bool areItemsWaiting(const batch::ModelName& model) const;
+    /// Returns the items that wait or run.
+    [[nodiscard]] std::vector<PendingItem> pendingItems() const;
     /// Sets whether an endpoint is loading weights of a model, which pauses the items of that model there.
     void setLoading(const EndpointId& endpoint, const batch::ModelName& model, bool isLoading);
     /// Moves the items of a model to other endpoints. Returns false if they do not fit there.
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -242,6 +242,27 @@
     return m_speedMeter.median(now) / internal::tokensPerEvent;
 }
 
+template <typename Protocol>
+std::vector<PendingItem> JobRunner<Protocol>::pendingItems() const
+{
+    const TimePoint now = m_clock.now();
+    const Duration perToken = tokenTime(now);
+    std::vector<PendingItem> items;
+    for (const auto& [id, runs] : m_runs) {
+        const batch::Job* job = m_machine.jobs().find(id);
+        if (!job)
+            continue;
+        for (const auto& [item, run] : runs) {
+            const batch::ItemSpec* spec = run->stage == Stage::Waiting || run->stage == Stage::Running ? specOf(*run) : nullptr;
+            if (!spec)
+                continue;
+            const Duration untilDue = run->acceptedAt + std::chrono::milliseconds(job->spec.dueMs) - now;
+            items.push_back({ serviceOf(*run, *spec), run->stage == Stage::Running ? run->endpoint : EndpointId(), perToken * remainingTokens(*run), untilDue });
+        }
+    }
+    return items;
+}
+
 template <typename Protocol>
 std::optional<WeightVersion> JobRunner<Protocol>::requiredVersion(const Run& run) const
 {
--- a/src/azurepaddle/scaling/plan.cpp
+++ b/src/azurepaddle/scaling/plan.cpp
@@ -93,7 +93,7 @@
             }
             addIncreases(reason);
             if (m_plan.orders.empty() && m_service.mayDecrease && m_service.ordersLeft > ordersForIncreases)
-                decrease(scaled(needed, decreaseHeadroom));
+                decrease(std::max(scaled(needed, decreaseHeadroom), m_service.reserved));
         }
 
         [[nodiscard]] EndpointGroup groupOf(const DataCentreName& dataCentre, EndpointKind kind) const
--- a/src/azurepaddle/scaling/plan.hpp
+++ b/src/azurepaddle/scaling/plan.hpp
@@ -35,7 +35,8 @@
     std::uint32_t slotsPerEndpoint = 1;
     std::uint32_t recentDemand = 0; ///< Most endpoints needed at any time within the hold time.
     bool mayIncrease = true; ///< The last increase is not too recent, or endpoints were refused or withdrawn since.
-    bool mayDecrease = false; ///< The hold time is over, and all load of the service is known.
+    bool mayDecrease = false; ///< The hold time is over.
+    std::uint32_t reserved = 0; ///< Endpoints that are not removed, because of load that is not part of the work.
     std::uint32_t ordersLeft = 0; ///< Number of orders within the limit per minute.
 };
 
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -5,6 +5,7 @@
 #include "transport_options.hpp"
 
 #include "azurepaddle/platform/configuration.hpp"
+#include "azurepaddle/platform/duty_protocol.hpp"
 
 #include <fstream>
 #include <malloc.h>
@@ -88,6 +89,7 @@
     m_service.setOnChange([this] { onChange(); });
     m_runner.setOnResultsRecorded([this](const batch::JobId& job) { m_service.answerPendingReads(job); });
     m_group.setOnLeadershipChange([this](bool isLeading) { onLeadership(isLeading); });
+    startDuties();
     m_group.registerHandlers(m_peerServer);
     m_service.registerHandlers(m_peerServer);
     m_local.registerHandlers(m_peerServer);
@@ -96,6 +98,18 @@
     m_leader.setMembers(std::move(members));
 }
 
+void StoreNode::startDuties()
+{
+    const auto address = parseAddress(m_settings.duties.address);
+    if (!address)
+        return;
+    m_dutyClient = std::make_unique<execution::DutyClient>(m_pool, m_orderWindow, execution::DutyOptions { *address, m_settings.duties.callsPerSecond }, m_metrics);
+    if (!m_settings.duties.includes("scale"))
+        return;
+    execution::ScalerSources sources { [this] { return m_runner.pendingItems(); }, platform::scaleRequest };
+    m_scaler = std::make_unique<execution::Scaler>(m_group, m_machine, m_liveness, *m_dutyClient, std::move(sources), m_metrics);
+}
+
 bool StoreNode::start()
 {
     const auto client = m_peerClient.start();
@@ -128,6 +142,8 @@
     m_runner.tick();
     m_orderWindow.tick();
     m_loader.tick();
+    if (m_scaler)
+        m_scaler->tick();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](std::error_code error) {
         if (!error)
@@ -171,6 +187,8 @@
     const auto routes = std::make_shared<const gateway::RouteTable>(std::move(*table));
     m_runner.setRoutes(routes);
     m_loader.setRoutes(routes);
+    if (m_scaler)
+        m_scaler->setRoutes(routes);
 }
 
 void StoreNode::onLeadership(bool isLeading)
@@ -179,6 +197,10 @@
     m_runner.onLeadership(isLeading);
     m_orderWindow.onLeadership(isLeading);
     m_loader.onLeadership(isLeading);
+    if (m_dutyClient)
+        m_dutyClient->onLeadership();
+    if (m_scaler)
+        m_scaler->onLeadership(isLeading);
 }
 
 void StoreNode::drain(std::function<void()> onDrained)
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -1,14 +1,15 @@
 #pragma once
 
 #include "azurepaddle/config/node_settings.hpp"
+#include "azurepaddle/execution/scaler.hpp"
 #include "azurepaddle/execution/weight_loader.hpp"
 #include "azurepaddle/platform/control_api.hpp"
 #include "azurepaddle/platform/endpoint_protocol.hpp"
 
 namespace azurepaddle::node {
 
-/// A node that stores the replicated log or stands by to do so. The leader runs batch jobs, orders weight loads, and
-/// answers the requests of the other nodes.
+/// A node that stores the replicated log or stands by to do so. The leader runs batch jobs, orders weight loads,
+/// performs the duties at the platform, and answers the requests of the other nodes.
 class StoreNode {
 public:
     StoreNode(asio::io_context& io, config::NodeSettings settings);
@@ -28,6 +29,7 @@
     void onChange();
     void onLeadership(bool isLeading);
     void updateRoutes();
+    void startDuties();
     void logMemory();
     void watchDrain(TimePoint since);
 
@@ -52,6 +54,8 @@
     Runner m_runner;
     execution::OrderWindow m_orderWindow;
     Loader m_loader;
+    std::unique_ptr<execution::DutyClient> m_dutyClient; ///< Null if the settings name no platform. Shared by all duties.
+    std::unique_ptr<execution::Scaler> m_scaler; ///< Null if scaling is none of the duties.
     platform::ControlApi m_control;
     http1::Server m_controlServer;
     http1::Server m_metricsServer;
--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -275,7 +275,7 @@
         apply(registry::DeregisterEndpoint { { endpoint.id, 1 } });
     }
 
-    void submit(WeightVersion minVersion = 1, std::uint32_t maxAttempts = 3, const batch::RewardCall& reward = {}, int items = 1, bool isSingleVersion = false)
+    void submit(WeightVersion minVersion = 1, std::uint32_t maxAttempts = 3, const batch::RewardCall& reward = {}, int items = 1, bool isSingleVersion = false, std::uint64_t tokens = 400)
     {
         batch::JobSpec job;
         job.id = jobId;
@@ -286,7 +286,7 @@
         job.retentionMs = 60'000;
         job.isSingleVersion = isSingleVersion;
         for (int item = 0; item < items; ++item)
-            job.items.push_back({ batch::ItemId(item == 0 ? "item" : "item" + std::to_string(item)), "/items/1", {}, "body", GroupId("g"), 10, 400, reward });
+            job.items.push_back({ batch::ItemId(item == 0 ? "item" : "item" + std::to_string(item)), "/items/1", {}, "body", GroupId("g"), 10, tokens, reward });
         apply(registry::AcceptJob { job });
     }
 
@@ -534,6 +534,26 @@
     cr_assert(fixture.machine.jobs().find(jobId)->results.empty());
 }
 
+// Guards against an item that stays at an endpoint which announced that it leaves, until its connection is cut. Items with
+// less than half a second of work stay, because they end before the endpoint leaves.
+Test(JobRunner, endpointAnnouncesThatItLeaves_itsItemIsMoved)
+{
+    RunnerFixture fixture;
+    const Endpoint& leaving = fixture.add("a", Behaviour::SilentAfterThree);
+    constexpr std::uint64_t longItemTokens = 4000;
+    fixture.submit(1, 3, {}, 1, false, longItemTokens);
+    cr_assert(fixture.runUntil([&] { return fixture.runner.pendingItems().size() == 1 && fixture.runner.pendingItems().front().endpoint == leaving.id; }));
+    const Endpoint& other = fixture.add("b", Behaviour::Completes);
+    registry::EndpointRecord record = *fixture.machine.directory().find(leaving.id);
+    record.state = registry::EndpointState::Draining;
+    fixture.apply(registry::SetEndpoint { record });
+    const auto result = fixture.result();
+    cr_assert(result && result->output == expectedOutput());
+    cr_assert(other.resumePositions.size() == 1);
+    cr_assert(leaving.resumePositions.size() == 1);
+    cr_assert(fixture.metrics.counter("items_moved_total").value() == 1);
+}
+
 // Guards against items that wait without limit because the version they need is never ordered.
 Test(WeightLoader, versionPublished_isOrderedOnceAndItemsRunUnderIt)
 {
--- a/test/azurepaddle/scaling/plan.cpp
+++ b/test/azurepaddle/scaling/plan.cpp
@@ -172,6 +172,8 @@
     state.mayDecrease = false;
     cr_assert(planScaling(state).orders.empty());
     state.mayDecrease = true;
+    state.reserved = 15;
+    cr_assert(totalOf(resultOf(state, planScaling(state))) == 15);
     state.recentDemand = 15;
     cr_assert(planScaling(state).orders.empty());
 }
