--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -5,6 +5,7 @@
 #include "transport_options.hpp"
 
 #include "azurepaddle/platform/configuration.hpp"
+#include "azurepaddle/platform/duty_protocol.hpp"
 
 #include <fstream>
 #include <malloc.h>
@@ -93,6 +94,7 @@
     m_service.setOnChange([this] { onChange(); });
     m_runner.setOnResultsRecorded([this](const batch::JobId& job) { m_service.answerPendingReads(job); });
     m_group.setOnLeadershipChange([this](bool isLeading) { onLeadership(isLeading); });
+    startDuties();
     m_group.registerHandlers(m_peerServer);
     m_service.registerHandlers(m_peerServer);
     m_local.registerHandlers(m_peerServer);
@@ -112,6 +114,10 @@
     m_dutyClient = std::make_unique<execution::DutyClient>(m_pool, m_orderWindow, execution::DutyOptions { *address, duties.callsPerSecond }, m_metrics);
     if (duties.includes("usage"))
         m_usageReporter = std::make_unique<UsageReporter>(m_group, m_machine, *m_dutyClient, execution::UsageOptions { duties.usageWindow, duties.usageDelay / 2 }, m_metrics);
+    if (duties.includes("scale")) {
+        execution::ScalerSources sources { [this] { return m_runner.pendingItems(); }, platform::DutyProtocol::scaleRequest };
+        m_scaler = std::make_unique<execution::Scaler>(m_group, m_machine, m_liveness, *m_dutyClient, std::move(sources), m_metrics);
+    }
 }
 
 bool StoreNode::start()
@@ -150,6 +156,8 @@
     m_usageService.tick();
     if (m_usageReporter)
         m_usageReporter->tick();
+    if (m_scaler)
+        m_scaler->tick();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](std::error_code error) {
         if (!error)
@@ -195,6 +203,8 @@
     m_loader.setRoutes(routes);
     if (m_usageReporter)
         m_usageReporter->setRoutes(routes);
+    if (m_scaler)
+        m_scaler->setRoutes(routes);
 }
 
 void StoreNode::onLeadership(bool isLeading)
@@ -208,6 +218,8 @@
         m_dutyClient->onLeadership();
     if (m_usageReporter)
         m_usageReporter->onLeadership(isLeading);
+    if (m_scaler)
+        m_scaler->onLeadership(isLeading);
 }
 
 void StoreNode::drain(std::function<void()> onDrained)
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -3,6 +3,7 @@
 #include "body_budget_monitor.hpp"
 
 #include "azurepaddle/config/node_settings.hpp"
+#include "azurepaddle/execution/scaler.hpp"
 #include "azurepaddle/execution/usage_reporter.hpp"
 #include "azurepaddle/execution/weight_loader.hpp"
 #include "azurepaddle/platform/control_api.hpp"
@@ -12,8 +13,8 @@
 
 namespace azurepaddle::node {
 
-/// A node that stores the replicated log or stands by to do so. The leader runs batch jobs, orders weight loads, and
-/// answers the requests of the other nodes.
+/// A node that stores the replicated log or stands by to do so. The leader runs batch jobs, orders weight loads,
+/// performs the duties at the platform, and answers the requests of the other nodes.
 class StoreNode {
 public:
     StoreNode(asio::io_context& io, config::NodeSettings settings);
@@ -60,8 +61,9 @@
     Runner m_runner;
     execution::OrderWindow m_orderWindow;
     Loader m_loader;
-    std::unique_ptr<execution::DutyClient> m_dutyClient; ///< Null without duties.
+    std::unique_ptr<execution::DutyClient> m_dutyClient; ///< Null if the settings name no platform. Shared by all duties.
     std::unique_ptr<UsageReporter> m_usageReporter; ///< Null unless usage is to be reported.
+    std::unique_ptr<execution::Scaler> m_scaler; ///< Null if scaling is none of the duties.
     platform::ControlApi m_control;
     std::shared_ptr<http1::BodyBudget> m_bodyBudget; ///< Shared by all servers of this node.
     BodyBudgetMonitor m_bodyMonitor;
