Count booting endpoints in the scaling plan, and keep endpoints for a minute

Played on a longer load, the plan raised its orders twice while what it had ordered booted (39, 46, 54 endpoints), because it counted the full boot time for these again; the highest need was forgotten as a whole once it was older than the hold time; and spot endpoints that leave because fewer were ordered counted as withdrawn.

A process test kills the holder after its order is in the log and before the platform runs: the next holder sends the same number with a higher token.

--- a/src/azurepaddle/execution/scaler.cpp
+++ b/src/azurepaddle/execution/scaler.cpp
@@ -180,7 +180,7 @@
 {
     for (const scaling::ScaleOrder& order : m_machine.scaleOrders()) {
         const auto found = observations.find(order.group);
-        if (found != observations.end() && found->second.isWithdrawn && order.count > 0)
+        if (found != observations.end() && found->second.isWithdrawn && order.count > found->second.serving)
             record({ order.group, 0 });
     }
 }
--- a/src/azurepaddle/scaling/demand.cpp
+++ b/src/azurepaddle/scaling/demand.cpp
@@ -36,21 +36,24 @@
     }
 
     /// Whatever the order in which n slots take items, they end within the total divided by n plus the longest item.
-    std::uint32_t slotsNeededFor(const Backlog& backlog, Duration untilDue, std::uint32_t serving, Duration bootTime)
+    std::uint32_t slotsNeededFor(const Backlog& backlog, Duration untilDue, const Slots& slots)
     {
         const Duration available = untilDue - backlog.longest;
         const std::uint32_t needed = slotsFor(backlog.total, available, backlog.count);
-        if (needed <= serving)
+        if (needed <= slots.serving)
             return needed;
-        if (untilDue <= bootTime)
-            return serving;
-        const Duration done = std::max(available, Duration::zero()) * serving;
-        return serving + slotsFor(backlog.total - done, available - bootTime, backlog.count - serving);
+        const std::uint32_t ordered = std::min(backlog.count, slots.serving + slots.booting);
+        if (untilDue <= slots.bootTime)
+            return ordered;
+        const Duration done = std::max(available, Duration::zero()) * slots.serving + std::max(available - slots.bootLeft, Duration::zero()) * slots.booting;
+        if (done >= backlog.total)
+            return ordered;
+        return ordered + slotsFor(backlog.total - done, available - slots.bootTime, backlog.count - ordered);
     }
 
 }
 
-std::uint32_t slotsNeeded(std::vector<WorkItem> work, std::uint32_t servingSlots, Duration bootTime)
+std::uint32_t slotsNeeded(std::vector<WorkItem> work, const Slots& slots)
 {
     std::erase_if(work, [](const WorkItem& item) { return item.untilDue <= Duration::zero(); });
     std::sort(work.begin(), work.end(), [](const WorkItem& a, const WorkItem& b) { return a.untilDue < b.untilDue; });
@@ -59,7 +62,7 @@
     for (std::size_t index = 0; index < work.size(); ++index) {
         backlog.add(std::chrono::duration_cast<Duration>(work[index].remaining * timeMargin) + itemOverhead);
         if (index + 1 == work.size() || work[index + 1].untilDue > work[index].untilDue)
-            needed = std::max(needed, slotsNeededFor(backlog, work[index].untilDue, servingSlots, bootTime));
+            needed = std::max(needed, slotsNeededFor(backlog, work[index].untilDue, slots));
     }
     return needed;
 }
--- a/src/azurepaddle/scaling/demand.hpp
+++ b/src/azurepaddle/scaling/demand.hpp
@@ -15,9 +15,18 @@
     friend bool operator==(const WorkItem&, const WorkItem&) = default;
 };
 
-/// Returns the number of slots with which all items that are not late yet end in time, given the slots that serve now.
-/// Slots beyond these begin to serve after the boot time. Slots that would come too late for an item are not counted for
-/// it.
-[[nodiscard]] std::uint32_t slotsNeeded(std::vector<WorkItem> work, std::uint32_t servingSlots, Duration bootTime);
+/// The slots for the work of a service.
+struct Slots {
+    std::uint32_t serving = 0;
+    std::uint32_t booting = 0;
+    Duration bootLeft {}; ///< Time until those that boot serve.
+    Duration bootTime {}; ///< Time until further ones serve once they are ordered.
+
+    friend bool operator==(const Slots&, const Slots&) = default;
+};
+
+/// Returns the number of slots with which all items that are not late yet end in time. Slots that would come too late for
+/// an item are not counted for it.
+[[nodiscard]] std::uint32_t slotsNeeded(std::vector<WorkItem> work, const Slots& slots);
 
 }
--- a/src/azurepaddle/scaling/plan.cpp
+++ b/src/azurepaddle/scaling/plan.cpp
@@ -16,6 +16,8 @@
     constexpr double decreaseHeadroom = 1.25;
     // A plan removes at most this share of the endpoints, because the load may return.
     constexpr std::uint32_t maxDecreaseDivisor = 4;
+    // Time from the end of the boot to the first item: a heartbeat, and an order to load the current weights.
+    constexpr Duration readyDelay = std::chrono::milliseconds(1500);
     // Orders kept for increases when endpoints are removed.
     constexpr std::uint32_t ordersForIncreases = maxOrdersPerMinute / 2;
 
@@ -66,9 +68,7 @@
 
         [[nodiscard]] ScalingPlan plan()
         {
-            const std::uint32_t slots = std::max(m_service.slotsPerEndpoint, 1U);
-            const std::uint32_t servingSlots = surviving(m_serving) * slots;
-            m_plan.needed = (slotsNeeded(m_service.work, servingSlots, m_service.rules.bootTime) + slots - 1) / slots;
+            m_plan.needed = endpointsNeeded();
             m_plan.expected = sum(m_expected);
             m_plan.surviving = surviving(m_expected);
             if (!hasUnanswered())
@@ -96,6 +96,16 @@
                 decrease(std::max(scaled(needed, decreaseHeadroom), m_service.reserved));
         }
 
+        /// The work is planned for the endpoints that remain after a loss.
+        [[nodiscard]] std::uint32_t endpointsNeeded() const
+        {
+            const std::uint32_t each = std::max(m_service.slotsPerEndpoint, 1U);
+            const std::uint32_t serving = surviving(m_serving);
+            const std::uint32_t expected = std::max(surviving(m_expected), serving);
+            const Slots slots { serving * each, (expected - serving) * each, m_service.bootLeft + readyDelay, m_service.rules.bootTime + readyDelay };
+            return (slotsNeeded(m_service.work, slots) + each - 1) / each;
+        }
+
         [[nodiscard]] EndpointGroup groupOf(const DataCentreName& dataCentre, EndpointKind kind) const
         {
             return { m_service.name, dataCentre, kind };
--- a/src/azurepaddle/scaling/plan.hpp
+++ b/src/azurepaddle/scaling/plan.hpp
@@ -33,7 +33,8 @@
     std::map<EndpointGroup, GroupState> groups;
     std::vector<WorkItem> work;
     std::uint32_t slotsPerEndpoint = 1;
-    std::uint32_t recentDemand = 0; ///< Most endpoints needed at any time within the hold time.
+    Duration bootLeft {}; ///< Time until the endpoints that boot serve.
+    std::uint32_t recentDemand = 0; ///< Most endpoints needed at any time of the last minute.
     bool mayIncrease = true; ///< The last increase is not too recent, or endpoints were refused or withdrawn since.
     bool mayDecrease = false; ///< The hold time is over.
     std::uint32_t reserved = 0; ///< Endpoints that are not removed, because of load that is not part of the work.
--- a/test/azurepaddle/scaling/plan.cpp
+++ b/test/azurepaddle/scaling/plan.cpp
@@ -216,3 +216,15 @@
     // Four are needed and one more is headroom.
     cr_assert(plan.orders.front().order.count == 6);
 }
+
+// Guards against orders that are raised again and again while what was ordered boots.
+Test(SlotsNeeded, orderedSlotsBoot_timePasses_needIsTheSame)
+{
+    const std::vector<WorkItem> work = items(300, 3s, 15s);
+    const std::uint32_t needed = slotsNeeded(work, { 64, 0, {}, 5s });
+    cr_assert(needed > 64);
+    // One second later, 64 items have run for a second.
+    std::vector<WorkItem> later = items(236, 3s, 14s);
+    later.insert(later.end(), 64, WorkItem { 2s, 14s });
+    cr_assert(slotsNeeded(later, { 64, needed - 64, 4s, 5s }) <= needed);
+}
--- /dev/null
+++ b/test/processes/test_scaling.py
@@ -0,0 +1,98 @@
+"""Orders of endpoints at a platform by nodes that run as separate processes."""
+import http.server
+import json
+import threading
+import unittest
+
+from harness import free_ports, skip_known_red
+from nodes import Deployment, Endpoint, Server, configuration, wait_until
+
+SCALING = {"min-replicas": 2, "max-replicas": 4, "boot-s": 1.0, "spot-price": 0.2, "zone-prices": {"a": 1.0}}
+
+
+class Platform:
+    """Accepts orders of endpoints and keeps them. No endpoint is ever started for them."""
+
+    def __init__(self, port):
+        self.port = port
+        self.orders = []  # (holder, fencing token, body) of each order.
+        platform = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *arguments):
+                pass
+
+            def do_POST(self):
+                body = json.loads(self.rfile.read(int(self.headers.get("Content-Length", 0))))
+                platform.orders.append((self.headers["X-Duty-Holder"], int(self.headers["X-Fencing-Token"]), body))
+                self.send_response(200)
+                self.send_header("Content-Length", "0")
+                self.end_headers()
+
+        self.handler = Handler
+        self.server = None
+
+    def start(self):
+        self.server = Server(("127.0.0.1", self.port), self.handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        if self.server:
+            self.server.shutdown()
+            self.server.server_close()
+
+
+class ScalingTest(unittest.TestCase):
+    def setUp(self):
+        skip_known_red(self)
+        self.platform = Platform(free_ports(1)[0])
+        self.addCleanup(self.platform.close)
+        self.nodes = Deployment(duties=f"[duties]\naddress = 127.0.0.1:{self.platform.port}\nkinds = scale\n")
+        self.addCleanup(self.nodes.close)
+        self.endpoint = Endpoint("models")
+        self.addCleanup(self.endpoint.close)
+
+    def put(self, version, scaling):
+        changed = configuration(version)
+        if scaling:
+            next(service for service in changed["services"] if service["name"] == "models")["scaling"] = scaling
+        return self.nodes.on_control("POST", "/-/config/replace", json.dumps(changed))[0]
+
+    def unanswered_of(self, number):
+        return [line for line in self.nodes.log_text(f"store{number}").splitlines() if " order service=" in line and "outcome=unanswered" in line]
+
+    # Guards against an order that is lost when its holder fails after recording it, and against a next holder that orders
+    # another number or sends it with a token that is not higher.
+    def test_holder_fails_before_its_order_arrives_next_one_sends_the_same_number(self):
+        self.assertTrue(wait_until(lambda: self.put(1, SCALING) == 200))
+        self.assertTrue(wait_until(lambda: self.endpoint.beat(self.nodes.control_ports)))
+        # The platform does not run yet, so the first holder records its order and cannot deliver it.
+        self.assertTrue(wait_until(lambda: any(self.unanswered_of(number) for number in self.nodes.stores)))
+        first = self.nodes.leader()
+        fences = [int(line.split("claims the order right fence=")[1].split()[0]) for line in self.nodes.log_text(f"store{first}").splitlines() if "claims the order right" in line]
+        self.nodes.stores[first].kill()
+        self.nodes.stores[first].wait()
+        self.platform.start()
+        self.assertTrue(wait_until(lambda: self.platform.orders))
+        holder, token, body = self.platform.orders[0]
+        self.assertEqual(body, {"service": "models", "zone": "a", "group-count": 2})
+        self.assertNotEqual(holder, f"store{first}")
+        self.assertGreater(token, max(fences))
+
+    # Guards against orders for a service without scaling rules.
+    def test_without_scaling_nothing_is_ordered(self):
+        self.platform.start()
+        self.assertTrue(wait_until(lambda: self.put(1, None) == 200))
+        self.assertTrue(wait_until(lambda: self.endpoint.beat(self.nodes.control_ports)))
+        self.assertTrue(wait_until(lambda: self.nodes.submit("job", ["one", "two"]) == 202 or self.nodes.results("job") is not None))
+        self.assertTrue(wait_until(lambda: len(self.nodes.results("job") or []) == 2))
+        self.assertEqual(self.platform.orders, [])
+        self.assertTrue(wait_until(lambda: self.put(2, SCALING) == 200))
+        self.assertTrue(wait_until(lambda: self.platform.orders))
+
+
+if __name__ == "__main__":
+    unittest.main()
