Bound decoded bodies, jobs on their way and bodies at one endpoint

Cause: a body of many small JSON values takes a multiple of its size once it is decoded, a batch job exists as text, decoded and encoded at the same time, and nothing bounded the bodies that one endpoint holds.

Change: before a body is decoded, its parsed size is estimated; without room the request is refused with 503. An entry buffers at most a quarter of its memory for other nodes. A node sends an endpoint a further body only within [bounds] endpoint_bodies (default 256 MiB); the first one is always sent.

--- a/src/azurepaddle/config/node_settings.cpp
+++ b/src/azurepaddle/config/node_settings.cpp
@@ -72,7 +72,8 @@
             { "configuration_delay", &S::configurationDelay, range(0.1, hour), false, "An accepted configuration takes effect on all nodes within this time. An entry whose state may be older does not answer that a route does not exist." },
             { "max_connections", &S::maxConnections, range(8, 65536), false, "Open connections of callers beyond which new ones are closed." },
             { "max_job_bytes", &S::maxJobBytes, { Form::Bytes, mebi, 1024 * mebi, {} }, false, "Bodies and outputs of batch jobs held in memory; beyond it new jobs are refused." },
-            { "memory", &S::memory, { Form::Bytes, 64 * mebi, 1024 * 1024 * mebi, {} }, false, "Memory that the process may use. A state larger than a sixth of it is not written as a snapshot: batch jobs are refused until it shrinks." },
+            { "memory", &S::memory, { Form::Bytes, 64 * mebi, 1024 * 1024 * mebi, {} }, false, "Memory that the process may use. A state larger than a sixth of it is not written as a snapshot: batch jobs are refused until it shrinks. Request bodies of all clients get three eighths of it, three quarters of this for one client address, with a further thirty-second for bodies of up to 64 KiB; answers that clients have not read get an eighth. Beyond it, requests are refused with 503 and the slowest readers are closed." },
+            { "endpoint_bodies", &S::endpointBodies, { Form::Bytes, mebi, 1024 * 1024 * mebi, {} }, false, "Request bodies that this node has in progress at one endpoint, if more than one. Beyond it another endpoint is chosen, or the request is refused with 503." },
         };
         return keys;
     }
--- a/src/azurepaddle/config/node_settings.hpp
+++ b/src/azurepaddle/config/node_settings.hpp
@@ -55,6 +55,7 @@
     std::uint64_t maxConnections = 3000;
     std::uint64_t maxJobBytes = 96U * 1024U * 1024U;
     std::uint64_t memory = 1024U * 1024U * 1024U;
+    std::uint64_t endpointBodies = 256U * 1024U * 1024U;
 
     friend bool operator==(const NodeBoundSettings&, const NodeBoundSettings&) = default;
 };
--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -13,6 +13,7 @@
 #include "azurepaddle/http1/server.hpp"
 #include "azurepaddle/metrics/registry.hpp"
 
+#include <limits>
 #include <memory>
 #include <set>
 
@@ -169,8 +170,9 @@
 template <typename Protocol>
 class Forwarder {
 public:
-    /// All answers that are being received together take at most `maxAnswerBytes` of memory.
-    Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashGuard& guard, SendLimiter& limiter, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes);
+    /// All answers that are being received together take at most `maxAnswerBytes` of memory. The bodies of requests in
+    /// progress at one endpoint take at most `maxEndpointBytes`, unless there is only one.
+    Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashGuard& guard, SendLimiter& limiter, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes, std::size_t maxEndpointBytes = std::numeric_limits<std::size_t>::max());
 
     /// Called once for each endpoint incarnation that announces its leave with an answer.
     void setOnLeaving(std::function<void(const registry::EndpointIncarnation&)> onLeaving) { m_onLeaving = std::move(onLeaving); }
@@ -192,6 +194,7 @@
         registry::EndpointRecord endpoint; ///< Its record at the time of sending.
         http1::ClientCallPointer call;
         TimePoint startedAt;
+        std::size_t bodyBytes = 0; ///< Of the request.
         http1::Response response; ///< The part received so far.
         AnswerClass answerClass = AnswerClass::Answer;
         http1::EventSplitter splitter { maxEventBytes };
@@ -231,6 +234,8 @@
     [[nodiscard]] bool isSuspect(PendingRequest& pending) const;
     [[nodiscard]] std::optional<Duration> remainingRefusal(PendingRequest& pending) const;
     [[nodiscard]] std::set<EndpointId> excludedFor(const PendingRequest& pending) const;
+    void addBytesAt(const EndpointId& endpoint, std::size_t bytes);
+    void removeBytesAt(const EndpointId& endpoint, std::size_t bytes);
     [[nodiscard]] const registry::EndpointRecord* chooseUnlimited(const PendingRequest& pending, TimePoint now);
     [[nodiscard]] const registry::EndpointRecord* chooseWithinLimits(const PendingRequest& pending, TimePoint now);
     [[nodiscard]] std::optional<TimePoint> nextPermit(const PendingRequest& pending, TimePoint now) const;
@@ -269,6 +274,8 @@
     const SystemClock m_clock {};
     std::function<void(const registry::EndpointIncarnation&)> m_onLeaving;
     AnswerBudget m_budget;
+    std::size_t m_maxEndpointBytes;
+    std::map<EndpointId, std::size_t> m_bytesAtEndpoints; ///< Request bodies of attempts in progress.
     std::map<std::uint64_t, std::weak_ptr<PendingRequest>> m_attempts; ///< Requests of all attempts in progress, by attempt number.
     std::uint64_t m_nextAttempt = 1;
     std::set<PendingRequest*> m_requests; ///< All requests in progress.
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -19,7 +19,7 @@
 }
 
 template <typename Protocol>
-Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashGuard& guard, SendLimiter& limiter, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes)
+Forwarder<Protocol>::Forwarder(asio::io_context& io, http1::ClientPool& pool, Balancer& balancer, CrashGuard& guard, SendLimiter& limiter, Random& random, metrics::Registry& metrics, std::size_t maxAnswerBytes, std::size_t maxEndpointBytes)
     : m_io(io)
     , m_pool(pool)
     , m_balancer(balancer)
@@ -28,6 +28,7 @@
     , m_random(random)
     , m_metrics(metrics)
     , m_budget(maxAnswerBytes)
+    , m_maxEndpointBytes(maxEndpointBytes)
 {
     static_assert(EndpointProtocol<Protocol>);
 }
@@ -164,6 +165,8 @@
     Attempt& attempt = pending->attempts[number];
     attempt.endpoint = endpoint;
     attempt.startedAt = now;
+    attempt.bodyBytes = pending->task.request->body.size();
+    addBytesAt(endpoint.id, attempt.bodyBytes);
     m_balancer.onRequestStarted(endpoint.id);
     const http1::Request original = withoutBody(*pending->task.request);
     const std::shared_ptr<const std::string> body(pending->task.request, &pending->task.request->body);
@@ -253,6 +256,7 @@
     Attempt attempt = std::move(found->second);
     pending->attempts.erase(found);
     m_budget.release(number);
+    removeBytesAt(attempt.endpoint.id, attempt.bodyBytes);
     m_attempts.erase(number);
     const bool isComplete = end.kind == http1::CallEndKind::Complete && !(isStreamed(*pending, attempt) && attempt.splitter.isWithinEvent());
     if (isComplete)
@@ -360,6 +364,7 @@
         attempt.call->cancel();
         m_balancer.onRequestEnded(attempt.endpoint.id, outcome, now - attempt.startedAt, now);
         m_budget.release(number);
+        removeBytesAt(attempt.endpoint.id, attempt.bodyBytes);
         m_attempts.erase(number);
     }
     // The callbacks of the calls hold references to the pending request. Clearing the attempts after the
--- a/src/azurepaddle/gateway/forwarder_limits.hpp
+++ b/src/azurepaddle/gateway/forwarder_limits.hpp
@@ -6,16 +6,40 @@
 
 namespace azurepaddle::gateway {
 
-/// The endpoints to which the request must not be sent: those that had it, and those that cannot continue its stream.
+/// The endpoints to which the request must not be sent: those that had it, those that cannot continue its stream, and
+/// those whose memory its body might exceed together with the bodies that they hold.
 template <typename Protocol>
 std::set<EndpointId> Forwarder<Protocol>::excludedFor(const PendingRequest& pending) const
 {
     std::set<EndpointId> excluded = pending.excluded;
     if (pending.task.origin)
         excluded.merge(m_balancer.endpointsWithOtherSoftware(pending.task.origin->service, pending.task.origin->software));
+    const std::size_t bytes = pending.task.request->body.size();
+    for (const auto& [id, held] : m_bytesAtEndpoints) {
+        if (bytes > m_maxEndpointBytes - std::min(held, m_maxEndpointBytes))
+            excluded.insert(id);
+    }
     return excluded;
 }
 
+template <typename Protocol>
+void Forwarder<Protocol>::addBytesAt(const EndpointId& endpoint, std::size_t bytes)
+{
+    if (bytes > 0)
+        m_bytesAtEndpoints[endpoint] += bytes;
+}
+
+template <typename Protocol>
+void Forwarder<Protocol>::removeBytesAt(const EndpointId& endpoint, std::size_t bytes)
+{
+    const auto found = m_bytesAtEndpoints.find(endpoint);
+    if (bytes == 0 || found == m_bytesAtEndpoints.end())
+        return;
+    found->second -= bytes;
+    if (found->second == 0)
+        m_bytesAtEndpoints.erase(found);
+}
+
 /// The best endpoint for which no permit is needed, or null.
 template <typename Protocol>
 const registry::EndpointRecord* Forwarder<Protocol>::chooseUnlimited(const PendingRequest& pending, TimePoint now)
--- a/src/azurepaddle/http1/body_budget.cpp
+++ b/src/azurepaddle/http1/body_budget.cpp
@@ -27,6 +27,11 @@
     return m_budget->resize(*this, bytes, now);
 }
 
+bool BodyShare::mayDecode(std::size_t bytes) const noexcept
+{
+    return m_budget->mayDecode(bytes);
+}
+
 void BodyShare::recordProgress(std::size_t bytes, TimePoint now)
 {
     m_progress += bytes;
@@ -66,6 +71,14 @@
         m_budget->m_answers.erase(this);
 }
 
+bool BodyBudget::mayDecode(std::size_t bytes) noexcept
+{
+    const std::size_t used = m_requestBytes + m_reservedBytes + m_answerBytes;
+    const bool isRoom = bytes <= m_limits.decodeBytes - std::min(used, m_limits.decodeBytes);
+    m_counts.refusedBodies += isRoom ? 0 : 1;
+    return isRoom;
+}
+
 bool BodyBudget::resize(BodyShare& share, std::size_t bytes, TimePoint now)
 {
     const std::size_t held = share.m_bytes;
--- a/src/azurepaddle/http1/body_budget.hpp
+++ b/src/azurepaddle/http1/body_budget.hpp
@@ -21,11 +21,12 @@
     std::size_t answerBytes = SIZE_MAX; ///< Answers that clients have not taken yet, together.
     Duration stallTime = std::chrono::seconds(2); ///< A transfer without progress for this long is closed if its room is needed.
     std::size_t progressBytes = std::size_t { 16 } * 1024; ///< Fewer bytes within the stall time do not count as progress.
+    std::size_t decodeBytes = SIZE_MAX; ///< All of these and a body that is being decoded, with its decoded forms.
 };
 
 /// What a budget has done since the start of the process.
 struct BodyBudgetCounts {
-    std::uint64_t refusedBodies = 0; ///< Bodies for which there was no room.
+    std::uint64_t refusedBodies = 0; ///< Bodies for which there was no room, also to be decoded.
     std::uint64_t closedBodies = 0; ///< Stalled transfers of bodies that were closed for the sake of others.
     std::uint64_t closedAnswers = 0; ///< Clients closed because they read their answers too slowly.
 
@@ -45,6 +46,8 @@
     /// Changes the size of the body. Transfers that have stalled are closed if this makes enough room. Returns false and
     /// keeps the former size if there is not enough. Giving back always succeeds.
     [[nodiscard]] bool resize(std::size_t bytes, TimePoint now);
+    /// Whether the body may be decoded; see BodyBudget::mayDecode.
+    [[nodiscard]] bool mayDecode(std::size_t bytes) const noexcept;
     /// Records received bytes.
     void recordProgress(std::size_t bytes, TimePoint now);
     /// Marks the body as received: the request is being processed, and is not closed for the sake of others any more.
@@ -102,6 +105,8 @@
     BodyBudget(const BodyBudget&) = delete;
     BodyBudget& operator=(const BodyBudget&) = delete;
 
+    /// Whether a body may be decoded that takes this much memory in addition meanwhile. Bodies are decoded one at a time.
+    [[nodiscard]] bool mayDecode(std::size_t bytes) noexcept;
     [[nodiscard]] const BodyBudgetLimits& limits() const noexcept { return m_limits; }
     [[nodiscard]] const BodyBudgetCounts& counts() const noexcept { return m_counts; }
     [[nodiscard]] std::size_t requestBytes() const noexcept { return m_requestBytes; }
--- a/src/azurepaddle/http1/server.hpp
+++ b/src/azurepaddle/http1/server.hpp
@@ -43,6 +43,9 @@
     [[nodiscard]] Request& request() noexcept { return m_request; }
     [[nodiscard]] TimePoint receivedAt() const noexcept { return m_receivedAt; }
 
+    /// Whether the budget has room to decode the body, which takes this much memory in addition meanwhile.
+    [[nodiscard]] bool mayDecode(std::size_t bytes) const noexcept { return !m_share || m_share->mayDecode(bytes); }
+
     /// Sends a complete response.
     void respond(Response response);
     /// Sends the head of a response whose body follows in chunks.
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -1,10 +1,12 @@
 #include "azurepaddle/platform/caller_api.hpp"
 
 #include "azurepaddle/platform/batch_format.hpp"
+#include "azurepaddle/platform/json.hpp"
 #include "azurepaddle/platform/leading_count.hpp"
 #include "azurepaddle/platform/replies.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace azurepaddle::platform {
 
@@ -128,7 +130,20 @@
 void CallerApi::submit(const http1::ExchangePointer& exchange, const gateway::Route& route, const WorkspaceName& workspace)
 {
     const batch::JobId id(EndpointProtocol::requestId(exchange->request()));
-    auto spec = decodeJob(id, route, workspace, exchange->request().body);
+    // The bodies of items are encoded as base64 and so take three quarters of their text. The text is freed as soon as it is decoded, because a job exists twice
+    // on its way to the leader.
+    std::string text = std::exchange(exchange->request().body, {});
+    if (!exchange->mayDecode(internal::parsedBytes(text) + text.size() / 4 * 3)) {
+        m_log.info("job id={} status=503 bytes={} cause=\"no memory to decode it\"", id, text.size());
+        return exchange->respond(unavailable("too many request bodies are in progress"));
+    }
+    auto spec = decodeJob(id, route, workspace, text);
+    text = std::string();
+    submitDecoded(exchange, id, std::move(spec));
+}
+
+void CallerApi::submitDecoded(const http1::ExchangePointer& exchange, const batch::JobId& id, tl::expected<batch::JobSpec, std::string> spec)
+{
     if (exchange->request().method != "POST" || id.empty() || !spec) {
         const std::string reason = spec ? "a batch job must be submitted with POST and an identifier" : spec.error();
         m_log.info("job id={} status=400 cause=\"{}\"", id, reason);
--- a/src/azurepaddle/platform/caller_api.hpp
+++ b/src/azurepaddle/platform/caller_api.hpp
@@ -30,6 +30,7 @@
     [[nodiscard]] std::optional<WorkspaceName> admit(const http1::ExchangePointer& exchange, bool isKeyRequired) const;
     void handleJobCall(const http1::ExchangePointer& exchange, std::string_view path);
     void submit(const http1::ExchangePointer& exchange, const gateway::Route& route, const WorkspaceName& workspace);
+    void submitDecoded(const http1::ExchangePointer& exchange, const batch::JobId& id, tl::expected<batch::JobSpec, std::string> spec);
     void readResults(const http1::ExchangePointer& exchange, const batch::JobId& job, const WorkspaceName& workspace);
     void readItem(const http1::ExchangePointer& exchange, const batch::JobId& job, const WorkspaceName& workspace);
     void endJob(const http1::ExchangePointer& exchange, const batch::JobId& job, const WorkspaceName& workspace);
--- a/src/azurepaddle/platform/control_api.cpp
+++ b/src/azurepaddle/platform/control_api.cpp
@@ -27,6 +27,8 @@
     const http1::Request& request = exchange->request();
     const std::string_view path = http1::pathOf(request.target);
     const bool isPost = request.method == "POST";
+    if (!exchange->mayDecode(internal::parsedBytes(request.body)))
+        return exchange->respond(unavailable("too many request bodies are in progress"));
     if (const auto id = between(path, "/-/replicas/", "/heartbeat"); id && isPost)
         return receiveHeartbeat(exchange, *id);
     if (const auto id = between(path, "/-/replicas/", "/deregister"); id && isPost)
--- a/src/azurepaddle/platform/json.cpp
+++ b/src/azurepaddle/platform/json.cpp
@@ -35,6 +35,25 @@
 
 }
 
+std::size_t parsedBytes(std::string_view text) noexcept
+{
+    // A value takes 16 bytes in its list, three times as much while the list grows, and 32 for a list or object of its
+    // own; a member of an object has a node of about 100 bytes, for which a colon and a comma are counted.
+    constexpr std::size_t bytesPerSeparator = 64;
+    bool isInString = false;
+    std::size_t separators = 0;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const char c = text[at];
+        if (c == '"')
+            isInString = !isInString;
+        else if (isInString)
+            at += c == '\\' ? 1 : 0;
+        else
+            separators += c == '[' || c == '{' || c == ',' || c == ':' ? 1 : 0;
+    }
+    return text.size() + separators * bytesPerSeparator;
+}
+
 std::optional<Json> parseJson(std::string_view text)
 {
     if (isNestedTooDeeply(text))
--- a/src/azurepaddle/platform/json.hpp
+++ b/src/azurepaddle/platform/json.hpp
@@ -12,6 +12,10 @@
 /// Parses JSON. Empty if the text is malformed, or nested so deeply that no message of the platform is.
 [[nodiscard]] std::optional<Json> parseJson(std::string_view text);
 
+/// Estimates from above the memory that the parsed form of a text takes, in bytes. Many small values take many times their
+/// size as text.
+[[nodiscard]] std::size_t parsedBytes(std::string_view text) noexcept;
+
 /// Returns a member of an object; empty if it is missing or of another type.
 [[nodiscard]] std::optional<std::string> textOf(const Json& object, const char* name);
 [[nodiscard]] std::optional<std::uint64_t> countOf(const Json& object, const char* name);
--- a/src/programs/azurepaddle-node/http_options.hpp
+++ b/src/programs/azurepaddle-node/http_options.hpp
@@ -40,6 +40,7 @@
     limits.clientBytes = limits.requestBytes / 4 * 3;
     limits.reserveBytes = memory / 32;
     limits.answerBytes = memory / 8;
+    limits.decodeBytes = memory / 5 * 4;
     return limits;
 }
 
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -74,7 +74,7 @@
     , m_guard(endpointProbe(io), m_metrics)
     , m_limiter(
           m_settings.node.name, [this](const registry::PermitRequest& request, TimePoint, const gateway::PermitCallback& onReply) { onReply(m_service.requestPermit(request), m_clock.now()); }, m_random)
-    , m_forwarder(io, m_pool, m_balancer, m_guard, m_limiter, m_random, m_metrics, maxAnswerBytes(m_settings))
+    , m_forwarder(io, m_pool, m_balancer, m_guard, m_limiter, m_random, m_metrics, maxAnswerBytes(m_settings), m_settings.bounds.endpointBodies)
     , m_runner(io, m_pool, m_group, m_machine, m_liveness, m_forwarder, m_balancer, m_limiter, m_metrics)
     , m_orderWindow(m_group, m_machine, { m_settings.node.name, m_settings.bounds.orderLease })
     , m_loader(io, m_pool, m_group, m_machine, m_liveness, m_runner, m_metrics, m_orderWindow)
--- a/src/programs/azurepaddle-node/transport_options.hpp
+++ b/src/programs/azurepaddle-node/transport_options.hpp
@@ -19,6 +19,16 @@
     return options;
 }
 
+/// Options of the connections of an entry, whose memory is small. A batch job of 32 MiB is sent in 24 MiB and fits at
+/// 120 MB of memory.
+[[nodiscard]] inline transport::ClientOptions entryClientOptions(const config::NodeSettings& settings)
+{
+    constexpr std::uint64_t memoryShare = 4;
+    transport::ClientOptions options = peerClientOptions(settings);
+    options.maxBufferedBytes = std::min<std::size_t>(options.maxBufferedBytes, settings.bounds.memory / memoryShare);
+    return options;
+}
+
 [[nodiscard]] inline transport::ServerOptions peerServerOptions(const config::NodeSettings& settings)
 {
     transport::ServerOptions options;
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -23,13 +23,15 @@
     registry::PermitTable permits;
     bool hasLeader = true;
     SendLimiter limiter { "entry", [this](const registry::PermitRequest& request, TimePoint, const PermitCallback& onReply) { onReply(hasLeader ? std::optional(permits.request(request, clock.now())) : std::nullopt, clock.now()); }, random };
-    Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, limiter, random, metrics, maxAnswerBytes };
+    std::size_t maxEndpointBytes;
+    Forwarder<TestProtocol> forwarder { io, pool, balancer, guard, limiter, random, metrics, maxAnswerBytes, maxEndpointBytes };
     std::shared_ptr<const RouteTable> table;
     Server server { io, [this](const ExchangePointer& exchange) { static_cast<void>(forwardExchange(forwarder, exchange, requestOf(exchange, table, table->routes().front()), [exchange](ForwardResult result) { respond(exchange, std::move(result.response)); })); } };
     std::vector<std::unique_ptr<RawPeer>> endpoints;
     std::vector<registry::EndpointRecord> records;
 
-    explicit ForwarderFixture(RouteKind kind)
+    explicit ForwarderFixture(RouteKind kind, std::size_t maxBytesAtEndpoint = std::numeric_limits<std::size_t>::max())
+        : maxEndpointBytes(maxBytesAtEndpoint)
     {
         table = makeTable(kind, std::chrono::milliseconds(600));
         cr_assert(server.listen({ "127.0.0.1", 0 }).has_value());
@@ -81,6 +83,33 @@
     cr_assert(fixture.request().response.body == "good");
 }
 
+// Guards against an endpoint that gets more bodies at once than its memory holds, and against a refusal while another
+// endpoint has room. The bodies have four bytes each.
+Test(Forwarder, endpointHoldsBodies_furtherBody_goesToAnotherOrIsRefused)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent, 7);
+    fixture.addEndpoint(silent);
+    Received held;
+    const Request request { "POST", "/x", { { "Host", "h" }, { "X-Id", "6" } }, "body" };
+    const auto call = fixture.caller.send(fixture.server.address(), request, {}, held.events());
+    cr_assert(runUntil(fixture.io, [&] { return fixture.endpoints[0]->accepted() == 1; }));
+    cr_assert(fixture.request().response.status == 503);
+    fixture.addEndpoint(succeed);
+    cr_assert(fixture.request().response.body == "good");
+    cr_assert(fixture.endpoints[0]->accepted() == 1);
+    cr_assert(runUntil(fixture.io, [&] { return held.end.has_value(); }));
+}
+
+// Guards against an endpoint that is held for full after its requests have ended, and against a single body that is never
+// sent because it exceeds the bound by itself.
+Test(Forwarder, bodyAtEndpointEnded_nextBody_isSentThere)
+{
+    ForwarderFixture fixture(RouteKind::NonIdempotent, 3);
+    fixture.addEndpoint(succeed);
+    cr_assert(fixture.request().response.body == "good");
+    cr_assert(fixture.request().response.body == "good");
+}
+
 // Guards against a caller that waits for an unresponsive endpoint although its request may be hedged.
 Test(Forwarder, silentEndpoint_idempotentRequest_isAnsweredByAnother)
 {
--- a/test/azurepaddle/http1/body_budget.cpp
+++ b/test/azurepaddle/http1/body_budget.cpp
@@ -186,3 +186,16 @@
     fast.remove(30);
     cr_assert(fixture.budget->answerBytes() == 0);
 }
+
+// Guards against a body that is decoded although the memory for its decoded form is in use.
+Test(BodyBudget, decodedFormBeyondRoom_isRefusedAndCounted)
+{
+    const auto budget = std::make_shared<BodyBudget>(BodyBudgetLimits { 100, 100, 0, 0, 50, stallTime, 5, 120 });
+    BodyShare share(budget, "a", [] {});
+    cr_assert(share.resize(60, start));
+    AnswerShare answer(budget, [] {});
+    answer.add(20, start);
+    cr_assert(share.mayDecode(40));
+    cr_assert(!share.mayDecode(41));
+    cr_assert(budget->counts().refusedBodies == 1);
+}
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -1,6 +1,7 @@
 #include "azurepaddle/platform/batch_format.hpp"
 #include "azurepaddle/platform/configuration.hpp"
 #include "azurepaddle/platform/endpoint_protocol.hpp"
+#include "azurepaddle/platform/json.hpp"
 #include "azurepaddle/platform/registration.hpp"
 
 #include <criterion/criterion.h>
@@ -364,3 +365,12 @@
         cr_assert(!EndpointProtocol::takeUpOf(request), "%s", malformed);
     }
 }
+
+// Guards against bodies that are decoded although their many small values take a multiple of their size, and against
+// ordinary text that counts as such.
+Test(Json, parsedBytes_countsValuesOutsideTexts)
+{
+    cr_assert(platform::internal::parsedBytes(R"("[{,:\"[")") == 9);
+    cr_assert(platform::internal::parsedBytes("[[],[]]") == 7 + 4 * 64);
+    cr_assert(platform::internal::parsedBytes(R"({"a":1})") == 7 + 2 * 64);
+}
--- a/test/processes/test_memory_bounds.py
+++ b/test/processes/test_memory_bounds.py
@@ -165,6 +165,19 @@
         self.assertTrue(self.endpoint.beat([port]))
         self.check_bounds(self.nodes.stores[0])
 
+    # Guards against bodies that take many times their size once they are decoded.
+    def test_job_of_many_json_values_entry_stays_in_its_memory_and_serves(self):
+        values = b"[" + b"[]," * (MAX_BODY_BYTES // 3 - 1) + b"[]]"
+        self.check_entry_after(lambda number: [head(number, "/batch/x", f"Content-Length: {len(values)}"), values])
+
+    # Guards against the same at the control port.
+    def test_configuration_of_many_json_values_store_stays_in_its_memory_and_serves(self):
+        port = self.nodes.control_ports[0]
+        values = b"[" + b"[]," * (MAX_BODY_BYTES // 3 - 1) + b"[]]"
+        self.gather(port, lambda number: [head(number, "/-/config/replace", f"Content-Length: {len(values)}"), values])
+        self.assertTrue(self.endpoint.beat([port]))
+        self.check_bounds(self.nodes.stores[0])
+
 
 class SingleBodyTest(BoundsFixture):
     memory_bytes = 120 * MIB  # The smallest machines.
