Count unfinished headers, share the read buffer, bound relayed bodies

Cause: each connection had a read buffer of 16 KiB and a header that may stay unfinished, of which the connections together were not bounded by the memory. A request handed to another entry was copied whatever its size, also if the other entry would refuse it.

Change: a header that arrives in parts gets room in the body budget. Reads use one buffer of the server. Unfinished transfers in the reserve give way to others at once, so that a crowd of them cannot keep ordinary requests out. A body of more than an eighth of the memory is not handed to another entry.

--- a/src/azurepaddle/gateway/relay_forwarder.hpp
+++ b/src/azurepaddle/gateway/relay_forwarder.hpp
@@ -6,6 +6,7 @@
 #include "azurepaddle/gateway/relay_peers.hpp"
 #include "azurepaddle/registry/entry_finder.hpp"
 
+#include <limits>
 #include <set>
 
 namespace azurepaddle::gateway {
@@ -16,7 +17,9 @@
 template <typename Protocol>
 class RelayForwarder {
 public:
-    RelayForwarder(asio::io_context& io, Forwarder<Protocol>& local, LinkProber& links, RelayPeers& peers, registry::EntryFinder& finder, transport::PeerClient& client, std::string instance, metrics::Registry& metrics);
+    /// A request with a body of more than `maxBodyBytes` is not handed over: it is copied on the way, and the other
+    /// instance would refuse it.
+    RelayForwarder(asio::io_context& io, Forwarder<Protocol>& local, LinkProber& links, RelayPeers& peers, registry::EntryFinder& finder, transport::PeerClient& client, std::string instance, metrics::Registry& metrics, std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max());
 
     /// Forwards a request. The callback may be called before this function returns.
     std::shared_ptr<ForwardCall> send(const ForwardRequest& request, const ForwardCallback& onResult);
@@ -58,6 +61,7 @@
     transport::PeerClient& m_client;
     const std::string m_instance;
     metrics::Registry& m_metrics;
+    const std::size_t m_maxBodyBytes;
     const Log m_log { "relay" };
     const SystemClock m_clock {};
     std::set<PendingPointer> m_localRequests; ///< Requests that this instance forwards itself.
@@ -74,7 +78,7 @@
 }
 
 template <typename Protocol>
-RelayForwarder<Protocol>::RelayForwarder(asio::io_context& io, Forwarder<Protocol>& local, LinkProber& links, RelayPeers& peers, registry::EntryFinder& finder, transport::PeerClient& client, std::string instance, metrics::Registry& metrics)
+RelayForwarder<Protocol>::RelayForwarder(asio::io_context& io, Forwarder<Protocol>& local, LinkProber& links, RelayPeers& peers, registry::EntryFinder& finder, transport::PeerClient& client, std::string instance, metrics::Registry& metrics, std::size_t maxBodyBytes)
     : m_io(io)
     , m_local(local)
     , m_links(links)
@@ -83,6 +87,7 @@
     , m_client(client)
     , m_instance(std::move(instance))
     , m_metrics(metrics)
+    , m_maxBodyBytes(maxBodyBytes)
 {
 }
 
@@ -137,7 +142,7 @@
 template <typename Protocol>
 void RelayForwarder<Protocol>::findPeer(const PendingPointer& pending)
 {
-    if (pending->tried.size() >= internal::maxRelayPeers)
+    if (pending->tried.size() >= internal::maxRelayPeers || pending->task.request->body.size() > m_maxBodyBytes)
         return refuse(pending);
     if (!pending->tried.empty() || m_peers.isCurrent(m_clock.now()))
         return sendToBestPeer(pending);
--- a/src/azurepaddle/http1/body_budget.cpp
+++ b/src/azurepaddle/http1/body_budget.cpp
@@ -175,7 +175,9 @@
 {
     if (&candidate == &share || candidate.m_isComplete || candidate.m_bytes == 0 || candidate.m_isInReserve != (scope == Scope::Reserve))
         return false;
-    return now - candidate.m_lastProgress >= m_limits.stallTime && (scope != Scope::Client || candidate.m_client == share.m_client);
+    // Small bodies usually arrive at once. A crowd of unfinished ones must not fill the reserve until they count as stalled.
+    const Duration stallTime = scope == Scope::Reserve ? Duration::zero() : m_limits.stallTime;
+    return now - candidate.m_lastProgress >= stallTime && (scope != Scope::Client || candidate.m_client == share.m_client);
 }
 
 std::size_t BodyBudget::clientBytes(const std::string& client) const
--- a/src/azurepaddle/http1/body_budget.hpp
+++ b/src/azurepaddle/http1/body_budget.hpp
@@ -17,7 +17,7 @@
     std::size_t requestBytes = SIZE_MAX; ///< Request bodies of all clients together.
     std::size_t clientBytes = SIZE_MAX; ///< Request bodies of one client address, also of one connection.
     std::size_t smallBodyBytes = std::size_t { 64 } * 1024; ///< A body up to this size may use the reserve.
-    std::size_t reserveBytes = SIZE_MAX; ///< For small bodies that have no room otherwise.
+    std::size_t reserveBytes = SIZE_MAX; ///< For small bodies that have no room otherwise. Unfinished ones give way to others at once.
     std::size_t answerBytes = SIZE_MAX; ///< Answers that clients have not taken yet, together.
     Duration stallTime = std::chrono::seconds(2); ///< A transfer without progress for this long is closed if its room is needed.
     std::size_t progressBytes = std::size_t { 16 } * 1024; ///< Fewer bytes within the stall time do not count as progress.
@@ -43,7 +43,7 @@
     BodyShare(const BodyShare&) = delete;
     BodyShare& operator=(const BodyShare&) = delete;
 
-    /// Changes the size of the body. Transfers that have stalled are closed if this makes enough room. Returns false and
+    /// Changes the size of the body or of an unfinished header. Transfers that have stalled are closed if this makes enough room. Returns false and
     /// keeps the former size if there is not enough. Giving back always succeeds.
     [[nodiscard]] bool resize(std::size_t bytes, TimePoint now);
     /// Whether the body may be decoded; see BodyBudget::mayDecode.
--- a/src/azurepaddle/http1/server_connection.cpp
+++ b/src/azurepaddle/http1/server_connection.cpp
@@ -15,6 +15,8 @@
 
 void ServerConnection::start()
 {
+    std::error_code ignored;
+    m_socket.non_blocking(true, ignored);
     openShares();
     read();
 }
@@ -37,12 +39,26 @@
     if (m_isReading || m_isClosed || m_unparsed.size() > maxUnparsedBytes || m_droppedBytes > maxDroppedBytes)
         return;
     m_isReading = true;
-    m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](std::error_code error, std::size_t size) {
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
         self->m_isReading = false;
-        self->onRead(error, size);
+        if (self->m_isClosed)
+            return;
+        if (error)
+            return self->close();
+        self->onReadable();
     });
 }
 
+/// Reads into the buffer of the server, so that thousands of waiting connections hold no buffers.
+void ServerConnection::onReadable()
+{
+    std::error_code error;
+    const std::size_t size = m_socket.read_some(asio::buffer(m_shared->buffer), error);
+    if (error == asio::error::would_block)
+        return read();
+    onRead(error, size);
+}
+
 void ServerConnection::onRead(const std::error_code& error, std::size_t size)
 {
     if (m_isClosed)
@@ -54,7 +70,7 @@
         return read();
     }
     m_lastActivity = m_shared->clock.now();
-    m_unparsed.append(m_buffer.data(), size);
+    m_unparsed.append(m_shared->buffer.data(), size);
     if (!m_isBusy)
         parse();
     read();
@@ -73,7 +89,7 @@
     if (!taken)
         return refuse(taken.error());
     m_unparsed = bytes.substr(*taken);
-    if (m_parser.isHeaderDone() && !reserveBody(m_parser.receivedBodyBytes() - before))
+    if (!(m_parser.isHeaderDone() ? reserveBody(m_parser.receivedBodyBytes() - before) : reserveHeader()))
         return refuseForMemory();
     if (m_parser.isDone())
         return dispatch();
@@ -94,6 +110,26 @@
     m_shared->handler(exchange);
 }
 
+/// Reserves room for a header of which only a part has arrived. False if there is none.
+bool ServerConnection::reserveHeader()
+{
+    if (!m_shared->budget || !m_parser.hasStarted() || m_bodyShare)
+        return true;
+    openBodyShare();
+    return m_bodyShare->resize(m_shared->limits.message.headerBytes, m_lastActivity);
+}
+
+void ServerConnection::openBodyShare()
+{
+    if (m_bodyShare)
+        return;
+    std::error_code ignored;
+    m_bodyShare = std::make_unique<BodyShare>(m_shared->budget, m_socket.remote_endpoint(ignored).address().to_string(), [weak = weak_from_this()] {
+        if (const auto connection = weak.lock())
+            connection->close();
+    });
+}
+
 /// Reserves the room that the body needs next: all of it if its size is known. False if there is none.
 bool ServerConnection::reserveBody(std::size_t received)
 {
@@ -101,13 +137,7 @@
     const std::size_t size = declared ? static_cast<std::size_t>(*declared) : m_parser.receivedBodyBytes();
     if (!m_shared->budget || size == 0)
         return true;
-    if (!m_bodyShare) {
-        std::error_code ignored;
-        m_bodyShare = std::make_unique<BodyShare>(m_shared->budget, m_socket.remote_endpoint(ignored).address().to_string(), [weak = weak_from_this()] {
-            if (const auto connection = weak.lock())
-                connection->close();
-        });
-    }
+    openBodyShare();
     m_bodyShare->recordProgress(received, m_lastActivity);
     if (size <= m_bodyShare->bytes())
         return true;
--- a/src/azurepaddle/http1/server_connection.hpp
+++ b/src/azurepaddle/http1/server_connection.hpp
@@ -16,6 +16,7 @@
     bool isClosed = false;
     std::unordered_set<std::shared_ptr<internal::ServerConnection>> connections;
     SystemClock clock {};
+    std::array<char, std::size_t { 16 } * 1024> buffer {}; ///< For each read; no connection keeps it.
 };
 
 namespace internal {
@@ -42,13 +43,16 @@
 
     private:
         void read();
+        void onReadable();
         void onRead(const std::error_code& error, std::size_t size);
         void parse();
         void dispatch();
         void refuse(const ParseError& error);
         void refuseForMemory();
         void refuseRequest(Response response);
+        [[nodiscard]] bool reserveHeader();
         [[nodiscard]] bool reserveBody(std::size_t received);
+        void openBodyShare();
         void openShares();
         void write(std::string bytes);
         void flush();
@@ -62,12 +66,10 @@
         static constexpr std::size_t maxDroppedBytes = 256U * 1024U;
         // Room for a body of unknown size is reserved in steps of this size.
         static constexpr std::size_t chunkedStepBytes = 64U * 1024U;
-        static constexpr std::size_t readBytes = 16U * 1024U;
 
         std::shared_ptr<Server::Shared> m_shared;
         asio::ip::tcp::socket m_socket;
         RequestParser m_parser;
-        std::array<char, readBytes> m_buffer {};
         std::string m_unparsed; ///< Bytes received after the end of the current request.
         std::weak_ptr<Exchange> m_exchange;
         TimePoint m_lastActivity;
--- a/src/programs/azurepaddle-node/transport_options.hpp
+++ b/src/programs/azurepaddle-node/transport_options.hpp
@@ -38,12 +38,18 @@
     return options;
 }
 
+/// Memory of an entry for bodies that it receives from other nodes, in bytes.
+[[nodiscard]] inline std::size_t maxReceivedBytes(const config::NodeSettings& settings)
+{
+    constexpr std::uint64_t memoryShare = 8;
+    return settings.bounds.memory / memoryShare;
+}
+
 /// Options of the server on which an entry accepts requests of others, whose memory is small.
 [[nodiscard]] inline transport::ServerOptions entryServerOptions(const config::NodeSettings& settings)
 {
-    constexpr std::uint64_t memoryShare = 8;
     transport::ServerOptions options = peerServerOptions(settings);
-    options.maxBufferedBytes = std::min<std::size_t>(options.maxBufferedBytes, settings.bounds.memory / memoryShare);
+    options.maxBufferedBytes = std::min<std::size_t>(options.maxBufferedBytes, maxReceivedBytes(settings));
     return options;
 }
 
--- a/test/azurepaddle/http1/server.cpp
+++ b/test/azurepaddle/http1/server.cpp
@@ -207,3 +207,19 @@
     cr_assert(fixture.budget->answerBytes() == 0);
     cr_assert(fixture.server.connections() == 0);
 }
+
+// Guards against headers that stay unfinished on many connections and are not counted.
+Test(Server, unfinishedHeader_isCountedAndRefusedWithoutRoom)
+{
+    ServerFixture fixture(budgetOf(20 * 1024));
+    fixture.send("GET /1 HTTP/1.1\r\nHost: h\r\n");
+    cr_assert(runUntil(fixture.io, [&] { return fixture.budget->requestBytes() == 16U * 1024U; }));
+    asio::ip::tcp::socket other(fixture.io);
+    other.connect({ asio::ip::make_address("127.0.0.1"), fixture.server.address().port });
+    asio::write(other, asio::buffer(std::string("GET /2 HTTP/1.1\r\n")));
+    cr_assert(runUntil(fixture.io, [&] { return fixture.budget->counts().refusedBodies == 1; }));
+    fixture.send("\r\n");
+    cr_assert(fixture.waitForExchanges(1));
+    fixture.exchanges.clear();
+    cr_assert(fixture.budget->requestBytes() == 0);
+}
