--- a/src/azurepaddle/http1/body_budget.cpp
+++ b/src/azurepaddle/http1/body_budget.cpp
@@ -27,6 +27,11 @@
     return m_budget->resize(*this, bytes, now);
 }
 
+bool BodyShare::mayDecode(std::size_t bytes) const noexcept
+{
+    return m_budget->mayDecode(bytes);
+}
+
 void BodyShare::recordProgress(std::size_t bytes, TimePoint now)
 {
     m_progress += bytes;
@@ -66,6 +71,14 @@
         m_budget->m_answers.erase(this);
 }
 
+bool BodyBudget::mayDecode(std::size_t bytes) noexcept
+{
+    const std::size_t used = m_requestBytes + m_reservedBytes + m_answerBytes;
+    const bool isRoom = bytes <= m_limits.decodeBytes - std::min(used, m_limits.decodeBytes);
+    m_counts.refusedBodies += isRoom ? 0 : 1;
+    return isRoom;
+}
+
 bool BodyBudget::resize(BodyShare& share, std::size_t bytes, TimePoint now)
 {
     const std::size_t held = share.m_bytes;
@@ -162,7 +175,9 @@
 {
     if (&candidate == &share || candidate.m_isComplete || candidate.m_bytes == 0 || candidate.m_isInReserve != (scope == Scope::Reserve))
         return false;
-    return now - candidate.m_lastProgress >= m_limits.stallTime && (scope != Scope::Client || candidate.m_client == share.m_client);
+    // Small bodies usually arrive at once. A crowd of unfinished ones must not fill the reserve until they count as stalled.
+    const Duration stallTime = scope == Scope::Reserve ? Duration::zero() : m_limits.stallTime;
+    return now - candidate.m_lastProgress >= stallTime && (scope != Scope::Client || candidate.m_client == share.m_client);
 }
 
 std::size_t BodyBudget::clientBytes(const std::string& client) const
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -2,6 +2,7 @@
 #include "azurepaddle/platform/configuration.hpp"
 #include "azurepaddle/platform/duty_protocol.hpp"
 #include "azurepaddle/platform/endpoint_protocol.hpp"
+#include "azurepaddle/platform/json.hpp"
 #include "azurepaddle/platform/registration.hpp"
 
 #include <criterion/criterion.h>
@@ -460,3 +461,12 @@
     cr_assert(json::parse(request.body) == json({ { "window-id", 353'445'120 }, { "counts", { { "blue", 412 }, { "red", 1 } } } }));
     cr_assert(json::parse(DutyProtocol::usageRequest({ 7, {} }, { "store-1", 12 }).body)["counts"] == json::object());
 }
+
+// Guards against bodies that are decoded although their many small values take a multiple of their size, and against
+// ordinary text that counts as such.
+Test(Json, parsedBytes_countsValuesOutsideTexts)
+{
+    cr_assert(platform::internal::parsedBytes(R"("[{,:\"[")") == 9);
+    cr_assert(platform::internal::parsedBytes("[[],[]]") == 7 + 4 * 64);
+    cr_assert(platform::internal::parsedBytes(R"({"a":1})") == 7 + 2 * 64);
+}
