--- a/test/azurepaddle/execution/job_runner.cpp
+++ b/test/azurepaddle/execution/job_runner.cpp
@@ -339,6 +339,24 @@
     cr_assert(held.value() == 1000, "what the endpoint held before its restart is expected there");
 }
 
+// Guards against items that wait without end for the first item of their group, which their endpoint refuses to begin.
+Test(JobRunner, firstItemOfGroupIsRefused_othersDoNotWaitForIt)
+{
+    RunnerFixture fixture;
+    Endpoint& endpoint = fixture.add("a", Behaviour::RefusesItems);
+    batch::JobSpec job;
+    job.id = jobId;
+    job.host = "host";
+    job.model = model;
+    job.retentionMs = 60'000;
+    for (std::uint64_t item = 0; item < 8; ++item)
+        job.items.push_back({ batch::ItemId(std::to_string(item)), "/items/1", {}, "body", GroupId("g"), 10, 400, {}, { { 1, 1000 }, { 2 + item, 20 } } });
+    fixture.apply(registry::AcceptJob { job });
+    cr_assert(fixture.runUntil([&] { return endpoint.resumePositions.size() >= 3; }));
+    endpoint.behaviour = Behaviour::Completes;
+    cr_assert(fixture.runUntil([&] { return fixture.machine.jobs().find(jobId)->results.size() == 8; }));
+}
+
 // Guards against a text with a missing or duplicate event at the point where an item resumes at another endpoint.
 Test(JobRunner, connectionEndsMidway_itemContinuesElsewhere_textIsComplete)
 {
