Count the memory that running items need in the placement by prompts

Cause: an endpoint that holds a prompt attracted items although its running items left no memory, so that it would evict what they need.

Change: PrefixCache counts the tokens of running items apart from those that may be evicted, and placement adds the cost of processing again what exceeds kv-capacity.

--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -169,7 +169,7 @@
 
         [[nodiscard]] HeldPrompt find(const EndpointLoad& endpoint, const std::vector<PromptPart>& prompt) const
         {
-            HeldPrompt held = m_knowledge.cache->find({ endpoint.id, endpoint.startedMs, m_knowledge.model, endpoint.version }, prompt, m_knowledge.now);
+            HeldPrompt held = m_knowledge.cache->find(holderAt(endpoint), prompt, m_knowledge.now);
             const auto planned = m_planned.find(endpoint.id);
             if (planned == m_planned.end())
                 return held;
@@ -185,15 +185,29 @@
             return held;
         }
 
-        void add(const EndpointId& endpoint, const std::vector<PromptPart>& prompt)
+        /// Tokens by which the running items of the endpoint would exceed its memory with this item.
+        [[nodiscard]] std::uint64_t findShortage(const EndpointLoad& endpoint, const WaitingItem& item, std::uint64_t missingTokens) const
         {
-            for (const PromptPart& part : prompt)
-                m_planned[endpoint].insert(part.id);
+            const auto planned = m_plannedTokens.find(endpoint.id);
+            const std::uint64_t outputTokens = item.expectedTokens + (item.held ? item.held->tokens : 0);
+            return m_knowledge.cache->findShortage(holderAt(endpoint), missingTokens + outputTokens + (planned == m_plannedTokens.end() ? 0 : planned->second));
+        }
+
+        void add(const EndpointId& endpoint, const WaitingItem& item)
+        {
+            std::set<std::uint64_t>& parts = m_planned[endpoint];
+            std::uint64_t& tokens = m_plannedTokens[endpoint];
+            for (const PromptPart& part : item.prompt)
+                tokens += parts.insert(part.id).second ? part.tokens : 0;
+            tokens += item.expectedTokens;
         }
 
     private:
+        [[nodiscard]] PromptHolder holderAt(const EndpointLoad& endpoint) const { return { endpoint.id, endpoint.startedMs, m_knowledge.model, endpoint.version }; }
+
         const PromptKnowledge& m_knowledge;
         std::map<EndpointId, std::set<std::uint64_t>> m_planned; ///< Parts of items placed in this round.
+        std::map<EndpointId, std::uint64_t> m_plannedTokens; ///< Tokens of these parts and of the output of these items.
     };
 
     /// An endpoint for an item with a known prompt.
@@ -219,7 +233,9 @@
         const bool isHeldBack = starting * costOfTokenMs > startMs;
         const double promptMs = isHeldBack ? startMs + (missing - starting) * costOfTokenMs : missing * costOfTokenMs;
         const double connectionMs = endpoint.running < endpoint.connections ? 0 : toMilliseconds(connectionPrice);
-        return { &endpoint, generationCostMs(item, endpoint, tokenTime) + promptMs + connectionMs, isHeldBack };
+        // What does not fit is evicted from items that need it, and processed again.
+        const double shortageMs = static_cast<double>(plan.findShortage(endpoint, item, countTokens(item.prompt) - held.tokens - held.startingTokens)) * costOfTokenMs;
+        return { &endpoint, generationCostMs(item, endpoint, tokenTime) + promptMs + connectionMs + shortageMs, isHeldBack };
     }
 
     /// The endpoint where an item with a known prompt costs least. Without an endpoint if none has room.
@@ -306,7 +322,7 @@
     const auto place = [&](const WaitingItem& item, const Candidate& candidate, bool isRestart) {
         endpointOfGroup[item.group] = candidate.endpoint->id;
         if (!candidate.isHeldBack)
-            plan.add(candidate.endpoint->id, item.prompt);
+            plan.add(candidate.endpoint->id, item);
         placements.push_back(assign(*candidate.endpoint, item));
         placements.back().isRestart = isRestart;
         placements.back().isHeldBack = candidate.isHeldBack;
--- a/src/azurepaddle/batch/prefix_cache.cpp
+++ b/src/azurepaddle/batch/prefix_cache.cpp
@@ -39,9 +39,10 @@
             known.byId[part->id] = memory.parts.begin();
             memory.usedTokens += part->tokens;
         }
-        ++memory.parts.front().runs;
+        memory.runningTokens += memory.parts.front().runs++ == 0 ? memory.parts.front().part.tokens : 0;
     }
     memory.usedTokens += outputTokens;
+    memory.runningTokens += outputTokens;
     m_runs[run] = { holder, prompt, outputTokens };
     evict(memory);
 }
@@ -79,6 +80,7 @@
         return;
     found->second.outputTokens += tokens;
     memory->usedTokens += tokens;
+    memory->runningTokens += tokens;
     evict(*memory);
 }
 
@@ -93,6 +95,7 @@
     if (!memory)
         return;
     memory->usedTokens -= std::min(memory->usedTokens, ended.outputTokens);
+    memory->runningTokens -= std::min(memory->runningTokens, ended.outputTokens);
     if (memory->models[ended.holder.model].version == ended.holder.version)
         releaseParts(*memory, ended);
     evict(*memory);
@@ -103,7 +106,10 @@
     ModelParts& known = memory.models[run.holder.model];
     for (const PromptPart& part : run.prompt) {
         const auto found = known.byId.find(part.id);
-        if (found != known.byId.end() && --found->second->runs == 0 && !found->second->isHeld)
+        if (found == known.byId.end() || --found->second->runs > 0)
+            continue;
+        memory.runningTokens -= std::min<std::uint64_t>(memory.runningTokens, found->second->part.tokens);
+        if (!found->second->isHeld)
             erase(memory, found->second);
     }
 }
@@ -143,6 +149,15 @@
     return held;
 }
 
+std::uint64_t PrefixCache::findShortage(const PromptHolder& holder, std::uint64_t tokens) const
+{
+    const auto found = m_memories.find(holder.endpoint);
+    if (found == m_memories.end() || found->second.startedMs != holder.startedMs)
+        return 0;
+    const std::uint64_t needed = found->second.runningTokens + tokens;
+    return needed - std::min(needed, found->second.capacity);
+}
+
 std::size_t PrefixCache::partCount(const EndpointId& endpoint) const
 {
     const auto found = m_memories.find(endpoint);
@@ -184,6 +199,8 @@
 void PrefixCache::erase(Memory& memory, PartList::iterator part)
 {
     memory.usedTokens -= std::min<std::uint64_t>(memory.usedTokens, part->part.tokens);
+    if (part->runs > 0)
+        memory.runningTokens -= std::min<std::uint64_t>(memory.runningTokens, part->part.tokens);
     memory.models[part->model].byId.erase(part->part.id);
     memory.parts.erase(part);
 }
--- a/src/azurepaddle/batch/prefix_cache.hpp
+++ b/src/azurepaddle/batch/prefix_cache.hpp
@@ -54,6 +54,8 @@
     void clear();
 
     [[nodiscard]] HeldPrompt find(const PromptHolder& holder, const std::vector<PromptPart>& prompt, TimePoint now) const;
+    /// Number of tokens by which running requests would exceed the memory of an endpoint if they needed this many more.
+    [[nodiscard]] std::uint64_t findShortage(const PromptHolder& holder, std::uint64_t tokens) const;
     /// Number of parts that are predicted to be held by an endpoint.
     [[nodiscard]] std::size_t partCount(const EndpointId& endpoint) const;
 
@@ -77,6 +79,7 @@
         std::uint64_t startedMs = 0;
         std::uint64_t capacity = 0;
         std::uint64_t usedTokens = 0; ///< Of parts and of the output of running requests.
+        std::uint64_t runningTokens = 0; ///< The same without parts that no running request needs.
         PartList parts; ///< Most recently used first.
         std::map<ModelName, ModelParts> models;
     };
--- a/test/azurepaddle/batch/placement.cpp
+++ b/test/azurepaddle/batch/placement.cpp
@@ -331,6 +331,17 @@
     cr_assert(knowledge.place({ waitingWithPrompt(0, 400, 1) }, { endpoint("a"), connected }).front().endpoint == EndpointId("a"), "a connection in use was counted as idle");
 }
 
+// Guards against items that evict each other's prompts at one endpoint because its memory is left out of account.
+Test(PlacementWithPrompts, memoryOfHolderIsNearlyFull_itemGoesElsewhere)
+{
+    Knowledge knowledge;
+    knowledge.hold("a", 1);
+    const std::vector<EndpointLoad> endpoints { endpoint("a", 1), endpoint("b") };
+    cr_assert(knowledge.place({ waitingWithPrompt(0, 800, 1) }, endpoints).front().endpoint == EndpointId("a"));
+    knowledge.cache.recordGenerated(1, 99'800);
+    cr_assert(knowledge.place({ waitingWithPrompt(0, 800, 1) }, endpoints).front().endpoint == EndpointId("b"));
+}
+
 // Guards against a change of placement where the memory of the endpoints is not configured or items name no prompt.
 Test(PlacementWithPrompts, promptOrMemoryUnknown_itemsArePlacedAsBefore)
 {
--- a/test/azurepaddle/batch/prefix_cache.cpp
+++ b/test/azurepaddle/batch/prefix_cache.cpp
@@ -175,3 +175,22 @@
     cache.recordBegun(1, 1);
     cr_assert(heldTokens(cache, first) == 0);
 }
+
+// Guards against memory that counts as taken after its request has ended, or as free while a request needs it.
+Test(PrefixCache, requestsRunAndEnd_shortageCountsOnlyRunningOnes)
+{
+    PrefixCache cache;
+    cr_assert(cache.findShortage(holder(), 5000) == 0, "an endpoint of which nothing is known has no known memory");
+    cache.recordSent(1, holder(), capacity, first, 100, start);
+    cache.recordSent(2, holder(), capacity, second, 0, start);
+    cr_assert(cache.findShortage(holder(), 1000) == 330 + 40 + 100);
+    cache.recordBegun(1, 1);
+    cache.recordGenerated(1, 50);
+    cr_assert(cache.findShortage(holder(), 1000) == 330 + 40 + 150);
+    cache.recordEnded(1);
+    cr_assert(cache.findShortage(holder(), 1000) == 300 + 40);
+    run(cache, 3, { { 7, 10 } }, holder("m", 2));
+    cr_assert(cache.findShortage(holder(), 1000) == 0, "discarded parts still count");
+    cache.recordEnded(2);
+    cr_assert(cache.findShortage(holder(), 1000) == 0);
+}
