Let the fault soak use workspaces and report usage

Callers and the trainer of the soak have keys of two workspaces, one key is in no configuration, and a platform of the test takes reports of usage. The soak checks that requests reach endpoints for their own workspace and without keys, that no window is reported with two totals, and that holders of the duty keep the lease and rising tokens.

--- a/test/processes/node_soak.py
+++ b/test/processes/node_soak.py
@@ -1,4 +1,5 @@
-"""Random faults against a deployment of nodes, while callers, a trainer and two operators use it and check its promises.
+"""Random faults against a deployment of nodes, while callers and a trainer of two workspaces and two operators use it and check
+its promises, with a platform to which usage is reported.
 
 Each seed draws its own faults, one after the other and overlapping: processes that are killed, paused, stopped and started,
 a lost disk, relays that delay, silence, cut one way or reset connections, endpoints that crash and come back.
@@ -12,13 +13,22 @@
 import time
 
 import relay
-from nodes import BOUND, HOST, Deployment, Endpoint, call, configuration, wait_until
+from nodes import BOUND, HOST, Deployment, Endpoint, Platform, call, configuration, wait_until
 
 ORDER_LEASE = 3.0  # Seconds; the default of the settings.
 RESUMED_SLACK = 0.3  # Seconds after a paused holder goes on, in which an order that it had begun to send may arrive.
 EVENTS = 12
 BEAT_INTERVAL = 0.5
 SOFTWARE = ["v1", "v2"]  # Versions of the endpoints' software, which serve side by side.
+WORKSPACES = {"blue": "key-of-blue", "red": "key-of-red"}
+REVOKED_KEY = "key-of-nobody"  # No configuration has it.
+TRAINER = {"Authorization": "Bearer key-of-blue"}
+
+
+def soak_configuration(version):
+    changed = configuration(version, timeout_ms=3000 + version)
+    changed["tenants"] = [{"name": name, "api-keys": [key, f"{key}-{version}"]} for name, key in WORKSPACES.items()]
+    return json.dumps(changed)
 
 
 class Soak:
@@ -26,7 +36,8 @@
         self.random = random.Random(seed)
         self.software = random.Random(seed)  # Of its own, so that it does not change which faults a seed draws.
         self.duration = duration
-        self.nodes = Deployment(entries=2, with_relays=True)
+        self.platform = Platform()
+        self.nodes = Deployment(entries=2, with_relays=True, settings=self.platform.settings(usage_delay="6s"))
         self.endpoints = []
         self.endpoint_relays = []
         self.violations = []
@@ -37,6 +48,7 @@
         self.version = 1  # Newest named and acknowledged one.
         self.configuration = 0  # Highest acknowledged one.
         self.outcomes = {}  # Requests that may run once: id to status.
+        self.workspaces = {}  # Workspace of each request by its id.
         self.known = {}  # Job to the results that were read, by position.
         self.served = {"plain": 0, "once": 0, "jobs": 0}
 
@@ -71,7 +83,11 @@
         while not self.stop.is_set():
             kind, number = draw.choice(["plain", "once"]), number + 1
             identity, body = f"{kind}-{number}", f"body {number}".encode()
-            status, data = call(draw.choice(self.nodes.entry_ports), "POST", f"/{kind}/x", body, {"Host": HOST, "X-Attempt-Id": identity, "X-Deadline-Ms": "2000"})
+            workspace = self.workspaces[identity] = "blue" if number % 3 else "red"
+            entry = draw.choice(self.nodes.entry_ports)
+            if number % 10 == 0:
+                self.call_with_revoked_key(entry, identity)
+            status, data = call(entry, "POST", f"/{kind}/x", body, {"Host": HOST, "X-Attempt-Id": identity, "X-Deadline-Ms": "2000", "Authorization": f"Bearer {WORKSPACES[workspace]}"})
             if kind == "once":
                 self.outcomes[identity] = status
             self.served[kind] += status == 200
@@ -79,13 +95,17 @@
             self.check(status not in (400, 401, 403, 404), f"{identity} was denied with {status}")
             time.sleep(draw.uniform(0.01, 0.08))
 
+    def call_with_revoked_key(self, entry, identity):
+        status = call(entry, "POST", "/plain/x", b"", {"Host": HOST, "X-Attempt-Id": f"revoked-{identity}", "Authorization": f"Bearer {REVOKED_KEY}"})[0]
+        self.check(status in (0, 401, 503), f"a request with a revoked key was answered with {status}")
+
     def train(self):
         draw = random.Random(self.random.random())
         step = 0
         while not self.stop.is_set():
             job, items = f"job{step}", [f"item{step}-{number}" for number in range(draw.randint(3, 9))]
             lowest = max(1, self.version - 1)
-            while self.nodes.submit(job, items, lowest, draw.randrange(2)) != 202:
+            while self.nodes.submit(job, items, lowest, draw.randrange(2), headers=TRAINER) != 202:
                 if self.stop.wait(0.1):
                     return
             self.known[job] = {}
@@ -101,7 +121,7 @@
     def read_job(self, job, items, lowest, draw):
         known = self.known[job]
         after = draw.choice([0, len(known)])
-        status, results = self.nodes.read(job, after, draw.randrange(2))
+        status, results = self.nodes.read(job, after, draw.randrange(2), headers=TRAINER)
         self.check(status in (0, 200, 429, 502, 503, 504), f"{job} was answered with {status}")
         for offset, result in enumerate(results or []):
             position = after + offset
@@ -134,7 +154,7 @@
         draw = random.Random(self.random.random())
         while not self.stop.wait(draw.uniform(0.5, 2)):
             number = self.configuration + 2 - (self.configuration + parity) % 2
-            body = json.dumps(configuration(number, timeout_ms=3000 + number))
+            body = soak_configuration(number)
             while call(draw.choice(self.nodes.control_ports), "POST", "/-/config/replace", body)[0] != 200:
                 if self.stop.wait(0.1):
                     return
@@ -242,7 +262,7 @@
         try:
             for service in ["models", "models", "models", "plain", "plain"]:
                 self.add_endpoint(service)
-            ready = wait_until(lambda: self.nodes.put_configuration(1) == 200) and wait_until(lambda: all(call(port, "GET", "/-/readyz")[0] == 200 for port in self.nodes.ready_ports))
+            ready = wait_until(lambda: self.nodes.on_control("POST", "/-/config/replace", soak_configuration(1))[0] == 200) and wait_until(lambda: all(call(port, "GET", "/-/readyz")[0] == 200 for port in self.nodes.ready_ports))
             self.check(ready, "the deployment does not start")
             self.configuration = 1
             users = [threading.Thread(target=user, args=arguments) for user, arguments in
@@ -257,6 +277,7 @@
         finally:
             self.stop.set()
             self.nodes.close()
+            self.platform.close()
             for endpoint, link in zip(self.endpoints, self.endpoint_relays):
                 link.close()
                 if endpoint.is_up:
@@ -289,10 +310,12 @@
                 return len(self.known[job]) == len(items)
             self.check(wait_until(is_done), f"{job} is not done: {len(self.known[job])} of {len(items)} results")
         for earlier, known in self.known.items():
-            status, results = self.nodes.read(earlier)
+            status, results = self.nodes.read(earlier, headers=TRAINER)
             self.check(status == 200 and all(position < len(results) and results[position] == result for position, result in known.items()), f"{earlier} lost results: {status}")
         self.check_orders()
         self.check_single_runs()
+        self.check_workspaces()
+        self.check_duties()
 
     def check_orders(self):
         for endpoint in self.endpoints:
@@ -300,6 +323,22 @@
             for (before, first), (after, second) in zip(orders, orders[1:]):
                 self.check(first == second or after - before >= ORDER_LEASE, f"{first} and {second} order {endpoint.identity} within {after - before:.2f} s")
 
+    def check_workspaces(self):
+        for endpoint in self.endpoints:
+            for fields in endpoint.run_headers:
+                identity, workspace = fields["X-Attempt-Id"], fields.get_all("X-Tenant")
+                self.check(workspace == [self.workspaces.get(identity, "blue")], f"{identity} ran for {workspace}")
+                self.check("Authorization" not in fields and not identity.startswith("revoked-"), f"{identity} reached an endpoint with or without its key")
+
+    def check_duties(self):
+        self.check(wait_until(lambda: self.platform.calls), "no usage was reported")
+        windows = self.platform.usage()
+        self.check(all(len(counts) == 1 for counts in windows.values()), f"a window was reported with different counts: {windows}")
+        calls = [(token, holder, at) for _, holder, token, _, at in list(self.platform.calls) if not any(0 <= at - resumed < RESUMED_SLACK for resumed in self.resumed)]
+        for (before, first, earlier), (after, second, later) in zip(calls, calls[1:]):
+            self.check(before <= after, f"token {after} followed {before}")
+            self.check(first == second or (before < after and later - earlier >= ORDER_LEASE), f"{first} and {second} call the platform within {later - earlier:.2f} s")
+
     def check_single_runs(self):
         runs = [identity for endpoint in self.endpoints for identity in endpoint.runs if identity.startswith("once-")]
         for identity, status in self.outcomes.items():
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -1,5 +1,6 @@
 """A small deployment of nodes as separate processes, with endpoints in this process. Used by tests and by the fault soak."""
 import base64
+import collections
 import http.client
 import http.server
 import json
@@ -225,6 +226,58 @@
         self.server.server_close()
 
 
+class Platform:
+    """Records the calls that it gets and answers them with a status, or not at all."""
+
+    def __init__(self):
+        self.calls = []  # (path, holder, fencing token, body, seconds of the monotonic clock)
+        self.status = 200  # None for no answer.
+        platform = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *arguments):
+                pass
+
+            def do_POST(self):
+                body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                platform.calls.append((self.path, self.headers["X-Duty-Holder"], int(self.headers["X-Fencing-Token"]), body, time.monotonic()))
+                if platform.status is None:
+                    self.close_connection = True
+                    return time.sleep(2)
+                self.send_response(platform.status)
+                self.send_header("Content-Length", "0")
+                self.end_headers()
+
+        self.server = Server(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.port = self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def settings(self, usage_delay):
+        """The settings of nodes that report the usage of windows of a second."""
+        return f"[duties]\naddress = 127.0.0.1:{self.port}\nkinds = usage,scale\ncalls_per_second = 20\nusage_window = 1s\nusage_delay = {usage_delay}\n"
+
+    def usage(self):
+        """The counts of each window, and the windows that were reported with different ones."""
+        reported = collections.defaultdict(list)
+        for path, _, _, body, _ in list(self.calls):
+            if path == "/usage" and body["counts"] not in reported[body["window-id"]]:
+                reported[body["window-id"]].append(body["counts"])
+        return reported
+
+    def totals(self):
+        totals = collections.Counter()
+        for counts in self.usage().values():
+            totals.update(counts[0])
+        return totals
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
 class Deployment:
     """Some stores and entries; the first three stores are the seeds. With relays, all connections between nodes pass through a relay for each node."""
 
--- a/test/processes/test_duties.py
+++ b/test/processes/test_duties.py
@@ -1,75 +1,23 @@
 """Duties of the nodes at a platform: usage reports. The platform is a server of the test."""
 import collections
-import http.server
 import json
 import os
 import signal
-import threading
-import time
 import unittest
 
 from harness import skip_known_red
-from nodes import HOST, Deployment, Endpoint, Server, call, configuration, wait_until
+from nodes import HOST, Deployment, Endpoint, Platform, call, configuration, wait_until
 
 WORKSPACES = [{"name": "blue", "api-keys": ["blue-key"]}, {"name": "red", "api-keys": ["red-key"]}]
 
 
-class Platform:
-    """Records the calls that it gets and answers them with a status, or not at all."""
-
-    def __init__(self):
-        self.calls = []  # (path, holder, fencing token, body)
-        self.status = 200  # None for no answer.
-        platform = self
-
-        class Handler(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def log_message(self, *arguments):
-                pass
-
-            def do_POST(self):
-                body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-                platform.calls.append((self.path, self.headers["X-Duty-Holder"], int(self.headers["X-Fencing-Token"]), body))
-                if platform.status is None:
-                    self.close_connection = True
-                    return time.sleep(2)
-                self.send_response(platform.status)
-                self.send_header("Content-Length", "0")
-                self.end_headers()
-
-        self.server = Server(("127.0.0.1", 0), Handler)
-        self.server.daemon_threads = True
-        self.port = self.server.server_address[1]
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
-
-    def usage(self):
-        """The counts of each window, and the windows that were reported with different ones."""
-        reported = collections.defaultdict(list)
-        for path, _, _, body in list(self.calls):
-            if path == "/usage" and body["counts"] not in reported[body["window-id"]]:
-                reported[body["window-id"]].append(body["counts"])
-        return reported
-
-    def totals(self):
-        totals = collections.Counter()
-        for counts in self.usage().values():
-            totals.update(counts[0])
-        return totals
-
-    def close(self):
-        self.server.shutdown()
-        self.server.server_close()
-
-
 class UsageTest(unittest.TestCase):
     def setUp(self):
         skip_known_red(self)
         self.platform = Platform()
         self.addCleanup(self.platform.close)
         # Windows are sealed 4 s after their end, so that the reports of all entries arrive before, also on a slow machine.
-        settings = f"[duties]\naddress = 127.0.0.1:{self.platform.port}\nkinds = usage,scale\ncalls_per_second = 20\nusage_window = 1s\nusage_delay = 8s\n"
-        self.nodes = Deployment(entries=2, settings=settings)
+        self.nodes = Deployment(entries=2, settings=self.platform.settings(usage_delay="8s"))
         self.addCleanup(self.nodes.close)
         self.endpoint = Endpoint("plain")
         self.addCleanup(self.endpoint.close)
@@ -97,9 +45,9 @@
         usage = self.platform.usage()
         self.assertEqual([window for window, counts in usage.items() if len(counts) > 1], [])
         self.assertEqual(sorted(usage), list(range(min(usage), max(usage) + 1)), "a window was skipped")
-        tokens = [token for _, _, token, _ in self.platform.calls]
+        tokens = [token for _, _, token, _, _ in self.platform.calls]
         self.assertEqual(tokens, sorted(tokens), "a lower token followed a higher one")
-        self.assertEqual(len({(holder, token) for _, holder, token, _ in self.platform.calls}), len(set(tokens)), "two holders used one token")
+        self.assertEqual(len({(holder, token) for _, holder, token, _, _ in self.platform.calls}), len(set(tokens)), "two holders used one token")
 
     # Guards against requests that are reported twice, for another workspace, or not at all.
     def test_requests_of_each_workspace_are_reported_once(self):
@@ -125,7 +73,7 @@
         self.platform.status = 200
         self.assertTrue(wait_until(self.all_is_reported), f"{self.platform.totals()} reported, {self.sent} sent")
         self.assert_reports_are_consistent()
-        self.assertGreater(len({holder for _, holder, _, _ in self.platform.calls}), 1)
+        self.assertGreater(len({holder for _, holder, _, _, _ in self.platform.calls}), 1)
 
 
 if __name__ == "__main__":
