--- a/src/azurepaddle/http1/server_connection.hpp
+++ b/src/azurepaddle/http1/server_connection.hpp
@@ -66,7 +66,6 @@
         static constexpr std::size_t maxDroppedBytes = 256U * 1024U;
         // Room for a body of unknown size is reserved in steps of this size.
         static constexpr std::size_t chunkedStepBytes = 64U * 1024U;
-        static constexpr std::size_t readBytes = 16U * 1024U;
         // A body up to this size is copied behind its head, which costs less than a second write.
         static constexpr std::size_t smallBodyBytes = 16U * 1024U;
 
