Test scaling with a fleet of endpoints as processes see it

Orders, heartbeats of ordered endpoints and withdrawals were only tested without a network together. A fake platform starts endpoints in two data centres for the orders of the nodes: a job that cannot end in time gets spot endpoints, the limits hold, and after a withdrawal only on-demand endpoints are ordered.

--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -113,6 +113,8 @@
         self.limit = None  # Requests per second that it says to take from all nodes together.
         self.run_times = []  # When each run began, in seconds of the monotonic clock.
         self.run_headers = []  # The header fields of each run.
+        self.zone = "a"
+        self.is_spot = False
         self.address = None  # Where callers reach it, if not at its own port.
         self.lock = threading.Lock()
         endpoint = self
@@ -214,10 +216,14 @@
         self.server.crash()
         threading.Thread(target=self.server.shutdown, daemon=True).start()
 
-    def beat(self, control_ports, state="ready"):
+    def beat(self, control_ports, state="ready", leaves_ms=None):
         self.sequence += 1
-        body = {"service": self.service, "address": self.address or f"127.0.0.1:{self.port}", "zone": "a", "version": self.software, "slots": 4, "state": state,
+        body = {"service": self.service, "address": self.address or f"127.0.0.1:{self.port}", "zone": self.zone, "version": self.software, "slots": 4, "state": state,
                 "models": [{"name": "m", "version": self.version, "adapters": []}], "sequence": self.sequence, "born": self.born}
+        if self.is_spot:
+            body["spot"] = True
+        if leaves_ms is not None:
+            body["leaves_ms"] = leaves_ms
         return any(call(port, "POST", f"/-/replicas/{self.identity}/heartbeat", json.dumps(body))[0] == 200 for port in control_ports)
 
     def close(self):
@@ -291,8 +297,8 @@
     def put_configuration(self, version, service="plain", timeout_ms=3000):
         return self.on_control("POST", "/-/config/replace", json.dumps(configuration(version, service, timeout_ms)))[0]
 
-    def submit(self, job, items, min_version=1, entry=0, reward_path=None, headers=None, item_headers=None):
-        requests = [{"id": item, "path": "/batch/1", "headers": item_headers or {}, "body": base64.b64encode(item.encode()).decode(), "token-count": 5, "group": "g"} for item in items]
+    def submit(self, job, items, min_version=1, entry=0, reward_path=None, headers=None, item_headers=None, tokens=5):
+        requests = [{"id": item, "path": "/batch/1", "headers": item_headers or {}, "body": base64.b64encode(item.encode()).decode(), "token-count": tokens, "group": "g"} for item in items]
         for request in requests if reward_path else []:
             request["scorer"] = {"id": f"reward-{request['id']}", "host": HOST, "path": reward_path, "body": request["body"]}
         body = json.dumps({"step": 0, "model": "m", "min-version": min_version, "group-count": 1, "requests": requests})
--- a/test/processes/test_scaling.py
+++ b/test/processes/test_scaling.py
@@ -2,6 +2,7 @@
 import http.server
 import json
 import threading
+import time
 import unittest
 
 from harness import free_ports, skip_known_red
@@ -11,10 +12,11 @@
 
 
 class Platform:
-    """Accepts orders of endpoints and keeps them. No endpoint is ever started for them."""
+    """Accepts orders of endpoints and keeps them. Nothing is started for them unless it has a fleet."""
 
-    def __init__(self, port):
+    def __init__(self, port, fleet=None):
         self.port = port
+        self.fleet = fleet
         self.orders = []  # (holder, fencing token, body) of each order.
         platform = self
 
@@ -27,6 +29,8 @@
             def do_POST(self):
                 body = json.loads(self.rfile.read(int(self.headers.get("Content-Length", 0))))
                 platform.orders.append((self.headers["X-Duty-Holder"], int(self.headers["X-Fencing-Token"]), body))
+                if platform.fleet:
+                    platform.fleet.set_count(body["zone"], body.get("spot", False), body["group-count"])
                 self.send_response(200)
                 self.send_header("Content-Length", "0")
                 self.end_headers()
@@ -45,15 +49,60 @@
             self.server.server_close()
 
 
+class Fleet:
+    """Endpoints in groups of a data centre and a kind, which send heartbeats. New ones serve after a second."""
+
+    def __init__(self):
+        self.groups = {}  # Endpoints by (data centre, whether spot).
+        self.leaving = set()  # Groups that are being withdrawn.
+        self.lock = threading.Lock()
+        self.control_ports = []
+        self.is_closed = threading.Event()
+
+    def set_count(self, zone, is_spot, count):
+        with self.lock:
+            group = self.groups.setdefault((zone, is_spot), [])
+            while len(group) < count:
+                endpoint = Endpoint("models", pause=0.3, events=8)
+                endpoint.zone, endpoint.is_spot, endpoint.serves_from = zone, is_spot, time.monotonic() + 1
+                group.append(endpoint)
+
+    def start(self, control_ports):
+        self.control_ports = control_ports
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def beat(self):
+        while not self.is_closed.wait(0.2):
+            with self.lock:
+                for key, group in self.groups.items():
+                    for endpoint in group:
+                        if endpoint.serves_from > time.monotonic():
+                            continue
+                        if key in self.leaving:
+                            endpoint.beat(self.control_ports, "draining", 2300)
+                        else:
+                            endpoint.beat(self.control_ports)
+
+    def close(self):
+        self.is_closed.set()
+        with self.lock:
+            for group in self.groups.values():
+                for endpoint in group:
+                    endpoint.close()
+
+
 class ScalingTest(unittest.TestCase):
     def setUp(self):
         skip_known_red(self)
-        self.platform = Platform(free_ports(1)[0])
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.platform = Platform(free_ports(1)[0], self.fleet)
         self.addCleanup(self.platform.close)
         self.nodes = Deployment(duties=f"[duties]\naddress = 127.0.0.1:{self.platform.port}\nkinds = scale\n")
         self.addCleanup(self.nodes.close)
         self.endpoint = Endpoint("models")
         self.addCleanup(self.endpoint.close)
+        self.fleet.start(self.nodes.control_ports)
 
     def put(self, version, scaling):
         changed = configuration(version)
@@ -82,6 +131,31 @@
         self.assertNotEqual(holder, f"store{first}")
         self.assertGreater(token, max(fences))
 
+    # Guards against work that waits although endpoints could be ordered for it, against spot endpoints ordered while they
+    # are withdrawn, and against numbers outside the limits.
+    def test_work_cannot_end_in_time_endpoints_are_ordered_and_replaced_on_demand(self):
+        self.platform.start()
+        self.fleet.set_count("a", False, 1)
+        rules = {"min-replicas": 0, "max-replicas": 3, "boot-s": 1.0, "spot-price": 0.2, "zone-prices": {"a": 1.0, "b": 1.0}}
+        self.assertTrue(wait_until(lambda: self.put(1, rules) == 200))
+        self.assertTrue(wait_until(lambda: self.nodes.submit("job", [f"i{number}" for number in range(16)], tokens=3000) == 202 or self.nodes.results("job") is not None))
+        self.assertTrue(wait_until(lambda: any(body.get("spot") for _, _, body in self.platform.orders)))
+        self.assertTrue(wait_until(lambda: len(self.nodes.results("job") or []) == 16))
+        with self.fleet.lock:
+            ordered = [endpoint for key, group in self.fleet.groups.items() if key != ("a", False) for endpoint in group]
+            withdrawn = next(key for key, group in self.fleet.groups.items() if key[1] and group)
+            self.fleet.leaving.add(withdrawn)
+        self.assertTrue(any(endpoint.runs for endpoint in ordered))
+        before = len(self.platform.orders)
+        time.sleep(1)  # Until the heartbeats that announce it have arrived.
+        self.assertTrue(wait_until(lambda: len(self.platform.orders) > before or self.nodes.submit("next", [f"n{number}" for number in range(40)], tokens=3000) == 202))
+        self.assertTrue(wait_until(lambda: len(self.platform.orders) > before))
+        time.sleep(1)
+        for _, _, body in self.platform.orders[before:]:
+            self.assertNotIn("spot", body)
+        for _, _, body in self.platform.orders:
+            self.assertLessEqual(body["group-count"], 3)
+
     # Guards against orders for a service without scaling rules.
     def test_without_scaling_nothing_is_ordered(self):
         self.platform.start()
