Count the longest item less in the need for endpoints, and avoid endpoints longer that refuse again

With 84 endpoints, loads of weights took longer than expected, and endpoints refused 45,448 items that were sent again every 60 ms.

Change: only a third of the longest item is subtracted from the time that is available, and the time margin is a quarter. An endpoint that refuses items again is avoided for up to 240 ms.

--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -143,6 +143,7 @@
     void onBody(const RunPointer& run, const std::string& bytes);
     void onEvent(const RunPointer& run, http1::StreamEvent event);
     void onEnd(const RunPointer& run, const http1::CallEnd& end);
+    [[nodiscard]] Duration refusalAvoidanceFor(const EndpointId& endpoint);
     void onRefused(const RunPointer& run);
     void onFailure(const RunPointer& run);
     void onStreamEnd(const RunPointer& run);
@@ -201,6 +202,7 @@
     std::map<EndpointId, std::uint32_t> m_longItems; ///< Number of long items running at each endpoint.
     std::map<EndpointId, std::set<batch::ModelName>> m_loadingModels;
     std::map<EndpointId, TimePoint> m_avoidUntil;
+    std::map<EndpointId, unsigned> m_refusals; ///< Refusals of each endpoint since it last took an item.
     std::map<GroupId, EndpointId> m_lastEndpointOfGroup;
     batch::PrefixCache m_prefixCache;
     bool m_isAnyHeldBack = false; ///< Whether an item waits until the beginning of its prompt is processed for another one.
--- a/src/azurepaddle/execution/job_runner_decide.hpp
+++ b/src/azurepaddle/execution/job_runner_decide.hpp
@@ -54,6 +54,7 @@
     m_texts.clear();
     m_loadingModels.clear();
     m_avoidUntil.clear();
+    m_refusals.clear();
     m_running.clear();
     m_longItems.clear();
     m_prefixCache.clear();
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -12,8 +12,10 @@
     constexpr std::size_t maxEventBytes = 256U * 1024U;
     // An endpoint that sends more than this for one item is treated as faulty.
     constexpr std::size_t maxTextBytes = 8U * 1024U * 1024U;
-    // An endpoint that refused an item is avoided until some of its items may have ended.
+    // An endpoint that refused an item is avoided until some of its items may have ended. The time doubles with each further
+    // refusal, because an endpoint refuses all items while it loads weights, which may take longer than expected.
     constexpr Duration refusalAvoidance = std::chrono::milliseconds(60);
+    constexpr unsigned maxRefusalDoublings = 2;
     constexpr Duration failureAvoidance = std::chrono::milliseconds(500);
     // Connections in addition to the slots, for calls that end while others start.
     constexpr std::size_t spareConnections = 8;
@@ -217,6 +219,7 @@
         m_speedMeter.recordReportedSlowness(run->endpoint, load->slowness, m_clock.now());
     if (run->answerClass != gateway::AnswerClass::Answer || head.status != 200)
         return true;
+    m_refusals.erase(run->endpoint);
     const auto version = Protocol::versionOf(head);
     run->version = version.value_or(0);
     m_prefixCache.recordBegun(run->number, version);
@@ -296,11 +299,22 @@
     onStreamEnd(run);
 }
 
+/// The time for which an endpoint that refused an item is avoided. Items that are refused together count once.
+template <typename Protocol>
+Duration JobRunner<Protocol>::refusalAvoidanceFor(const EndpointId& endpoint)
+{
+    unsigned& refusals = m_refusals[endpoint];
+    const auto avoided = m_avoidUntil.find(endpoint);
+    if (avoided == m_avoidUntil.end() || m_clock.now() >= avoided->second)
+        refusals = std::min(refusals + 1, internal::maxRefusalDoublings + 1);
+    return internal::refusalAvoidance * (1U << (std::max(refusals, 1U) - 1));
+}
+
 template <typename Protocol>
 void JobRunner<Protocol>::onRefused(const RunPointer& run)
 {
     const bool isFull = run->answerClass == gateway::AnswerClass::NotRun;
-    avoid(run->endpoint, isFull ? internal::refusalAvoidance : internal::failureAvoidance);
+    avoid(run->endpoint, isFull ? refusalAvoidanceFor(run->endpoint) : internal::failureAvoidance);
     requeue(run, isFull ? "refused" : "wrong endpoint", Duration::zero());
 }
 
--- a/src/azurepaddle/scaling/demand.cpp
+++ b/src/azurepaddle/scaling/demand.cpp
@@ -9,7 +9,7 @@
 
     // Items take longer than at the median endpoint where an endpoint is slow, reads the prompt again after a move, or
     // has to load weights first.
-    constexpr double timeMargin = 1.5;
+    constexpr double timeMargin = 1.25;
     constexpr Duration itemOverhead = std::chrono::milliseconds(200);
 
     /// All items that are due until some time.
@@ -35,10 +35,12 @@
         return slots >= maximum ? maximum : static_cast<std::uint32_t>(std::max(slots, 0.0));
     }
 
-    /// Whatever the order in which n slots take items, they end within the total divided by n plus the longest item.
+    // Items that begin longest first end within the total divided by the slots, and at most this share of the longest one.
+    constexpr double longestShare = 1.0 / 3;
+
     std::uint32_t slotsNeededFor(const Backlog& backlog, Duration untilDue, const Slots& slots)
     {
-        const Duration available = untilDue - backlog.longest;
+        const Duration available = untilDue - std::chrono::duration_cast<Duration>(backlog.longest * longestShare);
         const std::uint32_t needed = slotsFor(backlog.total, available, backlog.count);
         if (needed <= slots.serving)
             return needed;
