Derive the need for endpoints from the work, not from the number of items, and record failures before the next run

Cause: where further endpoints would serve too late for the items in hand, the need was one slot for each item, so each step doubled the fleet. A failed item was run again after 30 ms, also if its failure was not in the log yet; a new leader then ran it once more.

Change: the need for such items is what would have sufficed from the beginning. The next run of a failed item waits for the record of its failure, for 500 ms at most.

--- a/src/azurepaddle/execution/job_runner.hpp
+++ b/src/azurepaddle/execution/job_runner.hpp
@@ -127,7 +127,7 @@
     void markIfLong(const RunPointer& run);
     void reuseText(const RunPointer& run);
     void cancelRun(const RunPointer& run, std::string_view reason);
-    void recordFailures(const Run& run);
+    void recordFailures(const Run& run, const std::function<void()>& onRecorded = {});
     void placeWaitingItems();
     [[nodiscard]] std::vector<batch::EndpointLoad> loadsOf(const batch::ModelName& model, const ServiceName& service, TimePoint now) const;
     [[nodiscard]] std::uint64_t kvCapacityOf(const ServiceName& service) const;
--- a/src/azurepaddle/execution/job_runner_send.hpp
+++ b/src/azurepaddle/execution/job_runner_send.hpp
@@ -17,6 +17,8 @@
     constexpr Duration refusalAvoidance = std::chrono::milliseconds(60);
     constexpr unsigned maxRefusalDoublings = 2;
     constexpr Duration failureAvoidance = std::chrono::milliseconds(500);
+    // A failed item is run again after this time at the latest, also if its failure could not be recorded.
+    constexpr Duration maxFailureRecordTime = std::chrono::milliseconds(500);
     // Connections in addition to the slots, for calls that end while others start.
     constexpr std::size_t spareConnections = 8;
 
@@ -328,15 +330,22 @@
     stop(run);
     if (status == unprocessable || run->failures.runs >= run->maxAttempts)
         return finish(run, { run->item, batch::ResultState::Abandoned, {}, {}, {} });
-    recordFailures(*run);
-    requeue(run, "endpoint failure", internal::retryDelay);
+    requeue(run, "endpoint failure", internal::maxFailureRecordTime);
+    // The next run waits until the failure is recorded: a later leader would not know of it and run the item once more.
+    recordFailures(*run, [this, weak = std::weak_ptr(run)] {
+        if (const auto recorded = weak.lock(); recorded && recorded->stage == Stage::Waiting)
+            recorded->notBefore = std::min(recorded->notBefore, m_clock.now() + internal::retryDelay);
+    });
 }
 
 /// Records how often an item has failed, so that the next leader does not start counting from 0.
 template <typename Protocol>
-void JobRunner<Protocol>::recordFailures(const Run& run)
+void JobRunner<Protocol>::recordFailures(const Run& run, const std::function<void()>& onRecorded)
 {
-    m_group.propose(registry::encodeCommand(registry::RecordItemFailures { run.job, run.failures }), [](const cluster::ProposalResult&) {});
+    m_group.propose(registry::encodeCommand(registry::RecordItemFailures { run.job, run.failures }), [onRecorded](const cluster::ProposalResult& result) {
+        if (onRecorded && result.status == cluster::ProposalStatus::Applied)
+            onRecorded();
+    });
 }
 
 template <typename Protocol>
--- a/src/azurepaddle/scaling/demand.cpp
+++ b/src/azurepaddle/scaling/demand.cpp
@@ -45,12 +45,16 @@
         if (needed <= slots.serving)
             return needed;
         const std::uint32_t ordered = std::min(backlog.count, slots.serving + slots.booting);
-        if (untilDue <= slots.bootTime)
+        if (available <= Duration::zero() || untilDue <= slots.bootTime)
             return ordered;
-        const Duration done = std::max(available, Duration::zero()) * slots.serving + std::max(available - slots.bootLeft, Duration::zero()) * slots.booting;
+        // Slots that begin to serve late do little of this work. What they are needed for is more work like it.
+        const Duration availableToNew = available - slots.bootTime;
+        if (availableToNew < available / 2)
+            return std::max(needed, ordered);
+        const Duration done = available * slots.serving + std::max(available - slots.bootLeft, Duration::zero()) * slots.booting;
         if (done >= backlog.total)
             return ordered;
-        return ordered + slotsFor(backlog.total - done, available - slots.bootTime, backlog.count - ordered);
+        return ordered + slotsFor(backlog.total - done, availableToNew, backlog.count - ordered);
     }
 
 }
--- a/src/azurepaddle/scaling/demand.hpp
+++ b/src/azurepaddle/scaling/demand.hpp
@@ -25,8 +25,8 @@
     friend bool operator==(const Slots&, const Slots&) = default;
 };
 
-/// Returns the number of slots with which all items that are not late yet end in time. Slots that would come too late for
-/// an item are not counted for it.
+/// Returns the number of slots with which all items that are not late yet end in time. For items that are due soon after
+/// further slots could serve, it is the number that would have sufficed from the beginning, for more work like it.
 [[nodiscard]] std::uint32_t slotsNeeded(std::vector<WorkItem> work, const Slots& slots);
 
 }
