Bound the request bodies in memory of azurepaddled

Cause: each of 512 threads may hold a body of 8 MiB. A refused request would not help by itself: the library then reads the body as the line of a next request, without a limit.

Change: room for a body is reserved before it is read, by its declared size or as max_body if it is chunked: [http] max_bodies in total (512 MiB, at least twice max_body, which callers do not reach in ordinary use). Without room the request is refused with 503 as not run, and the connection is closed.

--- a/src/azurepaddle/config/settings.hpp
+++ b/src/azurepaddle/config/settings.hpp
@@ -34,6 +34,7 @@
     std::uint64_t maxConnections = 1024;
     std::uint64_t connectionQueue = 512;
     std::uint64_t maxBodyBytes = 8U * 1024U * 1024U;
+    std::uint64_t maxBodiesBytes = 512U * 1024U * 1024U;
     std::uint64_t maxHeaderBytes = 32U * 1024U;
     std::uint64_t streamQueue = 256;
     Duration readTimeout = std::chrono::seconds(15);
--- a/src/azurepaddle/config/settings_table.cpp
+++ b/src/azurepaddle/config/settings_table.cpp
@@ -46,6 +46,7 @@
         { "max_connections", &S::maxConnections, range(8, 65536), false, "Open connections beyond which new ones are closed." },
         { "connection_queue", &S::connectionQueue, range(0, 65536), false, "Connections that may wait for a thread before requests are rejected as not-run." },
         { "max_body", &S::maxBodyBytes, bytes(kibi, gibi), false, "Largest request body; a larger one is rejected before it is read." },
+        { "max_bodies", &S::maxBodiesBytes, bytes(2 * kibi, 1024 * gibi), false, "Request bodies in memory of all callers together, of which one address may hold three quarters; a further thirty-second is for bodies of up to 64 KiB; at least twice `max_body` is used. Beyond it, requests are rejected as not-run before their body is read." },
         { "max_header", &S::maxHeaderBytes, bytes(kibi, mebi), false, "Largest sum of the request line and all headers." },
         { "stream_queue", &S::streamQueue, range(1, 65536), false, "Events of one stream that wait for a slow caller before the endpoint is read no further." },
         { "read_timeout", &S::readTimeout, range(0.1, hour), false, "How long a caller may take between two parts of a request." },
--- a/src/azurepaddle/http/server.cpp
+++ b/src/azurepaddle/http/server.cpp
@@ -3,6 +3,10 @@
 #include "azurepaddle/core/log.hpp"
 #include "azurepaddle/http/problem.hpp"
 
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
 namespace azurepaddle::http {
 
 namespace {
@@ -55,6 +59,18 @@
         return bytes;
     }
 
+    /// Makes the library close the connection after the response. It does so only if the content provider fails; otherwise
+    /// it would read the body that follows as the line of a next request, which has no limit.
+    void closeAfter(httplib::Response& response)
+    {
+        response.headers.erase("Content-Type");
+        response.set_chunked_content_provider(problemContentType, [body = std::exchange(response.body, {})](std::size_t, httplib::DataSink& sink) {
+            sink.write(body.data(), body.size());
+            sink.done();
+            return false;
+        });
+    }
+
 }
 
 void answerProblem(httplib::Response& response, const PipelineError& error)
@@ -79,9 +95,10 @@
 
 HttpServer::HttpServer(const config::HttpSettings& settings)
     : m_settings(settings)
+    , m_bodies(std::max(settings.maxBodiesBytes, 2 * settings.maxBodyBytes))
     , m_server(makeServer(settings))
 {
-    m_server->new_task_queue = [threads = settings.threads] { return new BoundedTaskQueue(threads, overflowThreads); };
+    m_server->new_task_queue = [this, threads = settings.threads] { return new BoundedTaskQueue(threads, overflowThreads, [this] { m_bodies.release(); }); };
     m_server->set_payload_max_length(settings.maxBodyBytes);
     m_server->set_read_timeout(settings.readTimeout);
     m_server->set_write_timeout(settings.writeTimeout);
@@ -102,7 +119,7 @@
         answerProblem(response, PipelineError(PipelineErrorCode::EndpointFailed, Outcome::Unknown, "the instance failed to handle the request"));
     });
     m_server->set_error_handler([](const auto& request, auto& response) {
-        if (!response.body.empty())
+        if (!response.body.empty() || response.content_provider_)
             return;
         const auto code = response.status == 413 ? PipelineErrorCode::TooLarge : response.status == 404 ? PipelineErrorCode::NotFound
                                                                                                         : PipelineErrorCode::BadRequest;
@@ -137,7 +154,20 @@
         m_thread.join();
 }
 
-httplib::Server::HandlerResponse HttpServer::beforeRouting(const httplib::Request& request, httplib::Response& response) const
+/// Reserves room for the body of a request, which the library reads after this. A chunked body may have any size up to
+/// the limit.
+bool HttpServer::reserveBody(const httplib::Request& request)
+{
+    const bool isChunked = request.has_header("Transfer-Encoding");
+    const std::string length = request.get_header_value("Content-Length");
+    std::uint64_t declared = 0;
+    // A malformed length counts as the largest body, whatever the library makes of it.
+    if (!length.empty() && std::from_chars(length.data(), length.data() + length.size(), declared).ec != std::errc())
+        declared = m_settings.maxBodyBytes;
+    return m_bodies.reserve(request.remote_addr, isChunked ? m_settings.maxBodyBytes : std::min<std::uint64_t>(declared, m_settings.maxBodyBytes));
+}
+
+httplib::Server::HandlerResponse HttpServer::beforeRouting(const httplib::Request& request, httplib::Response& response)
 {
     using Handled = httplib::Server::HandlerResponse;
     if (headerBytes(request) > m_settings.maxHeaderBytes) {
@@ -155,6 +185,13 @@
         answerProblem(response, PipelineError(PipelineErrorCode::Draining, Outcome::NotRun, "this instance is shutting down", drainRetry));
         return Handled::Handled;
     }
+    if (!reserveBody(request)) {
+        response.set_header("Connection", "close");
+        answerProblem(response, PipelineError(PipelineErrorCode::Overloaded, Outcome::NotRun, "too many request bodies are in progress", overloadRetry));
+        response.status = 503;
+        closeAfter(response);
+        return Handled::Handled;
+    }
     return Handled::Unhandled;
 }
 
--- a/src/azurepaddle/http/server.hpp
+++ b/src/azurepaddle/http/server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azurepaddle/config/settings.hpp"
+#include "azurepaddle/http/body_room.hpp"
 #include "azurepaddle/http/taskqueue.hpp"
 #include "azurepaddle/pipeline/error.hpp"
 
@@ -42,9 +43,11 @@
     void stop();
 
 private:
-    [[nodiscard]] httplib::Server::HandlerResponse beforeRouting(const httplib::Request& request, httplib::Response& response) const;
+    [[nodiscard]] httplib::Server::HandlerResponse beforeRouting(const httplib::Request& request, httplib::Response& response);
+    [[nodiscard]] bool reserveBody(const httplib::Request& request);
 
     config::HttpSettings m_settings;
+    BodyRoom m_bodies;
     std::unique_ptr<httplib::Server> m_server;
     std::atomic<bool> m_draining = false;
     std::thread m_thread;
--- a/src/azurepaddle/http/taskqueue.cpp
+++ b/src/azurepaddle/http/taskqueue.cpp
@@ -13,7 +13,8 @@
     return overflowThread;
 }
 
-BoundedTaskQueue::BoundedTaskQueue(std::size_t threads, std::size_t overflowThreads)
+BoundedTaskQueue::BoundedTaskQueue(std::size_t threads, std::size_t overflowThreads, std::function<void()> onConnectionEnded)
+    : m_onConnectionEnded(std::move(onConnectionEnded))
 {
     m_threads.reserve(threads + overflowThreads);
     for (std::size_t i = 0; i < threads; ++i)
@@ -63,6 +64,7 @@
         lane.tasks.pop_front();
         lock.unlock();
         task();
+        m_onConnectionEnded();
         lock.lock();
     }
 }
--- a/src/azurepaddle/http/taskqueue.hpp
+++ b/src/azurepaddle/http/taskqueue.hpp
@@ -18,7 +18,8 @@
 /// threads, which refuse all requests, so that callers need not wait for a response.
 class BoundedTaskQueue final : public httplib::TaskQueue {
 public:
-    BoundedTaskQueue(std::size_t threads, std::size_t overflowThreads);
+    /// The function is called on the thread of a connection after the connection has ended.
+    BoundedTaskQueue(std::size_t threads, std::size_t overflowThreads, std::function<void()> onConnectionEnded);
     ~BoundedTaskQueue() override;
 
     BoundedTaskQueue(const BoundedTaskQueue&) = delete;
@@ -38,6 +39,7 @@
 
     void serve(Lane& lane, bool overflow);
 
+    std::function<void()> m_onConnectionEnded;
     std::mutex m_mutex;
     Lane m_regular;
     Lane m_overflow;
--- a/test/processes/test_memory_bounds.py
+++ b/test/processes/test_memory_bounds.py
@@ -8,7 +8,9 @@
 import time
 import unittest
 
-from harness import skip_known_red
+import harness
+import scenarios
+from harness import ProcessTest, skip_known_red
 from nodes import HOST, Deployment, Endpoint, call, configuration, wait_until
 
 MIB = 1 << 20
@@ -42,9 +44,9 @@
 class Crowd:
     """Clients that each send some parts and then keep their connection open without reading it. They begin one after the other, with a pause in seconds between them."""
 
-    def __init__(self, port, parts, pause):
+    def __init__(self, port, parts, pause, clients=CLIENTS):
         self.sockets = []
-        self.threads = [threading.Thread(target=self.run, args=(port, number, parts), daemon=True) for number in range(CLIENTS)]
+        self.threads = [threading.Thread(target=self.run, args=(port, number, parts), daemon=True) for number in range(clients)]
         for thread in self.threads:
             thread.start()
             time.sleep(pause)
@@ -209,5 +211,45 @@
         self.check_bounds(self.nodes.entries[0])
 
 
+class DaemonTest(ProcessTest):
+    """The same for azurepaddled, whose request bodies are bounded by a setting of their own."""
+
+    MAX_BODIES = 32 * MIB  # `max_bodies` of the daemon.
+    BODY_BYTES = 8 * MIB - MISSING_BYTES  # The default of `max_body` is 8 MiB.
+    CLIENTS = 24
+    MEMORY_BYTES = 128 * MIB  # Twice the bodies, because they are copied while they grow, and the daemon itself.
+
+    def setUp(self):
+        super().setUp()
+        cluster = self.cluster(1, voters=1)
+        path = cluster[0].settings
+        path.write_text(path.read_text().replace("[http]\n", f"[http]\nmax_bodies = {self.MAX_BODIES // MIB} MiB\n", 1))
+        self.daemons = cluster.start(scenarios.configuration())
+        self.engines = [self.engine("e1", "model", self.daemons.addresses)]
+        self.wait(lambda: self.daemons.endpoint("e1"), "the endpoint is listed")
+
+    def small(self):
+        body = {"model": "model", "prompt": "hello", "max_tokens": 5}
+        return harness.call("POST", self.daemons[0].address, "/v1/completions", body, token=scenarios.TENANTS["red"]).status
+
+    def check_after(self, parts):
+        self.wait(lambda: self.small() == 200, "the first request is answered")
+        crowd = Crowd(self.daemons[0].http_port, parts, 0.0, self.CLIENTS)
+        self.addCleanup(crowd.close)
+        self.assertEqual(self.small(), 200)
+        process = self.daemons[0].popen
+        self.assertIsNone(process.poll(), "the process has ended")
+        self.assertLess(peak_memory(process), self.MEMORY_BYTES)
+        self.assertLess(descriptors(process), DESCRIPTORS)
+
+    # Guards against unfinished bodies of declared length that take the memory of the daemon.
+    def test_declared_bodies_stop_short_of_their_end_daemon_stays_in_its_memory_and_serves(self):
+        self.check_after(declared("/v1/completions", 8 * MIB, self.BODY_BYTES))
+
+    # Guards against chunked bodies that are not counted.
+    def test_chunked_bodies_stop_short_of_their_end_daemon_stays_in_its_memory_and_serves(self):
+        self.check_after(chunked("/v1/completions", self.BODY_BYTES))
+
+
 if __name__ == "__main__":
     unittest.main()
