--- a/test/azurepaddle/core/core.cpp
+++ b/test/azurepaddle/core/core.cpp
@@ -13,6 +13,8 @@
 Test(Digest, abc_hashed_matchesPublishedVector)
 {
     cr_assert(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    cr_assert(sha256Hex("a", "bc") == sha256Hex("abc"));
+    cr_assert(sha256Hex("abc", "") == sha256Hex("abc"));
 }
 
 // Guards against secrets that are accepted as prefixes of others.
