Order endpoints for a need that lasts, not for a burst

Cause: a step of a trainer arrives at once and is half done within three seconds.

Change: the need of the last 5 s at its lowest decides about further endpoints; the need of the moment is logged beside it. A new leader knows no need for its first 5 s.

--- a/src/azurepaddle/execution/scaler.cpp
+++ b/src/azurepaddle/execution/scaler.cpp
@@ -59,6 +59,7 @@
     m_isLeading = isLeading;
     m_isStarted = false;
     m_reserved.clear();
+    m_needs.clear();
     ++m_leadership;
     m_queue.clear();
     m_stage = Stage::Idle;
@@ -112,11 +113,14 @@
     }
     m_history.describe(state, now);
     state.reserved = reservedFor(service.name, observations);
+    Need& need = m_needs.try_emplace(service.name).first->second;
+    state.sustainedNeed = need.sustained;
     const scaling::ScalingPlan plan = scaling::planScaling(state);
+    need.sustained = need.meter.add(plan.neededNow, now);
     m_history.recordDemand(service.name, plan.needed, now);
     for (const scaling::PlannedOrder& planned : plan.orders) {
         const auto& [group, count] = planned.order;
-        m_log.info("order service={} data-centre={} kind={} count={} reason={} items={} slots={} needed={} recently-needed={} expected={} surviving={} orders-left={} outcome=planned", group.service, group.dataCentre, nameOf(group.kind), count, scaling::nameOf(planned.reason), state.work.size(), state.slotsPerEndpoint, plan.needed, state.recentDemand, plan.expected, plan.surviving, state.ordersLeft);
+        m_log.info("order service={} data-centre={} kind={} count={} reason={} items={} slots={} needed-now={} needed={} recently-needed={} expected={} surviving={} orders-left={} outcome=planned", group.service, group.dataCentre, nameOf(group.kind), count, scaling::nameOf(planned.reason), state.work.size(), state.slotsPerEndpoint, plan.neededNow, plan.needed, state.recentDemand, plan.expected, plan.surviving, state.ordersLeft);
         m_queue.push_back(planned);
     }
 }
--- a/src/azurepaddle/execution/scaler.hpp
+++ b/src/azurepaddle/execution/scaler.hpp
@@ -4,6 +4,7 @@
 #include "azurepaddle/execution/pending_item.hpp"
 #include "azurepaddle/gateway/route_table.hpp"
 #include "azurepaddle/scaling/history.hpp"
+#include "azurepaddle/scaling/sustained_need.hpp"
 
 #include <deque>
 #include <memory>
@@ -56,10 +57,20 @@
     DutyClient& m_client;
     const ScalerSources m_sources;
     metrics::Registry& m_metrics;
+    // A need that lasts for this long is no burst: an endpoint that is ordered serves about as long after that.
+    static constexpr Duration sustainPeriod = std::chrono::seconds(5);
+
+    /// The endpoints that a service needs.
+    struct Need {
+        scaling::SustainedNeed meter { sustainPeriod };
+        std::uint32_t sustained = 0; ///< As of the plan before.
+    };
+
     const Log m_log { "scaling" };
     const SystemClock m_clock {};
     std::shared_ptr<const gateway::RouteTable> m_routes = std::make_shared<const gateway::RouteTable>();
     scaling::ScalingHistory m_history;
+    std::map<ServiceName, Need> m_needs;
     std::map<ServiceName, std::uint32_t> m_reserved; ///< Endpoints at the first plan of services with load that is not known here.
     bool m_isLeading = false;
     bool m_isStarted = false; ///< The recorded orders have been taken over.
--- a/src/azurepaddle/scaling/plan.cpp
+++ b/src/azurepaddle/scaling/plan.cpp
@@ -68,7 +68,8 @@
 
         [[nodiscard]] ScalingPlan plan()
         {
-            m_plan.needed = endpointsNeeded();
+            m_plan.neededNow = endpointsNeeded();
+            m_plan.needed = std::min(m_plan.neededNow, m_service.sustainedNeed);
             m_plan.expected = sum(m_expected);
             m_plan.surviving = surviving(m_expected);
             if (!hasUnanswered())
--- a/src/azurepaddle/scaling/plan.hpp
+++ b/src/azurepaddle/scaling/plan.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/scaling/demand.hpp"
 #include "azurepaddle/scaling/types.hpp"
 
+#include <limits>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,7 @@
     std::vector<WorkItem> work;
     std::uint32_t slotsPerEndpoint = 1;
     Duration bootLeft {}; ///< Time until the endpoints that boot serve.
+    std::uint32_t sustainedNeed = std::numeric_limits<std::uint32_t>::max(); ///< Endpoints needed for a while; a higher need of the moment is a burst.
     std::uint32_t recentDemand = 0; ///< Most endpoints needed at any time of the last minute.
     bool mayIncrease = true; ///< The last increase is not too recent, or endpoints were refused or withdrawn since.
     bool mayDecrease = false; ///< The hold time is over.
@@ -62,7 +64,8 @@
 /// The orders to send, with the numbers that decided.
 struct ScalingPlan {
     std::vector<PlannedOrder> orders;
-    std::uint32_t needed = 0; ///< Endpoints needed by the work in hand.
+    std::uint32_t neededNow = 0; ///< Endpoints needed by the work in hand.
+    std::uint32_t needed = 0; ///< The same without bursts, which decides.
     std::uint32_t expected = 0; ///< Endpoints that serve or boot.
     std::uint32_t surviving = 0; ///< Of these, those that remain if the data centre with most spot endpoints loses them.
 
