Create the duties once, bound what a clock that is ahead can displace, and clarify comments

Cause: a read-through found that a merge left two calls that create the duties; the second one destroyed the client whose callbacks the order window keeps. A process whose clock is far ahead could fill the ledger of open windows, so that the counts of others were ignored.

--- a/src/azurepaddle/batch/placement.cpp
+++ b/src/azurepaddle/batch/placement.cpp
@@ -12,8 +12,8 @@
     constexpr std::uint32_t affinitySlack = 2;
     // Time to process a token of a prompt. Endpoints process 340 to 400 tokens per millisecond.
     constexpr double promptTokenMs = 1.0 / 370;
-    // Delay of an item that is accepted to save a token from being processed again, in addition to the time for that. The
-    // price is set per token and not as time; 20 ms per 1000 tokens let a group with a usual prompt fill half an endpoint.
+    // Price of processing a token again, expressed as an acceptable delay of the item in addition to the processing time.
+    // At 20 ms per 1000 tokens a group with a usual prompt fills half an endpoint.
     constexpr double repeatedTokenPriceMs = 0.02;
     constexpr double costOfTokenMs = promptTokenMs + repeatedTokenPriceMs;
     // Time from the sending of an item until its endpoint has begun to answer.
@@ -217,7 +217,8 @@
         bool isHeldBack = false;
     };
 
-    /// The delay from here on of an item, and of those beside it because of it, without its prompt.
+    /// The expected time of an item's output at the endpoint plus the delay that it causes to the items running there. Excludes
+    /// its prompt.
     double generationCostMs(const WaitingItem& item, const EndpointLoad& endpoint, Duration tokenTime)
     {
         const double others = static_cast<double>(endpoint.running) + (longItemWeight - 1) * static_cast<double>(endpoint.longItems);
--- a/src/azurepaddle/batch/placement.hpp
+++ b/src/azurepaddle/batch/placement.hpp
@@ -91,9 +91,9 @@
 ///
 /// An item whose prompt is known goes where it is expected to end first, including the time to process the part of its
 /// prompt that the endpoint does not hold, the prices of doing so and of a new connection, and the delay of the items that
-/// run there. If another
-/// item that was just sent is about to leave that part at the endpoint, the item is held back, with its slot reserved,
-/// where this costs less than processing the part twice. While fewer slots are free than items wait, an item may be
+/// run there. If that part is about
+/// to be processed there for an item that was just sent, the item is held back with its slot reserved, where this costs
+/// less than processing the part twice. While fewer slots are free than items wait, an item may be
 /// overtaken by one of similar length of whose prompt the endpoint holds more.
 ///
 /// Other items go to the endpoint where they end first if they are long and otherwise to the least loaded one. Those of a
--- a/src/azurepaddle/config/node_settings.cpp
+++ b/src/azurepaddle/config/node_settings.cpp
@@ -87,7 +87,7 @@
             { "kinds", &S::kinds, plainText, false, "Duties to perform: `usage` reports the requests of each workspace, `scale` orders endpoints. Other kinds are ignored." },
             { "calls_per_second", &S::callsPerSecond, range(0.1, 100'000), false, "Calls that the platform accepts from all nodes together." },
             { "usage_window", &S::usageWindow, range(1, hour), false, "Length of the windows for which requests are counted. They begin at multiples of it since 1970." },
-            { "usage_delay", &S::usageDelay, range(1, hour), false, "Time after the end of a window by which its report is due. A window is closed after half of it." },
+            { "usage_delay", &S::usageDelay, range(1, hour), false, "Time after the end of a window by which its report is due. After half of it the counts of the window are sealed, and later ones are ignored." },
         };
         return keys;
     }
--- a/src/azurepaddle/core/ident.hpp
+++ b/src/azurepaddle/core/ident.hpp
@@ -30,9 +30,9 @@
     std::string m_value;
 };
 
-/// A customer whose requests and runs share the endpoints with those of others.
+/// A customer in the configuration of azurepaddled, whose requests and runs share the endpoints with those of others.
 using TenantName = Identifier<struct TenantTag>;
-/// A customer of the nodes, whose callers identify themselves with keys.
+/// A customer in the configuration of azurepaddle-node, whose callers identify themselves with keys.
 using WorkspaceName = Identifier<struct WorkspaceTag>;
 /// One replica of a model engine or of a plain service.
 using EndpointId = Identifier<struct EndpointTag>;
--- a/src/azurepaddle/execution/duty_client.cpp
+++ b/src/azurepaddle/execution/duty_client.cpp
@@ -32,7 +32,7 @@
     m_nextCall = {};
 }
 
-bool DutyClient::mayCall()
+bool DutyClient::prepareCall()
 {
     if (m_clock.now() < m_nextCall || m_inProgress.size() >= maxConnections || !m_window.acquire())
         return false;
--- a/src/azurepaddle/execution/duty_client.hpp
+++ b/src/azurepaddle/execution/duty_client.hpp
@@ -30,12 +30,12 @@
 
     /// Ignores the answers to all calls in progress.
     void onLeadership();
-    /// Whether a call may be sent now. If not, claims the order right or opens the order window where this is what is
-    /// missing. Must be checked directly before each call.
-    [[nodiscard]] bool mayCall();
+    /// Prepares a call: claims the order right or opens the order window if necessary. Returns whether a call may be sent
+    /// now; must be called directly before each one.
+    [[nodiscard]] bool prepareCall();
     /// Sends a call and calls back with the status of the answer, 0 without a complete one.
-    void call(const http1::Request& request, const std::function<void(unsigned)>& onEnd);
-    [[nodiscard]] DutyHolder holder() const { return { m_window.holder(), m_window.fence() }; }
+    void call(const http1::Request& request, const std::function<void(unsigned)>& onAnswer);
+    [[nodiscard]] DutyHolder holder() const { return { m_window.instance(), m_window.fence() }; }
 
 private:
     void onEnd(std::uint64_t number, const http1::CallEnd& end, unsigned status, const std::function<void(unsigned)>& onAnswer);
--- a/src/azurepaddle/execution/order_window.hpp
+++ b/src/azurepaddle/execution/order_window.hpp
@@ -44,7 +44,8 @@
     /// Records the end of an order. An order without a complete answer may arrive up to this long after its end.
     void recordEnd(bool isAnswered, Duration maxUnansweredTime);
 
-    [[nodiscard]] const std::string& holder() const noexcept { return m_options.instance; }
+    /// The name of this instance, which orders name as their holder.
+    [[nodiscard]] const std::string& instance() const noexcept { return m_options.instance; }
     /// The fencing token of this instance while it holds the order right.
     [[nodiscard]] std::uint64_t fence() const { return m_group.term(); }
 
--- a/src/azurepaddle/execution/scaler.cpp
+++ b/src/azurepaddle/execution/scaler.cpp
@@ -77,7 +77,7 @@
         return;
     if (now >= m_nextPlan)
         plan(now);
-    if (!m_queue.empty() && m_client.mayCall())
+    if (!m_queue.empty() && m_client.prepareCall())
         recordNext(now);
 }
 
@@ -217,7 +217,7 @@
 /// Sends the recorded order, unless it has to wait for the order right or the permitted rate.
 void Scaler::send()
 {
-    if (!m_client.mayCall()) {
+    if (!m_client.prepareCall()) {
         if (m_clock.now() - m_stageSince > maxOrderAge)
             finish(scaling::OrderOutcome::Unanswered);
         return;
--- a/src/azurepaddle/execution/scaler.hpp
+++ b/src/azurepaddle/execution/scaler.hpp
@@ -77,7 +77,7 @@
     std::uint64_t m_leadership = 0; ///< Number of changes of the leadership. Callbacks of earlier ones are ignored.
     std::deque<scaling::PlannedOrder> m_queue;
     scaling::ScaleOrder m_order; ///< The order in progress.
-    std::uint32_t m_countBefore = 0; ///< Endpoints in its group when it was planned.
+    std::uint32_t m_countBefore = 0; ///< Endpoints in its group when it was recorded, including those that leave.
     Stage m_stage = Stage::Idle;
     TimePoint m_stageSince {};
     TimePoint m_nextPlan {};
--- a/src/azurepaddle/execution/usage_reporter.hpp
+++ b/src/azurepaddle/execution/usage_reporter.hpp
@@ -6,7 +6,7 @@
 
 namespace azurepaddle::execution {
 
-/// Lengths that the platform asks for.
+/// Length of the usage windows and time at which they are sealed.
 struct UsageOptions {
     Duration windowLength = std::chrono::seconds(5);
     Duration sealDelay = std::chrono::seconds(5); ///< Time after the end of a window for the reports of entries to arrive.
@@ -96,7 +96,7 @@
 {
     const auto usage = m_machine.usage().oldestUnconfirmed();
     m_metrics.gauge("usage_unconfirmed_windows").set(static_cast<double>(m_machine.usage().unconfirmed()));
-    if (!usage || m_isSending || now < m_nextSend || !m_client.mayCall())
+    if (!usage || m_isSending || now < m_nextSend || !m_client.prepareCall())
         return;
     m_isSending = true;
     const DutyHolder holder = m_client.holder();
--- a/src/azurepaddle/execution/weight_loader_impl.hpp
+++ b/src/azurepaddle/execution/weight_loader_impl.hpp
@@ -233,7 +233,7 @@
     }
     ++activeLoad->attempts;
     activeLoad->isOrderUnanswered = true;
-    const LoadOrder order { activeLoad->load.endpoint, activeLoad->load.model, activeLoad->load.version, m_window.holder(), m_window.fence(), acceptedOrders };
+    const LoadOrder order { activeLoad->load.endpoint, activeLoad->load.model, activeLoad->load.version, m_window.instance(), m_window.fence(), acceptedOrders };
     m_log.info("sending load order endpoint={} model={} version={} fence={} expected-orders={} attempt={}", order.endpoint, order.model, order.version, order.fence, acceptedOrders, activeLoad->attempts);
     m_metrics.counter("orders_sent_total").add();
     send(activeLoad, Protocol::loadRequest(order), [this, activeLoad](const http1::CallEnd& ended) { onOrderAnswered(activeLoad, ended); });
--- a/src/azurepaddle/gateway/usage_counter.hpp
+++ b/src/azurepaddle/gateway/usage_counter.hpp
@@ -11,7 +11,7 @@
 class UsageCounter {
 public:
     /// Windows that the leader has not sealed; beyond this number the oldest is dropped.
-    static constexpr std::size_t maxWindows = 64;
+    static constexpr std::size_t maxWindows = registry::UsageLedger::maxOpenWindows;
 
     /// The process name identifies this start of the instance in reports.
     UsageCounter(std::string process, Duration windowLength)
--- a/src/azurepaddle/http1/body_budget.hpp
+++ b/src/azurepaddle/http1/body_budget.hpp
@@ -17,11 +17,11 @@
     std::size_t requestBytes = SIZE_MAX; ///< Request bodies of all clients together.
     std::size_t clientBytes = SIZE_MAX; ///< Request bodies of one client address, also of one connection.
     std::size_t smallBodyBytes = std::size_t { 64 } * 1024; ///< A body up to this size may use the reserve.
-    std::size_t reserveBytes = SIZE_MAX; ///< For small bodies that have no room otherwise. Unfinished ones give way to others at once.
+    std::size_t reserveBytes = SIZE_MAX; ///< For small bodies that exceed the limits above. Unfinished ones are closed without a stall time if their room is needed.
     std::size_t answerBytes = SIZE_MAX; ///< Answers that clients have not taken yet, together.
     Duration stallTime = std::chrono::seconds(2); ///< A transfer without progress for this long is closed if its room is needed.
     std::size_t progressBytes = std::size_t { 16 } * 1024; ///< Fewer bytes within the stall time do not count as progress.
-    std::size_t decodeBytes = SIZE_MAX; ///< All of these and a body that is being decoded, with its decoded forms.
+    std::size_t decodeBytes = SIZE_MAX; ///< All request bodies and unread answers, plus the additional memory to decode one body.
 };
 
 /// What a budget has done since the start of the process.
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -156,7 +156,7 @@
     const TimePoint deadline = std::min(deadlineOf(*exchange), exchange->receivedAt() + defaultTimeout);
     m_leader.send(registry::SubmitJobRequest { std::move(*spec) }, deadline, [this, exchange, id](registry::LeaderResult<registry::SubmitJobReply> reply) {
         const http1::Response response = !reply ? noReply(reply.error()) : reply->isAccepted ? plain(202, "accepted")
-                                                                                             : unavailable("too many batch jobs are stored");
+                                                                                             : unavailable("the batch job cannot be accepted now");
         m_log.info("job id={} status={} leader={}", id, response.status, m_leader.leader() ? formatAddress(*m_leader.leader()) : std::string());
         exchange->respond(response);
     });
--- a/src/azurepaddle/platform/json.hpp
+++ b/src/azurepaddle/platform/json.hpp
@@ -12,7 +12,7 @@
 /// Parses JSON. Empty if the text is malformed, or nested so deeply that no message of the platform is.
 [[nodiscard]] std::optional<Json> parseJson(std::string_view text);
 
-/// Estimates from above the memory that the parsed form of a text takes, in bytes. Many small values take many times their
+/// Returns an upper estimate of the memory of the parsed form of a text, in bytes. Many small values take many times their
 /// size as text.
 [[nodiscard]] std::size_t parsedBytes(std::string_view text) noexcept;
 
--- a/src/azurepaddle/registry/commands.hpp
+++ b/src/azurepaddle/registry/commands.hpp
@@ -167,8 +167,8 @@
     MSGPACK_DEFINE(window)
 };
 
-/// Records the number of endpoints of one kind that a data centre is ordered to run, before the order is sent. A number
-/// that the platform refused is replaced by the one in effect before.
+/// Records the number of endpoints of one kind that a data centre is ordered to run, before the order is sent. After a
+/// refusal the number of existing endpoints is recorded, after a withdrawal 0.
 struct RecordScaleOrder {
     scaling::ScaleOrder order;
     MSGPACK_DEFINE(order)
--- a/src/azurepaddle/registry/state_machine.hpp
+++ b/src/azurepaddle/registry/state_machine.hpp
@@ -34,7 +34,7 @@
     [[nodiscard]] const batch::TextStore& texts() const noexcept { return m_texts; }
     [[nodiscard]] const OrderRecord& orders() const noexcept { return m_orders; }
     [[nodiscard]] const std::set<std::string>& retiring() const noexcept { return m_retiring; }
-    /// The last order for each group of endpoints. The last element is the newest one, which may not have been sent.
+    /// The last order for each group of endpoints. The last element is the newest one; if it is an order to send, it may not have been sent.
     [[nodiscard]] const std::vector<scaling::ScaleOrder>& scaleOrders() const noexcept { return m_scaleOrders; }
     [[nodiscard]] const Suspects& suspects() const noexcept { return m_suspects; }
     /// What began a stream, as far as it is certain: as recorded, or else the only software that endpoints of the service
--- a/src/azurepaddle/registry/usage_ledger.cpp
+++ b/src/azurepaddle/registry/usage_ledger.cpp
@@ -1,13 +1,14 @@
 #include "azurepaddle/registry/usage_ledger.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace azurepaddle::registry {
 
 void UsageLedger::record(const UsageReport& report)
 {
     for (const WindowUsage& usage : report.windows) {
-        if (isSealed(usage.window) || (!m_open.contains(usage.window) && m_open.size() >= maxOpenWindows))
+        if (isSealed(usage.window) || !makeRoomFor(usage.window))
             continue;
         UsageCounts& counts = m_open[usage.window][report.process];
         for (const auto& [workspace, count] : usage.counts) {
@@ -17,6 +18,18 @@
     }
 }
 
+/// Drops the newest open window if there are too many. False if the given one would be the newest.
+bool UsageLedger::makeRoomFor(UsageWindow window)
+{
+    if (m_open.contains(window) || m_open.size() < maxOpenWindows)
+        return true;
+    const auto newest = std::prev(m_open.end());
+    if (window > newest->first)
+        return false;
+    m_open.erase(newest);
+    return true;
+}
+
 void UsageLedger::seal(UsageWindow window)
 {
     if (m_newestSealed && window != *m_newestSealed + 1)
--- a/src/azurepaddle/registry/usage_ledger.hpp
+++ b/src/azurepaddle/registry/usage_ledger.hpp
@@ -24,7 +24,7 @@
     MSGPACK_DEFINE(window, counts)
 };
 
-/// What one process has counted so far. A later report of the process replaces an earlier one, window by window.
+/// The cumulative counts of one process. The ledger keeps the largest count reported for each window and workspace.
 struct UsageReport {
     std::string process; ///< Unique for each start of an instance.
     std::vector<WindowUsage> windows;
@@ -37,8 +37,8 @@
 /// until its report to the platform is confirmed. Bounded and deterministic.
 class UsageLedger {
 public:
-    /// Open windows beyond this number are not recorded: reports of a process whose clock is far off must not fill the
-    /// memory.
+    /// Beyond this number of open windows the newest are dropped: reports of a process whose clock is ahead must neither fill
+    /// the memory nor displace those of others.
     static constexpr std::size_t maxOpenWindows = 64;
     /// Sealed windows that wait for their confirmation; beyond this number the oldest is dropped.
     static constexpr std::size_t maxSealedWindows = 128;
@@ -69,6 +69,7 @@
     void restore(const Snapshot& snapshot);
 
 private:
+    [[nodiscard]] bool makeRoomFor(UsageWindow window);
     [[nodiscard]] bool isSealed(UsageWindow window) const noexcept { return m_newestSealed && window <= *m_newestSealed; }
 
     std::map<UsageWindow, std::map<std::string, UsageCounts>> m_open; ///< Counts by window and process.
--- a/src/azurepaddle/scaling/demand.cpp
+++ b/src/azurepaddle/scaling/demand.cpp
@@ -47,7 +47,8 @@
         const std::uint32_t ordered = std::min(backlog.count, slots.serving + slots.booting);
         if (available <= Duration::zero() || untilDue <= slots.bootTime)
             return ordered;
-        // Slots that begin to serve late do little of this work. What they are needed for is more work like it.
+        // Slots that serve for less than half of the time add little to this work; they are ordered for similar work that
+        // follows.
         const Duration availableToNew = available - slots.bootTime;
         if (availableToNew < available / 2)
             return std::max(needed, ordered);
--- a/src/azurepaddle/scaling/demand.hpp
+++ b/src/azurepaddle/scaling/demand.hpp
@@ -25,8 +25,9 @@
     friend bool operator==(const Slots&, const Slots&) = default;
 };
 
-/// Returns the number of slots with which all items that are not late yet end in time. For items that are due soon after
-/// further slots could serve, it is the number that would have sufficed from the beginning, for more work like it.
+/// Returns the number of slots with which all items that are not late yet end in time. If less than half
+/// of the time until the due time would remain after booting, returns the number that would have sufficed from the start, so
+/// that similar work that follows ends in time.
 [[nodiscard]] std::uint32_t slotsNeeded(std::vector<WorkItem> work, const Slots& slots);
 
 }
--- a/src/azurepaddle/scaling/plan.hpp
+++ b/src/azurepaddle/scaling/plan.hpp
@@ -77,7 +77,8 @@
 
 /// Plans the orders of one service. Endpoints are added where they are cheapest, so that the work in hand ends in time also
 /// if any one data centre loses all its spot endpoints. A single late step costs more than endpoints do, so they are
-/// removed only if a quarter fewer suffice, the most expensive ones first, and never below the number that run items.
+/// removed only while 1.25 times the recent need remains, the most expensive ones first, and never below the number that
+/// run items.
 [[nodiscard]] ScalingPlan planScaling(const ServiceState& service);
 
 }
--- a/src/azurepaddle/scaling/sustained_need.hpp
+++ b/src/azurepaddle/scaling/sustained_need.hpp
@@ -8,8 +8,8 @@
 
 namespace azurepaddle::scaling {
 
-/// Tells bursts from load that lasts. A step of a trainer arrives at once and is half done within seconds, before an
-/// endpoint that is ordered for it serves; only a need that lasts longer justifies more endpoints.
+/// The sliding minimum of the number of endpoints needed. It filters out bursts that are shorter than the time after
+/// which an ordered endpoint serves.
 class SustainedNeed {
 public:
     explicit SustainedNeed(Duration period)
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -94,18 +94,17 @@
     m_service.setOnChange([this] { onChange(); });
     m_runner.setOnResultsRecorded([this](const batch::JobId& job) { m_service.answerPendingReads(job); });
     m_group.setOnLeadershipChange([this](bool isLeading) { onLeadership(isLeading); });
-    startDuties();
     m_group.registerHandlers(m_peerServer);
     m_service.registerHandlers(m_peerServer);
     m_local.registerHandlers(m_peerServer);
     m_usageService.registerHandlers(m_peerServer);
-    startDuties();
+    createDuties();
     auto members = m_settings.seedPeers();
     members.push_back(m_settings.peerAddress());
     m_leader.setMembers(std::move(members));
 }
 
-void StoreNode::startDuties()
+void StoreNode::createDuties()
 {
     const config::NodeDutySettings& duties = m_settings.duties;
     const auto address = parseAddress(duties.address);
--- a/src/programs/azurepaddle-node/store_node.hpp
+++ b/src/programs/azurepaddle-node/store_node.hpp
@@ -35,7 +35,7 @@
     void onChange();
     void onLeadership(bool isLeading);
     void updateRoutes();
-    void startDuties();
+    void createDuties();
     void logMemory();
     void watchDrain(TimePoint since);
 
--- a/test/azurepaddle/registry/usage_ledger.cpp
+++ b/test/azurepaddle/registry/usage_ledger.cpp
@@ -69,6 +69,11 @@
     for (UsageWindow window = 0; window < 1000; ++window)
         ledger.record(report("a", window, { { "blue", 1 } }));
     cr_assert(ledger.snapshot().open.front().windows.size() == UsageLedger::maxOpenWindows);
+    UsageLedger ahead;
+    for (UsageWindow window = 500; window < 600; ++window)
+        ahead.record(report("ahead", window, { { "blue", 1 } }));
+    ahead.record(report("a", 7, { { "red", 1 } }));
+    cr_assert(ahead.oldestOpen() == 7U, "a process whose clock is ahead displaces the counts of others");
     for (UsageWindow window = 0; window < 1000; ++window)
         ledger.seal(window);
     cr_assert(ledger.unconfirmed() == UsageLedger::maxSealedWindows);
