Mend what the review of workspaces and usage reports found

Cause, each shown by reading: items are kept by their identifier alone, so a job of one workspace got the output of another that used the same one; two workspaces that submitted one job identifier at once were both told 202; a request handed to another entry was counted by both; a request whose answer came after the seal was not counted; a new leader sealed overdue windows before entries could repeat their reports; an entry stopped before its last report was acknowledged; calls to the platform survived the end of the leadership, and a connection that was established during a suspension was used after it; a key in an item's own fields reached the leader's log; a Connection field could remove the fields that name the workspace; a submission from before workspaces could not be repeated.

Change: one fix each. The order window is closed after its senders had their turn.

--- a/src/azurepaddle/batch/job_store.cpp
+++ b/src/azurepaddle/batch/job_store.cpp
@@ -120,6 +120,16 @@
     return index == found->second.itemIndex.end() ? nullptr : &found->second.job.spec.items[index->second];
 }
 
+bool JobStore::hasItemsOfOthers(const JobSpec& spec) const
+{
+    return std::any_of(m_jobs.begin(), m_jobs.end(), [&spec](const auto& stored) {
+        const Entry& entry = stored.second;
+        if (entry.job.spec.workspace.empty() || entry.job.spec.workspace == spec.workspace)
+            return false;
+        return std::any_of(spec.items.begin(), spec.items.end(), [&entry](const ItemSpec& item) { return entry.itemIndex.contains(item.id.value()); });
+    });
+}
+
 bool JobStore::hasResult(const JobId& job, const ItemId& item) const
 {
     const auto found = m_jobs.find(job);
--- a/src/azurepaddle/batch/job_store.hpp
+++ b/src/azurepaddle/batch/job_store.hpp
@@ -68,6 +68,9 @@
     [[nodiscard]] const ItemSpec* findItem(const JobId& job, const ItemId& item) const;
     /// Failure counts of an item without a result; zero if none are recorded.
     [[nodiscard]] ItemFailures failuresOf(const JobId& job, const ItemId& item) const;
+    /// Whether a job of another workspace has an item with the identifier of one of these. Texts and results are kept by item,
+    /// so such a job would get the other's output.
+    [[nodiscard]] bool hasItemsOfOthers(const JobSpec& spec) const;
     [[nodiscard]] bool hasResult(const JobId& job, const ItemId& item) const;
     /// The body of an item without a result in a job that has not ended; otherwise null, because the body is released.
     [[nodiscard]] const std::string* bodyOf(const JobId& job, const ItemId& item) const;
--- a/src/azurepaddle/execution/duty_client.cpp
+++ b/src/azurepaddle/execution/duty_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 namespace azurepaddle::execution {
 
@@ -28,8 +29,11 @@
 
 void DutyClient::onLeadership()
 {
-    m_inProgress.clear();
-    m_nextCall = {};
+    // A call of the earlier leadership, with a lower token, may still arrive for a short time.
+    if (!m_inProgress.empty())
+        m_nextCall = m_clock.now() + maxUnansweredCallTime;
+    for (const auto& [number, call] : std::exchange(m_inProgress, {}))
+        call->cancel();
 }
 
 bool DutyClient::prepareCall()
@@ -47,7 +51,6 @@
     const TimePoint now = m_clock.now();
     const std::uint64_t number = m_nextNumber++;
     m_nextCall = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / std::max(m_options.callsPerSecond, minCallsPerSecond)));
-    m_inProgress.insert(number);
     m_metrics.counter("duty_calls_total").add();
     const auto status = std::make_shared<unsigned>(0);
     http1::CallEvents events;
@@ -61,7 +64,7 @@
     options.deadline = now + callTimeout;
     options.maxConnections = maxConnections;
     options.maxBodyBytes = maxAnswerBytes;
-    static_cast<void>(m_pool.send(m_options.address, request, options, std::move(events)));
+    m_inProgress[number] = m_pool.send(m_options.address, request, options, std::move(events));
 }
 
 void DutyClient::onEnd(std::uint64_t number, const http1::CallEnd& end, unsigned status, const std::function<void(unsigned)>& onAnswer)
--- a/src/azurepaddle/execution/duty_client.hpp
+++ b/src/azurepaddle/execution/duty_client.hpp
@@ -4,7 +4,7 @@
 #include "azurepaddle/http1/client.hpp"
 #include "azurepaddle/metrics/registry.hpp"
 
-#include <set>
+#include <map>
 
 namespace azurepaddle::execution {
 
@@ -28,7 +28,7 @@
 public:
     DutyClient(http1::ClientPool& pool, OrderWindow& window, DutyOptions options, metrics::Registry& metrics);
 
-    /// Ignores the answers to all calls in progress.
+    /// Cancels all calls in progress.
     void onLeadership();
     /// Prepares a call: claims the order right or opens the order window if necessary. Returns whether a call may be sent
     /// now; must be called directly before each one.
@@ -45,7 +45,7 @@
     const DutyOptions m_options;
     metrics::Registry& m_metrics;
     const SystemClock m_clock {};
-    std::set<std::uint64_t> m_inProgress; ///< Numbers of the calls without an answer.
+    std::map<std::uint64_t, http1::ClientCallPointer> m_inProgress; ///< Calls without an answer, by number.
     std::uint64_t m_nextNumber = 1;
     TimePoint m_nextCall {};
 };
--- a/src/azurepaddle/execution/usage_reporter.hpp
+++ b/src/azurepaddle/execution/usage_reporter.hpp
@@ -41,6 +41,8 @@
     void sendIfDue(TimePoint now);
     void onAnswer(registry::UsageWindow window, unsigned status);
 
+    // Entries repeat reports that an earlier leader did not acknowledge to a new one within this time.
+    static constexpr Duration reportGrace = std::chrono::milliseconds(2500);
     // A call without success is repeated after this time, with the same content.
     static constexpr Duration retryDelay = std::chrono::milliseconds(300);
 
@@ -54,6 +56,7 @@
     const SteadyWallClock<> m_wallClock {};
     std::shared_ptr<const gateway::RouteTable> m_routes;
     bool m_isLeading = false;
+    std::optional<TimePoint> m_currentSince; ///< Since when this instance leads with current state without interruption.
     bool m_isSealing = false;
     bool m_isSending = false; ///< A call or the record of its success is in progress.
     std::optional<registry::UsageWindow> m_first; ///< The window to begin with, if none was sealed yet.
@@ -64,6 +67,7 @@
 void UsageReporter<Protocol>::onLeadership(bool isLeading)
 {
     m_isLeading = isLeading;
+    m_currentSince.reset();
     m_isSealing = false;
     m_isSending = false;
     m_nextSend = {};
@@ -72,10 +76,15 @@
 template <typename Protocol>
 void UsageReporter<Protocol>::tick()
 {
-    if (!m_isLeading || !m_routes || !m_routes->workspaces() || !m_group.hasCurrentState())
-        return;
+    if (!m_isLeading || !m_group.hasCurrentState())
+        return m_currentSince.reset();
     const TimePoint now = m_clock.now();
-    sealIfDue(now);
+    if (!m_currentSince)
+        m_currentSince = now;
+    if (!m_routes || !m_routes->workspaces())
+        return;
+    if (now - *m_currentSince >= reportGrace)
+        sealIfDue(now);
     sendIfDue(now);
 }
 
--- a/src/azurepaddle/gateway/forwarder.hpp
+++ b/src/azurepaddle/gateway/forwarder.hpp
@@ -188,6 +188,9 @@
     void setLatestEnd(TimePoint latestEnd);
     /// Excludes an endpoint that announced its leave in an answer that another instance forwarded.
     void recordLeaving(const EndpointId& endpoint, std::string_view requestId);
+    /// Reports requests that were sent before a time and have no answer yet as run, because their usage may be sealed before
+    /// the answer arrives. One that turns out not to have run later is counted nonetheless.
+    void recordUnanswered(TimePoint sentBefore);
     [[nodiscard]] std::size_t inProgress() const noexcept { return m_requests.size(); }
 
 private:
--- a/src/azurepaddle/gateway/forwarder_impl.hpp
+++ b/src/azurepaddle/gateway/forwarder_impl.hpp
@@ -43,6 +43,7 @@
     pending->lastEvent = request.lastEvent;
     pending->runs = request.earlier.runs;
     pending->refusals = request.earlier.refusals;
+    pending->isCounted = request.earlier.runs > 0; // The instance that sent it before has counted it.
     pending->service = request.table->findService(request.origin ? request.origin->service : chooseService(*request.route, m_random.uniform()));
     pending->task = request;
     pending->onResult = onResult;
@@ -212,6 +213,17 @@
     m_onRun(pending.task.workspace, sentAt);
 }
 
+template <typename Protocol>
+void Forwarder<Protocol>::recordUnanswered(TimePoint sentBefore)
+{
+    for (PendingRequest* pending : m_requests) {
+        const auto isOld = [sentBefore](const auto& entry) { return entry.second.call && entry.second.call->isSent() && entry.second.startedAt <= sentBefore; };
+        const auto old = std::find_if(pending->attempts.begin(), pending->attempts.end(), isOld);
+        if (old != pending->attempts.end())
+            recordRun(*pending, old->second.startedAt);
+    }
+}
+
 /// False if the response belongs to another request.
 template <typename Protocol>
 bool Forwarder<Protocol>::onHead(const PendingPointer& pending, std::uint64_t number, const http1::Response& head)
--- a/src/azurepaddle/gateway/usage_sender.cpp
+++ b/src/azurepaddle/gateway/usage_sender.cpp
@@ -16,6 +16,8 @@
     m_timer.async_wait([this](std::error_code error) {
         if (error)
             return;
+        if (m_onReport)
+            m_onReport();
         flush();
         start();
     });
@@ -23,7 +25,7 @@
 
 void UsageSender::flush()
 {
-    if (m_isSending || m_counter.counted() == m_confirmed)
+    if (m_isSending || !hasUnconfirmed())
         return;
     m_isSending = true;
     m_leader.send(registry::ReportUsageRequest { m_counter.report() }, m_clock.now() + interval, [this, counted = m_counter.counted()](const registry::LeaderResult<registry::ReportUsageReply>& reply) {
--- a/src/azurepaddle/gateway/usage_sender.hpp
+++ b/src/azurepaddle/gateway/usage_sender.hpp
@@ -16,6 +16,10 @@
 
     UsageSender(asio::io_context& io, registry::LeaderClient& leader, const UsageCounter& counter, std::function<void(registry::UsageWindow)> onSealed);
 
+    /// Sets the function called before each periodic report, to count what is still outstanding.
+    void setOnReport(std::function<void()> onReport) { m_onReport = std::move(onReport); }
+    /// Whether counts are not confirmed yet.
+    [[nodiscard]] bool hasUnconfirmed() const { return m_counter.counted() != m_confirmed; }
     /// Begins to send periodically.
     void start();
     /// Sends at once what is not confirmed yet.
@@ -27,6 +31,7 @@
     registry::LeaderClient& m_leader;
     const UsageCounter& m_counter;
     const std::function<void(registry::UsageWindow)> m_onSealed;
+    std::function<void()> m_onReport;
     const Log m_log { "usage" };
     const SystemClock m_clock {};
     asio::steady_timer m_timer;
--- a/src/azurepaddle/http1/client.cpp
+++ b/src/azurepaddle/http1/client.cpp
@@ -64,7 +64,8 @@
             armTimer(m_options.deadline);
             return writeRequest();
         }
-        armTimer(std::min(m_options.deadline, m_shared->clock.now() + m_options.connectTimeout));
+        m_connectBy = std::min(m_options.deadline, m_shared->clock.now() + m_options.connectTimeout);
+        armTimer(m_connectBy);
         connect();
     }
 
@@ -107,6 +108,9 @@
             self->m_shared->observeLink(!connectError);
             if (connectError)
                 return self->finish(CallEndKind::ConnectFailed, connectError.message());
+            // After a suspension, the connection may be ready before the timer: a late request must not be sent.
+            if (self->m_shared->clock.now() >= self->m_connectBy)
+                return self->finish(CallEndKind::ConnectFailed, "connecting took too long");
             self->m_isConnected = true;
             self->setOptions();
             self->armTimer(self->m_options.deadline);
--- a/src/azurepaddle/http1/client_connection.hpp
+++ b/src/azurepaddle/http1/client_connection.hpp
@@ -70,6 +70,7 @@
     CallOptions m_options;
     std::shared_ptr<const CallEvents> m_events; ///< Shared with a running callback, which may end the call. Null if idle.
     std::uint64_t m_call = 0; ///< Number of the call in progress; 0 if idle.
+    TimePoint m_connectBy; ///< Time by which the connection of the call must be established.
     TimePoint m_usableUntil;
     bool m_isConnected = false;
     bool m_isWriting = false;
--- a/src/azurepaddle/platform/caller_api.cpp
+++ b/src/azurepaddle/platform/caller_api.cpp
@@ -130,8 +130,8 @@
 void CallerApi::submit(const http1::ExchangePointer& exchange, const gateway::Route& route, const WorkspaceName& workspace)
 {
     const batch::JobId id(EndpointProtocol::requestId(exchange->request()));
-    // The bodies of items are encoded as base64 and so take three quarters of their text. The text is freed as soon as it is decoded, because a job exists twice
-    // on its way to the leader.
+    // The bodies of items are base64, so decoded they take three quarters of the text. The text is freed right after
+    // decoding, because the encoded job exists twice on its way to the leader.
     std::string text = std::exchange(exchange->request().body, {});
     if (!exchange->mayDecode(internal::parsedBytes(text) + text.size() / 4 * 3)) {
         m_log.info("job id={} status=503 bytes={} cause=\"no memory to decode it\"", id, text.size());
@@ -139,6 +139,11 @@
     }
     auto spec = decodeJob(id, route, workspace, text);
     text = std::string();
+    // A key in an item's own fields must not reach the leader and its log either.
+    if (spec && m_routes->workspaces()) {
+        for (batch::ItemSpec& item : spec->items)
+            std::erase_if(item.fields, [](const batch::ItemField& field) { return EndpointProtocol::namesCaller(field.name); });
+    }
     submitDecoded(exchange, id, std::move(spec));
 }
 
--- a/src/azurepaddle/platform/endpoint_protocol.cpp
+++ b/src/azurepaddle/platform/endpoint_protocol.cpp
@@ -62,8 +62,14 @@
     return value.substr(keyScheme.size());
 }
 
+bool EndpointProtocol::namesCaller(std::string_view fieldName)
+{
+    return http1::equalNames(fieldName, keyField) || http1::equalNames(fieldName, workspaceField);
+}
+
 void EndpointProtocol::setCaller(http1::Request& request, const gateway::Caller& caller)
 {
+    request.fields.eraseHopByHop(); // Otherwise its Connection field could remove the fields that are set here.
     request.fields.erase(keyField);
     request.fields.erase(workspaceField);
     if (!caller.workspace.empty())
--- a/src/azurepaddle/platform/endpoint_protocol.hpp
+++ b/src/azurepaddle/platform/endpoint_protocol.hpp
@@ -12,6 +12,8 @@
     [[nodiscard]] static std::optional<Duration> clientTimeout(const http1::Request& request);
     /// The key with which the caller identifies itself; empty if there is none.
     [[nodiscard]] static std::string_view keyOf(const http1::Request& request);
+    /// Whether a header field names a key or a workspace.
+    [[nodiscard]] static bool namesCaller(std::string_view fieldName);
     /// Removes the key and any workspace that the sender named, and names the workspace of the caller to the endpoint.
     static void setCaller(http1::Request& request, const gateway::Caller& caller);
     [[nodiscard]] static http1::Request forEndpoint(const http1::Request& request, const EndpointId& endpoint, Duration left);
--- a/src/azurepaddle/registry/leader_service.cpp
+++ b/src/azurepaddle/registry/leader_service.cpp
@@ -259,17 +259,25 @@
 {
     const batch::JobId id = request.spec.id;
     if (const batch::Job* known = m_machine.jobs().find(id)) {
-        if (known->spec.workspace != request.spec.workspace)
+        const bool isAccessible = known->spec.isAccessibleTo(request.spec.workspace);
+        if (!isAccessible)
             m_log.warning("job id={} refused: workspace {} submits the identifier of another workspace's job", id, request.spec.workspace);
-        return responder.ok({ known->spec.workspace == request.spec.workspace });
+        return responder.ok({ isAccessible });
+    }
+    if (m_machine.jobs().hasItemsOfOthers(request.spec)) {
+        m_log.warning("job id={} refused: workspace {} submits the identifier of an item of another workspace", id, request.spec.workspace);
+        return responder.ok({ false });
     }
     if (m_machine.jobs().bytes() > m_options.maxJobBytes || m_group.isSnapshotOverdue()) {
         m_log.warning("job id={} refused: stored jobs use {} bytes, snapshot-overdue={}", id, m_machine.jobs().bytes(), m_group.isSnapshotOverdue());
         return responder.ok({ false });
     }
     m_log.info("job id={} model={} step={} items={} min-version={} groups={}", id, request.spec.model, request.spec.step, request.spec.items.size(), request.spec.minVersion, request.spec.groupCount);
-    propose(AcceptJob { std::move(request.spec) }, responder, [this, responder](const std::string&) {
-        responder.ok({ true });
+    const WorkspaceName workspace = request.spec.workspace;
+    propose(AcceptJob { std::move(request.spec) }, responder, [this, responder, id, workspace](const std::string&) {
+        // Another workspace may have submitted the identifier at the same time; the first job was accepted.
+        const batch::Job* job = m_machine.jobs().find(id);
+        responder.ok({ !job || job->spec.isAccessibleTo(workspace) });
         notifyChange();
     });
 }
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -31,6 +31,8 @@
     constexpr Duration minimumDrain = std::chrono::milliseconds(2500);
     // Time for closing connections before the process is killed.
     constexpr Duration killMargin = std::chrono::milliseconds(1200);
+    // A request that has no answer after this time counts as usage, so that its report arrives before its window is sealed.
+    constexpr Duration maxUncountedTime = std::chrono::seconds(2);
     // Time for sending the last answers before the process ends.
     constexpr Duration answerMargin = std::chrono::milliseconds(200);
 
@@ -100,8 +102,10 @@
     });
     m_entryFinder.setOnFound([this](const std::vector<registry::EntryStatus>& entries) { m_relayPeers.add(entries, m_clock.now()); });
     m_relayServer.registerHandlers(m_peerServer);
-    if (m_settings.duties.includes("usage"))
+    if (m_settings.duties.includes("usage")) {
         m_localForwarder.setOnRun([this](const WorkspaceName& workspace, TimePoint beganAt) { m_usageCounter.add(workspace, beganAt); });
+        m_usageSender.setOnReport([this] { m_localForwarder.recordUnanswered(m_clock.now() - maxUncountedTime); });
+    }
     m_localForwarder.setOnLeaving([this](const registry::EndpointIncarnation& leave) { reportDraining(leave); });
 }
 
@@ -316,7 +320,7 @@
     if (isLate)
         m_callerServer.closeIdle();
     const bool isEmpty = (m_callerServer.connections() == 0 && m_relayServer.inProgress() == 0) || (isLate && m_callerServer.requestsInProgress() == 0);
-    if ((waited >= minimumDrain && isEmpty) || waited >= longestDrain()) {
+    if ((waited >= minimumDrain && isEmpty && !m_usageSender.hasUnconfirmed()) || waited >= longestDrain()) {
         m_log.info("stop connections={} waited-ms={}", m_callerServer.connections(), std::chrono::duration_cast<std::chrono::milliseconds>(waited).count());
         return m_onDrained();
     }
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -150,13 +150,13 @@
     m_local.tick();
     m_service.tick();
     m_runner.tick();
-    m_orderWindow.tick();
     m_loader.tick();
     m_usageService.tick();
     if (m_usageReporter)
         m_usageReporter->tick();
     if (m_scaler)
         m_scaler->tick();
+    m_orderWindow.tick();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](std::error_code error) {
         if (!error)
--- a/test/azurepaddle/batch/job_store.cpp
+++ b/test/azurepaddle/batch/job_store.cpp
@@ -179,3 +179,22 @@
     const auto read = codec::decode<ItemSpec>(codec::encode(*earlier));
     cr_assert(read.has_value() && read->prompt.empty() && read->body == "body");
 }
+
+// Guards against output of one workspace that is delivered to another which uses the same identifier for an item.
+Test(JobStore, itemIdentifierOfAnotherWorkspace_isDetected)
+{
+    const auto job = [](const char* id, const char* item, const char* workspace) {
+        JobSpec spec;
+        spec.id = JobId(id);
+        spec.workspace = WorkspaceName(workspace);
+        spec.items.push_back({ ItemId(item), "/x", {}, "body", GroupId("g") });
+        return spec;
+    };
+    JobStore store;
+    store.accept(job("blue-1", "a", "blue"));
+    store.accept(job("open-1", "b", ""));
+    cr_assert(store.hasItemsOfOthers(job("red-1", "a", "red")));
+    cr_assert(!store.hasItemsOfOthers(job("blue-2", "a", "blue")));
+    cr_assert(!store.hasItemsOfOthers(job("red-1", "c", "red")));
+    cr_assert(!store.hasItemsOfOthers(job("red-1", "b", "red")));
+}
--- a/test/azurepaddle/gateway/forwarder.cpp
+++ b/test/azurepaddle/gateway/forwarder.cpp
@@ -483,3 +483,35 @@
         cr_assert(fixture.runs.size() == 1);
     }
 }
+
+// Guards against a request that is counted by the instance that sent it and again by the one to which it was handed over.
+Test(Forwarder, requestRanAtAnotherInstance_isNotCountedAgain)
+{
+    WorkspaceFixture fixture(RouteKind::Idempotent);
+    fixture.addEndpoint(succeed);
+    ForwardRequest task { std::make_shared<Request>(Request { "POST", "/x", { { "Host", "h" }, { "X-Id", "7" } }, "body" }), fixture.clock.now(), fixture.table, { fixture.table, &fixture.table->routes().front() } };
+    task.workspace = fixture.workspace;
+    task.earlier = { 1, 0 };
+    bool isDone = false;
+    const auto call = fixture.forwarder.send(task, [&isDone](const ForwardResult&) { isDone = true; });
+    cr_assert(runUntil(fixture.io, [&] { return isDone; }));
+    cr_assert(fixture.runs.empty());
+}
+
+// Guards against a request that is missing from the usage because its answer comes after the window is sealed.
+Test(Forwarder, answerOutstandingForLong_requestIsCountedBeforeItsEnd)
+{
+    WorkspaceFixture fixture(RouteKind::NonIdempotent);
+    fixture.addEndpoint(silent);
+    Received outcome;
+    const auto call = fixture.caller.send(fixture.server.address(), { "POST", "/x", { { "Host", "h" }, { "X-Id", "7" } }, "body" }, {}, outcome.events());
+    cr_assert(runUntil(fixture.io, [&] { return fixture.endpoints[0]->accepted() == 1; }));
+    fixture.forwarder.recordUnanswered(fixture.clock.now() - std::chrono::seconds(2));
+    cr_assert(fixture.runs.empty());
+    cr_assert(runUntil(fixture.io, [&] {
+        fixture.forwarder.recordUnanswered(fixture.clock.now());
+        return !fixture.runs.empty();
+    }));
+    cr_assert(runUntil(fixture.io, [&] { return outcome.end.has_value(); }));
+    cr_assert(fixture.runs.size() == 1);
+}
--- a/test/azurepaddle/platform/formats.cpp
+++ b/test/azurepaddle/platform/formats.cpp
@@ -140,6 +140,11 @@
     cr_assert(request.fields == http1::Fields({ { "Host", "h" }, { "X-Tenant", "blue" }, { "X-Request-Priority", "9" } }));
     EndpointProtocol::setCaller(request, {});
     cr_assert(!request.fields.contains("X-Tenant"));
+    http1::Request removing { "POST", "/b/x", { { "Host", "h" }, { "Connection", "X-Tenant, X-Request-Priority" } }, {} };
+    EndpointProtocol::setCaller(removing, { WorkspaceName("blue"), 1 });
+    removing.fields.eraseHopByHop();
+    cr_assert(removing.fields.find("X-Tenant") == "blue" && removing.fields.find("X-Request-Priority") == "1", "the caller removes what is set for it");
+    cr_assert(EndpointProtocol::namesCaller("authorization") && EndpointProtocol::namesCaller("x-tenant") && !EndpointProtocol::namesCaller("X-Model"));
     cr_assert(EndpointProtocol::keyOf({ "GET", "/", { { "Authorization", "Basic k1" } }, {} }).empty());
     cr_assert(EndpointProtocol::keyOf({ "GET", "/", {}, {} }).empty());
 }
