--- a/test/azurepaddle/registry/state.cpp
+++ b/test/azurepaddle/registry/state.cpp
@@ -108,7 +108,7 @@
 }
 
 // Guards against a new leader that does not know what was ordered, and against a snapshot of an earlier release, which has
-// no orders, that cannot be read.
+// neither usage nor orders, that cannot be read.
 Test(StateMachine, scaleOrders_recorded_lastOfEachGroupIsKept)
 {
     const scaling::EndpointGroup onDemand { ServiceName("s"), DataCentreName("a"), scaling::EndpointKind::OnDemand };
@@ -121,13 +121,14 @@
     StateMachine restored;
     cr_assert(restored.restore(machine.snapshot()));
     cr_assert(restored.scaleOrders() == std::vector<scaling::ScaleOrder>({ { spot, 5 }, { onDemand, 4 } }));
-    // The earlier release writes an array of twelve elements, without the empty list of orders at the end.
+    // The earlier release writes an array of twelve elements, without the empty usage and the empty list of orders.
+    const std::string added = "\x93\x90\x90\xc0\x90";
     std::string earlier = empty;
-    cr_assert(earlier.front() == '\x9d' && earlier.back() == '\x90');
+    cr_assert(earlier.front() == '\x9e' && earlier.ends_with(added));
     earlier.front() = '\x9c';
-    earlier.pop_back();
+    earlier.resize(earlier.size() - added.size());
     cr_assert(restored.restore(earlier));
-    cr_assert(restored.scaleOrders().empty());
+    cr_assert(restored.scaleOrders().empty() && !restored.usage().newestSealed());
 }
 
 // Guards against an endpoint whose record of an earlier release, without the kind, cannot be read, and against a time to
