Ask in one place whether a status is a success, and copy no counts while a report is in progress

Cause: reward calls, usage reports and orders for endpoints each compared the status with 200 and 300; the usage reporter copied the counts of the oldest window each 25 ms while its report was under way. Change: http1::isSuccess; the look-up comes after the checks that end the turn.

--- a/src/azurepaddle/execution/job_runner_score.hpp
+++ b/src/azurepaddle/execution/job_runner_score.hpp
@@ -3,6 +3,7 @@
 // Scoring of complete texts by reward services.
 
 #include "azurepaddle/execution/job_runner.hpp"
+#include "azurepaddle/http1/status.hpp"
 
 #include <algorithm>
 
@@ -128,12 +129,10 @@
 template <typename Protocol>
 void JobRunner<Protocol>::onRewardResult(const RunPointer& run, const gateway::ForwardResult& result, unsigned maxAttempts)
 {
-    constexpr unsigned firstSuccess = 200;
-    constexpr unsigned firstRedirection = 300;
     constexpr unsigned unprocessable = 422;
     run->rewardCall = nullptr;
     const unsigned status = result.response.status;
-    const bool isSuccess = status >= firstSuccess && status < firstRedirection;
+    const bool isSuccess = http1::isSuccess(status);
     std::string score = isSuccess ? Protocol::scoreOf(result.response) : std::string();
     scheduleUpdate();
     if (!score.empty())
--- a/src/azurepaddle/execution/scaler.cpp
+++ b/src/azurepaddle/execution/scaler.cpp
@@ -1,5 +1,7 @@
 #include "azurepaddle/execution/scaler.hpp"
 
+#include "azurepaddle/http1/status.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -34,7 +36,7 @@
     {
         if (status == 0 || status == tooManyCalls || status >= firstServerError)
             return scaling::OrderOutcome::Unanswered;
-        return status >= 200 && status < 300 ? scaling::OrderOutcome::Accepted : scaling::OrderOutcome::Refused;
+        return http1::isSuccess(status) ? scaling::OrderOutcome::Accepted : scaling::OrderOutcome::Refused;
     }
 
     scaling::EndpointGroup groupOf(const registry::EndpointRecord& record)
--- a/src/azurepaddle/execution/usage_reporter.hpp
+++ b/src/azurepaddle/execution/usage_reporter.hpp
@@ -3,6 +3,7 @@
 #include "azurepaddle/execution/duty_client.hpp"
 #include "azurepaddle/gateway/route_table.hpp"
 #include "azurepaddle/gateway/usage_counter.hpp"
+#include "azurepaddle/http1/status.hpp"
 
 namespace azurepaddle::execution {
 
@@ -103,9 +104,11 @@
 template <typename Protocol>
 void UsageReporter<Protocol>::sendIfDue(TimePoint now)
 {
-    const auto usage = m_machine.usage().oldestUnconfirmed();
     m_metrics.gauge("usage_unconfirmed_windows").set(static_cast<double>(m_machine.usage().unconfirmed()));
-    if (!usage || m_isSending || now < m_nextSend || !m_client.prepareCall())
+    if (m_isSending || now < m_nextSend)
+        return;
+    const auto usage = m_machine.usage().oldestUnconfirmed();
+    if (!usage || !m_client.prepareCall())
         return;
     m_isSending = true;
     const DutyHolder holder = m_client.holder();
@@ -116,9 +119,7 @@
 template <typename Protocol>
 void UsageReporter<Protocol>::onAnswer(registry::UsageWindow window, unsigned status)
 {
-    constexpr unsigned firstSuccess = 200;
-    constexpr unsigned firstRedirection = 300;
-    if (status < firstSuccess || status >= firstRedirection) {
+    if (!http1::isSuccess(status)) {
         m_log.warning("window={} status={} outcome=not-accepted, the report is sent again", window, status);
         m_metrics.counter("usage_reports_repeated_total").add();
         m_nextSend = m_clock.now() + retryDelay;
