--- a/review/6/case.py
+++ b/review/6/case.py
@@ -87,7 +87,7 @@
     limit = ACK_S + ROUTE_S * len(document["routes"])
     text = (f"Acks: configuration 2 {'acknowledged after %.1f s' % acknowledged if acknowledged is not None else 'not acknowledged in %.0f s' % WATCH_S}, allowed are {limit:.1f} s; "
             f"the step accepted before: {trainer.listed} of 88 results listed, {len(answered)} reads answered later than {ACK_S} s after the large job; "
-            f"{terms} changes of leadership; processes that ended: {exits}")
+            f"{terms} begins and ends of a leadership; processes that ended: {exits}")
     return (EXIT_BROKEN if acknowledged is None else EXIT_HELD), text
 
 
