--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -43,15 +43,26 @@
             self.file.flush()
 
 
-def free_ports(count):
-    """Ports that are free on all loopback addresses."""
-    sockets = []
-    for _ in range(count):
+def is_free(port, address):
+    with socket.socket() as probe:
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
+def free_ports(count, addresses):
+    """Ports that are free on all of these loopback addresses."""
+    probes, ports = [], []
+    while len(ports) < count:
         probe = socket.socket()
-        probe.bind(("0.0.0.0", 0))
-        sockets.append(probe)
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
+        probe.bind(("127.0.0.1", 0))
+        probes.append(probe)
+        port = probe.getsockname()[1]
+        if all(is_free(port, address) for address in addresses):
+            ports.append(port)
+    for probe in probes:
         probe.close()
     return ports
 
@@ -89,7 +100,7 @@
         self.processes = {}
         self.store_ips = [f"127.0.0.{21 + number}" for number in range(stores)]
         self.entry_ips = [f"127.0.0.{41 + number}" for number in range(entries)]
-        self.peer_port, self.control_port, self.front_port, self.ready_port = free_ports(4)
+        self.peer_port, self.control_port, self.front_port, self.ready_port = free_ports(4, self.store_ips + self.entry_ips)
         for number in range(stores):
             self.start_store(number, first_start=True)
         for number in range(entries):
