Read and replace framed files outside the log store

Other files of a data folder need the same: whole content or the former one after a loss of power, and damage that is detected. readFramed and replaceFile move into framed_file.hpp. LogStore says whether the folder has an identity.

--- a/src/azurepaddle/storage/log_store.hpp
+++ b/src/azurepaddle/storage/log_store.hpp
@@ -2,6 +2,7 @@
 
 #include "azurepaddle/core/invariant.hpp"
 #include "azurepaddle/storage/file_system.hpp"
+#include "azurepaddle/storage/framed_file.hpp"
 #include "azurepaddle/storage/log_reader.hpp"
 #include "azurepaddle/storage/records.hpp"
 
@@ -26,6 +27,9 @@
     LogStore& operator=(const LogStore&) = delete;
     ~LogStore() { closeFile(); }
 
+    /// Whether the folder has an identity, readable or not. Without one, load() sets the folder up.
+    [[nodiscard]] bool hasIdentity() const;
+
     /// Reads all files, removes a torn tail and syncs the returned state. Must succeed before any other call. An empty
     /// folder gets the given identity, which must never have been used before. Returns Corrupt if synced data is missing.
     [[nodiscard]] StorageResult<LoadedState> load(const std::string& freshIdentity);
@@ -68,7 +72,6 @@
     [[nodiscard]] StorageResult<void> alignWithSnapshot(LoadedState& state);
     [[nodiscard]] StorageResult<void> startFile(std::uint64_t baseIndex, std::uint64_t baseTerm, Continuation continuation);
     [[nodiscard]] StorageResult<void> removeFilesBefore(std::uint64_t sequence);
-    [[nodiscard]] StorageResult<void> replaceFile(const std::string& name, std::string_view head, std::string_view body = {});
     void bufferRecord(internal::SegmentRecordKind kind, LogRecord record);
     [[nodiscard]] StorageResult<void> checkOpen() const;
     template <typename T>
--- a/src/azurepaddle/storage/log_store_load.hpp
+++ b/src/azurepaddle/storage/log_store_load.hpp
@@ -24,22 +24,6 @@
         return sequence;
     }
 
-    /// Reads a file that contains one framed value. The file is only replaced atomically, so any damage is corruption.
-    template <typename T, FileSystem Files>
-    [[nodiscard]] StorageResult<T> readFramed(Files& files, const std::string& name)
-    {
-        const auto bytes = files.read(name);
-        if (!bytes)
-            return tl::unexpected(bytes.error());
-        const auto framed = codec::unframe(*bytes);
-        if (!framed || framed->size != bytes->size())
-            return makeError(StorageErrorCode::Corrupt, fmt::format("the file {} is damaged", name));
-        auto value = codec::decode<T>(framed->payload);
-        if (!value)
-            return makeError(StorageErrorCode::Corrupt, fmt::format("the file {} has unknown content", name));
-        return std::move(*value);
-    }
-
 }
 
 template <FileSystem Files>
@@ -65,15 +49,22 @@
     return state;
 }
 
+template <FileSystem Files>
+bool LogStore<Files>::hasIdentity() const
+{
+    const auto identity = m_files.read(internal::identityFile);
+    return identity || identity.error().code() != StorageErrorCode::NotFound;
+}
+
 template <FileSystem Files>
 StorageResult<void> LogStore<Files>::readIdentity(LoadedState& state)
 {
-    auto identity = internal::readFramed<std::string>(m_files, internal::identityFile);
+    auto identity = readFramed<std::string>(m_files, internal::identityFile);
     if (!identity && identity.error().code() == StorageErrorCode::NotFound)
         return refuseUsedFolder();
     if (!identity)
         return tl::unexpected(identity.error());
-    auto vote = internal::readFramed<Vote>(m_files, internal::voteFile);
+    auto vote = readFramed<Vote>(m_files, internal::voteFile);
     if (!vote && vote.error().code() == StorageErrorCode::NotFound)
         return makeError(StorageErrorCode::Corrupt, "the vote file is missing");
     if (!vote)
@@ -92,7 +83,7 @@
     const auto names = m_files.list();
     if (!names)
         return tl::unexpected(names.error());
-    const auto vote = internal::readFramed<Vote>(m_files, internal::voteFile);
+    const auto vote = readFramed<Vote>(m_files, internal::voteFile);
     bool isUsed = vote ? *vote != Vote {} : vote.error().code() != StorageErrorCode::NotFound;
     for (const std::string& name : *names) {
         isUsed = isUsed || name == internal::snapshotFile;
@@ -112,13 +103,13 @@
 {
     AZUREPADDLE_INVARIANT(!identity.empty(), "a new data folder needs an identity");
     m_identity = identity;
-    if (auto written = replaceFile(internal::voteFile, codec::frame(codec::encode(Vote {}))); !written)
+    if (auto written = storage::replaceFile(m_files, internal::voteFile, codec::frame(codec::encode(Vote {}))); !written)
         return written;
     if (auto started = startFile(0, 0, Continuation::Reset); !started)
         return started;
     closeFile();
     m_logFiles.clear();
-    return replaceFile(internal::identityFile, codec::frame(codec::encode(identity)));
+    return storage::replaceFile(m_files, internal::identityFile, codec::frame(codec::encode(identity)));
 }
 
 template <FileSystem Files>
--- a/src/azurepaddle/storage/log_store_write.hpp
+++ b/src/azurepaddle/storage/log_store_write.hpp
@@ -13,7 +13,6 @@
     constexpr auto voteFile = "vote";
     constexpr auto snapshotFile = "snapshot";
     constexpr std::string_view logPrefix = "log-";
-    constexpr std::string_view temporarySuffix = ".tmp";
     /// A log file of at least this size is finished at the next snapshot, so that it can be deleted later.
     constexpr std::uint64_t minFinishedFileBytes = 64U * 1024U;
     /// A log file of this size is finished.
@@ -132,32 +131,12 @@
     return {};
 }
 
-template <FileSystem Files>
-StorageResult<void> LogStore<Files>::replaceFile(const std::string& name, std::string_view head, std::string_view body)
-{
-    const std::string temporary = name + std::string(internal::temporarySuffix);
-    auto file = m_files.open(temporary, OpenMode::Replace);
-    if (!file)
-        return tl::unexpected(file.error());
-    auto written = m_files.write(*file, head);
-    if (written && !body.empty())
-        written = m_files.write(*file, body);
-    if (written)
-        written = m_files.sync(*file);
-    m_files.close(*file);
-    if (written)
-        written = m_files.rename(temporary, name);
-    if (written)
-        written = m_files.syncFolder();
-    return written;
-}
-
 template <FileSystem Files>
 StorageResult<void> LogStore<Files>::saveVote(const Vote& vote)
 {
     if (auto open = checkOpen(); !open)
         return open;
-    return closeOnError(replaceFile(internal::voteFile, codec::frame(codec::encode(vote))));
+    return closeOnError(storage::replaceFile(m_files, internal::voteFile, codec::frame(codec::encode(vote))));
 }
 
 template <FileSystem Files>
@@ -198,7 +177,7 @@
         return synced;
     AZUREPADDLE_INVARIANT(index <= m_lastIndex, "a snapshot of the local state lies beyond the log");
     const std::string head = codec::frame(codec::encode(internal::SnapshotHeader { index, term }));
-    if (auto saved = closeOnError(replaceFile(internal::snapshotFile, head + codec::frameHeader(bytes), bytes)); !saved)
+    if (auto saved = closeOnError(storage::replaceFile(m_files, internal::snapshotFile, head + codec::frameHeader(bytes), bytes)); !saved)
         return saved;
     if (m_fileSize >= internal::minFinishedFileBytes && m_lastTerm) {
         if (auto started = closeOnError(startFile(m_lastIndex, *m_lastTerm, Continuation::Keep)); !started)
@@ -214,7 +193,7 @@
     if (auto synced = sync(); !synced)
         return synced;
     const std::string head = codec::frame(codec::encode(internal::SnapshotHeader { index, term }));
-    if (auto saved = closeOnError(replaceFile(internal::snapshotFile, head + codec::frameHeader(bytes), bytes)); !saved)
+    if (auto saved = closeOnError(storage::replaceFile(m_files, internal::snapshotFile, head + codec::frameHeader(bytes), bytes)); !saved)
         return saved;
     m_lastIndex = index;
     m_lastTerm = term;
