Remember on disk where the instances of a deployment are

The settings of the entries and of three store nodes without a log named these three as seeds; the participants had other seeds.

Cause: what an instance had learnt of the others was in memory only. After a start the group knew itself, the three store nodes knew each other, the entries knew these three, and no instance of one side knew one of the other.

Change: discovery leaves cluster::Group for a module of its own. Each store node keeps in the file `contacts` the addresses of all entries and store nodes that any store node has heard from, and whether it ever knew a group. The leader collects them, and calls those that nobody hears from; a store node that finds no group with a leader calls the store nodes it remembers. Addresses are only places to ask, so an outdated one cannot mislead. A node that ever knew a group, or whose file is damaged or lost, founds none.

--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 	$(BUILD)/azurepaddle-bench run
 
 capacity: build
-	for figures in log election control membership; do $(BUILD)/azurepaddle-figures $$figures || exit 1; done
+	for figures in log election control contacts membership; do $(BUILD)/azurepaddle-figures $$figures || exit 1; done
 	$(BUILD)/azurepaddle-bench cost
 	tools/load-figures $(BUILD)
 
--- a/src/azurepaddle/cluster/fwd.hpp
+++ b/src/azurepaddle/cluster/fwd.hpp
@@ -2,6 +2,9 @@
 
 namespace azurepaddle::cluster {
 
+class ContactBook;
+struct Contact;
+struct DiscoveryOptions;
 struct MemberIdentity;
 struct MemberView;
 struct GroupOptions;
--- a/src/azurepaddle/cluster/group.hpp
+++ b/src/azurepaddle/cluster/group.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azurepaddle/cluster/discovery.hpp"
 #include "azurepaddle/cluster/identity.hpp"
 #include "azurepaddle/cluster/membership_plan.hpp"
 #include "azurepaddle/cluster/snapshot_schedule.hpp"
@@ -89,7 +90,7 @@
     Group(const Group&) = delete;
     Group& operator=(const Group&) = delete;
 
-    /// Registers the methods raft, introduce and join. Must be called before the server starts.
+    /// Registers the methods raft, introduce, contacts and join. Must be called before the server starts.
     void registerHandlers(transport::PeerServer& server);
     /// Starts to take part in the group or to discover it.
     void start();
@@ -114,13 +115,13 @@
     [[nodiscard]] std::uint64_t appliedIndex() const noexcept { return m_appliedIndex; }
     [[nodiscard]] const InstanceId& identity() const noexcept { return m_identity; }
     /// Replaces the addresses that are used to discover the group and to which the leader announces it.
-    void setSeeds(std::vector<InstanceAddress> seeds) { m_seeds = std::move(seeds); }
+    void setSeeds(std::vector<InstanceAddress> seeds) { m_discovery->setSeeds(std::move(seeds)); }
     /// Peer address of the leader, if known. On an instance that is not a participant, the leader that another instance
     /// reported last.
-    [[nodiscard]] std::optional<InstanceAddress> leaderAddress() const;
+    [[nodiscard]] std::optional<InstanceAddress> leaderAddress() const { return m_discovery->leaderAddress(); }
     /// The participants of the group. On an instance that is not a participant, those that another instance reported
     /// last.
-    [[nodiscard]] std::vector<MemberIdentity> members() const;
+    [[nodiscard]] std::vector<MemberIdentity> members() const { return m_discovery->members(); }
     /// The participants of the newest committed membership. What others rely on must follow from it: another leader may
     /// replace a change that is not committed. On the leader, it includes every change acknowledged so far.
     [[nodiscard]] std::vector<MemberIdentity> committedMembers() const { return identitiesOf(m_node->committedMembership()); }
@@ -128,6 +129,10 @@
     /// Whether a snapshot is overdue because the state is too large for it. Callers should not propose large commands
     /// then.
     [[nodiscard]] bool isSnapshotOverdue() const noexcept { return m_snapshots.isOverdue(); }
+    /// Records that an entry instance polled this one, so that it is found again after a restart.
+    void recordEntry(const InstanceAddress& address) { m_discovery->recordHeard({ address, control::ContactRole::Entry }, m_clock.now()); }
+    /// Number of instances of a role that this one remembers.
+    [[nodiscard]] std::size_t contactCount(control::ContactRole role) const { return m_discovery->contactCount(role); }
     /// Names of instances that recently requested to join and were declined because there are enough participants. They
     /// hold no log.
     [[nodiscard]] std::set<std::string> declinedInstances() const;
@@ -167,19 +172,9 @@
     void takeSnapshot();
     void notifyLeadershipChange();
 
-    // group_membership.hpp: bootstrap, discovery, joining, replacement of failed participants.
+    // group_membership.hpp: joining, replacement of failed participants.
     void runMaintenance();
     void planChange();
-    void discoverGroup();
-    void handleIntroduceReply(const InstanceAddress& from, const control::IntroduceReply& reply);
-    void sendIntroduceRequests(const std::set<InstanceAddress>& addresses);
-    void announceGroup();
-    void recordIntroduceRequest(const InstanceId& identity);
-    void updateKnownGroup(const control::KnownGroup& view);
-    [[nodiscard]] control::KnownGroup knownGroup() const;
-    [[nodiscard]] static std::vector<MemberIdentity> identitiesOf(const consensus::Membership& membership);
-    [[nodiscard]] control::IntroduceReply makeIntroduceReply() const;
-    void bootstrapIfSeedsEmpty();
     [[nodiscard]] std::vector<MemberView> memberViews() const;
     void handleJoin(const InstanceId& identity);
     void proposeChange(const consensus::MembershipChange& change);
@@ -192,9 +187,11 @@
     const SystemClock m_clock {};
     storage::PosixFileSystem m_files;
     Store m_store { m_files };
+    ContactFile<storage::PosixFileSystem> m_contactFile;
     Random m_random;
     InstanceId m_identity;
     std::unique_ptr<Node> m_node;
+    std::unique_ptr<Discovery<Node, storage::PosixFileSystem>> m_discovery;
     asio::steady_timer m_tickTimer;
     bool m_isStepScheduled = false;
     bool m_wasLeading = false;
@@ -204,11 +201,6 @@
     SnapshotSchedule m_snapshots;
     std::multimap<std::uint64_t, PendingProposal> m_pendingProposals; ///< By log index.
     std::map<InstanceId, SendQueue> m_sendQueues;
-    std::map<InstanceAddress, control::IntroduceReply> m_introduceReplies; ///< Replies received since the last round of introduce requests.
-    std::vector<InstanceAddress> m_seeds; ///< Seeds from the newest settings.
-    control::KnownGroup m_knownGroup; ///< Newest description of the group received from another instance.
-    std::map<InstanceAddress, TimePoint> m_requesters; ///< Time of the last introduce request, by address of the requesting instance.
-    TimePoint m_nextAnnouncement {};
     std::set<std::string> m_retiring;
     std::map<std::string, TimePoint> m_declinedInstances; ///< Time of the last declined join request, by instance name.
     std::function<void(bool)> m_onLeadershipChange;
--- a/src/azurepaddle/cluster/group_drive.hpp
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -56,10 +56,10 @@
     , m_machine(machine)
     , m_client(client)
     , m_files(internal::valueOrStop(storage::PosixFileSystem::openFolder(m_options.dataFolder)))
+    , m_contactFile(m_files, !m_store.hasIdentity(), m_clock.now())
     , m_random(std::random_device {}())
     , m_tickTimer(io)
     , m_snapshots(m_options.snapshotIntervalBytes, m_random.uniform())
-    , m_seeds(m_options.seeds)
 {
     static_assert(StateMachine<Machine>);
     const InstanceId newIdentity = formatIdentity({ m_options.name, m_options.address, randomHex(internal::folderIdBytes) });
@@ -67,6 +67,8 @@
     m_identity = InstanceId(loaded.identity);
     m_log.info("data folder of {}: {} records, snapshot at {}, term {}, torn tail of {} bytes", m_identity, loaded.records.size(), loaded.snapshot.index, loaded.vote.term, loaded.cutBytes);
     m_node = std::make_unique<Node>(m_store, m_random, m_options.raft, std::move(loaded), m_clock.now());
+    const DiscoveryOptions discovery { m_options.address, m_options.seeds, m_options.mayBootstrap };
+    m_discovery = std::make_unique<Discovery<Node, storage::PosixFileSystem>>(io, client, m_identity, *m_node, m_contactFile, discovery);
 }
 
 template <typename Machine>
@@ -85,15 +87,6 @@
         });
         respond(std::string());
     });
-    server.handleDeferred("introduce", [this](PeerRequest request, PeerResponder respond) {
-        asio::post(m_io, [this, body = std::move(request.body), respond = std::move(respond)] {
-            if (const auto introduce = codec::decode<control::IntroduceRequest>(body)) {
-                recordIntroduceRequest(introduce->identity);
-                updateKnownGroup(introduce->known);
-            }
-            respond(codec::encode(makeIntroduceReply()));
-        });
-    });
     server.handleDeferred("join", [this](PeerRequest request, PeerResponder respond) {
         asio::post(m_io, [this, body = std::move(request.body), respond = std::move(respond)] {
             if (const auto join = codec::decode<control::JoinRequest>(body))
@@ -101,6 +94,7 @@
             respond(std::string());
         });
     });
+    m_discovery->registerHandlers(server);
 }
 
 template <typename Machine>
@@ -260,6 +254,8 @@
     const bool isLeading = isLeader() && m_appliedTerm == term();
     if (std::exchange(m_wasLeading, isLeading) == isLeading)
         return;
+    if (isLeading)
+        m_discovery->recordLeadership(m_clock.now());
     m_log.info("{} leads in term {}: {}", m_identity, term(), isLeading ? "begin" : "end");
     if (m_onLeadershipChange)
         m_onLeadershipChange(isLeading);
@@ -320,30 +316,4 @@
     });
 }
 
-template <typename Machine>
-std::optional<InstanceAddress> Group<Machine>::leaderAddress() const
-{
-    const auto parts = parseIdentity(isParticipant() ? m_node->leader() : m_knownGroup.leader);
-    return parts ? std::optional(parts->address) : std::nullopt;
-}
-
-template <typename Machine>
-std::vector<MemberIdentity> Group<Machine>::members() const
-{
-    return identitiesOf(isParticipant() ? m_node->membership() : m_knownGroup.membership);
-}
-
-template <typename Machine>
-std::vector<MemberIdentity> Group<Machine>::identitiesOf(const consensus::Membership& membership)
-{
-    std::vector<MemberIdentity> identities;
-    for (const auto* ids : { &membership.voters, &membership.learners }) {
-        for (const InstanceId& id : *ids) {
-            if (auto parts = parseIdentity(id))
-                identities.push_back(std::move(*parts));
-        }
-    }
-    return identities;
-}
-
 }
--- a/src/azurepaddle/cluster/identity.cpp
+++ b/src/azurepaddle/cluster/identity.cpp
@@ -22,4 +22,16 @@
     return MemberIdentity { text.substr(0, at), *address, text.substr(hash + 1) };
 }
 
+std::vector<MemberIdentity> identitiesOf(const consensus::Membership& membership)
+{
+    std::vector<MemberIdentity> identities;
+    for (const auto* ids : { &membership.voters, &membership.learners }) {
+        for (const InstanceId& id : *ids) {
+            if (auto parts = parseIdentity(id))
+                identities.push_back(std::move(*parts));
+        }
+    }
+    return identities;
+}
+
 }
--- a/src/azurepaddle/cluster/identity.hpp
+++ b/src/azurepaddle/cluster/identity.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "azurepaddle/consensus/membership.hpp"
 #include "azurepaddle/core/address.hpp"
 #include "azurepaddle/core/ident.hpp"
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace azurepaddle::cluster {
 
@@ -24,4 +26,7 @@
 /// Parses an identity. Returns nothing if it does not have the form `name@ip:port#folder`.
 [[nodiscard]] std::optional<MemberIdentity> parseIdentity(const InstanceId& id);
 
+/// The participants of a membership, voters first. Malformed identities are left out.
+[[nodiscard]] std::vector<MemberIdentity> identitiesOf(const consensus::Membership& membership);
+
 }
--- a/src/azurepaddle/registry/local_service.cpp
+++ b/src/azurepaddle/registry/local_service.cpp
@@ -45,6 +45,8 @@
 {
     const TimePoint now = m_clock.now();
     m_entries.record(request.entry, now);
+    if (const auto address = parseAddress(request.entry.address))
+        m_group.recordEntry(*address);
     if (!m_group.hasRecentState())
         return responder.notLeader();
     WaitingPoll poll { request, responder, now };
--- a/src/programs/azurepaddle-figures/figures.hpp
+++ b/src/programs/azurepaddle-figures/figures.hpp
@@ -24,6 +24,8 @@
 int runSnapshot(const Options& options);
 /// Time without a leader after a kill, in the simulation.
 int runElection(const Options& options);
+/// Size of the contacts of store instances on disk and in messages, at several sizes of a deployment.
+int runContacts(const Options& options);
 
 /// A folder that is removed with its content when the object ends.
 class TemporaryFolder {
--- a/src/programs/azurepaddle-figures/main.cpp
+++ b/src/programs/azurepaddle-figures/main.cpp
@@ -33,6 +33,7 @@
         Command { "snapshot", "cost of two snapshot formats", runSnapshot },
         Command { "election", "time without a leader after a kill (simulated)", runElection },
         Command { "control", "bytes per claim, sample and group; time to apply, snapshot and restore", runPlain<runControlFigures> },
+        Command { "contacts", "bytes of what store nodes remember and report of all instances", runContacts },
         Command { "membership", "bytes, messages and processor time per node against members and endpoints", runPlain<runMembershipFigures> },
     };
 
--- a/src/programs/azurepaddle-node/entry_node.cpp
+++ b/src/programs/azurepaddle-node/entry_node.cpp
@@ -103,6 +103,7 @@
     });
     m_entryFinder.setOnFound([this](const std::vector<registry::EntryStatus>& entries) { m_relayPeers.add(entries, m_clock.now()); });
     m_relayServer.registerHandlers(m_peerServer);
+    registerAnnouncements();
     if (m_settings.duties.includes("usage")) {
         m_localForwarder.setOnRun([this](const WorkspaceName& workspace, TimePoint beganAt) { m_usageCounter.add(workspace, beganAt); });
         m_usageSender.setOnReport([this] { m_localForwarder.recordUnanswered(m_clock.now() - maxUncountedTime); });
@@ -110,6 +111,30 @@
     m_localForwarder.setOnLeaving([this](const registry::EndpointIncarnation& leave) { reportDraining(leave); });
 }
 
+/// Store nodes name the participants of the group to entries that poll none of them.
+void EntryNode::registerAnnouncements()
+{
+    m_peerServer.handleDeferred(std::string(control::Announcement::method), [this](transport::PeerRequest request, transport::PeerResponder respond) {
+        asio::post(m_io, [this, body = std::move(request.body), respond = std::move(respond)] {
+            if (const auto announcement = codec::decode<control::Announcement>(body))
+                onAnnouncement(*announcement);
+            respond(codec::encode(control::AnnouncementReply { m_isInContact }));
+        });
+    });
+}
+
+/// Polls the named store nodes too while none of the known ones answers.
+void EntryNode::onAnnouncement(const control::Announcement& announcement)
+{
+    if (m_isInContact)
+        return;
+    m_log.info("dependency=store state=announced members={}", announcement.members.size());
+    for (const std::string& member : announcement.members) {
+        if (const auto address = parseAddress(member))
+            m_stores.add(*address);
+    }
+}
+
 bool EntryNode::start()
 {
     const auto client = m_peerClient.start();
--- a/src/programs/azurepaddle-node/entry_node.hpp
+++ b/src/programs/azurepaddle-node/entry_node.hpp
@@ -3,6 +3,7 @@
 #include "body_budget_monitor.hpp"
 
 #include "azurepaddle/config/node_settings.hpp"
+#include "azurepaddle/control/contact_messages.hpp"
 #include "azurepaddle/gateway/balancer.hpp"
 #include "azurepaddle/gateway/crash_probe.hpp"
 #include "azurepaddle/gateway/relay_server.hpp"
@@ -37,6 +38,8 @@
 private:
     [[nodiscard]] registry::EntryStatus status() const;
     [[nodiscard]] bool takesRequestsOfOthers() const { return m_hasConfiguration && !m_isDraining && !m_links.areCut(); }
+    void registerAnnouncements();
+    void onAnnouncement(const control::Announcement& announcement);
     void poll();
     void onPoll(const InstanceAddress& store, TimePoint sentAt, const registry::PollReply& reply);
     void onPollFailed(const InstanceAddress& asked, const std::optional<InstanceAddress>& named);
--- a/src/programs/azurepaddle-node/store_node.cpp
+++ b/src/programs/azurepaddle-node/store_node.cpp
@@ -175,6 +175,8 @@
     const auto status = m_group.status();
     const std::size_t resident = residentBytes();
     m_metrics.gauge("resident_bytes").set(static_cast<double>(resident));
+    m_metrics.gauge("group_known_stores").set(static_cast<double>(m_group.contactCount(control::ContactRole::Store)));
+    m_metrics.gauge("group_known_entries").set(static_cast<double>(m_group.contactCount(control::ContactRole::Entry)));
     m_metrics.gauge("job_bytes").set(static_cast<double>(m_machine.jobs().bytes()));
     m_log.info("memory resident={} job-bytes={} jobs={} log-first={} log-last={} commit={} leads={}", resident, m_machine.jobs().bytes(), m_machine.jobs().size(), status.snapshotIndex, status.lastIndex, status.commitIndex, m_group.isLeader());
 }
--- a/test/azurepaddle/cluster/group.cpp
+++ b/test/azurepaddle/cluster/group.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <filesystem>
+#include <fstream>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -144,6 +145,13 @@
         return condition();
     }
 
+    void runFor(Duration time)
+    {
+        const SystemClock clock;
+        const TimePoint end = clock.now() + time;
+        static_cast<void>(runUntil([&] { return clock.now() >= end; }));
+    }
+
     std::optional<std::size_t> leader()
     {
         for (std::size_t i = 0; i < participants.size(); ++i) {
@@ -500,3 +508,266 @@
     for (std::size_t i = ExchangedSeedsFixture::firstSpare; i < ExchangedSeedsFixture::count; ++i)
         cr_assert(fixture.participants[i]->group.status().lastIndex == 0);
 }
+
+namespace {
+
+/// Only the instances without a log have the new seeds. The participants still have the first ones, which are themselves.
+struct SeparateSeedsFixture : ExchangedSeedsFixture {
+    std::vector<InstanceAddress> firstSeeds { addresses.begin(), addresses.begin() + 3 };
+    std::vector<InstanceAddress> newSeeds = seeds;
+
+    /// Number of remembered instances in the file of an instance; 0 without a file.
+    [[nodiscard]] std::size_t savedContacts(std::size_t i) const
+    {
+        std::ifstream file(folderOf(i) + "/contacts", std::ios::binary);
+        const std::string bytes(std::istreambuf_iterator<char>(file), {});
+        const auto framed = codec::unframe(bytes);
+        const auto content = framed ? codec::decode<cluster::internal::ContactsRecord>(framed->payload) : tl::unexpected(framed.error());
+        return content ? content->contacts.size() : 0;
+    }
+
+    /// Runs until each instance has saved that it knows all others.
+    [[nodiscard]] bool areAllContactsSaved()
+    {
+        return runUntil([this] {
+            for (std::size_t i = 0; i < count; ++i) {
+                if (savedContacts(i) < count)
+                    return false;
+            }
+            return true;
+        });
+    }
+
+    /// Replaces what a stopped instance remembers.
+    void replaceContacts(std::size_t i, const cluster::internal::ContactsRecord& record) const
+    {
+        std::ofstream(folderOf(i) + "/contacts", std::ios::binary) << codec::frame(codec::encode(record));
+    }
+
+    void loseDisk(std::size_t i) const { std::filesystem::remove_all(folderOf(i)); }
+
+    void startAll()
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            seeds = i < firstSpare ? firstSeeds : newSeeds;
+            startInstance(i, false);
+        }
+    }
+};
+
+}
+
+// Detects instances without a log that never find the group after a loss of all power: they know only each other, and the
+// participants, whose settings name the earlier seeds, know only themselves.
+Test(Group, onlySparesHaveNewSeeds_allRestarted_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    cr_assert(fixture.areAllContactsSaved());
+    fixture.stopAll();
+    fixture.startAll();
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+    cr_assert(fixture.apply("b"));
+}
+
+// The same while the disks of the instances without a log are lost: only the participants remember them.
+Test(Group, onlySparesHaveNewSeeds_allRestartedSparesWithoutDisks_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    cr_assert(fixture.areAllContactsSaved());
+    fixture.stopAll();
+    for (std::size_t i = SeparateSeedsFixture::firstSpare; i < SeparateSeedsFixture::count; ++i)
+        fixture.loseDisk(i);
+    fixture.startAll();
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+}
+
+// The same while the participants remember nobody: their files were written by a build that kept none, or are damaged.
+Test(Group, onlySparesHaveNewSeeds_participantsRememberNobody_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    cr_assert(fixture.areAllContactsSaved());
+    fixture.stopAll();
+    for (std::size_t i = 0; i < SeparateSeedsFixture::firstSpare; ++i)
+        std::ofstream(fixture.folderOf(i) + "/contacts") << (i % 2 == 0 ? "damaged" : "");
+    fixture.startAll();
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+}
+
+// Detects instances that lose what they know of the group when all are restarted in turn.
+Test(Group, onlySparesHaveNewSeeds_restartedInTurn_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    for (std::size_t i = SeparateSeedsFixture::count; i-- > 0;) {
+        fixture.stopInstance(i);
+        fixture.seeds = i < SeparateSeedsFixture::firstSpare ? fixture.firstSeeds : fixture.newSeeds;
+        fixture.startInstance(i, false);
+        cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+    }
+    cr_assert(fixture.apply("b"));
+}
+
+// Detects an island of empty seeds that founds a second group: all were told of the first one before they restarted, and
+// nobody who knows it can be reached.
+Test(Group, emptySeedsKnewGroupBeforeRestart_mayBootstrapAndGroupIsDown_bootstrapNone)
+{
+    SeparateSeedsFixture fixture;
+    fixture.stopAll();
+    fixture.seeds = fixture.newSeeds;
+    for (std::size_t i = SeparateSeedsFixture::firstSpare; i < SeparateSeedsFixture::count; ++i)
+        fixture.startInstance(i, true);
+    fixture.runFor(std::chrono::seconds(3));
+    for (std::size_t i = SeparateSeedsFixture::firstSpare; i < SeparateSeedsFixture::count; ++i)
+        cr_assert(fixture.participants[i]->group.status().lastIndex == 0);
+}
+
+// Detects an island that gives up: nobody of the group can be reached for longer than its first calls last, and the
+// participants remember nobody, so that only the island can find them.
+Test(Group, onlySparesHaveNewSeeds_participantsReturnLater_sparesDiscoverThem)
+{
+    SeparateSeedsFixture fixture;
+    cr_assert(fixture.areAllContactsSaved());
+    fixture.stopAll();
+    fixture.seeds = fixture.newSeeds;
+    for (std::size_t i = SeparateSeedsFixture::firstSpare; i < SeparateSeedsFixture::count; ++i)
+        fixture.startInstance(i, false);
+    fixture.runFor(std::chrono::seconds(8));
+    cr_assert(!fixture.haveSparesDiscoveredGroup());
+    fixture.seeds = fixture.firstSeeds;
+    for (std::size_t i = 0; i < SeparateSeedsFixture::firstSpare; ++i) {
+        std::filesystem::remove(fixture.folderOf(i) + "/contacts");
+        fixture.startInstance(i, false);
+    }
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+}
+
+// Detects an instance that is misled by what it kept: participants that it remembers were replaced while it was away.
+Test(Group, rememberedParticipantsWereReplaced_restarted_discoversPresentOnes)
+{
+    SeparateSeedsFixture fixture;
+    cr_assert(fixture.areAllContactsSaved());
+    const std::size_t away = SeparateSeedsFixture::count - 1;
+    const auto isMember = [&](std::size_t observer, std::size_t i) {
+        const auto members = fixture.participants[observer]->group.members();
+        return std::any_of(members.begin(), members.end(), [&](const MemberIdentity& member) { return member.address == fixture.addresses[i]; });
+    };
+    fixture.stopInstance(away);
+    for (std::size_t i = 0; i < 2; ++i) {
+        fixture.stopInstance(i);
+        // Two machines must not be lost at the same time.
+        cr_assert(fixture.runUntil([&] { return !isMember(2, i) && fixture.participants[2]->group.status().membership.voters.size() == 3; }));
+        cr_assert(fixture.apply("replaced"));
+    }
+    fixture.seeds = fixture.newSeeds;
+    fixture.startInstance(away, false);
+    cr_assert(fixture.runUntil([&] { return isMember(away, 2) && !isMember(away, 0) && !isMember(away, 1); }));
+    cr_assert(fixture.apply("b"));
+}
+
+// Detects instances that are found only if the power is lost after all of them have saved whom they know.
+Test(Group, sparesJustDiscoveredGroup_allRestarted_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    fixture.stopAll();
+    fixture.startAll();
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+}
+
+// Detects memory that a restart before the next discovery impairs.
+Test(Group, onlySparesHaveNewSeeds_restartedBeforeDiscoveryAndAfterIt_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    cr_assert(fixture.areAllContactsSaved());
+    for (const int beforeMs : { 0, 300, 1200 }) {
+        fixture.stopAll();
+        fixture.startAll();
+        fixture.runFor(std::chrono::milliseconds(beforeMs));
+    }
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+    fixture.stopAll();
+    fixture.startAll();
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+}
+
+// Detects a machine on each side, back without its disk at the same time, that is not found or misleads the others.
+Test(Group, onlySparesHaveNewSeeds_oneDiskLostOnEachSide_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    cr_assert(fixture.areAllContactsSaved());
+    fixture.stopAll();
+    fixture.loseDisk(0);
+    fixture.loseDisk(SeparateSeedsFixture::count - 1);
+    fixture.startAll();
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+    cr_assert(fixture.apply("b"));
+}
+
+// The same while the machines are replaced one after the other, before all power is lost.
+Test(Group, onlySparesHaveNewSeeds_machinesReplacedBefore_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    for (const std::size_t i : { std::size_t { 0 }, SeparateSeedsFixture::count - 1 }) {
+        fixture.stopInstance(i);
+        fixture.loseDisk(i);
+        fixture.seeds = i < SeparateSeedsFixture::firstSpare ? fixture.firstSeeds : fixture.newSeeds;
+        fixture.startInstance(i, false);
+        cr_assert(fixture.runUntil([&] { return fixture.participants[1]->group.status().membership.voters.size() == 3 && fixture.haveSparesDiscoveredGroup(); }));
+    }
+    cr_assert(fixture.areAllContactsSaved());
+    fixture.stopAll();
+    fixture.startAll();
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+}
+
+// Detects islands that find the group only through other islands.
+Test(Group, eachSpareKnowsItselfAlone_allRestarted_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    cr_assert(fixture.areAllContactsSaved());
+    fixture.stopAll();
+    for (std::size_t i = 0; i < SeparateSeedsFixture::count; ++i) {
+        fixture.seeds = i < SeparateSeedsFixture::firstSpare ? fixture.firstSeeds : std::vector { fixture.addresses[i] };
+        fixture.startInstance(i, false);
+    }
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+}
+
+// Detects a leader that gives up: the island returns without disks, later than the first calls to it.
+Test(Group, onlySparesHaveNewSeeds_sparesReturnLaterWithoutDisks_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    cr_assert(fixture.areAllContactsSaved());
+    fixture.stopAll();
+    fixture.seeds = fixture.firstSeeds;
+    for (std::size_t i = 0; i < SeparateSeedsFixture::firstSpare; ++i)
+        fixture.startInstance(i, false);
+    fixture.runFor(std::chrono::seconds(8));
+    fixture.seeds = fixture.newSeeds;
+    for (std::size_t i = SeparateSeedsFixture::firstSpare; i < SeparateSeedsFixture::count; ++i) {
+        fixture.loseDisk(i);
+        fixture.startInstance(i, false);
+    }
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+}
+
+// Detects an island that does not use its only link when it heals: one instance of the island remembers one participant,
+// which cannot be reached at first, and the participants remember nobody.
+Test(Group, islandRemembersOneParticipant_linkHealsLater_sparesDiscoverParticipants)
+{
+    SeparateSeedsFixture fixture;
+    cr_assert(fixture.areAllContactsSaved());
+    fixture.stopAll();
+    const InstanceAddress& link = fixture.addresses[1];
+    for (std::size_t i = 0; i < SeparateSeedsFixture::count; ++i)
+        fixture.replaceContacts(i, { i < SeparateSeedsFixture::firstSpare, {} });
+    fixture.replaceContacts(SeparateSeedsFixture::firstSpare, { true, { { formatAddress(link), control::ContactRole::Store, 3 } } });
+    for (std::size_t i = 0; i < SeparateSeedsFixture::count; ++i) {
+        fixture.seeds = i < SeparateSeedsFixture::firstSpare ? fixture.firstSeeds : fixture.newSeeds;
+        if (fixture.addresses[i] != link)
+            fixture.startInstance(i, false);
+    }
+    fixture.runFor(std::chrono::seconds(5));
+    cr_assert(!fixture.haveSparesDiscoveredGroup());
+    fixture.seeds = fixture.firstSeeds;
+    fixture.startInstance(1, false);
+    cr_assert(fixture.runUntil([&] { return fixture.haveSparesDiscoveredGroup(); }));
+}
--- a/test/processes/nodes.py
+++ b/test/processes/nodes.py
@@ -338,6 +338,7 @@
         self.build = build  # Folder of the program that the next node runs.
         self.stores = {}
         self.peer_ips = [f"127.0.0.{2 + number}" for number in range(stores)]  # All nodes share one peer port, so each has an address of its own.
+        self.seed_ips = self.peer_ips[:3]  # Named in the settings of the nodes that start from now on.
         self.peer_port, listen_port, *ports = free_ports(2 + stores + 3 * entries)
         self.listen_port = listen_port if with_relays else 0
         self.control_ports, ports = ports[:stores], ports[stores:]
@@ -359,7 +360,7 @@
         self.folder.cleanup()
 
     def start(self, name, node, ip, first_start, listen_port=0):
-        seeds = ",".join(f"{address}:1" for address in self.peer_ips[:3])
+        seeds = ",".join(f"{address}:1" for address in self.seed_ips)
         path = self.settings_path(name)
         path.write_text(f"[node]\nname = {name}\ndata_centre = a\n{node}[peer]\naddress = {ip}\nport = {self.peer_port}\nlisten_port = {listen_port}\nseeds = {seeds}\n"
                         f"secret = a-secret-of-this-test\nfirst_start = {'yes' if first_start else 'no'}\n[bounds]\nmemory = {self.memory}\n{self.settings}")
