Let responders of deferred requests outlive their server

Seen: test-cluster crashed once in Group.rememberedParticipantsWereReplaced and, played 12 times at once, in 5 of 7 runs that ended (5 more hung behind the crashed test process). Callers see nothing of it: it happens when a process ends.

Cause, traced with AddressSanitizer: a handler that was queued on the event loop of a participant is destroyed after the participant's PeerServer, and with it the responder of its request. A dropped responder answers, on the event loop of the server, which is freed.

Change: responders keep the state of the server alive that they use; its event loop never runs again then.

The new test reads freed memory before, 1 of 1 under AddressSanitizer; without it, it passed 3 of 3 there.

--- a/src/azurepaddle/transport/peer_server.cpp
+++ b/src/azurepaddle/transport/peer_server.cpp
@@ -28,7 +28,7 @@
 
 struct PeerServer::Implementation {
     explicit Implementation(ServerOptions options)
-        : shared(std::move(options))
+        : sharedOwner(std::make_shared<internal::ServerShared>(std::move(options)))
     {
     }
 
@@ -38,7 +38,8 @@
     void sweep();
     void closeAll();
 
-    internal::ServerShared shared;
+    const std::shared_ptr<internal::ServerShared> sharedOwner;
+    internal::ServerShared& shared { *sharedOwner };
     internal::Tcp::acceptor acceptor { shared.io };
     asio::steady_timer sweepTimer { shared.io };
     asio::steady_timer acceptTimer { shared.io };
--- a/src/azurepaddle/transport/peer_server.hpp
+++ b/src/azurepaddle/transport/peer_server.hpp
@@ -19,8 +19,9 @@
 /// The body of the response, or an error message that is sent as PeerErrorCode::Failed.
 using PeerReply = tl::expected<std::string, std::string>;
 using PeerHandler = std::function<PeerReply(const PeerRequest&)>;
-/// Sends the response of one request. May be called from any thread while the server exists; only the first call has an
-/// effect. If all copies are destroyed without a call, the request fails with PeerErrorCode::Failed.
+/// Sends the response of one request. May be called and destroyed from any thread; after the server was destroyed, this has
+/// no effect. Only the first call has an effect. If all copies are destroyed without a call, the request fails with
+/// PeerErrorCode::Failed.
 using PeerResponder = std::function<void(PeerReply)>;
 /// Runs on the server's I/O thread: it must not block.
 using DeferredHandler = std::function<void(PeerRequest, PeerResponder)>;
--- a/src/azurepaddle/transport/server_connection.cpp
+++ b/src/azurepaddle/transport/server_connection.cpp
@@ -218,12 +218,12 @@
 {
     /// Responds to the stream once, at the latest when the last copy of the responder is destroyed.
     struct Pending {
-        Pending(ServerShared& owner, std::weak_ptr<ServerConnection> of, std::int32_t number)
-            : shared(owner)
+        Pending(std::shared_ptr<ServerShared> owner, std::weak_ptr<ServerConnection> of, std::int32_t number)
+            : shared(std::move(owner))
             , connection(std::move(of))
             , stream(number)
         {
-            ++shared.inProgress;
+            ++shared->inProgress;
         }
         Pending(const Pending&) = delete;
         Pending& operator=(const Pending&) = delete;
@@ -233,19 +233,20 @@
         {
             if (isAnswered.exchange(true))
                 return;
-            asio::post(shared.io, [&shared = shared, weak = connection, number = stream, reply = std::move(reply)] {
-                --shared.inProgress;
+            // The closure belongs to the event loop of the shared state, so it must not own that state.
+            asio::post(shared->io, [&state = *shared, weak = connection, number = stream, reply = std::move(reply)] {
+                --state.inProgress;
                 if (const auto self = weak.lock())
                     self->respond(number, reply);
             });
         }
 
-        ServerShared& shared;
+        std::shared_ptr<ServerShared> shared;
         std::weak_ptr<ServerConnection> connection;
         std::int32_t stream;
         std::atomic<bool> isAnswered = false;
     };
-    const auto pending = std::make_shared<Pending>(m_shared, weak_from_this(), stream);
+    const auto pending = std::make_shared<Pending>(m_shared.shared_from_this(), weak_from_this(), stream);
     entry.deferred(std::move(request), [pending](PeerReply reply) { pending->answer(std::move(reply)); });
 }
 
--- a/src/azurepaddle/transport/server_connection.hpp
+++ b/src/azurepaddle/transport/server_connection.hpp
@@ -20,8 +20,9 @@
     std::unique_ptr<WorkerLane> lane;
 };
 
-/// State shared by the connections of a server. Used on the I/O thread, except for the atomics and the meter.
-struct ServerShared {
+/// State shared by the connections of a server. Used on the I/O thread, except for the atomics and the meter. Responders
+/// keep it alive, because handlers may drop them after the server was destroyed.
+struct ServerShared : std::enable_shared_from_this<ServerShared> {
     explicit ServerShared(ServerOptions serverOptions)
         : options(std::move(serverOptions))
     {
--- a/test/azurepaddle/transport/calls.cpp
+++ b/test/azurepaddle/transport/calls.cpp
@@ -268,6 +268,27 @@
     cr_assert(!dropped && dropped.error().peerError()->code == PeerErrorCode::Failed);
 }
 
+// Guards against a use of freed memory when a process ends: work that was never done is dropped after the server, and with
+// it the responders of its requests.
+Test(PeerServer, respondersOutliveServer_calledOrDropped_haveNoEffect)
+{
+    std::vector<PeerResponder> held;
+    std::mutex mutex;
+    {
+        fixture::Pair pair;
+        pair.server.handleDeferred("later", [&](const PeerRequest&, PeerResponder respond) {
+            const std::lock_guard lock(mutex);
+            held.push_back(std::move(respond));
+        });
+        cr_assert(pair.start());
+        for (int i = 0; i < 20; ++i)
+            cr_assert(!pair.client.call(pair.server.address(), "later", "wait", SystemClock().now() + std::chrono::milliseconds(20)).has_value());
+    }
+    cr_assert(!held.empty());
+    held.front()(std::string("done"));
+    held.clear();
+}
+
 // Guards against tests that fail because an outgoing connection or another test takes a port between its choice and the
 // start of its server, or while that server is stopped.
 Test(PeerServer, portReserved_serverStartedAndStopped_isNotGivenToOthers)
