Derive the begin of a leadership within the discovery

The group reported it only once its log was applied, so that a leader elected again called instances as silent that had no reason to report to it yet. The discovery now takes it from the consensus node. Store instances that are remembered count as silent from the start whatever the clock reads.

--- a/src/azurepaddle/cluster/discovery.hpp
+++ b/src/azurepaddle/cluster/discovery.hpp
@@ -46,8 +46,6 @@
     [[nodiscard]] bool discover(TimePoint now);
     /// Makes the group known to others if that is due. Called several times a second by the leader.
     void announce(TimePoint now);
-    /// Begins a leadership of this instance.
-    void recordLeadership(TimePoint now) { m_leadingSince = now; }
     /// Records that this instance heard from another one.
     void recordHeard(const Contact& contact, TimePoint now) { m_contacts.recordHeard(contact, now); }
 
@@ -74,7 +72,7 @@
     void reportContacts(const InstanceAddress& leader, const std::vector<std::uint8_t>& differing);
     void handleContactReply(const InstanceAddress& leader, const control::ContactReply& reply, bool isExchange);
     [[nodiscard]] control::ContactReply handleContactReport(const control::ContactReport& report);
-    void announceToEntries(TimePoint now);
+    void announceToEntries(const std::vector<InstanceAddress>& entries);
 
     asio::io_context& m_io;
     transport::PeerClient& m_client;
@@ -89,7 +87,7 @@
     std::map<InstanceAddress, control::IntroduceReply> m_introduceReplies; ///< Replies received since the last round of introduce requests.
     control::KnownGroup m_knownGroup; ///< Newest description of the group received from another instance.
     TimePoint m_lastGroupReply {}; ///< Last time at which a participant that knows a leader described its group.
-    TimePoint m_leadingSince {}; ///< Beginning of the last leadership of this instance.
+    std::optional<TimePoint> m_leadingSince; ///< Beginning of the leadership of this instance, if it leads.
     TimePoint m_nextCalls {};
     TimePoint m_nextReport {};
 };
--- a/src/azurepaddle/cluster/discovery_contacts.hpp
+++ b/src/azurepaddle/cluster/discovery_contacts.hpp
@@ -18,6 +18,8 @@
     m_contacts.recordHeard({ m_options.address, control::ContactRole::Store }, now);
     m_contacts.removeExpired(now);
     m_file.maintain(now);
+    if (!isLeader())
+        m_leadingSince.reset();
     const auto leader = leaderAddress();
     if (isLeader() || !leader || now < m_nextReport)
         return;
@@ -67,18 +69,18 @@
 /// Names the participants to entry instances that no store instance hears from. After a restart they know the seeds of
 /// their settings alone, all of which may be down or may know only each other.
 template <typename Node, storage::FileSystem Files>
-void Discovery<Node, Files>::announceToEntries(TimePoint now)
+void Discovery<Node, Files>::announceToEntries(const std::vector<InstanceAddress>& entries)
 {
-    const std::vector<InstanceAddress> silent = m_contacts.takeDue(control::ContactRole::Entry, m_leadingSince, now);
-    if (silent.empty())
+    if (entries.empty())
         return;
     control::Announcement announcement;
     for (const MemberIdentity& member : members())
         announcement.members.push_back(formatAddress(member.address));
     const std::string request = codec::encode(announcement);
-    for (const InstanceAddress& address : silent) {
+    const TimePoint deadline = m_clock.now() + internal::contactCallDeadline;
+    for (const InstanceAddress& address : entries) {
         m_log.debug("announced to silent entry address={}", formatAddress(address));
-        m_client.send(address, std::string(control::Announcement::method), request, now + internal::contactCallDeadline, [this, address](const transport::CallResult& result) {
+        m_client.send(address, std::string(control::Announcement::method), request, deadline, [this, address](const transport::CallResult& result) {
             if (!result)
                 return;
             const auto reply = codec::decode<control::AnnouncementReply>(*result);
--- a/src/azurepaddle/cluster/discovery_group.hpp
+++ b/src/azurepaddle/cluster/discovery_group.hpp
@@ -70,7 +70,7 @@
         targets.insert(member.address);
     if (now >= m_nextCalls && now - m_lastGroupReply > internal::groupReplyTimeout) {
         m_nextCalls = now + internal::callInterval;
-        for (InstanceAddress& address : m_contacts.takeDue(control::ContactRole::Store, {}, now))
+        for (InstanceAddress& address : m_contacts.takeDue(control::ContactRole::Store, TimePoint::min(), now))
             targets.insert(std::move(address));
     }
     sendIntroduceRequests(targets);
@@ -82,16 +82,18 @@
 template <typename Node, storage::FileSystem Files>
 void Discovery<Node, Files>::announce(TimePoint now)
 {
+    if (!m_leadingSince)
+        m_leadingSince = now;
     if (now < m_nextCalls)
         return;
     m_nextCalls = now + internal::callInterval;
     std::set<InstanceAddress> targets(m_seeds.begin(), m_seeds.end());
-    for (InstanceAddress& address : m_contacts.takeDue(control::ContactRole::Store, m_leadingSince, now))
+    for (InstanceAddress& address : m_contacts.takeDue(control::ContactRole::Store, *m_leadingSince, now))
         targets.insert(std::move(address));
     for (const MemberIdentity& member : members())
         targets.erase(member.address);
     sendIntroduceRequests(targets);
-    announceToEntries(now);
+    announceToEntries(m_contacts.takeDue(control::ContactRole::Entry, *m_leadingSince, now));
 }
 
 template <typename Node, storage::FileSystem Files>
--- a/src/azurepaddle/cluster/group_drive.hpp
+++ b/src/azurepaddle/cluster/group_drive.hpp
@@ -254,8 +254,6 @@
     const bool isLeading = isLeader() && m_appliedTerm == term();
     if (std::exchange(m_wasLeading, isLeading) == isLeading)
         return;
-    if (isLeading)
-        m_discovery->recordLeadership(m_clock.now());
     m_log.info("{} leads in term {}: {}", m_identity, term(), isLeading ? "begin" : "end");
     if (m_onLeadershipChange)
         m_onLeadershipChange(isLeading);
